Lay out the project: build, shared types, process and protocol contracts

Cause: an empty repository.

Ruled out: one test program for all files, as it couples every part's build.

--- /dev/null
+++ b/Proto/generate.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Makes Proto/Generated anew from peer.proto; run after every change to it.
+set -euo pipefail
+cd "$(dirname "$0")"
+mkdir -p Generated
+protoc --cpp_out=Generated --grpc_out=Generated \
+  --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" peer.proto
