--- /dev/null
+++ b/UnitTests/Core/RunVerdictTest.cpp
@@ -0,0 +1,23 @@
+/// A verdict never moves back, whatever the order of what is learned.
+#define BOOST_TEST_MODULE RunVerdict
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Core/RunVerdict.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+
+using namespace peridothoist;
+
+RC_BOOST_PROP(VerdictIsTheLatestLearned, (const std::vector<bool>& aSteps))
+{
+  RunVerdictTracker tracker;
+  RunVerdict latest = RunVerdict::NotRun;
+  for (bool ran : aSteps) {
+    const RunVerdict step = ran ? RunVerdict::Ran : RunVerdict::MayHaveRun;
+    tracker.Advance(step);
+    latest = std::max(latest, step);
+    RC_ASSERT(tracker.Get() == latest);
+  }
+}
