--- a/Peridothoist/Shell/HttpClient.h
+++ b/Peridothoist/Shell/HttpClient.h
@@ -61,7 +61,8 @@
   /// A part of the answer's body came.
   virtual void OnData(std::string_view aData) = 0;
 
-  /// The call is over; no further method is called. Called exactly once.
+  /// The call is over; no further method is called. Called exactly once,
+  /// unless the client itself goes first.
   virtual void OnEnd(const HttpCallOutcome& aOutcome) = 0;
 };
 
@@ -85,7 +86,8 @@
   void Pause(CallId aCall);
   void Resume(CallId aCall);
 
-  /// Starts a call and hands over its whole answer, at most aMaxBytes of it.
+  /// Starts a call and hands over its whole answer. One over 64 MiB ends as
+  /// broken.
   using WholeAnswer =
     std::function<void(const HttpCallOutcome& aOutcome, std::string aBody)>;
   CallId Fetch(HttpCall aCall, WholeAnswer aDone);
--- a/Peridothoist/Shell/HttpServer.h
+++ b/Peridothoist/Shell/HttpServer.h
@@ -15,7 +15,8 @@
 struct HttpRequest
 {
   std::string mMethod;
-  std::string mPath; ///< Without the query.
+  std::string mPath;   ///< Without the query, percent-decoded.
+  std::string mTarget; ///< Path and query as they were sent.
   std::map<std::string, std::string> mQuery;
   HttpHeaders mHeaders;
   std::string mBody;
@@ -29,7 +30,8 @@
   virtual ~HttpExchangeListener() = default;
 
   /// The caller closed its connection before the answer was whole. The
-  /// exchange may be dropped; later calls on it do nothing.
+  /// exchange may be dropped; later calls on it do nothing. Not called any
+  /// more once Respond(), EndStream() or AbortStream() was called.
   virtual void OnCallerGone() = 0;
 
   /// The buffered part of a stream fell below the low mark after having been
@@ -74,7 +76,8 @@
 public:
   virtual ~HttpRequestHandler() = default;
 
-  /// A whole request came in. The handler keeps aExchange until it answered.
+  /// A whole request came in. The handler keeps aExchange until it answered;
+  /// when the last reference goes before that, the caller gets an error.
   virtual void OnRequest(std::shared_ptr<HttpExchange> aExchange) = 0;
 };
 
--- /dev/null
+++ b/Peridothoist/Shell/Reactor.cpp
@@ -0,0 +1,312 @@
+/// The event loop over ACE_Dev_Poll_Reactor. Few descriptors are registered
+/// with ACE: its epoll wait takes one event at a time, so parts with many
+/// sockets gather them in an epoll descriptor of their own and watch that.
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Shell/Reactor.h>
+
+#include <ace/ACE.h>
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Event_Handler.h>
+#include <ace/Event_Handler_Handle_Timeout_Upcall.h>
+#include <ace/Monotonic_Time_Policy.h>
+#include <ace/Reactor.h>
+#include <ace/Timer_Heap_T.h>
+#include <ace/Timer_Queue.h>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <mutex>
+#include <unordered_map>
+
+namespace peridothoist {
+
+namespace {
+
+/// Timers on the monotonic clock, so that a set wall clock moves none.
+using MonotonicTimerHeap =
+  ACE_Timer_Heap_T<ACE_Event_Handler*,
+                   ACE_Event_Handler_Handle_Timeout_Upcall,
+                   ACE_SYNCH_RECURSIVE_MUTEX,
+                   ACE_Monotonic_Time_Policy>;
+
+/// Highest descriptor number that can be watched, plus one.
+constexpr int kMaxWatchedDescriptors = 65536;
+
+/// Highest signal number that can be handled, plus one.
+constexpr std::size_t kMaxSignals = 64;
+
+TimePoint
+ReadClock()
+{
+  return std::chrono::time_point_cast<Duration>(
+    std::chrono::steady_clock::now());
+}
+
+ACE_Time_Value
+ToTimeValue(Duration aDelay)
+{
+  const auto micros = std::max<std::int64_t>(aDelay.count(), 0);
+  constexpr std::int64_t kMicrosPerSecond = 1000000;
+  return ACE_Time_Value(static_cast<time_t>(micros / kMicrosPerSecond),
+                        static_cast<suseconds_t>(micros % kMicrosPerSecond));
+}
+
+} // namespace
+
+/// The one event handler that ACE knows; it hands events on.
+struct Reactor::Impl : ACE_Event_Handler
+{
+  explicit Impl(int aWakeUp)
+    : mWakeUp(aWakeUp)
+    , mReactor(new ACE_Dev_Poll_Reactor(
+                 std::min(ACE::max_handles(), kMaxWatchedDescriptors),
+                 true,
+                 nullptr,
+                 &mTimerQueue,
+                 1,
+                 nullptr,
+                 0),
+               true)
+  {
+  }
+
+  ~Impl() override
+  {
+    mReactor.remove_handler(mWakeUp, READ_MASK | DONT_CALL);
+    mReactor.close();
+    ::close(mWakeUp);
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  // See: ACE_Event_Handler
+  int handle_input(ACE_HANDLE aDescriptor) override;
+  int handle_timeout(const ACE_Time_Value& aTime, const void* aTimer) override;
+  int handle_signal(int aSignal, siginfo_t* aInfo, ucontext_t* aUser) override;
+
+  void WakeUp() const;
+  void RunPosted();
+  void RunSignals();
+
+  struct Timer
+  {
+    long mAceTimer = 0;
+    Task mTask;
+  };
+
+  // The loop.
+  int mWakeUp;                    ///< eventfd: posted tasks and signals.
+  MonotonicTimerHeap mTimerQueue; ///< Outlives mReactor.
+  ACE_Reactor mReactor;
+  std::atomic<bool> mStop{ false };
+  std::optional<TimePoint> mNow; ///< Set while an event is handled.
+
+  // Work from other threads.
+  std::mutex mPostedLock;
+  std::vector<Task> mPosted; ///< Guarded by mPostedLock.
+
+  // Timers, descriptors and signals, by their ids.
+  TimerId mLastTimer = 0;
+  std::unordered_map<TimerId, Timer> mTimers;
+  std::unordered_map<int, DescriptorListener*> mListeners;
+  std::array<Task, kMaxSignals> mSignalTasks;
+  std::array<std::atomic<bool>, kMaxSignals> mSignalArrived{};
+};
+
+int
+Reactor::Impl::handle_input(ACE_HANDLE aDescriptor)
+{
+  mNow = ReadClock();
+  if (aDescriptor == mWakeUp) {
+    RunSignals();
+    RunPosted();
+  } else if (const auto it = mListeners.find(aDescriptor);
+             it != mListeners.end()) {
+    it->second->OnReadable(aDescriptor);
+  }
+  mNow.reset();
+  return 0;
+}
+
+int
+Reactor::Impl::handle_timeout(const ACE_Time_Value& /*aTime*/,
+                              const void* aTimer)
+{
+  const auto it = mTimers.find(reinterpret_cast<TimerId>(aTimer));
+  if (it == mTimers.end()) {
+    return 0;
+  }
+  const Task task = std::move(it->second.mTask);
+  mTimers.erase(it);
+  mNow = ReadClock();
+  task();
+  mNow.reset();
+  return 0;
+}
+
+/// Runs in the signal's context: only notes it and wakes the loop.
+int
+Reactor::Impl::handle_signal(int aSignal,
+                             siginfo_t* /*aInfo*/,
+                             ucontext_t* /*aUser*/)
+{
+  mSignalArrived[static_cast<std::size_t>(aSignal)] = true;
+  WakeUp();
+  return 0;
+}
+
+void
+Reactor::Impl::WakeUp() const
+{
+  const int ec = errno;
+  const std::uint64_t one = 1;
+  // A full counter already wakes the loop, so a failed write loses nothing.
+  [[maybe_unused]] const ssize_t n = ::write(mWakeUp, &one, sizeof(one));
+  errno = ec;
+}
+
+void
+Reactor::Impl::RunPosted()
+{
+  std::uint64_t count = 0;
+  [[maybe_unused]] const ssize_t n = ::read(mWakeUp, &count, sizeof(count));
+  std::vector<Task> tasks;
+  {
+    const std::lock_guard<std::mutex> lock(mPostedLock);
+    tasks.swap(mPosted);
+  }
+  for (const Task& task : tasks) {
+    task();
+  }
+}
+
+void
+Reactor::Impl::RunSignals()
+{
+  for (std::size_t i = 0; i < kMaxSignals; ++i) {
+    if (mSignalTasks[i] && mSignalArrived[i].exchange(false)) {
+      mSignalTasks[i]();
+    }
+  }
+}
+
+Reactor::Reactor(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+Reactor::~Reactor() = default;
+
+std::unique_ptr<Reactor>
+Reactor::Create()
+{
+  const int wakeUp = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  if (wakeUp < 0) {
+    return nullptr;
+  }
+  // A write to a closed socket is an error there, not the process's end.
+  std::signal(SIGPIPE, SIG_IGN);
+  auto impl = std::make_unique<Impl>(wakeUp);
+  if (impl->mReactor.initialized() == 0 ||
+      impl->mReactor.register_handler(
+        wakeUp, impl.get(), ACE_Event_Handler::READ_MASK) != 0) {
+    return nullptr;
+  }
+  return std::unique_ptr<Reactor>(new Reactor(std::move(impl)));
+}
+
+void
+Reactor::Run()
+{
+  while (!mImpl->mStop) {
+    if (mImpl->mReactor.handle_events() < 0 && errno != EINTR) {
+      break;
+    }
+  }
+  mImpl->mStop = false;
+}
+
+void
+Reactor::Stop()
+{
+  mImpl->mStop = true;
+  mImpl->WakeUp();
+}
+
+TimePoint
+Reactor::Now() const
+{
+  return mImpl->mNow.value_or(ReadClock());
+}
+
+Reactor::TimerId
+Reactor::Schedule(Duration aDelay, Task aTask)
+{
+  const TimerId id = ++mImpl->mLastTimer;
+  const long aceTimer = mImpl->mReactor.schedule_timer(
+    mImpl.get(), reinterpret_cast<const void*>(id), ToTimeValue(aDelay));
+  PH_ASSERT(aceTimer >= 0);
+  mImpl->mTimers[id] = { aceTimer, std::move(aTask) };
+  return id;
+}
+
+void
+Reactor::CancelTimer(TimerId aTimer)
+{
+  const auto it = mImpl->mTimers.find(aTimer);
+  if (it != mImpl->mTimers.end()) {
+    mImpl->mReactor.cancel_timer(it->second.mAceTimer);
+    mImpl->mTimers.erase(it);
+  }
+}
+
+void
+Reactor::Post(Task aTask)
+{
+  bool first = false;
+  {
+    const std::lock_guard<std::mutex> lock(mImpl->mPostedLock);
+    first = mImpl->mPosted.empty();
+    mImpl->mPosted.push_back(std::move(aTask));
+  }
+  if (first) {
+    mImpl->WakeUp();
+  }
+}
+
+bool
+Reactor::Watch(int aDescriptor, DescriptorListener* aListener)
+{
+  mImpl->mListeners[aDescriptor] = aListener;
+  if (mImpl->mReactor.register_handler(
+        aDescriptor, mImpl.get(), ACE_Event_Handler::READ_MASK) == 0) {
+    return true;
+  }
+  mImpl->mListeners.erase(aDescriptor);
+  return false;
+}
+
+void
+Reactor::Unwatch(int aDescriptor)
+{
+  if (mImpl->mListeners.erase(aDescriptor) > 0) {
+    mImpl->mReactor.remove_handler(
+      aDescriptor, ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
+  }
+}
+
+void
+Reactor::OnSignal(int aSignal, Task aTask)
+{
+  PH_ASSERT(aSignal > 0 && static_cast<std::size_t>(aSignal) < kMaxSignals);
+  mImpl->mSignalTasks[static_cast<std::size_t>(aSignal)] = std::move(aTask);
+  mImpl->mReactor.register_handler(aSignal, mImpl.get());
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/UnitTests/Shell/HttpTest.cpp
@@ -0,0 +1,121 @@
+/// Answers, streams and cut connections between the HTTP server and client,
+/// over real sockets on loopback.
+#define BOOST_TEST_MODULE Http
+#include <Peridothoist/Peridothoist.h>
+#include <Shell/ShellFixture.h>
+
+using namespace peridothoist;
+using namespace peridothoist::test;
+
+BOOST_FIXTURE_TEST_SUITE(Http, ShellFixture)
+
+BOOST_AUTO_TEST_CASE(WholeAnswer)
+{
+  mHandler.mAnswer = [](HttpExchange& aExchange) {
+    BOOST_TEST(aExchange.Request().mMethod == "POST");
+    BOOST_TEST(aExchange.Request().mPath == "/a b");
+    BOOST_TEST(aExchange.Request().mTarget == "/a%20b?x=1&y=%2B");
+    BOOST_TEST(aExchange.Request().mQuery.at("x") == "1");
+    BOOST_TEST(aExchange.Request().mQuery.at("y") == "+");
+    BOOST_TEST(aExchange.Request().mHeaders.at("x-some") == "thing");
+    BOOST_TEST(aExchange.Request().mPeerAddress == "127.0.0.1");
+    aExchange.Respond(
+      201, { { "x-answer", "yes" } }, "got " + aExchange.Request().mBody);
+  };
+  Serve();
+  HttpCall call = Call("POST", "/a%20b?x=1&y=%2B", "body");
+  call.mHeaders["X-Some"] = "thing";
+  const auto notes = std::make_shared<CallNotes>();
+  mClient->Start(call, notes);
+  BOOST_TEST(notes->mEnds == 0);
+  BOOST_REQUIRE(Until([&] { return notes->mEnds > 0; }));
+  BOOST_TEST(notes->mOutcome.mReason == "");
+  BOOST_TEST((notes->mOutcome.mFailure == CallFailure::None));
+  BOOST_TEST(notes->mOutcome.mStatus == 201);
+  BOOST_TEST(notes->mHeaders.at("x-answer") == "yes");
+  BOOST_TEST(notes->mBody == "got body");
+  BOOST_TEST(notes->mOutcome.mMayHaveBeenSent);
+  BOOST_TEST(mHandler.mGone == 0);
+  BOOST_REQUIRE(Until([&] { return mServer->OpenExchanges() == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(LateAnswer)
+{
+  Serve();
+  const auto notes = std::make_shared<CallNotes>();
+  mClient->Start(Call(), notes);
+  BOOST_REQUIRE(Until([&] { return mHandler.mRequests == 1; }));
+  BOOST_TEST(mServer->OpenExchanges() == 1);
+  mReactor->Schedule(20ms, [&] { mHandler.mLast->Respond(200, {}, "late"); });
+  BOOST_REQUIRE(Until([&] { return notes->mEnds > 0; }));
+  BOOST_TEST(notes->mBody == "late");
+}
+
+BOOST_AUTO_TEST_CASE(Stream)
+{
+  Serve();
+  const auto notes = std::make_shared<CallNotes>();
+  mClient->Start(Call(), notes);
+  BOOST_REQUIRE(Until([&] { return mHandler.mRequests == 1; }));
+  mHandler.mLast->StartStream(200, { { "content-type", "text/plain" } });
+  BOOST_REQUIRE(Until([&] { return notes->mStatus == 200; }));
+  std::string sent;
+  for (int i = 0; i < 50; ++i) {
+    const std::string part = std::to_string(i) + std::string(100, '.');
+    sent += part;
+    BOOST_TEST(mHandler.mLast->Write(part));
+    BOOST_REQUIRE(Until([&] { return notes->mBody.size() == sent.size(); }));
+  }
+  mHandler.mLast->EndStream();
+  BOOST_REQUIRE(Until([&] { return notes->mEnds > 0; }));
+  BOOST_TEST((notes->mOutcome.mFailure == CallFailure::None));
+  BOOST_TEST(notes->mBody == sent);
+  BOOST_TEST(mHandler.mGone == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AbortedStreamIsBroken)
+{
+  mHandler.mAnswer = [](HttpExchange& aExchange) {
+    aExchange.StartStream(200, {});
+    aExchange.Write("some of it");
+    aExchange.AbortStream();
+  };
+  Serve();
+  const auto notes = std::make_shared<CallNotes>();
+  mClient->Start(Call(), notes);
+  BOOST_REQUIRE(Until([&] { return notes->mEnds > 0; }));
+  BOOST_TEST((notes->mOutcome.mFailure == CallFailure::Broken));
+  BOOST_TEST(notes->mBody == "some of it");
+  BOOST_TEST(notes->mOutcome.mMayHaveBeenSent);
+}
+
+BOOST_AUTO_TEST_CASE(CallerGoneWhileWaiting)
+{
+  Serve();
+  RawCaller caller(mServer->Port());
+  caller.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(Until([&] { return mHandler.mRequests == 1; }));
+  caller.Close();
+  BOOST_REQUIRE(Until([&] { return mHandler.mGone == 1; }));
+  mHandler.mLast->Respond(200, {}, "too late");
+  BOOST_REQUIRE(Until([&] { return mServer->OpenExchanges() == 0; }));
+  BOOST_TEST(mHandler.mGone == 1);
+}
+
+BOOST_AUTO_TEST_CASE(CancelledCallIsNoticed)
+{
+  Serve();
+  const auto notes = std::make_shared<CallNotes>();
+  const auto id = mClient->Start(Call(), notes);
+  BOOST_REQUIRE(Until([&] { return mHandler.mRequests == 1; }));
+  mHandler.mLast->StartStream(200, {});
+  mHandler.mLast->Write("x");
+  BOOST_REQUIRE(Until([&] { return notes->mBody == "x"; }));
+  mClient->Cancel(id);
+  BOOST_TEST(notes->mEnds == 0);
+  BOOST_REQUIRE(Until([&] { return mHandler.mGone == 1; }));
+  BOOST_TEST(notes->mEnds == 1);
+  BOOST_TEST((notes->mOutcome.mFailure == CallFailure::Cancelled));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
