Read callers' completions and write OpenAI-compatible answers

Cause: the entry needs callers' bodies as typed requests and answers in the form that callers' libraries expect. Ruled out: passing unknown shapes through to engines, as a bad request would then cost a prefill before it is refused.

--- /dev/null
+++ b/Peridothoist/Entry/CompletionWriter.cpp
@@ -0,0 +1,112 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Entry/CompletionWriter.h>
+
+#include <nlohmann/json.hpp>
+
+namespace peridothoist {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Upstream text may not be valid UTF-8; such bytes are replaced.
+std::string
+Dump(const Json& aDocument)
+{
+  return aDocument.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Json
+UsageJson(const CompletionUsage& aUsage)
+{
+  return { { "prompt_tokens", aUsage.mPromptTokens },
+           { "completion_tokens", aUsage.mCompletionTokens },
+           { "total_tokens",
+             aUsage.mPromptTokens + aUsage.mCompletionTokens } };
+}
+
+} // namespace
+
+CompletionWriter::CompletionWriter(CompletionDialect aDialect,
+                                   std::string aId,
+                                   std::string aModel,
+                                   std::int64_t aCreated)
+  : mDialect(aDialect)
+  , mId(std::move(aId))
+  , mModel(std::move(aModel))
+  , mCreated(aCreated)
+{
+}
+
+std::string
+CompletionWriter::Whole(const std::string& aText,
+                        const std::string& aFinishReason,
+                        const CompletionUsage& aUsage) const
+{
+  Json choice = { { "index", 0 }, { "finish_reason", aFinishReason } };
+  if (mDialect == CompletionDialect::Chat) {
+    choice["message"] = { { "role", "assistant" }, { "content", aText } };
+  } else {
+    choice["text"] = aText;
+  }
+  const char* object = mDialect == CompletionDialect::Chat ? "chat.completion"
+                                                           : "text_completion";
+  const Json document = { { "id", mId },
+                          { "object", object },
+                          { "created", mCreated },
+                          { "model", mModel },
+                          { "choices", Json::array({ choice }) },
+                          { "usage", UsageJson(aUsage) } };
+  return Dump(document);
+}
+
+std::string
+CompletionWriter::Event(const std::string& aText,
+                        const std::string* aFinishReason,
+                        const CompletionUsage* aUsage) const
+{
+  Json choice = { { "index", 0 }, { "finish_reason", nullptr } };
+  if (mDialect == CompletionDialect::Text) {
+    choice["text"] = aText;
+  } else if (aFinishReason == nullptr) {
+    choice["delta"] = { { "content", aText } };
+  } else {
+    choice["delta"] = Json::object();
+  }
+  if (aFinishReason != nullptr) {
+    choice["finish_reason"] = *aFinishReason;
+  }
+  const char* object = mDialect == CompletionDialect::Chat
+                         ? "chat.completion.chunk"
+                         : "text_completion";
+  Json document = { { "id", mId },
+                    { "object", object },
+                    { "created", mCreated },
+                    { "model", mModel },
+                    { "choices", Json::array({ choice }) } };
+  if (aUsage != nullptr) {
+    document["usage"] = UsageJson(*aUsage);
+  }
+  return "data: " + Dump(document) + "\n\n";
+}
+
+std::string
+CompletionWriter::Token(const std::string& aText) const
+{
+  return Event(aText, nullptr, nullptr);
+}
+
+std::string
+CompletionWriter::End(const std::string& aFinishReason,
+                      const CompletionUsage& aUsage) const
+{
+  return Event("", &aFinishReason, &aUsage) + "data: [DONE]\n\n";
+}
+
+std::string
+CompletionWriter::StreamError(const std::string& aErrorBody)
+{
+  return "event: error\ndata: " + aErrorBody + "\n\n";
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/UnitTests/Entry/CompletionBodyTest.cpp
@@ -0,0 +1,90 @@
+/// Callers' completion bodies: good ones are read whole, bad ones are refused
+/// with the field's path, and no input harms the reader.
+#define BOOST_TEST_MODULE CompletionBody
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Entry/CompletionBody.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <array>
+
+using namespace peridothoist;
+
+namespace {
+
+std::optional<CompletionBody>
+ParseChat(std::string_view aText, Reason* aReason = nullptr)
+{
+  return CompletionBody::Parse(
+    CompletionDialect::Chat, aText, CompletionLimits{}, aReason);
+}
+
+constexpr std::string_view kGoodChat =
+  R"({"model":"m","messages":[{"role":"user","content":"hi"}],)"
+  R"("stream":true,"max_tokens":7})";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ReadsAChatRequest)
+{
+  const auto body = ParseChat(kGoodChat);
+  BOOST_REQUIRE(body);
+  BOOST_TEST(body->mModel == "m");
+  BOOST_TEST(body->mPrompt == "user: hi\n");
+  BOOST_TEST(body->mPromptTokens == 3u);
+  BOOST_TEST(body->mMaxTokens == 7u);
+  BOOST_TEST(body->mStream);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsTextParts)
+{
+  const auto body = ParseChat(
+    R"({"model":"m","messages":[{"role":"user","content":)"
+    R"([{"type":"text","text":"a"},{"type":"text","text":"b"}]}]})");
+  BOOST_REQUIRE(body);
+  BOOST_TEST(body->mPrompt == "user: ab\n");
+}
+
+BOOST_AUTO_TEST_CASE(NamesTheFieldThatIsWrong)
+{
+  struct Case
+  {
+    const char* mText;
+    const char* mField;
+  };
+  const std::array<Case, 8> cases = { {
+    { "not json", "body" },
+    { "[]", "body" },
+    { R"({"messages":[{"role":"u","content":"x"}]})", "model" },
+    { R"({"model":"m"})", "messages" },
+    { R"({"model":"m","messages":[{"content":"x"}]})", "messages[0].role" },
+    { R"({"model":"m","messages":[{"role":"u"}]})", "messages[0].content" },
+    { R"({"model":"m","messages":[{"role":"u","content":"x"}],"max_tokens":0})",
+      "max_tokens" },
+    { R"({"model":"m","messages":[{"role":"u","content":"x"}],"n":2})", "n" },
+  } };
+  for (const Case& one : cases) {
+    Reason reason;
+    BOOST_TEST(!ParseChat(one.mText, &reason));
+    BOOST_TEST((reason.mCode == ReasonCode::Invalid));
+    BOOST_TEST(reason.mText.rfind(one.mField, 0) == 0u, reason.mText);
+  }
+}
+
+RC_BOOST_PROP(AnyBytesGetAnAnswerOrAReason, (const std::string& aBytes))
+{
+  Reason reason;
+  const auto body = ParseChat(aBytes, &reason);
+  RC_ASSERT(body.has_value() || !reason.mText.empty());
+}
+
+RC_BOOST_PROP(DamagedRequestsGetAnAnswerOrAReason,
+              (std::uint16_t aPosition, char aByte))
+{
+  std::string text(kGoodChat);
+  text[aPosition % text.size()] = aByte;
+  Reason reason;
+  const auto body = ParseChat(text, &reason);
+  RC_ASSERT(body.has_value() || !reason.mText.empty());
+}
