--- /dev/null
+++ b/Peridothoist/Allowance/AllowanceBook.h
@@ -0,0 +1,206 @@
+/// One entry's shares of all workspaces' allowances.
+///
+/// Invariant over all entries: the burst shares and the rate shares of one
+/// workspace, those in transfers on their way included, each add up to 1 at
+/// most among the entries that may act. A balance is at most burst share x
+/// burst and grows by rate share x rate, so that over any window all entries
+/// together grant at most rate x window + burst. It holds because
+///   - shares are parts of the whole, not tokens: a change of rate or burst
+///     scales them where it is heard, at once and without waiting. During the
+///     change each entry is bounded by the larger of old and new, and after
+///     the staleness limit none acts on the old;
+///   - a transfer is subtracted before it is sent and added once, by the one
+///     instance that it names, in the epoch in which it was given;
+///   - a new epoch cuts a share at once to the smaller of held and new, and
+///     raises it only mRaiseWait later. By then every entry heard of the
+///     epoch and cut, or stopped acting. mRaiseWait therefore is the staleness
+///     limit and a margin. An entry that skipped an epoch starts from nothing,
+///     as a new one does: its old share was given away meanwhile;
+///   - balances accrue by a clock that stands still while the entry may not
+///     act (AccrualClock).
+/// Lost transfers lose allowance until the next epoch and never create any.
+///
+/// Accounts are made at the first use of a workspace and brought up to date
+/// when touched, by replaying the plans heard since: no timer and no walk over
+/// all workspaces when a plan changes.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Allowance/AccrualClock.h>
+#include <Peridothoist/Allowance/ShareTransfer.h>
+#include <Peridothoist/Config/Configuration.h>
+
+#include <deque>
+#include <set>
+
+namespace peridothoist {
+
+/// Why tokens were not granted.
+enum class SpendRefusal
+{
+  None,
+  UnknownWorkspace, ///< Not in the view.
+  NotFresh,         ///< The view may not be acted on.
+  Short,            ///< Not now, at this entry; others may have some.
+  NeverAffordable   ///< More than the workspace's whole burst.
+};
+
+const char*
+ToName(SpendRefusal aRefusal);
+
+/// The outcome of Spend().
+struct SpendResult
+{
+  SpendRefusal mRefusal = SpendRefusal::None;
+  double mMissing = 0; ///< Tokens short, when Short.
+  /// When this entry alone could grant it, should nothing change; empty: it
+  /// couldn't.
+  std::optional<Duration> mAffordableIn;
+
+  bool IsGranted() const { return mRefusal == SpendRefusal::None; }
+};
+
+/// An entry's account of one workspace, for status and tests.
+struct AllowanceAccount
+{
+  double mBalance = 0; ///< Tokens; below 0 after a charge beyond it.
+  double mBurstShare = 0;
+  double mRateShare = 0;
+};
+
+/// Settings of an AllowanceBook.
+struct AllowanceBookSettings
+{
+  std::size_t mHomesPerWorkspace = 3; ///< Entries that a workspace lives on.
+  /// From hearing of an epoch to raising shares: staleness limit and margin.
+  Duration mRaiseWait = std::chrono::milliseconds(2500);
+  std::size_t mMaxPlans = 8; ///< Plans kept for replay.
+  /// A borrowed share unused for this long is given back.
+  Duration mReturnAfter = std::chrono::seconds(2);
+  /// "demand": shares move to where they are asked for. "equal": they stay.
+  std::string mShareStrategy = "demand";
+  /// Part of its spare share that a giver keeps for its own callers.
+  double mKeepShare = 0.25;
+};
+
+/// Holds one entry instance's shares.
+class AllowanceBook
+{
+public:
+  using Settings = AllowanceBookSettings;
+
+  AllowanceBook(const Settings& aSettings, std::string aSelfInstance);
+
+  // Inputs from the view.
+
+  /// Acting is allowed until aUntil (FreshView::FreshUntil()). Without this
+  /// nothing accrues and nothing is granted.
+  void AllowUntil(TimePoint aUntil, TimePoint aNow);
+
+  /// The workspaces of the view, with their rates and bursts.
+  void SetWorkspaces(const std::map<std::string, Workspace>& aWorkspaces,
+                     TimePoint aNow);
+
+  /// A share plan was heard of. Older or equal epochs are ignored.
+  void SetPlan(std::uint64_t aEpoch,
+               std::vector<std::string> aEntryInstances,
+               TimePoint aNow);
+
+  // Requests.
+
+  /// Takes aTokens at once or not at all.
+  SpendResult Spend(const std::string& aWorkspace,
+                    double aTokens,
+                    TimePoint aNow);
+
+  /// A request used fewer tokens than it took.
+  void Refund(const std::string& aWorkspace, double aTokens, TimePoint aNow);
+
+  /// A request used more than it took: paid from the balance, then by debt
+  /// that later accrual pays first. Returns the debt made, which is beyond
+  /// the bound: take the largest possible cost first to have none.
+  double Charge(const std::string& aWorkspace, double aTokens, TimePoint aNow);
+
+  // Transfers.
+
+  /// Gives what it can spare of what is asked; an empty transfer when that is
+  /// nothing. A repeat of the same ask gives the same transfer again.
+  ShareTransfer Give(const BorrowAsk& aAsk, TimePoint aNow);
+
+  /// Adds a transfer. False when it was added before, is for another instance
+  /// or of another epoch.
+  bool Receive(const ShareTransfer& aTransfer, TimePoint aNow);
+
+  /// Borrowed shares that lie unused, already subtracted, to be sent to the
+  /// workspaces' home entries.
+  std::vector<ShareTransfer> TakeReturns(TimePoint aNow);
+
+  /// Everything that can still be spent here, already subtracted, for other
+  /// home entries: a leaving entry's last transfers.
+  std::vector<ShareTransfer> TakeAll(TimePoint aNow);
+
+  /// The home entries of a workspace in the present plan, strongest first.
+  std::vector<std::string> Homes(const std::string& aWorkspace) const;
+
+  /// An account as of now.
+  AllowanceAccount Account(const std::string& aWorkspace, TimePoint aNow);
+
+  std::uint64_t Epoch() const;
+  const std::string& Self() const { return mSelf; }
+
+private:
+  struct Plan
+  {
+    std::uint64_t mEpoch = 0;
+    std::vector<std::string> mEntries;
+    Duration mHeardAt{ 0 }; ///< On mClock.
+  };
+
+  struct Whole
+  {
+    double mRate = 0;
+    double mBurst = 0;
+  };
+
+  struct Held
+  {
+    double mBalance = 0;      ///< At most mBurstShare x burst.
+    double mBurstShare = 0;   ///< Never below 0.
+    double mRateShare = 0;    ///< Never below 0.
+    double mHomeShare = 0;    ///< Of this entry in the plan of mEpoch.
+    double mRaise = 0;        ///< Added to both shares at mRaiseAt.
+    Duration mRaiseAt{ 0 };   ///< On mClock.
+    Duration mAccruedAt{ 0 }; ///< On mClock.
+    Duration mUsedAt{ 0 };    ///< On mClock: last Spend() or Receive().
+    std::uint64_t mEpoch = 0; ///< Plan that the shares belong to.
+    Whole mWhole;             ///< Of the view, as accrued up to now.
+  };
+
+  Held* Touch(const std::string& aWorkspace, TimePoint aNow);
+  void Replay(const std::string& aWorkspace, Held& aHeld, Duration aUntil);
+  void EnterPlan(const std::string& aWorkspace, Held& aHeld, const Plan& aPlan);
+  void Accrue(Held& aHeld, Duration aUntil) const;
+  void AccrueTo(Held& aHeld, Duration aUntil) const;
+  double HomeShare(const std::string& aWorkspace, const Plan& aPlan) const;
+  ShareTransfer Take(const std::string& aWorkspace,
+                     Held& aHeld,
+                     double aBurstShare,
+                     double aRateShare,
+                     double aTokens);
+  ShareTransfer NewTransfer(const std::string& aWorkspace,
+                            const std::string& aTo);
+
+  Settings mSettings;
+  std::string mSelf;
+  AccrualClock mClock;
+  std::map<std::string, Whole> mWholes;
+  std::map<std::string, Held> mAccounts;
+  std::deque<Plan> mPlans; ///< Epochs go up; at most mMaxPlans.
+
+  // Transfers of the present epoch only; cleared when it ends.
+  std::map<std::string, ShareTransfer> mGiven; ///< By transfer id.
+  std::set<std::string> mReceived;             ///< Transfer ids.
+  std::uint64_t mNextTransfer = 1;
+};
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Allowance/BorrowPlanner.h
@@ -0,0 +1,53 @@
+/// Whom an entry asks for allowance, in which order and for how much, before
+/// it refuses a request. One planner serves one request.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Allowance/ShareTransfer.h>
+
+namespace peridothoist {
+
+/// Limits of a BorrowPlanner.
+struct BorrowPlannerSettings
+{
+  std::size_t mMaxAsks = 3; ///< Entries asked for one request.
+  double mAhead = 4.0;      ///< Asks for this many times what is missing,
+                            ///< so that the next request needs no asking.
+};
+
+/// Plans the asks for one request that an entry's own balance didn't cover.
+class BorrowPlanner
+{
+public:
+  using Settings = BorrowPlannerSettings;
+
+  /// aHomes are the workspace's home entries, strongest first; aRate is what
+  /// this entry's callers asked of the workspace lately, tokens a second.
+  BorrowPlanner(const Settings& aSettings,
+                const std::string& aSelf,
+                std::uint64_t aEpoch,
+                std::string aWorkspace,
+                const std::vector<std::string>& aHomes,
+                double aRate);
+
+  /// The next ask; empty when nobody is left to ask: refuse. aMissing is what
+  /// Spend() still lacks, aWholeBurst bounds what is asked for. aTransferId
+  /// must be new.
+  std::optional<BorrowAsk> Next(double aMissing,
+                                double aWholeBurst,
+                                std::string aTransferId);
+
+  /// The home entry that the last ask goes to.
+  const std::string& LastAsked() const { return mLastAsked; }
+
+private:
+  Settings mSettings;
+  std::string mSelf;
+  std::uint64_t mEpoch;
+  std::string mWorkspace;
+  std::vector<std::string> mLeft; ///< Homes not yet asked, strongest last.
+  double mRate;
+  std::string mLastAsked;
+};
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/View/OutageAgreement.h
@@ -0,0 +1,103 @@
+/// Rule (c) of the freshness rule: whether, in an outage of the platform, all
+/// VMs together prove that no change was accepted.
+///
+/// Claim. Let every member m that this VM knows of (including itself) have
+/// said at some time >= t_m: "my stamp is s_m, I can't reach the platform, I
+/// hold no commit in doubt". Let T be the smallest t_m and let the view held
+/// here cover every s_m. Then every change accepted before T by a member that
+/// counts is covered by the view, and T is a confirmation.
+///
+/// Argument. A change is accepted by one control process, which takes it into
+/// its own view in the same step as it learns that the commit took effect. If
+/// m accepted it before T, then before t_m, so s_m covers it, and so does the
+/// view. A commit that took effect without its author knowing isn't accepted
+/// yet; its author says so (in doubt), and there is no agreement.
+///
+/// Hazards, and what meets them:
+///   - A VM joined after the cut and alone reaches the platform; it isn't on
+///     the list here. It accepts no change before it exchanged members with
+///     VMs that the cut-off ones count on (ChangeGate), at a time e before
+///     the acceptance. A word of such a VM with t_m > e came with the new
+///     member, which then counts here and has to speak for itself; without
+///     such a word T <= e, and the confirmation covers no time after the
+///     acceptance.
+///   - An old word: each has its own t_m, a lower bound on this process's
+///     clock (request sent, less the age carried). The oldest decides T, so a
+///     word is never good for longer than the staleness limit.
+///   - Someone holds a higher stamp: no agreement until it is held here.
+///   - A paused VM doesn't answer: no agreement, its last word grows old. When
+///     *this* VM was paused, its clock went on, and T is old when it wakes.
+///   - A member restarted: its new instance speaks for itself. What the old
+///     one had accepted is in nobody's word if it was told to nobody. So the
+///     words of members must be of the control instance that was known at
+///     the last confirmation by (a) or (b), or of a member that was not known
+///     then; a replaced instance ends the agreement until (a) or (b) again.
+///   - A member says that it reaches the platform: no agreement; its view is
+///     to be had by (b).
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/View/ViewStamp.h>
+
+namespace peridothoist {
+
+/// What one member last said of itself.
+struct MemberWord
+{
+  std::string mVm;
+  std::string mControlInstance;
+  std::optional<TimePoint> mAsOf; ///< Not before; empty: never heard.
+  ViewStamp mStamp;
+  bool mPlatformUnreachable = false;
+  bool mCommitInDoubt = false;
+};
+
+/// Why there is no agreement.
+enum class AgreementObstacle
+{
+  None,
+  Silent,            ///< A member's word is missing or too old.
+  PlatformReachable, ///< A member reaches the platform.
+  InDoubt,           ///< A member holds a commit in doubt.
+  NewerView,         ///< A member holds what this VM doesn't.
+  Restarted          ///< A member's instance changed within the outage.
+};
+
+const char*
+ToName(AgreementObstacle aObstacle);
+
+/// The outcome of an evaluation.
+struct AgreementResult
+{
+  AgreementObstacle mObstacle = AgreementObstacle::None;
+  std::string mVm;   ///< The member in the way, for logs.
+  TimePoint mAsOf{}; ///< Without obstacle: the oldest word's time.
+};
+
+/// Evaluates rule (c). Remembers the control instances of the last time that
+/// the platform was known to be reached.
+class OutageAgreement
+{
+public:
+  /// aLimit is the staleness limit; an older word counts as silence.
+  explicit OutageAgreement(Duration aLimit);
+
+  /// The view was confirmed by (a) or (b): these are the members that an
+  /// agreement starts from.
+  void OnConfirmed(const std::vector<MemberWord>& aMembers);
+
+  /// Whether the members, this VM among them, agree that aHeld is the truth.
+  AgreementResult Evaluate(const ViewStamp& aHeld,
+                           const std::vector<MemberWord>& aMembers,
+                           TimePoint aNow) const;
+
+private:
+  AgreementObstacle ObstacleOf(const MemberWord& aWord,
+                               const ViewStamp& aHeld,
+                               TimePoint aNow) const;
+
+  Duration mLimit;
+  std::map<std::string, std::string> mInstances; ///< VM to control instance.
+};
+
+} // namespace peridothoist
