--- a/Peridothoist/Entry/EntrySettings.h
+++ b/Peridothoist/Entry/EntrySettings.h
@@ -34,7 +34,9 @@
   Duration mFollowInterval = 200ms;     ///< Between questions to control.
   Duration mLoadInterval = 200ms;       ///< Between load reports of upstreams.
   Duration mTickInterval = 5ms;         ///< Between the core's ticks.
-  Duration mDrainGrace = 12s;           ///< Serve late callers this long.
+  Duration mEntriesMaxAge = 5s; ///< How long callers may keep an answer of
+                                ///< GET /v1/entries; a leaving VM serves late
+                                ///< callers this long and a second more.
   double mTraceSampling = 0;            ///< Share of requests traced.
 
   /// Checks every field. Empty when all is well; else the reason names the
