--- /dev/null
+++ b/Peridothoist/Peers/PeerChannel.h
@@ -0,0 +1,31 @@
+/// How channels and servers between peers are set up, the same on both ends.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Peers/PeerCredentials.h>
+
+#include <grpcpp/grpcpp.h>
+
+namespace peridothoist::detail {
+
+/// Credentials for a client's channels.
+std::shared_ptr<grpc::ChannelCredentials>
+ToChannelCredentials(const PeerCredentials& aCredentials);
+
+/// Credentials for a server's port.
+std::shared_ptr<grpc::ServerCredentials>
+ToServerCredentials(const PeerCredentials& aCredentials);
+
+/// Arguments of a client's channels.
+grpc::ChannelArguments
+ToChannelArguments(const PeerCredentials& aCredentials);
+
+/// Sets a server's keepalive and limits.
+void
+SetServerArguments(grpc::ServerBuilder& aBuilder);
+
+/// Compares two secrets in a time that tells nothing about either.
+bool
+IsSameSecret(std::string_view aLeft, std::string_view aRight);
+
+} // namespace peridothoist::detail
--- a/Peridothoist/Peers/PeerClient.h
+++ b/Peridothoist/Peers/PeerClient.h
@@ -68,8 +68,8 @@
 
 private:
   struct Impl;
-  explicit PeerClient(std::unique_ptr<Impl> aImpl);
-  std::unique_ptr<Impl> mImpl;
+  explicit PeerClient(std::shared_ptr<Impl> aImpl);
+  std::shared_ptr<Impl> mImpl;
 };
 
 } // namespace peridothoist
