--- a/Peridothoist/Entry/AllowanceDesk.cpp
+++ b/Peridothoist/Entry/AllowanceDesk.cpp
@@ -21,8 +21,8 @@
   , mPeers(aPeers)
   , mDemand(kDemandHalfLife)
 {
-  mReturnTimer = mReactor->Schedule(mSettings.mReturnInterval,
-                                    [this] { ReturnUnused(); });
+  mReturnTimer =
+    mReactor->Schedule(mSettings.mReturnInterval, [this] { ReturnUnused(); });
 }
 
 AllowanceDesk::~AllowanceDesk()
@@ -98,10 +98,10 @@
   const TimePoint now = mReactor->Now();
   const double missing =
     std::max(1.0, wanted - mBook->Account(aWorkspace, now).mBalance);
-  const auto ask = borrowing.mPlanner->Next(
-    missing,
-    borrowing.mWholeBurst,
-    mBook->Self() + ":" + std::to_string(mNextAsk++));
+  const auto ask =
+    borrowing.mPlanner->Next(missing,
+                             borrowing.mWholeBurst,
+                             mBook->Self() + ":" + std::to_string(mNextAsk++));
   if (!ask) {
     RefuseWaiting(aWorkspace);
     return;
@@ -213,8 +213,8 @@
   for (auto it = mDryUntil.begin(); it != mDryUntil.end();) {
     it = it->second <= now ? mDryUntil.erase(it) : std::next(it);
   }
-  mReturnTimer = mReactor->Schedule(mSettings.mReturnInterval,
-                                    [this] { ReturnUnused(); });
+  mReturnTimer =
+    mReactor->Schedule(mSettings.mReturnInterval, [this] { ReturnUnused(); });
 }
 
 void
--- a/Peridothoist/Entry/CallerRequest.cpp
+++ b/Peridothoist/Entry/CallerRequest.cpp
@@ -68,8 +68,8 @@
 CallerRequest::UsageOf(const RequestCommand& aCommand) const
 {
   CompletionUsage usage;
-  usage.mPromptTokens = aCommand.mPromptTokens != 0 ? aCommand.mPromptTokens
-                                                    : mFacts.mPromptTokens;
+  usage.mPromptTokens =
+    aCommand.mPromptTokens != 0 ? aCommand.mPromptTokens : mFacts.mPromptTokens;
   usage.mCompletionTokens = aCommand.mTokens;
   return usage;
 }
@@ -127,12 +127,11 @@
   }
   PH_ASSERT(mWriter != nullptr);
   mStatus = 200;
-  mExchange->Respond(200,
-                     { { "content-type", "application/json" },
-                       { "peridothoist-run", ToName(RunVerdict::Ran) } },
-                     mWriter->Whole(aCommand.mText,
-                                    aCommand.mFinishReason,
-                                    UsageOf(aCommand)));
+  mExchange->Respond(
+    200,
+    { { "content-type", "application/json" },
+      { "peridothoist-run", ToName(RunVerdict::Ran) } },
+    mWriter->Whole(aCommand.mText, aCommand.mFinishReason, UsageOf(aCommand)));
 }
 
 void
--- a/Peridothoist/Entry/CallerRequest.h
+++ b/Peridothoist/Entry/CallerRequest.h
@@ -86,7 +86,7 @@
   std::unique_ptr<CompletionWriter> mWriter;
   CallerRequestListener* mListener;
 
-  std::string mUnsent;  ///< Token text that waits for a slow caller.
+  std::string mUnsent;   ///< Token text that waits for a slow caller.
   bool mBlocked = false; ///< The exchange's buffer is above its high mark.
   int mStatus = 0;
 };
--- a/Peridothoist/Entry/CompletionBody.cpp
+++ b/Peridothoist/Entry/CompletionBody.cpp
@@ -33,8 +33,8 @@
   std::string text;
   for (std::size_t n = 0; n < aContent.size(); ++n) {
     const Json& part = aContent[n];
-    const bool isText = part.is_object() && part.contains("text") &&
-                        part["text"].is_string();
+    const bool isText =
+      part.is_object() && part.contains("text") && part["text"].is_string();
     if (!isText) {
       Refuse(aReason,
              aPath + "[" + std::to_string(n) + "]: must be a text part");
--- a/Peridothoist/Entry/CompletionBody.h
+++ b/Peridothoist/Entry/CompletionBody.h
@@ -25,8 +25,8 @@
 struct CompletionBody
 {
   std::string mModel;
-  std::string mPrompt;              ///< Chat messages joined, role by role.
-  std::uint32_t mPromptTokens = 0;  ///< Estimated: bytes / 4, rounded up.
+  std::string mPrompt;             ///< Chat messages joined, role by role.
+  std::uint32_t mPromptTokens = 0; ///< Estimated: bytes / 4, rounded up.
   std::uint32_t mMaxTokens = 0;
   bool mStream = false;
 
@@ -38,9 +38,11 @@
 };
 
 /// Estimates the tokens of a text, as docs/UPSTREAMS.md states.
-std::uint32_t EstimateTokens(std::string_view aText);
+std::uint32_t
+EstimateTokens(std::string_view aText);
 
 /// xxHash64 of the prompt's first 256 bytes: names it in cache events.
-std::uint64_t PrefixHash(std::string_view aPrompt);
+std::uint64_t
+PrefixHash(std::string_view aPrompt);
 
 } // namespace peridothoist
--- a/Peridothoist/Entry/CompletionWriter.cpp
+++ b/Peridothoist/Entry/CompletionWriter.cpp
@@ -49,8 +49,8 @@
   } else {
     choice["text"] = aText;
   }
-  const char* object = mDialect == CompletionDialect::Chat ? "chat.completion"
-                                                           : "text_completion";
+  const char* object =
+    mDialect == CompletionDialect::Chat ? "chat.completion" : "text_completion";
   const Json document = { { "id", mId },
                           { "object", object },
                           { "created", mCreated },
--- a/Peridothoist/Entry/DemandMeter.cpp
+++ b/Peridothoist/Entry/DemandMeter.cpp
@@ -20,9 +20,7 @@
 }
 
 void
-DemandMeter::Add(const std::string& aWorkspace,
-                 double aTokens,
-                 TimePoint aNow)
+DemandMeter::Add(const std::string& aWorkspace, double aTokens, TimePoint aNow)
 {
   Level& level = mLevels[aWorkspace];
   level.mTokens = Decayed(level, aNow) + aTokens;
--- a/Peridothoist/Entry/RequestRunner.cpp
+++ b/Peridothoist/Entry/RequestRunner.cpp
@@ -103,8 +103,7 @@
   }
   mReactor->CancelTimer(mTickTimer);
   mTickAt = due;
-  const Duration wait =
-    std::max(Duration::zero(), *due - mReactor->Now());
+  const Duration wait = std::max(Duration::zero(), *due - mReactor->Now());
   mTickTimer = mReactor->Schedule(wait, [this] {
     mTickAt.reset();
     Deliver([](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
@@ -119,8 +118,7 @@
   const std::uint64_t id = aRequest->Facts().mId;
   mWorkspaces[id] = aRequest->Facts().mWorkspace;
   mRequests[id] = std::move(aRequest);
-  Deliver([&aArrival](
-            EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
+  Deliver([&aArrival](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
     aCore.OnArrival(std::move(aArrival), aNow, aOut);
   });
 }
@@ -178,8 +176,7 @@
 bool
 RequestRunner::MayStillSend(const RequestCommand& aCommand)
 {
-  return mCore->MayStillSend(
-    aCommand.mId, aCommand.mAttempt, mReactor->Now());
+  return mCore->MayStillSend(aCommand.mId, aCommand.mAttempt, mReactor->Now());
 }
 
 void
@@ -187,8 +184,7 @@
                                const ReserveAnswer& aAnswer)
 {
   Deliver([&](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
-    aCore.OnReserveAnswer(
-      aCommand.mId, aCommand.mAttempt, aAnswer, aNow, aOut);
+    aCore.OnReserveAnswer(aCommand.mId, aCommand.mAttempt, aAnswer, aNow, aOut);
   });
 }
 
@@ -197,8 +193,7 @@
                                const PrefillAnswer& aAnswer)
 {
   Deliver([&](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
-    aCore.OnPrefillAnswer(
-      aCommand.mId, aCommand.mAttempt, aAnswer, aNow, aOut);
+    aCore.OnPrefillAnswer(aCommand.mId, aCommand.mAttempt, aAnswer, aNow, aOut);
   });
 }
 
@@ -207,8 +202,7 @@
                               const ImportAnswer& aAnswer)
 {
   Deliver([&](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
-    aCore.OnImportAnswer(
-      aCommand.mId, aCommand.mAttempt, aAnswer, aNow, aOut);
+    aCore.OnImportAnswer(aCommand.mId, aCommand.mAttempt, aAnswer, aNow, aOut);
   });
 }
 
@@ -218,12 +212,8 @@
                        std::string aText)
 {
   Deliver([&](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
-    aCore.OnToken(aCommand.mId,
-                  aCommand.mAttempt,
-                  aIndex,
-                  std::move(aText),
-                  aNow,
-                  aOut);
+    aCore.OnToken(
+      aCommand.mId, aCommand.mAttempt, aIndex, std::move(aText), aNow, aOut);
   });
 }
 
@@ -250,12 +240,8 @@
 RequestRunner::OnCancelAnswer(const RequestCommand& aCommand, bool aOk)
 {
   Deliver([&](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
-    aCore.OnCancelAnswer(aCommand.mUpstream,
-                         aCommand.mId,
-                         aCommand.mAttempt,
-                         aOk,
-                         aNow,
-                         aOut);
+    aCore.OnCancelAnswer(
+      aCommand.mUpstream, aCommand.mId, aCommand.mAttempt, aOk, aNow, aOut);
   });
 }
 
--- a/Peridothoist/Entry/RequestRunner.h
+++ b/Peridothoist/Entry/RequestRunner.h
@@ -98,7 +98,7 @@
 
   std::uint64_t mNextId = 1;
   std::map<std::uint64_t, std::unique_ptr<CallerRequest>> mRequests;
-  std::map<std::uint64_t, std::uint32_t> mTokens; ///< Settled, by request.
+  std::map<std::uint64_t, std::uint32_t> mTokens;   ///< Settled, by request.
   std::map<std::uint64_t, std::string> mWorkspaces; ///< With open claims.
 
   // Commands run in the order in which the core gave them, also when carrying
--- a/Peridothoist/Entry/UpstreamCaller.cpp
+++ b/Peridothoist/Entry/UpstreamCaller.cpp
@@ -15,8 +15,8 @@
 
 /// Headers of a plain service's answer that are not the caller's business.
 constexpr std::array<const char*, 8> kHopByHopHeaders = {
-  "connection", "keep-alive", "transfer-encoding", "content-length",
-  "trailer",    "upgrade",    "te",                "proxy-authenticate"
+  "connection", "keep-alive", "transfer-encoding", "content-length", "trailer",
+  "upgrade",    "te",         "proxy-authenticate"
 };
 
 CallEnd
@@ -220,8 +220,8 @@
     if (!mGood) {
       return;
     }
-    const bool fits = mReader.Feed(
-      aData, [this](std::string_view aEvent) { OnEvent(aEvent); });
+    const bool fits =
+      mReader.Feed(aData, [this](std::string_view aEvent) { OnEvent(aEvent); });
     mGood = mGood && fits;
   }
 
@@ -519,9 +519,8 @@
                           const std::string&)
 {
   // A plain service need not know the call; it then holds nothing by id.
-  const bool unknownCall =
-    aOutcome.mEnd == CallEnd::Whole &&
-    (aOutcome.mStatus == 404 || aOutcome.mStatus == 405);
+  const bool unknownCall = aOutcome.mEnd == CallEnd::Whole &&
+                           (aOutcome.mStatus == 404 || aOutcome.mStatus == 405);
   mListener->OnCancelAnswer(aCommand, aOutcome.Ok() || unknownCall);
 }
 
--- a/Peridothoist/Entry/UpstreamCaller.h
+++ b/Peridothoist/Entry/UpstreamCaller.h
@@ -19,13 +19,13 @@
 
   // Plain services
   std::string mMethod;
-  std::string mTarget;         ///< Path and query as sent on.
+  std::string mTarget; ///< Path and query as sent on.
   std::string mContentType;
   std::string mBody;
   std::string mIdempotencyKey; ///< Scoped by workspace; empty: none.
   bool mSendOnce = false;      ///< The request must not repeat.
 
-  std::string mTraceParent;    ///< Empty: not traced.
+  std::string mTraceParent; ///< Empty: not traced.
 };
 
 /// Told how calls to upstreams went. Each answer comes exactly once, and never
@@ -58,7 +58,7 @@
 struct UpstreamCallerSettings
 {
   Duration mConnectTimeout = 500ms;
-  Duration mControlTimeout = 2s;  ///< Reserve, import, cancel.
+  Duration mControlTimeout = 2s; ///< Reserve, import, cancel.
   Duration mPrefillTimeout = 30s;
   Duration mDecodeTimeout = 600s; ///< Whole stream.
   Duration mPlainTimeout = 30s;
