Read, check and apply configuration items strictly

Items are read by tables of fields, so that every kind goes through the same checks and each refusal names the field's path. Changes are applied in place with an undo list: a copy of the whole for each change was ruled out, since most of 14,000 workspaces stay as they are.

--- /dev/null
+++ b/Peridothoist/Config/ConfigurationStore.cpp
@@ -0,0 +1,164 @@
+/// Applies changes in place, with an undo list for those that are refused.
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Config/ConfigurationStore.h>
+
+#include <Peridothoist/Config/ConfigurationCheck.h>
+#include <Peridothoist/Config/ItemTable.h>
+
+#include <array>
+#include <iterator>
+
+namespace peridothoist {
+
+namespace {
+
+constexpr std::array<ItemKind, 7> kAllKinds = {
+  ItemKind::Default,   ItemKind::Pool, ItemKind::Upstream, ItemKind::Route,
+  ItemKind::Workspace, ItemKind::Key,  ItemKind::Exception
+};
+
+} // namespace
+
+std::optional<ConfigurationStore>
+ConfigurationStore::FromItems(std::uint64_t aVersion,
+                              const std::vector<ItemEdit>& aItems,
+                              Reason* aReason)
+{
+  ConfigurationStore store;
+  std::vector<Undo> undo;
+  if (!store.ApplyEdits(aItems, undo, aReason)) {
+    return std::nullopt;
+  }
+  store.mConfiguration.mVersion = aVersion;
+  return store;
+}
+
+bool
+ConfigurationStore::Apply(const ConfigChange& aChange, Reason* aReason)
+{
+  const std::uint64_t next = mConfiguration.mVersion + 1;
+  if (aChange.mVersion != next) {
+    Reason::Set(aReason,
+                ReasonCode::Conflict,
+                "the change is version " + std::to_string(aChange.mVersion) +
+                  ", the next is " + std::to_string(next));
+    return false;
+  }
+  std::vector<Undo> undo;
+  if (!ApplyEdits(aChange.mEdits, undo, aReason)) {
+    Revert(undo);
+    return false;
+  }
+  mConfiguration.mVersion = next;
+  return true;
+}
+
+bool
+ConfigurationStore::Check(const std::vector<ItemEdit>& aEdits, Reason* aReason)
+{
+  std::vector<Undo> undo;
+  const bool allowed = ApplyEdits(aEdits, undo, aReason);
+  Revert(undo);
+  return allowed;
+}
+
+bool
+ConfigurationStore::ApplyEdits(const std::vector<ItemEdit>& aEdits,
+                               std::vector<Undo>& aUndo,
+                               Reason* aReason)
+{
+  for (const ItemEdit& it : aEdits) {
+    if (!ApplyEdit(it, aUndo, aReason)) {
+      return false;
+    }
+  }
+  return CheckEdits(mConfiguration, aEdits, aReason);
+}
+
+bool
+ConfigurationStore::ApplyEdit(const ItemEdit& aEdit,
+                              std::vector<Undo>& aUndo,
+                              Reason* aReason)
+{
+  const detail::ItemTable& table = detail::ItemTableOf(aEdit.mKind);
+  std::optional<ConfigItem> before = table.mFind(mConfiguration, aEdit.mName);
+  if (aEdit.mJson.empty()) {
+    if (!before) {
+      Reason::Set(aReason,
+                  ReasonCode::NotFound,
+                  ItemPath(aEdit.mKind, aEdit.mName) + ": does not exist");
+      return false;
+    }
+    aUndo.push_back({ aEdit.mKind, aEdit.mName, std::move(before) });
+    table.mRemove(mConfiguration, aEdit.mName);
+    return true;
+  }
+  const std::optional<ConfigItem> item = ConfigurationReader::ReadItem(
+    aEdit.mKind, aEdit.mName, aEdit.mJson, aReason);
+  if (!item) {
+    return false;
+  }
+  aUndo.push_back({ aEdit.mKind, aEdit.mName, std::move(before) });
+  table.mPut(mConfiguration, *item);
+  return true;
+}
+
+void
+ConfigurationStore::Revert(std::vector<Undo>& aUndo)
+{
+  for (auto it = aUndo.rbegin(); it != aUndo.rend(); ++it) {
+    const detail::ItemTable& table = detail::ItemTableOf(it->mKind);
+    if (it->mBefore) {
+      table.mPut(mConfiguration, *it->mBefore);
+    } else {
+      table.mRemove(mConfiguration, it->mName);
+    }
+  }
+  aUndo.clear();
+}
+
+std::optional<Configuration>
+ApplyChange(const Configuration& aConfiguration,
+            const ConfigChange& aChange,
+            Reason* aReason)
+{
+  ConfigurationStore store(aConfiguration);
+  if (!store.Apply(aChange, aReason)) {
+    return std::nullopt;
+  }
+  return store.Get();
+}
+
+std::optional<ConfigItem>
+FindItem(const Configuration& aConfiguration,
+         ItemKind aKind,
+         const std::string& aName)
+{
+  return detail::ItemTableOf(aKind).mFind(aConfiguration, aName);
+}
+
+std::vector<ItemEdit>
+ItemsOf(const Configuration& aConfiguration, ItemKind aKind)
+{
+  const detail::ItemTable& table = detail::ItemTableOf(aKind);
+  std::vector<ItemEdit> items;
+  for (std::string& it : table.mNames(aConfiguration)) {
+    const auto item = table.mFind(aConfiguration, it);
+    items.push_back(
+      { aKind, std::move(it), ConfigurationReader::WriteItem(*item) });
+  }
+  return items;
+}
+
+std::vector<ItemEdit>
+ItemsOf(const Configuration& aConfiguration)
+{
+  std::vector<ItemEdit> items;
+  for (ItemKind it : kAllKinds) {
+    std::vector<ItemEdit> some = ItemsOf(aConfiguration, it);
+    std::move(some.begin(), some.end(), std::back_inserter(items));
+  }
+  return items;
+}
+
+} // namespace peridothoist
