Take callers' requests in, follow a control process and move shares

Cause: the entry's shell needs its intake, its view and its peers. Ruled out: key checks after reading the body as a completion, as a bad key would then cost a parse.

--- a/Peridothoist/Entry/CallerRequest.h
+++ b/Peridothoist/Entry/CallerRequest.h
@@ -7,6 +7,7 @@
 #include <Peridothoist/Entry/UpstreamCaller.h>
 #include <Peridothoist/Request/RequestCommand.h>
 #include <Peridothoist/Shell/HttpServer.h>
+#include <Peridothoist/Shell/Trace.h>
 
 namespace peridothoist {
 
@@ -58,6 +59,10 @@
   const CallerRequestFacts& Facts() const { return mFacts; }
   const CallerContent& Content() const { return mContent; }
 
+  /// Sets the request's span, which ends with it.
+  void SetSpan(Span aSpan) { mSpan = std::move(aSpan); }
+  Span& GetSpan() { return mSpan; }
+
   /// HTTP status of the answer; 0 while there is none.
   int Status() const { return mStatus; }
 
@@ -85,6 +90,7 @@
   std::shared_ptr<HttpExchange> mExchange;
   std::unique_ptr<CompletionWriter> mWriter;
   CallerRequestListener* mListener;
+  Span mSpan;
 
   std::string mUnsent;   ///< Token text that waits for a slow caller.
   bool mBlocked = false; ///< The exchange's buffer is above its high mark.
--- /dev/null
+++ b/Peridothoist/Entry/EntryPeers.h
@@ -0,0 +1,49 @@
+/// Moves shares of allowances between entries over gRPC.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Entry/AllowanceDesk.h>
+#include <Peridothoist/Entry/EntryView.h>
+#include <Peridothoist/Peers/PeerClient.h>
+#include <Peridothoist/Peers/PeerServer.h>
+#include <Peridothoist/Shell/Reactor.h>
+
+namespace peridothoist {
+
+/// Both directions of one entry's share transfers.
+class EntryPeers
+  : public AllowancePeers
+  , public EntryPeerHandler
+{
+public:
+  /// Nothing is owned.
+  EntryPeers(Reactor* aReactor, PeerClient* aClient, EntryView* aView)
+    : mReactor(aReactor)
+    , mClient(aClient)
+    , mView(aView)
+  {
+  }
+
+  // See: AllowancePeers
+  void Borrow(const std::string& aInstance,
+              const BorrowAsk& aAsk,
+              Borrowed aDone) override;
+  void Send(const ShareTransfer& aTransfer) override;
+
+  // See: EntryPeerHandler
+  void OnBorrow(const peer::BorrowRequest& aRequest,
+                PeerAnswer<peer::BorrowReply> aAnswer) override;
+  void OnTransfer(const peer::ShareTransfer& aRequest,
+                  PeerAnswer<peer::TransferReply> aAnswer) override;
+
+  /// Transfers on their way.
+  std::size_t OpenTransfers() const { return mOpenTransfers; }
+
+private:
+  Reactor* mReactor;
+  PeerClient* mClient;
+  EntryView* mView;
+  std::size_t mOpenTransfers = 0;
+};
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Entry/RequestIntake.cpp
@@ -0,0 +1,400 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Entry/RequestIntake.h>
+
+#include <Peridothoist/Config/ConfigurationReader.h>
+#include <Peridothoist/Entry/BodyDigest.h>
+
+#include <algorithm>
+#include <ctime>
+
+namespace peridothoist {
+
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr std::string_view kTextPath = "/v1/completions";
+
+/// Whether a route leads to model engines.
+bool
+IsCompletion(const Route& aRoute)
+{
+  return aRoute.mPlainPool.empty();
+}
+
+std::string
+HeaderOf(const HttpRequest& aRequest, const char* aName)
+{
+  const auto it = aRequest.mHeaders.find(aName);
+  return it != aRequest.mHeaders.end() ? it->second : std::string();
+}
+
+/// The path and query as they are sent on.
+std::string
+TargetOf(const HttpRequest& aRequest)
+{
+  std::string target = aRequest.mPath;
+  char separator = '?';
+  for (const auto& it : aRequest.mQuery) {
+    target +=
+      separator + PercentEncode(it.first) + "=" + PercentEncode(it.second);
+    separator = '&';
+  }
+  return target;
+}
+
+bool
+MayUse(const Workspace& aWorkspace, const std::string& aPool)
+{
+  const auto& pools = aWorkspace.mPools;
+  return aPool.empty() ||
+         std::find(pools.begin(), pools.end(), aPool) != pools.end();
+}
+
+} // namespace
+
+RequestIntake::RequestIntake(const Settings& aSettings,
+                             Reactor* aReactor,
+                             EntryView* aView,
+                             AllowanceDesk* aAllowance,
+                             RequestRunner* aRunner,
+                             Tracer* aTracer)
+  : mSettings(aSettings)
+  , mReactor(aReactor)
+  , mView(aView)
+  , mAllowance(aAllowance)
+  , mRunner(aRunner)
+  , mTracer(aTracer)
+{
+}
+
+std::string_view
+RequestIntake::BearerKey(const HttpRequest& aRequest)
+{
+  const auto it = aRequest.mHeaders.find("authorization");
+  if (it == aRequest.mHeaders.end()) {
+    return {};
+  }
+  const std::string_view value = it->second;
+  if (value.substr(0, kBearer.size()) != kBearer) {
+    return {};
+  }
+  return value.substr(kBearer.size());
+}
+
+bool
+RequestIntake::Refuse(const Candidate& aCandidate,
+                      IntakeError aError,
+                      std::string aMessage,
+                      Duration aRetryAfter)
+{
+  ++mCounters.mRefused[static_cast<std::size_t>(aError)];
+  ErrorAnswer::FromIntake(aError, std::move(aMessage), aRetryAfter)
+    .Send(*aCandidate.mExchange);
+  return false;
+}
+
+void
+RequestIntake::OnRequest(std::shared_ptr<HttpExchange> aExchange)
+{
+  static constexpr std::array<Check, 7> kChecks = {
+    &RequestIntake::CheckFresh, &RequestIntake::CheckPath,
+    &RequestIntake::CheckKey,   &RequestIntake::CheckSize,
+    &RequestIntake::CheckBody,  &RequestIntake::CheckRoute,
+    &RequestIntake::CheckPools,
+  };
+  auto candidate = std::make_shared<Candidate>();
+  candidate->mExchange = std::move(aExchange);
+  candidate->mArrivedAt = mReactor->Now();
+  for (const Check check : kChecks) {
+    if (!(this->*check)(*candidate)) {
+      return;
+    }
+  }
+  Spend(std::move(candidate));
+}
+
+bool
+RequestIntake::CheckFresh(Candidate& aCandidate)
+{
+  const auto stale = mView->Freshness().MayAct(mReactor->Now());
+  if (!stale) {
+    return true;
+  }
+  return Refuse(aCandidate,
+                IntakeError::ViewStale,
+                stale->mReason.mText,
+                stale->mRetryAfter);
+}
+
+bool
+RequestIntake::CheckPath(Candidate& aCandidate)
+{
+  const HttpRequest& request = aCandidate.mExchange->Request();
+  for (const auto& it : mView->Config().mRoutes) {
+    if (it.second.mPath != request.mPath) {
+      continue;
+    }
+    if (IsCompletion(it.second) && request.mMethod != "POST") {
+      return Refuse(aCandidate, IntakeError::NoRoute, "use POST for this path");
+    }
+    return true;
+  }
+  return Refuse(aCandidate, IntakeError::NoRoute, "no route for this path");
+}
+
+bool
+RequestIntake::CheckKey(Candidate& aCandidate)
+{
+  const HttpRequest& request = aCandidate.mExchange->Request();
+  const std::string_view key = BearerKey(request);
+  if (!key.empty()) {
+    Reason reason;
+    aCandidate.mIdentity = mView->Authenticate(key, &reason);
+    if (aCandidate.mIdentity) {
+      return true;
+    }
+  }
+  // An open route may be asked without a key, or with one that isn't good.
+  for (const auto& it : mView->Config().mRoutes) {
+    if (it.second.mPath == request.mPath && it.second.mOpenToAll) {
+      return true;
+    }
+  }
+  return Refuse(aCandidate,
+                IntakeError::Unauthorized,
+                "a valid key is needed: Authorization: Bearer KEY");
+}
+
+std::string
+RequestIntake::WorkspaceOf(const Candidate& aCandidate) const
+{
+  return aCandidate.mIdentity ? aCandidate.mIdentity->mWorkspace
+                              : std::string();
+}
+
+bool
+RequestIntake::CheckSize(Candidate& aCandidate)
+{
+  const Defaults defaults =
+    EffectiveDefaults(mView->Config(), WorkspaceOf(aCandidate));
+  const std::size_t n = aCandidate.mExchange->Request().mBody.size();
+  if (n <= defaults.mMaxBodyBytes) {
+    return true;
+  }
+  return Refuse(aCandidate,
+                IntakeError::BodyTooLarge,
+                "the body has " + std::to_string(n) + " bytes; at most " +
+                  std::to_string(defaults.mMaxBodyBytes) + " are taken");
+}
+
+bool
+RequestIntake::CheckBody(Candidate& aCandidate)
+{
+  const HttpRequest& request = aCandidate.mExchange->Request();
+  const bool isChat = request.mPath == kChatPath;
+  if (!isChat && request.mPath != kTextPath) {
+    return true;
+  }
+  aCandidate.mDialect =
+    isChat ? CompletionDialect::Chat : CompletionDialect::Text;
+  Reason reason;
+  aCandidate.mCompletion = CompletionBody::Parse(
+    aCandidate.mDialect, request.mBody, mSettings.mLimits, &reason);
+  if (aCandidate.mCompletion) {
+    return true;
+  }
+  return Refuse(aCandidate, IntakeError::BadRequest, reason.mText);
+}
+
+bool
+RequestIntake::CheckRoute(Candidate& aCandidate)
+{
+  const HttpRequest& request = aCandidate.mExchange->Request();
+  const bool isCompletion = aCandidate.mCompletion.has_value();
+  const Route* found = nullptr;
+  for (const auto& it : mView->Config().mRoutes) {
+    const Route& route = it.second;
+    if (route.mPath != request.mPath || IsCompletion(route) != isCompletion) {
+      continue;
+    }
+    if (isCompletion && route.mModel == aCandidate.mCompletion->mModel) {
+      found = &route;
+      break;
+    }
+    if (route.mModel.empty() && found == nullptr) {
+      found = &route;
+    }
+  }
+  if (found == nullptr) {
+    const std::string model =
+      isCompletion ? aCandidate.mCompletion->mModel : std::string();
+    return Refuse(aCandidate,
+                  IntakeError::NoRoute,
+                  "model: \"" + model + "\" is not served here");
+  }
+  if (!found->mOpenToAll && !aCandidate.mIdentity) {
+    return Refuse(
+      aCandidate, IntakeError::Unauthorized, "this route needs a key");
+  }
+  aCandidate.mRoute = std::make_shared<const Route>(*found);
+  return true;
+}
+
+bool
+RequestIntake::CheckPools(Candidate& aCandidate)
+{
+  const Route& route = *aCandidate.mRoute;
+  if (route.mOpenToAll) {
+    aCandidate.mIdentity.reset();
+    return true;
+  }
+  const auto& workspaces = mView->Config().mWorkspaces;
+  const auto it = workspaces.find(WorkspaceOf(aCandidate));
+  const bool allowed = it != workspaces.end() &&
+                       MayUse(it->second, route.mPrefillPool) &&
+                       MayUse(it->second, route.mDecodePool) &&
+                       MayUse(it->second, route.mPlainPool);
+  if (allowed) {
+    return true;
+  }
+  return Refuse(aCandidate,
+                IntakeError::PoolNotAllowed,
+                "the workspace may not use the pools of this route");
+}
+
+void
+RequestIntake::Spend(std::shared_ptr<Candidate> aCandidate)
+{
+  const HttpRequest& request = aCandidate->mExchange->Request();
+  if (aCandidate->mCompletion) {
+    aCandidate->mTokens =
+      static_cast<double>(aCandidate->mCompletion->mPromptTokens) +
+      aCandidate->mCompletion->mMaxTokens;
+  } else {
+    aCandidate->mTokens =
+      mSettings.mPlainBaseTokens + EstimateTokens(request.mBody);
+  }
+  if (!aCandidate->mIdentity) {
+    Admit(*aCandidate);
+    return;
+  }
+  const auto& workspaces = mView->Config().mWorkspaces;
+  const auto it = workspaces.find(aCandidate->mIdentity->mWorkspace);
+  PH_ASSERT(it != workspaces.end());
+  mAllowance->Spend(it->second,
+                    aCandidate->mTokens,
+                    [this, aCandidate](const AllowanceAnswer& aAnswer) {
+                      OnSpent(*aCandidate, aAnswer);
+                    });
+}
+
+void
+RequestIntake::OnSpent(Candidate& aCandidate, const AllowanceAnswer& aAnswer)
+{
+  switch (aAnswer.mRefusal) {
+    case SpendRefusal::None:
+      Admit(aCandidate);
+      break;
+    case SpendRefusal::NeverAffordable:
+      Refuse(aCandidate,
+             IntakeError::NeverAffordable,
+             "the request needs more tokens than the workspace's burst");
+      break;
+    case SpendRefusal::NotFresh:
+      Refuse(aCandidate,
+             IntakeError::ViewStale,
+             "this VM's view is too old to act on",
+             aAnswer.mRetryAfter);
+      break;
+    case SpendRefusal::Short:
+    case SpendRefusal::UnknownWorkspace:
+      Refuse(aCandidate,
+             IntakeError::RateLimited,
+             "the workspace's allowance is used up",
+             aAnswer.mRetryAfter);
+      break;
+  }
+}
+
+CallerContent
+RequestIntake::MakeContent(const Candidate& aCandidate) const
+{
+  const HttpRequest& request = aCandidate.mExchange->Request();
+  CallerContent content;
+  content.mSendOnce = !aCandidate.mRoute->mIdempotent;
+  if (aCandidate.mCompletion) {
+    content.mPrompt = aCandidate.mCompletion->mPrompt;
+    return content;
+  }
+  content.mMethod = request.mMethod;
+  content.mTarget = TargetOf(request);
+  content.mContentType = HeaderOf(request, "content-type");
+  content.mBody = request.mBody;
+  const std::string key = HeaderOf(request, "idempotency-key");
+  if (!key.empty()) {
+    content.mIdempotencyKey = WorkspaceOf(aCandidate) + ":" + key;
+  }
+  return content;
+}
+
+void
+RequestIntake::Admit(Candidate& aCandidate)
+{
+  const HttpRequest& request = aCandidate.mExchange->Request();
+  CallerContent content = MakeContent(aCandidate);
+
+  CallerRequestFacts facts;
+  facts.mId = mRunner->NextId();
+  facts.mWorkspace = WorkspaceOf(aCandidate);
+  facts.mRoute = aCandidate.mRoute->mName;
+  facts.mSpentTokens = aCandidate.mTokens;
+  facts.mArrivedAt = aCandidate.mArrivedAt;
+
+  Arrival arrival;
+  arrival.mId = facts.mId;
+  arrival.mWorkspace = facts.mWorkspace;
+  if (aCandidate.mIdentity) {
+    arrival.mKeyName = EntryView::ToHandle(*aCandidate.mIdentity);
+  }
+  arrival.mCallerZone = mSettings.mZone;
+  arrival.mRoute = aCandidate.mRoute;
+  arrival.mBodyDigest =
+    DigestRequest(request.mMethod, TargetOf(request), request.mBody);
+  arrival.mIdempotencyKey = HeaderOf(request, "idempotency-key");
+  arrival.mArrivedAt = aCandidate.mArrivedAt;
+
+  std::unique_ptr<CompletionWriter> writer;
+  if (aCandidate.mCompletion) {
+    const CompletionBody& body = *aCandidate.mCompletion;
+    facts.mPromptTokens = body.mPromptTokens;
+    arrival.mPromptTokens = body.mPromptTokens;
+    arrival.mMaxTokens = body.mMaxTokens;
+    arrival.mPrefixHash = PrefixHash(body.mPrompt);
+    arrival.mStreaming = body.mStream;
+    writer =
+      std::make_unique<CompletionWriter>(aCandidate.mDialect,
+                                         "pdh-" + std::to_string(facts.mId),
+                                         body.mModel,
+                                         std::time(nullptr));
+  } else {
+    facts.mPromptTokens = static_cast<std::uint32_t>(aCandidate.mTokens);
+    arrival.mPromptTokens = facts.mPromptTokens;
+  }
+
+  Span span = mTracer->StartRoot("request", HeaderOf(request, "traceparent"));
+  span.Set("route", facts.mRoute);
+  span.Set("request", static_cast<std::int64_t>(facts.mId));
+  if (span.Context().IsValid()) {
+    content.mTraceParent = ToTraceparent(span.Context());
+  }
+  auto caller = std::make_unique<CallerRequest>(std::move(facts),
+                                                std::move(content),
+                                                aCandidate.mExchange,
+                                                std::move(writer),
+                                                mRunner->AsCallerListener());
+  caller->SetSpan(std::move(span));
+  mRunner->Admit(std::move(caller), std::move(arrival));
+}
+
+} // namespace peridothoist
