--- /dev/null
+++ b/Peridothoist/Allowance/AllowanceBook.cpp
@@ -0,0 +1,299 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Allowance/AllowanceBook.h>
+#include <Peridothoist/Membership/Rendezvous.h>
+
+#include <algorithm>
+#include <array>
+
+namespace peridothoist {
+
+const char*
+ToName(SpendRefusal aRefusal)
+{
+  static constexpr std::array<const char*, 5> kNames = {
+    "none", "unknown_workspace", "not_fresh", "short", "never_affordable"
+  };
+  return kNames[static_cast<std::size_t>(aRefusal)];
+}
+
+AllowanceBook::AllowanceBook(const Settings& aSettings,
+                             std::string aSelfInstance)
+  : mSettings(aSettings)
+  , mSelf(std::move(aSelfInstance))
+{
+}
+
+void
+AllowanceBook::AllowUntil(TimePoint aUntil, TimePoint aNow)
+{
+  mClock.AllowUntil(aUntil, aNow);
+}
+
+void
+AllowanceBook::SetWorkspaces(
+  const std::map<std::string, Workspace>& aWorkspaces,
+  TimePoint aNow)
+{
+  std::map<std::string, WholeAllowance> wholes;
+  for (const auto& [name, workspace] : aWorkspaces) {
+    wholes[name] = { workspace.mTokensPerSecond, workspace.mBurstTokens };
+  }
+  // An account outlives its workspace: what it gave away must not come back
+  // with a workspace of the same name.
+  for (auto& [name, account] : mAccounts) {
+    const auto found = wholes.find(name);
+    const WholeAllowance whole =
+      found == wholes.end() ? WholeAllowance{} : found->second;
+    if (!(whole == account.Whole())) {
+      Touch(name, aNow);
+      account.SetWhole(whole);
+    }
+  }
+  mWholes = std::move(wholes);
+}
+
+void
+AllowanceBook::SetPlan(std::uint64_t aEpoch,
+                       std::vector<std::string> aEntryInstances,
+                       TimePoint aNow)
+{
+  if (aEpoch <= Epoch()) {
+    return;
+  }
+  mPlans.push_back({ aEpoch, std::move(aEntryInstances), mClock.Read(aNow) });
+  if (mPlans.size() > mSettings.mMaxPlans) {
+    mPlans.pop_front();
+  }
+  mGiven.clear();
+  mReceived.clear();
+}
+
+SpendResult
+AllowanceBook::Spend(const std::string& aWorkspace,
+                     double aTokens,
+                     TimePoint aNow)
+{
+  SpendResult result;
+  if (mWholes.count(aWorkspace) == 0) {
+    result.mRefusal = SpendRefusal::UnknownWorkspace;
+    return result;
+  }
+  if (!mClock.IsRunning(aNow)) {
+    result.mRefusal = SpendRefusal::NotFresh;
+    return result;
+  }
+  ShareAccount& account = *Touch(aWorkspace, aNow);
+  if (aTokens > account.Whole().mBurst) {
+    result.mRefusal = SpendRefusal::NeverAffordable;
+    return result;
+  }
+  if (aTokens <= account.Balance()) {
+    account.Spend(aTokens, mClock.Read(aNow));
+    return result;
+  }
+  result.mRefusal = SpendRefusal::Short;
+  result.mMissing = aTokens - account.Balance();
+  if (aTokens <= account.BurstCap() && account.Rate() > 0) {
+    const std::chrono::duration<double> wait(result.mMissing / account.Rate());
+    // Rounded up, so that it is affordable when it says so.
+    result.mAffordableIn =
+      std::chrono::duration_cast<Duration>(wait) + Duration{ 1 };
+  }
+  return result;
+}
+
+void
+AllowanceBook::Refund(const std::string& aWorkspace,
+                      double aTokens,
+                      TimePoint aNow)
+{
+  ShareAccount* account = Touch(aWorkspace, aNow);
+  if (account != nullptr && aTokens > 0) {
+    account->Refund(aTokens);
+  }
+}
+
+double
+AllowanceBook::Charge(const std::string& aWorkspace,
+                      double aTokens,
+                      TimePoint aNow)
+{
+  ShareAccount* account = Touch(aWorkspace, aNow);
+  if (account == nullptr || aTokens <= 0) {
+    return 0;
+  }
+  const double paid = std::clamp(account->Balance(), 0.0, aTokens);
+  account->Spend(aTokens, mClock.Read(aNow));
+  return aTokens - paid;
+}
+
+ShareTransfer
+AllowanceBook::Give(const BorrowAsk& aAsk, TimePoint aNow)
+{
+  const auto given = mGiven.find(aAsk.mTransferId);
+  if (given != mGiven.end()) {
+    return given->second;
+  }
+  ShareTransfer nothing;
+  nothing.mTransferId = aAsk.mTransferId;
+  nothing.mFromInstance = mSelf;
+  nothing.mToInstance = aAsk.mInstance;
+  nothing.mEpoch = Epoch();
+  nothing.mWorkspace = aAsk.mWorkspace;
+  const bool mayGive = mSettings.mShareStrategy == "demand" &&
+                       aAsk.mEpoch == Epoch() && aAsk.mInstance != mSelf &&
+                       mClock.IsRunning(aNow);
+  ShareAccount* account = mayGive ? Touch(aAsk.mWorkspace, aNow) : nullptr;
+  if (account == nullptr) {
+    return nothing;
+  }
+  const SharePart part =
+    account->Spare(aAsk.mTokens, aAsk.mRate, mClock.Read(aNow));
+  ShareTransfer transfer =
+    Subtract(aAsk.mWorkspace, *account, part, aAsk.mInstance);
+  transfer.mTransferId = aAsk.mTransferId;
+  if (!transfer.IsEmpty()) {
+    mGiven[aAsk.mTransferId] = transfer;
+  }
+  return transfer;
+}
+
+bool
+AllowanceBook::Receive(const ShareTransfer& aTransfer, TimePoint aNow)
+{
+  if (aTransfer.mToInstance != mSelf || aTransfer.mEpoch != Epoch()) {
+    return false;
+  }
+  ShareAccount* account = Touch(aTransfer.mWorkspace, aNow);
+  if (account == nullptr || !mReceived.insert(aTransfer.mTransferId).second) {
+    return false;
+  }
+  account->Add(
+    { aTransfer.mTokens, aTransfer.mBurstShare, aTransfer.mRateShare },
+    aTransfer.mFromInstance,
+    mClock.Read(aNow));
+  return true;
+}
+
+std::vector<ShareTransfer>
+AllowanceBook::TakeReturns(TimePoint aNow)
+{
+  std::vector<ShareTransfer> transfers;
+  for (auto& [workspace, account] : mAccounts) {
+    Touch(workspace, aNow);
+    const Duration at = mClock.Read(aNow);
+    for (const auto& it : account.Returns(at, mSettings.mReturnAfter)) {
+      transfers.push_back(Subtract(workspace, account, it.mPart, it.mTo));
+    }
+  }
+  return transfers;
+}
+
+std::vector<ShareTransfer>
+AllowanceBook::TakeAll(TimePoint aNow)
+{
+  std::vector<ShareTransfer> transfers;
+  for (auto& [workspace, account] : mAccounts) {
+    Touch(workspace, aNow);
+    account.DropRaise();
+    const std::string to = OtherHome(workspace);
+    if (to.empty()) {
+      continue;
+    }
+    ShareTransfer transfer = Subtract(workspace, account, account.All(), to);
+    if (!transfer.IsEmpty()) {
+      transfers.push_back(std::move(transfer));
+    }
+  }
+  return transfers;
+}
+
+std::vector<std::string>
+AllowanceBook::Homes(const std::string& aWorkspace) const
+{
+  if (mPlans.empty()) {
+    return {};
+  }
+  return RendezvousTop(
+    aWorkspace, mPlans.back().mEntries, mSettings.mHomesPerWorkspace);
+}
+
+ShareStatus
+AllowanceBook::Account(const std::string& aWorkspace, TimePoint aNow)
+{
+  const ShareAccount* account = Touch(aWorkspace, aNow);
+  return account == nullptr ? ShareStatus{} : account->Status();
+}
+
+std::uint64_t
+AllowanceBook::Epoch() const
+{
+  return mPlans.empty() ? 0 : mPlans.back().mEpoch;
+}
+
+ShareAccount*
+AllowanceBook::Touch(const std::string& aWorkspace, TimePoint aNow)
+{
+  auto found = mAccounts.find(aWorkspace);
+  if (found == mAccounts.end()) {
+    const auto whole = mWholes.find(aWorkspace);
+    if (whole == mWholes.end()) {
+      return nullptr;
+    }
+    found = mAccounts.emplace(aWorkspace, ShareAccount(whole->second)).first;
+  }
+  ShareAccount& account = found->second;
+  for (const Plan& plan : mPlans) {
+    if (plan.mEpoch > account.Epoch()) {
+      account.AccrueTo(plan.mHeardAt);
+      account.EnterPlan(plan.mEpoch,
+                        HomeShare(aWorkspace, plan),
+                        plan.mHeardAt,
+                        mSettings.mRaiseWait);
+    }
+  }
+  account.AccrueTo(mClock.Read(aNow));
+  return &account;
+}
+
+double
+AllowanceBook::HomeShare(const std::string& aWorkspace, const Plan& aPlan) const
+{
+  const std::vector<std::string> homes =
+    RendezvousTop(aWorkspace, aPlan.mEntries, mSettings.mHomesPerWorkspace);
+  const bool isHome =
+    std::find(homes.begin(), homes.end(), mSelf) != homes.end();
+  return isHome ? 1.0 / static_cast<double>(homes.size()) : 0.0;
+}
+
+std::string
+AllowanceBook::OtherHome(const std::string& aWorkspace) const
+{
+  for (const std::string& home : Homes(aWorkspace)) {
+    if (home != mSelf) {
+      return home;
+    }
+  }
+  return {};
+}
+
+ShareTransfer
+AllowanceBook::Subtract(const std::string& aWorkspace,
+                        ShareAccount& aAccount,
+                        const SharePart& aPart,
+                        const std::string& aTo)
+{
+  aAccount.Subtract(aPart, aTo);
+  ShareTransfer transfer;
+  transfer.mTransferId = mSelf + "/" + std::to_string(mNextTransfer++);
+  transfer.mFromInstance = mSelf;
+  transfer.mToInstance = aTo;
+  transfer.mEpoch = Epoch();
+  transfer.mWorkspace = aWorkspace;
+  transfer.mTokens = aPart.mTokens;
+  transfer.mBurstShare = aPart.mBurstShare;
+  transfer.mRateShare = aPart.mRateShare;
+  return transfer;
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Allowance/AllowanceBook.h
+++ b/Peridothoist/Allowance/AllowanceBook.h
@@ -27,6 +27,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Allowance/AccrualClock.h>
+#include <Peridothoist/Allowance/ShareAccount.h>
 #include <Peridothoist/Allowance/ShareTransfer.h>
 #include <Peridothoist/Config/Configuration.h>
 
@@ -60,14 +61,6 @@
   bool IsGranted() const { return mRefusal == SpendRefusal::None; }
 };
 
-/// An entry's account of one workspace, for status and tests.
-struct AllowanceAccount
-{
-  double mBalance = 0; ///< Tokens; below 0 after a charge beyond it.
-  double mBurstShare = 0;
-  double mRateShare = 0;
-};
-
 /// Settings of an AllowanceBook.
 struct AllowanceBookSettings
 {
@@ -75,12 +68,10 @@
   /// From hearing of an epoch to raising shares: staleness limit and margin.
   Duration mRaiseWait = std::chrono::milliseconds(2500);
   std::size_t mMaxPlans = 8; ///< Plans kept for replay.
-  /// A borrowed share unused for this long is given back.
+  /// A borrowed burst unused for this long is given back.
   Duration mReturnAfter = std::chrono::seconds(2);
   /// "demand": shares move to where they are asked for. "equal": they stay.
   std::string mShareStrategy = "demand";
-  /// Part of its spare share that a giver keeps for its own callers.
-  double mKeepShare = 0.25;
 };
 
 /// Holds one entry instance's shares.
@@ -131,19 +122,20 @@
   /// or of another epoch.
   bool Receive(const ShareTransfer& aTransfer, TimePoint aNow);
 
-  /// Borrowed shares that lie unused, already subtracted, to be sent to the
-  /// workspaces' home entries.
+  /// Borrowed shares that lie unused, already subtracted, to be sent to whom
+  /// they came from. Send one again with the same id until it is answered or
+  /// the epoch ends: a lost one is lost until the next epoch.
   std::vector<ShareTransfer> TakeReturns(TimePoint aNow);
 
-  /// Everything that can still be spent here, already subtracted, for other
-  /// home entries: a leaving entry's last transfers.
+  /// Everything that can still be spent here of workspaces used here, already
+  /// subtracted, for other home entries: a leaving entry's last transfers.
   std::vector<ShareTransfer> TakeAll(TimePoint aNow);
 
   /// The home entries of a workspace in the present plan, strongest first.
   std::vector<std::string> Homes(const std::string& aWorkspace) const;
 
   /// An account as of now.
-  AllowanceAccount Account(const std::string& aWorkspace, TimePoint aNow);
+  ShareStatus Account(const std::string& aWorkspace, TimePoint aNow);
 
   std::uint64_t Epoch() const;
   const std::string& Self() const { return mSelf; }
@@ -156,45 +148,19 @@
     Duration mHeardAt{ 0 }; ///< On mClock.
   };
 
-  struct Whole
-  {
-    double mRate = 0;
-    double mBurst = 0;
-  };
-
-  struct Held
-  {
-    double mBalance = 0;      ///< At most mBurstShare x burst.
-    double mBurstShare = 0;   ///< Never below 0.
-    double mRateShare = 0;    ///< Never below 0.
-    double mHomeShare = 0;    ///< Of this entry in the plan of mEpoch.
-    double mRaise = 0;        ///< Added to both shares at mRaiseAt.
-    Duration mRaiseAt{ 0 };   ///< On mClock.
-    Duration mAccruedAt{ 0 }; ///< On mClock.
-    Duration mUsedAt{ 0 };    ///< On mClock: last Spend() or Receive().
-    std::uint64_t mEpoch = 0; ///< Plan that the shares belong to.
-    Whole mWhole;             ///< Of the view, as accrued up to now.
-  };
-
-  Held* Touch(const std::string& aWorkspace, TimePoint aNow);
-  void Replay(const std::string& aWorkspace, Held& aHeld, Duration aUntil);
-  void EnterPlan(const std::string& aWorkspace, Held& aHeld, const Plan& aPlan);
-  void Accrue(Held& aHeld, Duration aUntil) const;
-  void AccrueTo(Held& aHeld, Duration aUntil) const;
+  ShareAccount* Touch(const std::string& aWorkspace, TimePoint aNow);
   double HomeShare(const std::string& aWorkspace, const Plan& aPlan) const;
-  ShareTransfer Take(const std::string& aWorkspace,
-                     Held& aHeld,
-                     double aBurstShare,
-                     double aRateShare,
-                     double aTokens);
-  ShareTransfer NewTransfer(const std::string& aWorkspace,
-                            const std::string& aTo);
+  std::string OtherHome(const std::string& aWorkspace) const;
+  ShareTransfer Subtract(const std::string& aWorkspace,
+                         ShareAccount& aAccount,
+                         const SharePart& aPart,
+                         const std::string& aTo);
 
   Settings mSettings;
   std::string mSelf;
   AccrualClock mClock;
-  std::map<std::string, Whole> mWholes;
-  std::map<std::string, Held> mAccounts;
+  std::map<std::string, WholeAllowance> mWholes; ///< Of the view.
+  std::map<std::string, ShareAccount> mAccounts; ///< Of workspaces used here.
   std::deque<Plan> mPlans; ///< Epochs go up; at most mMaxPlans.
 
   // Transfers of the present epoch only; cleared when it ends.
--- a/Peridothoist/Allowance/BorrowPlanner.h
+++ b/Peridothoist/Allowance/BorrowPlanner.h
@@ -11,7 +11,7 @@
 struct BorrowPlannerSettings
 {
   std::size_t mMaxAsks = 3; ///< Entries asked for one request.
-  double mAhead = 4.0;      ///< Asks for this many times what is missing,
+  double mAhead = 2.0;      ///< Asks for this many times what is missing,
                             ///< so that the next request needs no asking.
 };
 
@@ -47,6 +47,7 @@
   std::string mWorkspace;
   std::vector<std::string> mLeft; ///< Homes not yet asked, strongest last.
   double mRate;
+  std::size_t mAsked = 0;
   std::string mLastAsked;
 };
 
--- /dev/null
+++ b/Peridothoist/Allowance/ShareAccount.cpp
@@ -0,0 +1,197 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Allowance/ShareAccount.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridothoist {
+
+namespace {
+
+constexpr double kDemandWindowSeconds = 5.0;
+constexpr double kDemandHeadroom = 1.25;   ///< Kept above the measured demand.
+constexpr double kLeastReturnShare = 0.01; ///< Less isn't worth a message.
+
+double
+SecondsOf(Duration aSpan)
+{
+  return std::chrono::duration<double>(aSpan).count();
+}
+
+} // namespace
+
+ShareAccount::ShareAccount(const WholeAllowance& aWhole)
+  : mWhole(aWhole)
+{
+}
+
+void
+ShareAccount::AccrueTo(Duration aUntil)
+{
+  const bool raises = mBurstRaise > 0 || mRateRaise > 0;
+  if (raises && mRaiseAt <= aUntil) {
+    Accrue(mRaiseAt);
+    mBurstShare += mBurstRaise;
+    mRateShare += mRateRaise;
+    DropRaise();
+  }
+  Accrue(aUntil);
+}
+
+void
+ShareAccount::SetWhole(const WholeAllowance& aWhole)
+{
+  mWhole = aWhole;
+  CutBalance();
+}
+
+void
+ShareAccount::EnterPlan(std::uint64_t aEpoch,
+                        double aHomeShare,
+                        Duration aHeardAt,
+                        Duration aRaiseWait)
+{
+  if (aEpoch != mEpoch + 1) {
+    mBurstShare = 0;
+    mRateShare = 0;
+  }
+  mBurstShare = std::min(mBurstShare, aHomeShare);
+  mRateShare = std::min(mRateShare, aHomeShare);
+  CutBalance();
+  mEpoch = aEpoch;
+  mHomeShare = aHomeShare;
+  mBurstRaise = aHomeShare - mBurstShare;
+  mRateRaise = aHomeShare - mRateShare;
+  mRaiseAt = aHeardAt + aRaiseWait;
+  mNetFrom.clear();
+}
+
+void
+ShareAccount::Spend(double aTokens, Duration aAt)
+{
+  mBalance -= aTokens;
+  mDemand = Demand(aAt) + aTokens / kDemandWindowSeconds;
+  mDemandAt = aAt;
+  mUsedAt = aAt;
+}
+
+void
+ShareAccount::Refund(double aTokens)
+{
+  mBalance += aTokens;
+  CutBalance();
+}
+
+void
+ShareAccount::Add(const SharePart& aPart,
+                  const std::string& aFrom,
+                  Duration aAt)
+{
+  mBurstShare += aPart.mBurstShare;
+  mRateShare += aPart.mRateShare;
+  mBalance += aPart.mTokens;
+  CutBalance();
+  Net& net = mNetFrom[aFrom];
+  net.mBurstShare += aPart.mBurstShare;
+  net.mRateShare += aPart.mRateShare;
+  mUsedAt = aAt;
+}
+
+void
+ShareAccount::Subtract(const SharePart& aPart, const std::string& aTo)
+{
+  PH_ASSERT(aPart.mBurstShare >= 0 && aPart.mRateShare >= 0);
+  PH_ASSERT(aPart.mBurstShare <= mBurstShare);
+  PH_ASSERT(aPart.mRateShare <= mRateShare);
+  PH_ASSERT(aPart.mTokens <= std::max(mBalance, 0.0));
+  mBurstShare -= aPart.mBurstShare;
+  mRateShare -= aPart.mRateShare;
+  mBalance -= aPart.mTokens;
+  CutBalance();
+  Net& net = mNetFrom[aTo];
+  net.mBurstShare -= aPart.mBurstShare;
+  net.mRateShare -= aPart.mRateShare;
+}
+
+SharePart
+ShareAccount::Spare(double aTokens, double aRate, Duration aAt) const
+{
+  SharePart part;
+  if (mWhole.mBurst > 0) {
+    part.mTokens = std::clamp(aTokens, 0.0, std::max(mBalance, 0.0));
+    part.mBurstShare = std::min(part.mTokens / mWhole.mBurst, mBurstShare);
+  }
+  if (mWhole.mRate > 0) {
+    const double own = Demand(aAt) / mWhole.mRate;
+    const double spare = std::max(mRateShare - own, 0.0);
+    part.mRateShare = std::clamp(aRate / mWhole.mRate, 0.0, spare);
+  }
+  return part;
+}
+
+SharePart
+ShareAccount::All() const
+{
+  return { std::max(mBalance, 0.0), mBurstShare, mRateShare };
+}
+
+std::vector<ShareAccount::Return>
+ShareAccount::Returns(Duration aAt, Duration aUnusedFor) const
+{
+  const double needed =
+    mWhole.mRate > 0 ? kDemandHeadroom * Demand(aAt) / mWhole.mRate : 0;
+  const bool isUnused = aAt - mUsedAt >= aUnusedFor;
+  // Never below what the plan gives, as far as that is here already.
+  double rateLeft = mRateShare - std::max(needed, mHomeShare - mRateRaise);
+  double burstLeft = isUnused ? mBurstShare - (mHomeShare - mBurstRaise) : 0.0;
+  SharePart held = All();
+
+  std::vector<Return> returns;
+  for (const auto& [lender, net] : mNetFrom) {
+    SharePart part;
+    part.mRateShare = std::max(std::min(net.mRateShare, rateLeft), 0.0);
+    part.mBurstShare = std::max(std::min(net.mBurstShare, burstLeft), 0.0);
+    if (part.mRateShare + part.mBurstShare < kLeastReturnShare) {
+      continue;
+    }
+    part.mTokens = std::min(part.mBurstShare * mWhole.mBurst, held.mTokens);
+    held.mTokens -= part.mTokens;
+    rateLeft -= part.mRateShare;
+    burstLeft -= part.mBurstShare;
+    returns.push_back({ lender, part });
+  }
+  return returns;
+}
+
+void
+ShareAccount::DropRaise()
+{
+  mBurstRaise = 0;
+  mRateRaise = 0;
+}
+
+double
+ShareAccount::Demand(Duration aAt) const
+{
+  const double age = SecondsOf(std::max(aAt - mDemandAt, Duration{ 0 }));
+  return mDemand * std::exp(-age / kDemandWindowSeconds);
+}
+
+void
+ShareAccount::Accrue(Duration aUntil)
+{
+  if (aUntil <= mAccruedAt) {
+    return;
+  }
+  mBalance += Rate() * SecondsOf(aUntil - mAccruedAt);
+  mAccruedAt = aUntil;
+  CutBalance();
+}
+
+void
+ShareAccount::CutBalance()
+{
+  mBalance = std::min(mBalance, BurstCap());
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Allowance/ShareAccount.h
@@ -0,0 +1,130 @@
+/// One entry's share of one workspace's allowance: two parts of the whole and
+/// a balance. All times are on the entry's AccrualClock.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+
+namespace peridothoist {
+
+/// A workspace's rate and burst over all entries together.
+struct WholeAllowance
+{
+  double mRate = 0;  ///< Tokens a second.
+  double mBurst = 0; ///< Tokens.
+
+  bool operator==(const WholeAllowance& aOther) const
+  {
+    return mRate == aOther.mRate && mBurst == aOther.mBurst;
+  }
+};
+
+/// A part of a workspace's allowance, which moves between entries.
+struct SharePart
+{
+  double mTokens = 0;     ///< Balance.
+  double mBurstShare = 0; ///< Part of the whole burst, 0 to 1.
+  double mRateShare = 0;  ///< Part of the whole rate, 0 to 1.
+};
+
+/// An account as of now, for status and tests.
+struct ShareStatus
+{
+  double mBalance = 0; ///< Tokens; below 0 after a charge beyond it.
+  double mBurstShare = 0;
+  double mRateShare = 0;
+};
+
+/// What an account holds, and how it follows time, plans and transfers.
+class ShareAccount
+{
+public:
+  explicit ShareAccount(const WholeAllowance& aWhole);
+
+  /// Accrues up to aUntil and carries out a raise that is due by then.
+  void AccrueTo(Duration aUntil);
+
+  /// The whole changed; accrue up to now first.
+  void SetWhole(const WholeAllowance& aWhole);
+
+  /// Enters a plan that was heard at aHeardAt and gives this entry aHomeShare
+  /// of rate and burst. Cuts now, raises aRaiseWait later. Starts from nothing
+  /// when aEpoch doesn't follow the account's own.
+  void EnterPlan(std::uint64_t aEpoch,
+                 double aHomeShare,
+                 Duration aHeardAt,
+                 Duration aRaiseWait);
+
+  /// Takes tokens from the balance, which may go below 0.
+  void Spend(double aTokens, Duration aAt);
+
+  /// Puts tokens back, up to the account's part of the burst.
+  void Refund(double aTokens);
+
+  /// Adds what came from another entry, or subtracts what goes to one; what is
+  /// subtracted must be held.
+  void Add(const SharePart& aPart, const std::string& aFrom, Duration aAt);
+  void Subtract(const SharePart& aPart, const std::string& aTo);
+
+  /// What can be given of a wish: tokens as far as the balance goes, rate as
+  /// far as the account's own demand leaves it.
+  SharePart Spare(double aTokens, double aRate, Duration aAt) const;
+
+  /// All that is held, without what a later raise brings.
+  SharePart All() const;
+
+  /// One lender to give a part back to.
+  struct Return
+  {
+    std::string mTo;
+    SharePart mPart;
+  };
+
+  /// What was borrowed and isn't used: rate that demand doesn't reach, and
+  /// burst when nothing was spent since aAt - aUnusedFor.
+  std::vector<Return> Returns(Duration aAt, Duration aUnusedFor) const;
+
+  /// A leaving entry gets no more.
+  void DropRaise();
+
+  /// Tokens a second spent here lately.
+  double Demand(Duration aAt) const;
+
+  ShareStatus Status() const { return { mBalance, mBurstShare, mRateShare }; }
+  const WholeAllowance& Whole() const { return mWhole; }
+  std::uint64_t Epoch() const { return mEpoch; }
+  double Balance() const { return mBalance; }
+  double BurstCap() const { return mBurstShare * mWhole.mBurst; }
+  double Rate() const { return mRateShare * mWhole.mRate; }
+
+private:
+  void Accrue(Duration aUntil);
+  void CutBalance();
+
+  WholeAllowance mWhole;
+  std::uint64_t mEpoch = 0; ///< Plan that the shares belong to.
+
+  // Invariants: shares are 0 or more; mBalance is at most BurstCap().
+  double mBalance = 0;
+  double mBurstShare = 0;
+  double mRateShare = 0;
+  Duration mAccruedAt{ 0 }; ///< Never moves back.
+
+  // Of the plan: what this entry is entitled to, and what of it comes later.
+  double mHomeShare = 0;
+  double mBurstRaise = 0;
+  double mRateRaise = 0;
+  Duration mRaiseAt{ 0 };
+
+  // Use, and what came from whom (below 0: was lent to it), in this epoch.
+  double mDemand = 0; ///< Tokens a second, as of mDemandAt.
+  Duration mDemandAt{ 0 };
+  Duration mUsedAt{ 0 };
+  struct Net
+  {
+    double mBurstShare = 0;
+    double mRateShare = 0;
+  };
+  std::map<std::string, Net> mNetFrom;
+};
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Keys/KeyRing.cpp
@@ -0,0 +1,170 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Keys/KeyRing.h>
+#include <Peridothoist/Keys/KeyText.h>
+
+#include <openssl/crypto.h>
+
+#include <algorithm>
+
+namespace peridothoist {
+
+namespace {
+
+/// Compares in a time that depends on the lengths alone.
+bool
+IsSameDigest(std::string_view aLeft, std::string_view aRight)
+{
+  return !aLeft.empty() && aLeft.size() == aRight.size() &&
+         CRYPTO_memcmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
+}
+
+} // namespace
+
+KeyRing::KeyRing(const Settings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+bool
+KeyRing::SetKeys(std::uint64_t aVersion,
+                 const std::map<std::string, KeyRecord>& aKeys)
+{
+  if (aVersion < mVersion) {
+    return false;
+  }
+  mVersion = aVersion;
+  mKeys = { aKeys.begin(), aKeys.end() };
+  for (auto it = mSuspensions.begin(); it != mSuspensions.end();) {
+    it = IsSettled(it->second.mSuspension) ? mSuspensions.erase(it)
+                                           : std::next(it);
+  }
+  return true;
+}
+
+std::optional<KeyIdentity>
+KeyRing::Authenticate(std::string_view aText, Reason* aReason) const
+{
+  const std::optional<KeyText> text = KeyText::Parse(aText, aReason);
+  if (!text) {
+    return std::nullopt;
+  }
+  // An unknown name costs the same as a wrong secret.
+  static const KeyRecord kNobody;
+  const auto found = mKeys.find(text->mName);
+  const KeyRecord& record = found == mKeys.end() ? kNobody : found->second;
+  const std::string digest = DigestKey(record.mSalt, text->mSecret);
+  if (!IsSameDigest(digest, record.mDigest)) {
+    Reason::Set(aReason, ReasonCode::Refused, "the key is not known");
+    return std::nullopt;
+  }
+  KeyIdentity identity{ record.mName, record.mWorkspace, record.mDigest };
+  if (!StillGood(identity, aReason)) {
+    return std::nullopt;
+  }
+  return identity;
+}
+
+bool
+KeyRing::StillGood(const KeyIdentity& aIdentity, Reason* aReason) const
+{
+  const auto found = mKeys.find(aIdentity.mKeyName);
+  if (found == mKeys.end() ||
+      !IsSameDigest(found->second.mDigest, aIdentity.mDigest) ||
+      found->second.mWorkspace != aIdentity.mWorkspace) {
+    Reason::Set(aReason, ReasonCode::Refused, "the key was withdrawn");
+    return false;
+  }
+  if (IsSuspended(aIdentity.mKeyName)) {
+    Reason::Set(aReason,
+                ReasonCode::InDoubt,
+                "the key is suspended until a change is settled");
+    return false;
+  }
+  return true;
+}
+
+bool
+KeyRing::Suspend(const KeySuspension& aSuspension, TimePoint aNow)
+{
+  if (IsSettled(aSuspension)) {
+    return true;
+  }
+  const TimePoint since = aNow - aSuspension.mAge;
+  const auto found = mSuspensions.find(aSuspension.mOperationId);
+  if (found != mSuspensions.end()) {
+    found->second.mSince = std::min(found->second.mSince, since);
+    return true;
+  }
+  if (mSuspensions.size() >= mSettings.mMaxSuspensions) {
+    return false;
+  }
+  mSuspensions.emplace(aSuspension.mOperationId,
+                       HeldSuspension{ aSuspension, since });
+  return true;
+}
+
+void
+KeyRing::Settle(const std::string& aOperationId)
+{
+  mSuspensions.erase(aOperationId);
+  if (!mSettled.insert(aOperationId).second) {
+    return;
+  }
+  mSettledOrder.push_back(aOperationId);
+  if (mSettledOrder.size() > mSettings.mMaxSettled) {
+    mSettled.erase(mSettledOrder.front());
+    mSettledOrder.pop_front();
+  }
+}
+
+std::vector<KeySuspension>
+KeyRing::Suspensions(TimePoint aNow) const
+{
+  std::vector<KeySuspension> all;
+  for (const auto& [id, held] : mSuspensions) {
+    all.push_back(Carried(held, aNow));
+  }
+  return all;
+}
+
+std::vector<KeySuspension>
+KeyRing::Overdue(TimePoint aNow) const
+{
+  std::vector<KeySuspension> overdue;
+  for (const auto& [id, held] : mSuspensions) {
+    if (aNow - held.mSince > mSettings.mSettleAfter) {
+      overdue.push_back(Carried(held, aNow));
+    }
+  }
+  return overdue;
+}
+
+bool
+KeyRing::IsSuspended(std::string_view aKeyName) const
+{
+  for (const auto& [id, held] : mSuspensions) {
+    const auto& names = held.mSuspension.mKeyNames;
+    if (std::find(names.begin(), names.end(), aKeyName) != names.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+KeyRing::IsSettled(const KeySuspension& aSuspension) const
+{
+  const bool passed =
+    aSuspension.mVersion != 0 && aSuspension.mVersion <= mVersion;
+  return passed || mSettled.count(aSuspension.mOperationId) > 0;
+}
+
+KeySuspension
+KeyRing::Carried(const HeldSuspension& aHeld, TimePoint aNow) const
+{
+  KeySuspension carried = aHeld.mSuspension;
+  carried.mAge = std::max(aNow - aHeld.mSince, Duration{ 0 });
+  return carried;
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Keys/KeyText.cpp
@@ -0,0 +1,107 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Keys/KeyText.h>
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+
+namespace peridothoist {
+
+namespace {
+
+bool
+IsKeyCharacter(char aCharacter)
+{
+  const bool letter = (aCharacter >= 'a' && aCharacter <= 'z') ||
+                      (aCharacter >= 'A' && aCharacter <= 'Z');
+  const bool digit = aCharacter >= '0' && aCharacter <= '9';
+  return letter || digit || aCharacter == '-' || aCharacter == '_';
+}
+
+bool
+IsKeyWord(std::string_view aWord, std::size_t aMaxBytes)
+{
+  return !aWord.empty() && aWord.size() <= aMaxBytes &&
+         std::all_of(aWord.begin(), aWord.end(), IsKeyCharacter);
+}
+
+std::string
+ToHex(const unsigned char* aBytes, std::size_t aCount)
+{
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::string hex;
+  hex.reserve(aCount * 2);
+  for (std::size_t i = 0; i < aCount; ++i) {
+    hex.push_back(kDigits[aBytes[i] >> 4]);
+    hex.push_back(kDigits[aBytes[i] & 15]);
+  }
+  return hex;
+}
+
+} // namespace
+
+std::optional<KeyText>
+KeyText::Parse(std::string_view aText, Reason* aReason)
+{
+  const std::size_t dot = aText.find('.');
+  if (dot == std::string_view::npos) {
+    Reason::Set(aReason, ReasonCode::Invalid, "the key has no '.'");
+    return std::nullopt;
+  }
+  const std::string_view name = aText.substr(0, dot);
+  const std::string_view secret = aText.substr(dot + 1);
+  if (!IsKeyName(name) || !IsKeyWord(secret, kMaxSecretBytes)) {
+    Reason::Set(aReason, ReasonCode::Invalid, "the key is malformed");
+    return std::nullopt;
+  }
+  return KeyText{ std::string(name), std::string(secret) };
+}
+
+bool
+IsKeyName(std::string_view aName)
+{
+  return IsKeyWord(aName, KeyText::kMaxNameBytes);
+}
+
+std::optional<NewKey>
+MakeKey(std::string_view aName,
+        std::string_view aWorkspace,
+        const KeyEntropy& aEntropy,
+        Reason* aReason)
+{
+  if (!IsKeyName(aName)) {
+    Reason::Set(aReason,
+                ReasonCode::Invalid,
+                "a key's name has 1 to 64 letters, digits, '-' and '_'");
+    return std::nullopt;
+  }
+  const std::string secret =
+    ToHex(aEntropy.mSecret.data(), aEntropy.mSecret.size());
+  NewKey key;
+  key.mText = std::string(aName) + "." + secret;
+  key.mRecord.mName = aName;
+  key.mRecord.mWorkspace = aWorkspace;
+  key.mRecord.mSalt = ToHex(aEntropy.mSalt.data(), aEntropy.mSalt.size());
+  key.mRecord.mDigest = DigestKey(key.mRecord.mSalt, secret);
+  return key;
+}
+
+std::string
+DigestKey(std::string_view aSaltHex, std::string_view aSecret)
+{
+  // The salt has a fixed length in hex; the separator keeps the two apart all
+  // the same.
+  std::string input;
+  input.reserve(aSaltHex.size() + 1 + aSecret.size());
+  input.append(aSaltHex);
+  input.push_back('.');
+  input.append(aSecret);
+  unsigned char digest[EVP_MAX_MD_SIZE];
+  unsigned int size = 0;
+  const int ok = EVP_Digest(
+    input.data(), input.size(), digest, &size, EVP_sha256(), nullptr);
+  PH_ASSERT(ok == 1);
+  return ToHex(digest, size);
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Keys/KeyText.h
+++ b/Peridothoist/Keys/KeyText.h
@@ -50,7 +50,7 @@
         const KeyEntropy& aEntropy,
         Reason* aReason);
 
-/// Hex SHA-256 of the salt's bytes followed by the secret.
+/// Hex SHA-256 of the salt in hex, '.', and the secret.
 std::string
 DigestKey(std::string_view aSaltHex, std::string_view aSecret);
 
--- /dev/null
+++ b/Peridothoist/Membership/MemberList.cpp
@@ -0,0 +1,341 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Membership/MemberList.h>
+
+#include <algorithm>
+
+namespace peridothoist {
+
+namespace {
+
+/// Fills what the record lacks; a word's own values are never replaced by an
+/// empty one.
+void
+TakeAddress(std::string& aHeld, const std::string& aGiven)
+{
+  if (!aGiven.empty()) {
+    aHeld = aGiven;
+  }
+}
+
+} // namespace
+
+MemberList::MemberList(const Settings& aSettings,
+                       const Member& aSelf,
+                       TimePoint aNow)
+  : mSettings(aSettings)
+  , mSelf(aSelf.mVm)
+{
+  SetSelf(aSelf, aNow);
+}
+
+void
+MemberList::SetSelf(const Member& aSelf, TimePoint aNow)
+{
+  PH_ASSERT(aSelf.mVm == mSelf);
+  Member self = aSelf;
+  self.mAge = Duration{ 0 };
+  self.mKnownFor = Duration{ 0 };
+  MergeWord(self, aNow, aNow);
+}
+
+void
+MemberList::MergePlatform(const std::vector<Member>& aListed,
+                          TimePoint aSent,
+                          TimePoint aNow)
+{
+  if (mListReadAt && aSent < *mListReadAt) {
+    return;
+  }
+  mListReadAt = aSent;
+  for (auto& [vm, record] : mRecords) {
+    record.mListed = false;
+  }
+  for (const Member& listed : aListed) {
+    Record& record = Know(listed, aNow);
+    record.mListed = true;
+    // The list lags: once a VM spoke for itself, its own word counts.
+    if (!record.mHeardFrom) {
+      record.mMember.mState = listed.mState;
+    } else if (listed.mState == MemberState::Leaving && listed.mVm != mSelf) {
+      record.mMember.mState = MemberState::Leaving;
+    }
+  }
+}
+
+void
+MemberList::MergeReply(const Member& aSender,
+                       const std::vector<Member>& aOthers,
+                       TimePoint aSent,
+                       TimePoint aNow)
+{
+  Member sender = aSender;
+  sender.mAge = Duration{ 0 };
+  MergeWord(sender, aSent, aNow);
+  Record& record = mRecords[sender.mVm];
+  record.mExchanged = std::max(record.mExchanged.value_or(aSent), aSent);
+  for (const Member& other : aOthers) {
+    if (other.mVm != sender.mVm && other.mVm != mSelf) {
+      MergeWord(other, aSent, aNow);
+    }
+  }
+}
+
+void
+MemberList::MergeRequest(const Member& aSender,
+                         const std::vector<Member>& aOthers,
+                         TimePoint aNow)
+{
+  const auto makeKnown = [&](const Member& aMember) {
+    if (aMember.mVm == mSelf) {
+      return;
+    }
+    Record& record = Know(aMember, aNow);
+    if (aMember.mState == MemberState::Leaving &&
+        aMember.mEntryInstance == record.mMember.mEntryInstance) {
+      record.mMember.mState = MemberState::Leaving;
+    }
+  };
+  makeKnown(aSender);
+  std::for_each(aOthers.begin(), aOthers.end(), makeKnown);
+}
+
+void
+MemberList::Forget(TimePoint aNow)
+{
+  for (auto it = mRecords.begin(); it != mRecords.end();) {
+    if (!IsForgettable(it->second, aNow)) {
+      ++it;
+      continue;
+    }
+    RememberGone({ it->first, it->second.mEntryInstance });
+    it = mRecords.erase(it);
+  }
+}
+
+std::vector<Member>
+MemberList::Export(TimePoint aNow) const
+{
+  std::vector<Member> all;
+  all.reserve(mRecords.size());
+  all.push_back(Carried(mRecords.at(mSelf), aNow));
+  for (const auto& [vm, record] : mRecords) {
+    if (vm != mSelf) {
+      all.push_back(Carried(record, aNow));
+    }
+  }
+  return all;
+}
+
+std::vector<Member>
+MemberList::PickPeers(std::size_t aCount, TimePoint aNow, Random& aRandom)
+{
+  struct Candidate
+  {
+    Record* mRecord;
+    std::uint64_t mTie;
+  };
+  std::vector<Candidate> left;
+  for (auto& [vm, record] : mRecords) {
+    if (vm != mSelf && !record.mMember.mControlPeer.empty()) {
+      left.push_back({ &record, aRandom.Below(1u << 30) });
+    }
+  }
+  const auto isEarlier = [](const Candidate& aLeft, const Candidate& aRight) {
+    return aLeft.mRecord->mAsked != aRight.mRecord->mAsked
+             ? aLeft.mRecord->mAsked < aRight.mRecord->mAsked
+             : aLeft.mTie < aRight.mTie;
+  };
+  std::sort(left.begin(), left.end(), isEarlier);
+
+  std::vector<Member> peers;
+  std::set<std::string> zones;
+  while (peers.size() < aCount && !left.empty()) {
+    const auto inNewZone = [&](const Candidate& aCandidate) {
+      return zones.count(aCandidate.mRecord->mMember.mZone) == 0;
+    };
+    auto chosen = std::find_if(left.begin(), left.end(), inNewZone);
+    if (chosen == left.end()) {
+      zones.clear();
+      chosen = left.begin();
+    }
+    Record& record = *chosen->mRecord;
+    record.mAsked = aNow;
+    zones.insert(record.mMember.mZone);
+    peers.push_back(Carried(record, aNow));
+    left.erase(chosen);
+  }
+  return peers;
+}
+
+std::vector<MemberWord>
+MemberList::Words(TimePoint aNow) const
+{
+  std::vector<MemberWord> words;
+  for (const auto& [vm, record] : mRecords) {
+    MemberWord word;
+    word.mVm = vm;
+    word.mControlInstance = record.mMember.mControlInstance;
+    word.mAsOf = vm == mSelf ? aNow : record.mHeardFrom;
+    word.mStamp = record.mMember.mStamp;
+    word.mPlatformUnreachable = record.mMember.mPlatformUnreachable;
+    word.mCommitInDoubt = record.mMember.mCommitInDoubt;
+    words.push_back(std::move(word));
+  }
+  return words;
+}
+
+std::vector<GateMember>
+MemberList::GateMembers(TimePoint aNow) const
+{
+  const auto since = [aNow](const std::optional<TimePoint>& aPoint) {
+    return aPoint ? std::optional<Duration>(aNow - *aPoint) : std::nullopt;
+  };
+  std::vector<GateMember> members;
+  for (const auto& [vm, record] : mRecords) {
+    GateMember member;
+    member.mVm = vm;
+    member.mZone = record.mMember.mZone;
+    member.mSelf = vm == mSelf;
+    member.mListed = record.mListed || member.mSelf;
+    member.mKnownFor = aNow - record.mFirstKnown;
+    member.mExchangedAgo = since(record.mExchanged);
+    member.mHeardAgo = since(record.mHeardFrom);
+    members.push_back(std::move(member));
+  }
+  return members;
+}
+
+std::vector<InForceMember>
+MemberList::InForceMembers() const
+{
+  std::vector<InForceMember> members;
+  for (const auto& [vm, record] : mRecords) {
+    members.push_back(
+      { vm, record.mMember.mStamp.mVersion, record.mHeardUntil });
+  }
+  return members;
+}
+
+std::vector<GoneInstance>
+MemberList::Gone(TimePoint aNow) const
+{
+  std::vector<GoneInstance> gone(mGone.begin(), mGone.end());
+  for (const auto& [vm, record] : mRecords) {
+    if (!record.mEntryInstance.empty() && IsForgettable(record, aNow)) {
+      gone.push_back({ vm, record.mEntryInstance });
+    }
+  }
+  return gone;
+}
+
+MemberList::Record&
+MemberList::Know(const Member& aMember, TimePoint aNow)
+{
+  const TimePoint firstKnown = aNow - aMember.mKnownFor;
+  const auto [it, isNew] = mRecords.try_emplace(aMember.mVm);
+  Record& record = it->second;
+  if (isNew) {
+    record.mMember.mVm = aMember.mVm;
+    record.mMember.mState = aMember.mState;
+    record.mFirstKnown = firstKnown;
+  }
+  record.mFirstKnown = std::min(record.mFirstKnown, firstKnown);
+  if (!record.mHeardFrom) {
+    TakeAddress(record.mMember.mZone, aMember.mZone);
+    TakeAddress(record.mMember.mEntryAddress, aMember.mEntryAddress);
+    TakeAddress(record.mMember.mEntryPeer, aMember.mEntryPeer);
+    TakeAddress(record.mMember.mControlPeer, aMember.mControlPeer);
+  }
+  return record;
+}
+
+void
+MemberList::MergeWord(const Member& aMember, TimePoint aSent, TimePoint aNow)
+{
+  Record& record = Know(aMember, aNow);
+  if (!aMember.mAge) {
+    return;
+  }
+  const TimePoint from = aSent - *aMember.mAge;
+  const bool isNewer = !record.mHeardFrom || from >= *record.mHeardFrom;
+  if (!isNewer) {
+    return;
+  }
+  const Member before = record.mMember;
+  record.mMember = aMember;
+  record.mHeardFrom = from;
+  record.mHeardUntil = aNow;
+  // An instance that said it leaves doesn't come back to life.
+  if (before.mState == MemberState::Leaving &&
+      before.mEntryInstance == aMember.mEntryInstance && aMember.mVm != mSelf) {
+    record.mMember.mState = MemberState::Leaving;
+  }
+  TakeEntry(record, aMember, from, aNow);
+}
+
+void
+MemberList::TakeEntry(Record& aRecord,
+                      const Member& aMember,
+                      TimePoint aFrom,
+                      TimePoint aUntil)
+{
+  const std::string& instance = aMember.mEntryInstance;
+  if (instance.empty()) {
+    return;
+  }
+  if (mGoneInstances.count(instance) > 0) {
+    aRecord.mMember.mEntryInstance = aRecord.mEntryInstance;
+    return;
+  }
+  if (instance != aRecord.mEntryInstance) {
+    if (!aRecord.mEntryInstance.empty() && aRecord.mEntryUntil &&
+        aFrom > *aRecord.mEntryUntil) {
+      RememberGone({ aMember.mVm, aRecord.mEntryInstance });
+    }
+    aRecord.mEntryInstance = instance;
+  }
+  aRecord.mEntryUntil = aUntil;
+}
+
+bool
+MemberList::IsForgettable(const Record& aRecord, TimePoint aNow) const
+{
+  const bool isListFresh =
+    mListReadAt && aNow - *mListReadAt < mSettings.mListLimit;
+  if (aRecord.mMember.mVm == mSelf || aRecord.mListed || !isListFresh) {
+    return false;
+  }
+  const TimePoint silentSince =
+    aRecord.mHeardUntil.value_or(aRecord.mFirstKnown);
+  return aNow - silentSince > mSettings.mForgetAfter;
+}
+
+void
+MemberList::RememberGone(const GoneInstance& aGone)
+{
+  if (aGone.mEntryInstance.empty() ||
+      !mGoneInstances.insert(aGone.mEntryInstance).second) {
+    return;
+  }
+  mGone.push_back(aGone);
+  if (mGone.size() > mSettings.mMaxGone) {
+    mGoneInstances.erase(mGone.front().mEntryInstance);
+    mGone.pop_front();
+  }
+}
+
+Member
+MemberList::Carried(const Record& aRecord, TimePoint aNow) const
+{
+  Member member = aRecord.mMember;
+  member.mKnownFor = std::max(aNow - aRecord.mFirstKnown, Duration{ 0 });
+  member.mAge.reset();
+  if (aRecord.mMember.mVm == mSelf) {
+    member.mAge = Duration{ 0 };
+  } else if (aRecord.mHeardFrom) {
+    member.mAge = std::max(aNow - *aRecord.mHeardFrom, Duration{ 0 });
+  }
+  return member;
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Membership/MemberList.h
+++ b/Peridothoist/Membership/MemberList.h
@@ -50,12 +50,10 @@
 
   MemberList(const Settings& aSettings, const Member& aSelf, TimePoint aNow);
 
-  /// What this VM says of itself from now on.
+  /// What this VM says of itself from now on. Its mEntryInstance is that of
+  /// the entry process that follows lately; empty: none does.
   void SetSelf(const Member& aSelf, TimePoint aNow);
 
-  /// The entry process beside this control process followed it.
-  void SetOwnEntry(const std::string& aEntryInstance, bool aLeaving);
-
   /// The platform's list, from a read sent at aSent.
   void MergePlatform(const std::vector<Member>& aListed,
                      TimePoint aSent,
@@ -106,12 +104,17 @@
     std::optional<TimePoint> mExchanged;  ///< Its own latest reply: sent at.
     std::optional<TimePoint> mAsked;      ///< Last picked as a peer.
     bool mListed = false;                 ///< On the platform's latest list.
+    /// The latest entry instance, kept when a word names none.
+    std::string mEntryInstance;
+    std::optional<TimePoint> mEntryUntil; ///< U of its latest word.
   };
 
-  Record& Known(const Member& aMember, TimePoint aNow);
+  Record& Know(const Member& aMember, TimePoint aNow);
   void MergeWord(const Member& aMember, TimePoint aSent, TimePoint aNow);
-  void TakeState(Record& aRecord, const Member& aMember) const;
-  void Replace(const Record& aRecord, const Member& aMember, TimePoint aFrom);
+  void TakeEntry(Record& aRecord,
+                 const Member& aMember,
+                 TimePoint aFrom,
+                 TimePoint aUntil);
   bool IsForgettable(const Record& aRecord, TimePoint aNow) const;
   void RememberGone(const GoneInstance& aGone);
   Member Carried(const Record& aRecord, TimePoint aNow) const;
--- a/Peridothoist/View/ChangeGate.h
+++ b/Peridothoist/View/ChangeGate.h
@@ -5,13 +5,15 @@
 /// an answer from every VM it knows of. The gate makes sure that S contains a
 /// VM that this process exchanged members with, so that S learns of it:
 ///   - at least one VM of every listed zone answered within the limit;
-///   - for every listed VM that is silent, some VM that answered (or this
-///     one) was a member already when the silent one was last heard. The
-///     silent one knows that VM, counts on its word, and so hears of us.
+///   - every VM that is silent knows a VM that answered (or this one), so that
+///     it counts on its word and hears of us. It does if it once exchanged
+///     members with this process; or if one that answered was a member for
+///     longer than the silent one was not heard, and the lag of the
+///     platform's list besides; or, for a VM that nobody ever heard, if one
+///     that answered was known as early as it.
 ///     Without this, newcomers in every zone could vouch for each other
 ///     while all older VMs are cut off together.
-/// All ages are as this process knows them: nobody compares clocks. A VM that
-/// nobody ever heard counts as silent since it was first listed.
+/// All ages are as this process knows them: nobody compares clocks.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
@@ -26,7 +28,7 @@
   bool mSelf = false;
   bool mListed = true;     ///< On the platform's list, or learned by exchange.
   Duration mKnownFor{ 0 }; ///< Since anyone first knew it.
-  /// Since it last answered this process itself; empty: never.
+  /// Since it last answered this process itself; empty: never did.
   std::optional<Duration> mExchangedAgo;
   /// Since anyone last heard it; empty: nobody ever did.
   std::optional<Duration> mHeardAgo;
@@ -63,6 +65,9 @@
                    std::string_view aOverrideReason) const;
 
 private:
+  bool HasAnswered(const GateMember& aMember) const;
+  bool IsUnvouched(const GateMember& aMember, Duration aLongestKnown) const;
+
   Settings mSettings;
 };
 
--- /dev/null
+++ b/Peridothoist/View/InForceTracker.cpp
@@ -0,0 +1,68 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/View/InForceTracker.h>
+
+namespace peridothoist {
+
+InForceTracker::InForceTracker(const Settings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void
+InForceTracker::OnAccepted(std::uint64_t aVersion, TimePoint aNow)
+{
+  mTracked.emplace(aVersion, Tracked{ aNow, {} });
+  while (mTracked.size() > mSettings.mMaxTracked) {
+    mTracked.erase(mTracked.begin());
+  }
+}
+
+void
+InForceTracker::Update(const std::vector<InForceMember>& aMembers,
+                       TimePoint aNow)
+{
+  for (auto& [version, tracked] : mTracked) {
+    InForceStatus& status = tracked.mStatus;
+    if (status.mInForce) {
+      continue;
+    }
+    status.mWaiting.clear();
+    for (const InForceMember& member : aMembers) {
+      if (HoldsUp(member, version, tracked, aNow)) {
+        status.mWaiting.push_back(member.mVm);
+      }
+    }
+    if (status.mWaiting.empty()) {
+      status.mInForce = true;
+      status.mTook = aNow - tracked.mAcceptedAt;
+    }
+  }
+}
+
+std::optional<InForceStatus>
+InForceTracker::Status(std::uint64_t aVersion) const
+{
+  const auto found = mTracked.find(aVersion);
+  if (found == mTracked.end()) {
+    return std::nullopt;
+  }
+  return found->second.mStatus;
+}
+
+bool
+InForceTracker::HoldsUp(const InForceMember& aMember,
+                        std::uint64_t aVersion,
+                        const Tracked& aTracked,
+                        TimePoint aNow) const
+{
+  if (aMember.mVersion >= aVersion) {
+    return false;
+  }
+  // No confirmation of an older view is younger than the acceptance, so a VM
+  // acts on one until then and the limit at most.
+  const TimePoint lastWord = aMember.mHeardAt.value_or(aTracked.mAcceptedAt);
+  const TimePoint silentSince = std::max(lastWord, aTracked.mAcceptedAt);
+  return aNow <= silentSince + mSettings.mStalenessLimit;
+}
+
+} // namespace peridothoist
--- a/Peridothoist/View/OutageAgreement.h
+++ b/Peridothoist/View/OutageAgreement.h
@@ -27,11 +27,12 @@
 ///   - Someone holds a higher stamp: no agreement until it is held here.
 ///   - A paused VM doesn't answer: no agreement, its last word grows old. When
 ///     *this* VM was paused, its clock went on, and T is old when it wakes.
-///   - A member restarted: its new instance speaks for itself. What the old
-///     one had accepted is in nobody's word if it was told to nobody. So the
-///     words of members must be of the control instance that was known at
-///     the last confirmation by (a) or (b), or of a member that was not known
-///     then; a replaced instance ends the agreement until (a) or (b) again.
+///   - A member restarted: what its old instance accepted may be in nobody's
+///     word. Once a new control instance of a known member was seen at u,
+///     there is no agreement until the view is confirmed for a time >= u by
+///     (a) or (b): by then the old instance accepted nothing more. A VM that
+///     is in this state says "in doubt" of itself, for those that never knew
+///     the old instance.
 ///   - A member says that it reaches the platform: no agreement; its view is
 ///     to be had by (b).
 #pragma once
@@ -74,17 +75,23 @@
   TimePoint mAsOf{}; ///< Without obstacle: the oldest word's time.
 };
 
-/// Evaluates rule (c). Remembers the control instances of the last time that
-/// the platform was known to be reached.
+/// Evaluates rule (c), and remembers the control instances that were seen.
 class OutageAgreement
 {
 public:
   /// aLimit is the staleness limit; an older word counts as silence.
   explicit OutageAgreement(Duration aLimit);
 
-  /// The view was confirmed by (a) or (b): these are the members that an
-  /// agreement starts from.
-  void OnConfirmed(const std::vector<MemberWord>& aMembers);
+  /// Takes note of the members' instances. Call it whenever members were
+  /// merged, in an outage or not, with all that are known.
+  void Observe(const std::vector<MemberWord>& aMembers, TimePoint aNow);
+
+  /// The view was confirmed for aAsOf by (a) or (b); not by an agreement.
+  void OnConfirmed(TimePoint aAsOf);
+
+  /// Whether a restart was seen that no confirmation has followed: this VM
+  /// then has to say "commit in doubt" of itself.
+  bool HasUnsettledRestart() const { return mRestartSeenAt.has_value(); }
 
   /// Whether the members, this VM among them, agree that aHeld is the truth.
   AgreementResult Evaluate(const ViewStamp& aHeld,
@@ -98,6 +105,8 @@
 
   Duration mLimit;
   std::map<std::string, std::string> mInstances; ///< VM to control instance.
+  std::optional<TimePoint> mRestartSeenAt;       ///< The latest unsettled one.
+  std::string mRestartedVm;                      ///< Its VM, for logs.
 };
 
 } // namespace peridothoist
