--- a/Peridothoist/Allowance/AllowanceBook.cpp
+++ b/Peridothoist/Allowance/AllowanceBook.cpp
@@ -4,9 +4,30 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace peridothoist {
 
+namespace {
+
+constexpr double kRoundingSlack = 1e-9;
+
+/// Whether a number from another process is a part of a whole.
+bool
+IsShare(double aShare)
+{
+  return aShare >= 0 && aShare <= 1 + kRoundingSlack;
+}
+
+/// Whether a number from another process is an amount.
+bool
+IsAmount(double aAmount)
+{
+  return aAmount >= 0 && std::isfinite(aAmount);
+}
+
+} // namespace
+
 const char*
 ToName(SpendRefusal aRefusal)
 {
@@ -142,6 +163,7 @@
   nothing.mWorkspace = aAsk.mWorkspace;
   const bool mayGive = mSettings.mShareStrategy == "demand" &&
                        aAsk.mEpoch == Epoch() && aAsk.mInstance != mSelf &&
+                       IsAmount(aAsk.mTokens) && IsAmount(aAsk.mRate) &&
                        mClock.IsRunning(aNow);
   ShareAccount* account = mayGive ? Touch(aAsk.mWorkspace, aNow) : nullptr;
   if (account == nullptr) {
@@ -161,7 +183,11 @@
 bool
 AllowanceBook::Receive(const ShareTransfer& aTransfer, TimePoint aNow)
 {
-  if (aTransfer.mToInstance != mSelf || aTransfer.mEpoch != Epoch()) {
+  const bool isValid = IsAmount(aTransfer.mTokens) &&
+                       IsShare(aTransfer.mBurstShare) &&
+                       IsShare(aTransfer.mRateShare);
+  if (!isValid || aTransfer.mToInstance != mSelf ||
+      aTransfer.mEpoch != Epoch()) {
     return false;
   }
   ShareAccount* account = Touch(aTransfer.mWorkspace, aNow);
--- a/Peridothoist/Lease/LeaseMachine.h
+++ b/Peridothoist/Lease/LeaseMachine.h
@@ -152,6 +152,7 @@
   // Own holding.
   std::optional<TimePoint> mHeldUntil; ///< Sent-at of the write + mLength.
   std::optional<TimePoint> mRenewAt;
+  std::uint64_t mHeldFence = 0; ///< Fence that mReadBackFrom belongs to.
   std::optional<TimePoint> mReadBackFrom; ///< See CanReadBack().
 };
 
--- /dev/null
+++ b/Peridothoist/Lease/ReclaimPlanner.cpp
@@ -0,0 +1,50 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Lease/ReclaimPlanner.h>
+
+#include <algorithm>
+
+namespace peridothoist {
+
+std::string_view
+InstanceOfRequest(std::string_view aRequestId)
+{
+  const std::size_t attempt = aRequestId.rfind('/');
+  if (attempt == std::string_view::npos || attempt == 0) {
+    return {};
+  }
+  const std::size_t sequence = aRequestId.rfind('/', attempt - 1);
+  if (sequence == std::string_view::npos) {
+    return {};
+  }
+  return aRequestId.substr(0, sequence);
+}
+
+std::vector<ReclaimOrder>
+PlanReclaim(const std::vector<HeldRequest>& aHeld,
+            const std::vector<GoneInstance>& aGone)
+{
+  std::set<std::string, std::less<>> gone;
+  for (const GoneInstance& it : aGone) {
+    gone.insert(it.mEntryInstance);
+  }
+  std::vector<ReclaimOrder> orders;
+  for (const HeldRequest& held : aHeld) {
+    const std::string_view instance = InstanceOfRequest(held.mRequestId);
+    if (instance.empty() || gone.count(instance) == 0) {
+      continue;
+    }
+    const auto same = [&](const ReclaimOrder& aOrder) {
+      return aOrder.mUpstream == held.mUpstream &&
+             aOrder.mEntryInstance == instance;
+    };
+    auto order = std::find_if(orders.begin(), orders.end(), same);
+    if (order == orders.end()) {
+      orders.push_back({ held.mUpstream, std::string(instance), 0 });
+      order = std::prev(orders.end());
+    }
+    ++order->mRequests;
+  }
+  return orders;
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Membership/MemberList.cpp
+++ b/Peridothoist/Membership/MemberList.cpp
@@ -49,16 +49,12 @@
   mListReadAt = aSent;
   for (auto& [vm, record] : mRecords) {
     record.mListed = false;
+    record.mListedLeaving = false;
   }
   for (const Member& listed : aListed) {
     Record& record = Know(listed, aNow);
     record.mListed = true;
-    // The list lags: once a VM spoke for itself, its own word counts.
-    if (!record.mHeardFrom) {
-      record.mMember.mState = listed.mState;
-    } else if (listed.mState == MemberState::Leaving && listed.mVm != mSelf) {
-      record.mMember.mState = MemberState::Leaving;
-    }
+    record.mListedLeaving = listed.mState == MemberState::Leaving;
   }
 }
 
@@ -329,6 +325,9 @@
 {
   Member member = aRecord.mMember;
   member.mKnownFor = std::max(aNow - aRecord.mFirstKnown, Duration{ 0 });
+  if (aRecord.mListedLeaving) {
+    member.mState = MemberState::Leaving;
+  }
   member.mAge.reset();
   if (aRecord.mMember.mVm == mSelf) {
     member.mAge = Duration{ 0 };
--- a/Peridothoist/Membership/MemberList.h
+++ b/Peridothoist/Membership/MemberList.h
@@ -104,6 +104,7 @@
     std::optional<TimePoint> mExchanged;  ///< Its own latest reply: sent at.
     std::optional<TimePoint> mAsked;      ///< Last picked as a peer.
     bool mListed = false;                 ///< On the platform's latest list.
+    bool mListedLeaving = false;          ///< And said to leave there.
     /// The latest entry instance, kept when a word names none.
     std::string mEntryInstance;
     std::optional<TimePoint> mEntryUntil; ///< U of its latest word.
--- /dev/null
+++ b/Peridothoist/Membership/OwnEntry.cpp
@@ -0,0 +1,39 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Membership/OwnEntry.h>
+
+namespace peridothoist {
+
+OwnEntry::OwnEntry(const Settings& aSettings)
+  : mSettings(aSettings)
+{
+}
+
+void
+OwnEntry::OnFollow(const std::string& aInstance, bool aLeaving, TimePoint aNow)
+{
+  if (aInstance == mInstance) {
+    mFollowed = aNow;
+    mLeaving = mLeaving || aLeaving;
+    mNext.clear();
+    return;
+  }
+  if (aInstance != mNext) {
+    mNext = aInstance;
+    mNextSince = aNow;
+  }
+  if (mInstance.empty() || aNow - mNextSince >= mSettings.mSettleAfter) {
+    mInstance = aInstance;
+    mFollowed = aNow;
+    mLeaving = aLeaving;
+    mNext.clear();
+  }
+}
+
+std::string
+OwnEntry::Instance(TimePoint aNow) const
+{
+  const bool follows = mFollowed && aNow - *mFollowed < mSettings.mSilenceLimit;
+  return follows ? mInstance : std::string();
+}
+
+} // namespace peridothoist
--- a/Peridothoist/View/OutageAgreement.h
+++ b/Peridothoist/View/OutageAgreement.h
@@ -11,7 +11,9 @@
 /// its own view in the same step as it learns that the commit took effect. If
 /// m accepted it before T, then before t_m, so s_m covers it, and so does the
 /// view. A commit that took effect without its author knowing isn't accepted
-/// yet; its author says so (in doubt), and there is no agreement.
+/// yet, but others may have read it, and a share plan is acted on where it is
+/// read. Its author therefore says "in doubt" from before it sends a commit,
+/// and there is no agreement; ChangeGate makes sure that its word counts.
 ///
 /// Hazards, and what meets them:
 ///   - A VM joined after the cut and alone reaches the platform; it isn't on
@@ -50,6 +52,8 @@
   std::optional<TimePoint> mAsOf; ///< Not before; empty: never heard.
   ViewStamp mStamp;
   bool mPlatformUnreachable = false;
+  /// A commit was sent whose answer isn't known, from *before* it is sent
+  /// until it is settled; or a restart is unsettled (see below).
   bool mCommitInDoubt = false;
 };
 
