--- /dev/null
+++ b/Peridothoist/Routing/SuspectTable.cpp
@@ -0,0 +1,148 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Routing/SuspectTable.h>
+
+#include <algorithm>
+
+namespace peridothoist {
+
+const SuspectTable::Entry*
+SuspectTable::Find(const std::string& aDigest, TimePoint aNow) const
+{
+  const auto it = mEntries.find(aDigest);
+  const bool live = it != mEntries.end() && aNow < it->second.mUntil;
+  return live ? &it->second : nullptr;
+}
+
+SuspectTable::Entry&
+SuspectTable::Touch(const std::string& aDigest,
+                    TimePoint aUntil,
+                    TimePoint aNow)
+{
+  if (mEntries.size() >= mSettings.mMaxEntries) {
+    DropExpired(aNow);
+  }
+  if (mEntries.size() >= mSettings.mMaxEntries) {
+    const auto soonest = std::min_element(
+      mEntries.begin(), mEntries.end(), [](const auto& aOne, const auto& aTwo) {
+        return aOne.second.mUntil < aTwo.second.mUntil;
+      });
+    mEntries.erase(soonest);
+  }
+  Entry& entry = mEntries[aDigest];
+  if (entry.mUntil <= aNow) {
+    entry = Entry();
+  }
+  entry.mUntil = std::max(entry.mUntil, aUntil);
+  return entry;
+}
+
+bool
+SuspectTable::IsSuspect(const std::string& aDigest, TimePoint aNow) const
+{
+  return Find(aDigest, aNow) != nullptr;
+}
+
+std::optional<TimePoint>
+SuspectTable::QuarantinedUntil(const std::string& aDigest, TimePoint aNow) const
+{
+  const Entry* entry = Find(aDigest, aNow);
+  if (entry == nullptr || !entry->mQuarantined) {
+    return std::nullopt;
+  }
+  return entry->mUntil;
+}
+
+void
+SuspectTable::OnBroken(const std::string& aDigest, TimePoint aNow)
+{
+  Touch(aDigest, aNow + mSettings.mSuspicionLasts, aNow);
+}
+
+void
+SuspectTable::OnUpstreamLived(const std::string& aDigest)
+{
+  const auto it = mEntries.find(aDigest);
+  if (it != mEntries.end() && it->second.mCrashes == 0 &&
+      !it->second.mQuarantined) {
+    mEntries.erase(it);
+  }
+}
+
+std::vector<std::string>
+SuspectTable::OnCrash(const std::vector<std::string>& aPresent, TimePoint aNow)
+{
+  std::vector<std::string> quarantined;
+  const bool alone = aPresent.size() == 1;
+  for (const std::string& digest : aPresent) {
+    Entry& entry = Touch(digest, aNow + mSettings.mSuspicionLasts, aNow);
+    ++entry.mCrashes;
+    if (alone && entry.mCrashes >= 2 && !entry.mQuarantined) {
+      entry.mQuarantined = true;
+      entry.mUntil = aNow + mSettings.mQuarantineLasts;
+      quarantined.push_back(digest);
+    }
+  }
+  return quarantined;
+}
+
+void
+SuspectTable::OnFinished(const std::string& aDigest)
+{
+  const auto it = mEntries.find(aDigest);
+  if (it != mEntries.end() && !it->second.mQuarantined) {
+    mEntries.erase(it);
+  }
+}
+
+void
+SuspectTable::Suspect(const std::string& aDigest,
+                      TimePoint aUntil,
+                      TimePoint aNow)
+{
+  Entry& entry = Touch(aDigest, aUntil, aNow);
+  entry.mCrashes = std::max<std::uint32_t>(1, entry.mCrashes);
+}
+
+void
+SuspectTable::Quarantine(const std::string& aDigest,
+                         TimePoint aUntil,
+                         TimePoint aNow)
+{
+  Touch(aDigest, aUntil, aNow).mQuarantined = true;
+}
+
+std::vector<ListedDigest>
+SuspectTable::Quarantined(TimePoint aNow) const
+{
+  return List(true, aNow);
+}
+
+std::vector<ListedDigest>
+SuspectTable::Suspects(TimePoint aNow) const
+{
+  return List(false, aNow);
+}
+
+std::vector<ListedDigest>
+SuspectTable::List(bool aQuarantined, TimePoint aNow) const
+{
+  std::vector<ListedDigest> listed;
+  for (const auto& [digest, entry] : mEntries) {
+    const bool told = aQuarantined ? entry.mQuarantined
+                                   : !entry.mQuarantined && entry.mCrashes > 0;
+    if (told && aNow < entry.mUntil) {
+      listed.push_back({ digest, entry.mUntil });
+    }
+  }
+  return listed;
+}
+
+void
+SuspectTable::DropExpired(TimePoint aNow)
+{
+  for (auto it = mEntries.begin(); it != mEntries.end();) {
+    it = it->second.mUntil <= aNow ? mEntries.erase(it) : std::next(it);
+  }
+}
+
+} // namespace peridothoist
