Let AbortStream close a connection before an answer was started

Extends the HttpExchange contract: stand-ins must be able to lose an answer whole, without even a status line. Until now it did nothing before StartStream().

--- a/Peridothoist/Shell/HttpServer.h
+++ b/Peridothoist/Shell/HttpServer.h
@@ -67,6 +67,7 @@
   virtual void EndStream() = 0;
 
   /// Breaks a started stream, so that it can't be taken for a complete one.
+  /// Before StartStream() it closes the connection without an answer.
   virtual void AbortStream() = 0;
 };
 
--- a/Peridothoist/Shell/ServerExchange.cpp
+++ b/Peridothoist/Shell/ServerExchange.cpp
@@ -168,7 +168,8 @@
 void
 ServerExchange::AbortStream()
 {
-  if (mAnswer == Answer::Streaming && !mGone) {
+  const bool open = mAnswer == Answer::Awaited || mAnswer == Answer::Streaming;
+  if (open && mConnection != nullptr && !mGone) {
     mAnswer = Answer::Aborted;
     Wake();
   }
