--- a/StandIns/DecodeBatch.h
+++ b/StandIns/DecodeBatch.h
@@ -18,7 +18,7 @@
 struct DecodeStream
 {
   std::string mRequest;
-  std::uint32_t mChecksum = 0; ///< Of the prompt; see PromptChecksum().
+  std::uint32_t mChecksum = 0; ///< Of the prompt; see Checksum().
   int mPriority = 0;           ///< Lower goes first.
   std::uint32_t mNext = 0;     ///< Index of its next token.
   std::uint32_t mEnd = 0;      ///< One past its last token.
--- a/StandIns/KvShelf.cpp
+++ b/StandIns/KvShelf.cpp
@@ -26,6 +26,13 @@
   return it->second.mKv;
 }
 
+Duration
+KvShelf::KeptFor(TimePoint aNow, const std::string& aId) const
+{
+  const auto it = mKept.find(aId);
+  return it == mKept.end() ? Duration::zero() : it->second.mUntil - aNow;
+}
+
 void
 KvShelf::Cancel(const std::string& aRequest)
 {
--- a/StandIns/KvShelf.h
+++ b/StandIns/KvShelf.h
@@ -22,6 +22,9 @@
   /// before it expires gives it again.
   std::optional<KvCache> Get(TimePoint aNow, const std::string& aId);
 
+  /// How much longer a result is kept; zero when it has expired.
+  Duration KeptFor(TimePoint aNow, const std::string& aId) const;
+
   /// Drops the results of one request.
   void Cancel(const std::string& aRequest);
 
--- a/StandIns/TokenText.cpp
+++ b/StandIns/TokenText.cpp
@@ -34,10 +34,10 @@
 }
 
 std::uint32_t
-PromptChecksum(std::string_view aPrompt)
+Checksum(std::string_view aText)
 {
   boost::crc_32_type checksum;
-  checksum.process_bytes(aPrompt.data(), aPrompt.size());
+  checksum.process_bytes(aText.data(), aText.size());
   return checksum.checksum();
 }
 
@@ -52,7 +52,7 @@
 std::string
 AnswerText(std::string_view aPrompt, std::uint32_t aTokens)
 {
-  const std::uint32_t checksum = PromptChecksum(aPrompt);
+  const std::uint32_t checksum = Checksum(aPrompt);
   std::string text;
   for (std::uint32_t n = 0; n < aTokens; ++n) {
     text += TokenText(checksum, n);
--- a/StandIns/TokenText.h
+++ b/StandIns/TokenText.h
@@ -14,9 +14,10 @@
 std::uint32_t
 CountTokens(std::string_view aText);
 
-/// Identifies a prompt in its answer: CRC-32, which every test language has.
+/// Identifies a prompt in its answer: CRC-32, which the system tests can
+/// compute.
 std::uint32_t
-PromptChecksum(std::string_view aPrompt);
+Checksum(std::string_view aText);
 
 /// Text of token aIndex of the answer to the prompt with aChecksum, as
 /// "t7-0a1b2c3d ".
--- a/StandIns/TransferLink.h
+++ b/StandIns/TransferLink.h
@@ -18,18 +18,19 @@
 class TransferLink
 {
 public:
-  TransferLink(double aBytesPerSecond, Duration aMaxWait)
+  explicit TransferLink(double aBytesPerSecond)
     : mBytesPerSecond(aBytesPerSecond)
-    , mMaxWait(aMaxWait)
   {
   }
 
   /// Books a transfer behind those booked before; nothing when it would have
-  /// to wait too long.
-  std::optional<TransferSlot> Book(TimePoint aNow, std::uint64_t aBytes)
+  /// to wait longer than aMaxWait.
+  std::optional<TransferSlot> Book(TimePoint aNow,
+                                   std::uint64_t aBytes,
+                                   Duration aMaxWait)
   {
     const TimePoint start = std::max(aNow, mFreeFrom);
-    if (start - aNow > mMaxWait) {
+    if (start - aNow > aMaxWait) {
       return std::nullopt;
     }
     const std::chrono::duration<double> lasts(static_cast<double>(aBytes) /
@@ -40,7 +41,6 @@
 
 private:
   double mBytesPerSecond;
-  Duration mMaxWait;
   TimePoint mFreeFrom{}; ///< When the last booked transfer ends.
 };
 
--- a/UnitTests/StandIns/EngineLogicTest.cpp
+++ b/UnitTests/StandIns/EngineLogicTest.cpp
@@ -96,10 +96,10 @@
 
 BOOST_AUTO_TEST_CASE(TransfersShareTheLink)
 {
-  TransferLink link(1e6, 1500ms);
-  BOOST_TEST((link.Book(kStart, 1000000)->mEnd == 1s));
-  BOOST_TEST((link.Book(kStart, 1000000)->mStart == 1s));
-  BOOST_TEST(!link.Book(kStart, 1).has_value());
+  TransferLink link(1e6);
+  BOOST_TEST((link.Book(kStart, 1000000, 1500ms)->mEnd == 1s));
+  BOOST_TEST((link.Book(kStart, 1000000, 1500ms)->mStart == 1s));
+  BOOST_TEST(!link.Book(kStart, 1, 1500ms).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(CacheEventsAreLateAndEvictTheOldest)
@@ -145,7 +145,7 @@
 
 BOOST_AUTO_TEST_CASE(AnswersDependOnThePromptAlone)
 {
-  BOOST_TEST(PromptChecksum("123456789") == 0xcbf43926u);
+  BOOST_TEST(Checksum("123456789") == 0xcbf43926u);
   BOOST_TEST(AnswerText("123456789", 2) == "t0-cbf43926 t1-cbf43926 ");
   BOOST_TEST(AnswerLength("x answer_tokens=12 y").value() == 12u);
   BOOST_TEST(!AnswerLength("x").has_value());
