--- a/StandIns/DecodeBatch.cpp
+++ b/StandIns/DecodeBatch.cpp
@@ -76,12 +76,14 @@
       entries.push_back(&entry);
     }
   }
-  std::sort(entries.begin(), entries.end(), [](const Entry* a, const Entry* b) {
-    if (a->mStream.mPriority != b->mStream.mPriority) {
-      return a->mStream.mPriority < b->mStream.mPriority;
-    }
-    return a->mArrival < b->mArrival;
-  });
+  std::sort(entries.begin(),
+            entries.end(),
+            [](const Entry* aLeft, const Entry* aRight) {
+              if (aLeft->mStream.mPriority != aRight->mStream.mPriority) {
+                return aLeft->mStream.mPriority < aRight->mStream.mPriority;
+              }
+              return aLeft->mArrival < aRight->mArrival;
+            });
   if (entries.size() > mSettings.mMaxBatch) {
     entries.resize(mSettings.mMaxBatch);
   }
--- a/StandIns/KvShelf.cpp
+++ b/StandIns/KvShelf.cpp
@@ -8,7 +8,7 @@
 KvShelf::Put(TimePoint aNow, const std::string& aRequest, KvCache aKv)
 {
   Expire(aNow);
-  const std::string id = "kv" + std::to_string(mNextId);
+  std::string id = "kv" + std::to_string(mNextId);
   ++mNextId;
   mKept[id] = { aRequest, aNow + mKeep, std::move(aKv), false };
   return id;
--- a/StandIns/PrefillQueue.cpp
+++ b/StandIns/PrefillQueue.cpp
@@ -27,8 +27,8 @@
   const auto first =
     std::min_element(mWaiting.begin(),
                      mWaiting.end(),
-                     [](const PrefillJob& a, const PrefillJob& b) {
-                       return a.mPriority < b.mPriority;
+                     [](const PrefillJob& aLeft, const PrefillJob& aRight) {
+                       return aLeft.mPriority < aRight.mPriority;
                      });
   mRunning = std::move(*first);
   mRunningCancelled = false;
