Keep gRPC started for the process's life

The last server or client to go shut the library down, which joined an executor thread that polls for up to ten seconds: seen in 5 of 15 runs of PeersTest, on the reactor's thread (stack: ~Server, grpc_shutdown, Executor::SetThreading).

--- a/Peridothoist/Peers/PeerChannel.cpp
+++ b/Peridothoist/Peers/PeerChannel.cpp
@@ -1,11 +1,15 @@
 /// How channels and servers between peers are set up.
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Peers/PeerChannel.h>
+#include <Peridothoist/Shell/Log.h>
 
+#include <grpc/grpc.h>
+#include <grpc/support/log.h>
 #include <openssl/crypto.h>
 #include <openssl/sha.h>
 
 #include <array>
+#include <mutex>
 
 namespace peridothoist::detail {
 
@@ -38,8 +42,27 @@
   return digest;
 }
 
+/// Writes one of gRPC's own messages as an event of ours.
+void
+WriteGrpcLog(gpr_log_func_args* aMessage)
+{
+  if (aMessage->severity == GPR_LOG_SEVERITY_ERROR) {
+    Log::Warning("grpc_error").Field("message", aMessage->message);
+  }
+}
+
 } // namespace
 
+void
+StartGrpc()
+{
+  static std::once_flag started;
+  std::call_once(started, [] {
+    grpc_init();
+    gpr_set_log_function(&WriteGrpcLog);
+  });
+}
+
 std::shared_ptr<grpc::ChannelCredentials>
 ToChannelCredentials(const PeerCredentials& aCredentials)
 {
--- a/Peridothoist/Peers/PeerChannel.h
+++ b/Peridothoist/Peers/PeerChannel.h
@@ -8,6 +8,12 @@
 
 namespace peridothoist::detail {
 
+/// Starts gRPC once for the process's life, and sends its errors to our log.
+/// Without that, the last server or client to go shuts the library down and
+/// waits for its threads: up to ten seconds, on the reactor's thread.
+void
+StartGrpc();
+
 /// Credentials for a client's channels.
 std::shared_ptr<grpc::ChannelCredentials>
 ToChannelCredentials(const PeerCredentials& aCredentials);
--- a/Peridothoist/Peers/PeerClient.cpp
+++ b/Peridothoist/Peers/PeerClient.cpp
@@ -322,6 +322,7 @@
   if (!CheckPeerCredentials(aSettings.mCredentials, aReason)) {
     return nullptr;
   }
+  detail::StartGrpc();
   return std::unique_ptr<PeerClient>(
     new PeerClient(std::make_shared<Impl>(aReactor, aSettings)));
 }
--- a/Peridothoist/Peers/PeerServer.cpp
+++ b/Peridothoist/Peers/PeerServer.cpp
@@ -205,6 +205,7 @@
   if (!CheckPeerCredentials(mSettings.mCredentials, aReason)) {
     return false;
   }
+  detail::StartGrpc();
   grpc::ResourceQuota quota("peer_server");
   quota.Resize(mSettings.mMaxMemoryBytes);
   quota.SetMaxThreads(mSettings.mMaxThreads);
