--- /dev/null
+++ b/Peridothoist/Request/RequestMachine.cpp
@@ -0,0 +1,674 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Request/RequestMachine.h>
+#include <Peridothoist/Request/WorkspaceDefaults.h>
+
+#include <algorithm>
+#include <array>
+
+namespace peridothoist {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+
+/// Names a request's content for the table of suspects.
+std::string
+DigestOf(const Arrival& aArrival)
+{
+  return aArrival.mWorkspace + '/' + aArrival.mRoute->mName + '/' +
+         aArrival.mBodyDigest;
+}
+
+/// Refusals after which it makes no sense to come back with the same.
+bool
+IsFinal(RefusalKind aKind)
+{
+  switch (aKind) {
+    case RefusalKind::KeyWithdrawn:
+    case RefusalKind::PoolNotAllowed:
+    case RefusalKind::IdempotencyKeyMissing:
+    case RefusalKind::IdempotencyKeyMismatch:
+    case RefusalKind::TooLarge:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// An answer that another upstream might give better.
+bool
+IsGatewayError(const PlainAnswer& aAnswer)
+{
+  return aAnswer.mCall.mStatus >= kBadGateway &&
+         aAnswer.mCall.mStatus <= kGatewayTimeout;
+}
+
+} // namespace
+
+RequestMachine::RequestMachine(EntryContext& aContext,
+                               AttemptMachine& aAttempts,
+                               Dispatcher& aDispatcher,
+                               UpstreamWatch& aWatch)
+  : mContext(aContext)
+  , mAttempts(aAttempts)
+  , mDispatcher(aDispatcher)
+  , mWatch(aWatch)
+{
+}
+
+void
+RequestMachine::OnArrival(Arrival aArrival)
+{
+  const std::uint64_t id = aArrival.mId;
+  PH_ASSERT(aArrival.mRoute != nullptr);
+  PH_ASSERT(mContext.mRequests.count(id) == 0);
+  ++mContext.mCounters.mArrived;
+  auto state = std::make_unique<RequestState>();
+  RequestState& request = *state;
+  mContext.mRequests.emplace(id, std::move(state));
+
+  const Route& route = *aArrival.mRoute;
+  request.mDigest = DigestOf(aArrival);
+  request.mPool = route.mPlainPool.empty()
+                    ? route.mPrefillPool + '/' + route.mDecodePool
+                    : route.mPlainPool;
+  request.mDeadline = aArrival.mArrivedAt + route.mDeadline;
+  request.mArrival = std::move(aArrival);
+  request.mItem.mId = id;
+  request.mItem.mWorkspace = request.mArrival.mWorkspace;
+  request.mItem.mClass = route.mClass;
+  request.mItem.mCost = mDispatcher.CostOf(request.mArrival);
+  request.mPieces = mDispatcher.PiecesOf(request.mArrival);
+  mContext.mTimers.Add(request.mDeadline, { TimerKind::Deadline, id, 0 });
+
+  Duration retryAfter(0);
+  const std::optional<RefusalKind> kind = CheckArrival(request, retryAfter);
+  if (kind) {
+    Refuse(request, *kind, retryAfter);
+    return;
+  }
+  if (route.mIdempotent || request.mArrival.mIdempotencyKey.empty()) {
+    mDispatcher.Enqueue(request);
+    return;
+  }
+  Claim(request);
+}
+
+std::optional<RefusalKind>
+RequestMachine::CheckArrival(const RequestState& aRequest,
+                             Duration& aRetryAfter)
+{
+  const std::optional<TimePoint> quarantined =
+    mContext.mSuspects.QuarantinedUntil(aRequest.mDigest, mContext.mNow);
+  if (quarantined) {
+    aRetryAfter = *quarantined - mContext.mNow;
+    return RefusalKind::Quarantined;
+  }
+  const std::optional<RefusalKind> right = CheckRight(aRequest);
+  if (right) {
+    return right;
+  }
+  const bool keyless = aRequest.mArrival.mIdempotencyKey.empty();
+  if (!aRequest.IsIdempotent() && keyless &&
+      IsIdempotencyKeyRequired(*mContext.mConfiguration,
+                               aRequest.mArrival.mWorkspace)) {
+    return RefusalKind::IdempotencyKeyMissing;
+  }
+  return mDispatcher.Admit(aRequest, aRetryAfter);
+}
+
+std::optional<RefusalKind>
+RequestMachine::CheckRight(const RequestState& aRequest) const
+{
+  const Route& route = *aRequest.mArrival.mRoute;
+  if (route.mOpenToAll) {
+    return std::nullopt;
+  }
+  const auto& workspaces = mContext.mConfiguration->mWorkspaces;
+  const auto workspace = workspaces.find(aRequest.mArrival.mWorkspace);
+  if (workspace == workspaces.end()) {
+    return RefusalKind::PoolNotAllowed;
+  }
+  const std::vector<std::string>& pools = workspace->second.mPools;
+  for (const std::string* pool :
+       { &route.mPrefillPool, &route.mDecodePool, &route.mPlainPool }) {
+    if (!pool->empty() &&
+        std::find(pools.begin(), pools.end(), *pool) == pools.end()) {
+      return RefusalKind::PoolNotAllowed;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<RefusalKind>
+RequestMachine::CheckStart(const RequestState& aRequest) const
+{
+  if (mContext.mSuspects.QuarantinedUntil(aRequest.mDigest, mContext.mNow)) {
+    return RefusalKind::Quarantined;
+  }
+  if (aRequest.mHeadSent) {
+    return std::nullopt; // It was accepted, and its answer is on its way.
+  }
+  const std::optional<RefusalKind> right = CheckRight(aRequest);
+  if (right) {
+    return right;
+  }
+  return mContext.mGate->MayDispatch(
+    aRequest.mArrival.mWorkspace, aRequest.mArrival.mKeyName, mContext.mNow);
+}
+
+void
+RequestMachine::Claim(RequestState& aRequest)
+{
+  aRequest.mPhase = RequestPhase::Claiming;
+  aRequest.mClaim = ClaimState::Asked;
+  RequestCommand& command =
+    mContext.Command(RequestCommandKind::InsertClaim, aRequest);
+  command.mIdempotencyKey = aRequest.mArrival.mIdempotencyKey;
+  command.mBodyDigest = aRequest.mArrival.mBodyDigest;
+}
+
+void
+RequestMachine::OnClaim(RequestState& aRequest, ClaimAnswer aAnswer)
+{
+  static constexpr std::array<ClaimHandler, 5> kHandlers = {
+    &RequestMachine::OnClaimInserted,
+    &RequestMachine::OnClaimExists,
+    &RequestMachine::OnClaimOtherBody,
+    &RequestMachine::OnClaimUnreachable,
+    &RequestMachine::OnClaimUnsettled
+  };
+  if (aRequest.mClaim != ClaimState::Asked) {
+    ++mContext.mCounters.mEventsDropped;
+    return;
+  }
+  const bool ours = aAnswer.mKind == ClaimAnswerKind::Inserted ||
+                    aAnswer.mKind == ClaimAnswerKind::Unsettled;
+  aRequest.mClaim = ours ? ClaimState::Held : ClaimState::Closed;
+  aRequest.mRowVersion = aAnswer.mRowVersion;
+  if (aRequest.mPhase == RequestPhase::Late) {
+    CloseIfNothingIsOpen(aRequest);
+    return;
+  }
+  const ClaimHandler handler =
+    kHandlers[static_cast<std::size_t>(aAnswer.mKind)];
+  (this->*handler)(aRequest, aAnswer);
+}
+
+void
+RequestMachine::OnClaimInserted(RequestState& aRequest,
+                                const ClaimAnswer& /*aAnswer*/)
+{
+  mDispatcher.Enqueue(aRequest);
+}
+
+void
+RequestMachine::OnClaimExists(RequestState& aRequest,
+                              const ClaimAnswer& aAnswer)
+{
+  if (!aAnswer.mKept) {
+    aRequest.mVerdict.Advance(RunVerdict::MayHaveRun);
+    Refuse(aRequest, RefusalKind::InProgress);
+    return;
+  }
+  aRequest.mVerdict.Advance(RunVerdict::Ran);
+  RequestCommand& command =
+    mContext.Command(RequestCommandKind::SendWhole, aRequest);
+  command.mStatus = aAnswer.mKept->mStatus;
+  command.mBody = aAnswer.mKept->mBody;
+  command.mHeaders = aAnswer.mKept->mHeaders;
+  aRequest.mAnswered = true;
+  ++mContext.mCounters.mAnswered;
+  Conclude(aRequest);
+}
+
+void
+RequestMachine::OnClaimOtherBody(RequestState& aRequest,
+                                 const ClaimAnswer& /*aAnswer*/)
+{
+  Refuse(aRequest, RefusalKind::IdempotencyKeyMismatch);
+}
+
+void
+RequestMachine::OnClaimUnreachable(RequestState& aRequest,
+                                   const ClaimAnswer& /*aAnswer*/)
+{
+  Refuse(aRequest, RefusalKind::ClaimUnavailable);
+}
+
+void
+RequestMachine::OnClaimUnsettled(RequestState& aRequest,
+                                 const ClaimAnswer& /*aAnswer*/)
+{
+  Refuse(aRequest, RefusalKind::ClaimUnavailable);
+}
+
+void
+RequestMachine::OnCallerGone(RequestState& aRequest)
+{
+  if (aRequest.mAnswered || aRequest.mCallerGone) {
+    return;
+  }
+  ++mContext.mCounters.mCallersGone;
+  aRequest.mCallerGone = true;
+  Conclude(aRequest);
+}
+
+void
+RequestMachine::OnDeadline(RequestState& aRequest)
+{
+  static constexpr std::array<Handler, kRequestPhases> kHandlers = {
+    &RequestMachine::RefuseLate, // Claiming
+    &RequestMachine::RefuseLate, // Waiting
+    &RequestMachine::RefuseLate, // Running
+    &RequestMachine::Ignore,     // Late
+    &RequestMachine::Ignore      // Over
+  };
+  if (mContext.mNow < aRequest.mDeadline) {
+    return;
+  }
+  const Handler handler = kHandlers[static_cast<std::size_t>(aRequest.mPhase)];
+  (this->*handler)(aRequest);
+}
+
+void
+RequestMachine::Ignore(RequestState& /*aRequest*/)
+{
+}
+
+void
+RequestMachine::RefuseLate(RequestState& aRequest)
+{
+  Refuse(aRequest, RefusalKind::DeadlinePassed);
+}
+
+void
+RequestMachine::OnHedgeDue(RequestState& aRequest, std::uint32_t aAttempt)
+{
+  const bool alone = aRequest.mAttempts.size() == 1 &&
+                     aRequest.mAttempts.front().mNumber == aAttempt;
+  if (aRequest.mPhase == RequestPhase::Running && alone &&
+      aRequest.mTries < mContext.mSettings.mMaxAttempts &&
+      !mContext.mDraining) {
+    mDispatcher.StartHedge(aRequest);
+  }
+}
+
+void
+RequestMachine::OnOutcomeWaitOver(RequestState& aRequest)
+{
+  while (aRequest.mPhase == RequestPhase::Late && !aRequest.mAttempts.empty()) {
+    // Its call is still open, so it may have run whatever was seen of it.
+    aRequest.mSent = true;
+    mAttempts.End(aRequest, aRequest.mAttempts.front().mNumber);
+  }
+  CloseIfNothingIsOpen(aRequest);
+}
+
+void
+RequestMachine::OnQuarantined(const std::string& aDigest)
+{
+  std::vector<RequestState*> waiting;
+  for (const auto& [id, request] : mContext.mRequests) {
+    if (request->mPhase == RequestPhase::Waiting &&
+        request->mDigest == aDigest) {
+      waiting.push_back(request.get());
+    }
+  }
+  for (RequestState* it : waiting) {
+    Refuse(*it, RefusalKind::Quarantined);
+  }
+}
+
+bool
+RequestMachine::MayStillSend(RequestState& aRequest, Attempt& aAttempt)
+{
+  const AttemptStep step = aAttempt.Step();
+  if (aRequest.mPhase != RequestPhase::Running ||
+      (step != AttemptStep::Prefill && step != AttemptStep::CallPlain)) {
+    return false;
+  }
+  if (!aRequest.mSent) {
+    aRequest.mWithheldFor = CheckStart(aRequest);
+    if (aRequest.mWithheldFor) {
+      return false;
+    }
+  }
+  aAttempt.mSent = true;
+  aRequest.mSent = true;
+  aRequest.mVerdict.Advance(RunVerdict::MayHaveRun);
+  return true;
+}
+
+bool
+RequestMachine::OnBeforeStart(RequestState& aRequest)
+{
+  const std::optional<RefusalKind> kind = CheckStart(aRequest);
+  if (!kind) {
+    return true;
+  }
+  if (aRequest.mPhase == RequestPhase::Waiting) {
+    Refuse(aRequest, *kind);
+  }
+  return false;
+}
+
+void
+RequestMachine::OnStarted(RequestState& aRequest, std::uint32_t aAttempt)
+{
+  aRequest.mPhase = RequestPhase::Running;
+  aRequest.mAwaitsFate.clear();
+  ++aRequest.mTries;
+  if (!aRequest.mDispatched) {
+    aRequest.mDispatched = true;
+    mContext.mBudget.OnFresh();
+  }
+  const Attempt* attempt = aRequest.FindAttempt(aAttempt);
+  mContext.mCounters.mHedges += attempt->mHedge ? 1 : 0;
+  mContext.mCounters.mResumed += attempt->mResumeFrom > 0 ? 1 : 0;
+  const Route& route = *aRequest.mArrival.mRoute;
+  const Defaults& defaults = mContext.mConfiguration->mDefaults;
+  if (aRequest.IsPlain() && route.mIdempotent && defaults.mHedgeLookups &&
+      route.mClass == RequestClass::Lookup && !attempt->mIsolated &&
+      !attempt->mHedge) {
+    mContext.mTimers.Add(mContext.mNow + defaults.mHedgeDelay,
+                         { TimerKind::Hedge, aRequest.mArrival.mId, aAttempt });
+  }
+}
+
+void
+RequestMachine::OnBrokenAt(RequestState& aRequest,
+                           const Attempt& aAttempt,
+                           const std::string& aUpstream)
+{
+  mWatch.OnBroken(aUpstream, aRequest.mDigest);
+  if (aAttempt.mIsolated) {
+    aRequest.mAwaitsFate = aUpstream;
+  }
+}
+
+void
+RequestMachine::OnAttemptFailed(RequestState& aRequest,
+                                const Attempt& aAttempt,
+                                AttemptFailure aFailure)
+{
+  if (aRequest.mPhase == RequestPhase::Late) {
+    CloseIfNothingIsOpen(aRequest);
+    return;
+  }
+  if (!aRequest.mAttempts.empty()) {
+    return; // The other one of a hedged pair goes on.
+  }
+  const std::uint32_t most = aRequest.mArrival.mMaxTokens;
+  if (aRequest.mTokens > 0 && aRequest.mTokens >= most) {
+    OnCompletion(aRequest, aAttempt, "length");
+    return;
+  }
+  if (MayRetry(aRequest, aFailure)) {
+    Retry(aRequest, aAttempt, aFailure);
+    return;
+  }
+  GiveUp(aRequest, aFailure);
+}
+
+bool
+RequestMachine::MayRetry(const RequestState& aRequest, AttemptFailure aFailure)
+{
+  if (!aRequest.IsIdempotent() && aRequest.mSent) {
+    return false;
+  }
+  if (aFailure == AttemptFailure::Withdrawn ||
+      mContext.mNow >= aRequest.mDeadline ||
+      mContext.mSuspects.QuarantinedUntil(aRequest.mDigest, mContext.mNow)) {
+    return false;
+  }
+  if (aFailure == AttemptFailure::Full) {
+    return true;
+  }
+  return aRequest.mTries < mContext.mSettings.mMaxAttempts &&
+         mContext.mBudget.TakeRetry();
+}
+
+void
+RequestMachine::Retry(RequestState& aRequest,
+                      const Attempt& /*aAttempt*/,
+                      AttemptFailure aFailure)
+{
+  if (aFailure == AttemptFailure::Full) {
+    --aRequest.mTries;
+  } else {
+    ++mContext.mCounters.mRetries;
+  }
+  if (aRequest.mHeadSent) {
+    aRequest.mDeadline = mContext.mNow + aRequest.mArrival.mRoute->mDeadline;
+    mContext.mTimers.Add(aRequest.mDeadline,
+                         { TimerKind::Deadline, aRequest.mArrival.mId, 0 });
+  }
+  mDispatcher.Requeue(aRequest);
+}
+
+void
+RequestMachine::GiveUp(RequestState& aRequest, AttemptFailure aFailure)
+{
+  const std::optional<TimePoint> quarantined =
+    mContext.mSuspects.QuarantinedUntil(aRequest.mDigest, mContext.mNow);
+  if (quarantined) {
+    Refuse(aRequest, RefusalKind::Quarantined, *quarantined - mContext.mNow);
+    return;
+  }
+  if (aFailure == AttemptFailure::Withdrawn && aRequest.mWithheldFor) {
+    Refuse(aRequest, *aRequest.mWithheldFor);
+    return;
+  }
+  const bool late = mContext.mNow >= aRequest.mDeadline;
+  Refuse(aRequest,
+         late ? RefusalKind::DeadlinePassed : RefusalKind::UpstreamFailed);
+}
+
+void
+RequestMachine::OnNextToken(RequestState& aRequest,
+                            Attempt& aAttempt,
+                            std::string aText)
+{
+  if (aRequest.mTokens == aAttempt.mResumeFrom) {
+    mDispatcher.OnFirstByte(aRequest, mContext.mNow - aAttempt.mStartedAt);
+  }
+  const std::uint32_t index = aRequest.mTokens++;
+  aRequest.mText += aText;
+  if (!aRequest.mArrival.mStreaming || aRequest.mPhase == RequestPhase::Late) {
+    return;
+  }
+  aRequest.mDeadline = TimePoint::max();
+  if (!aRequest.mHeadSent) {
+    aRequest.mHeadSent = true;
+    mContext.Command(RequestCommandKind::SendHead, aRequest);
+  }
+  RequestCommand& command =
+    mContext.Command(RequestCommandKind::SendToken, aRequest);
+  command.mTokenIndex = index;
+  command.mText = std::move(aText);
+}
+
+void
+RequestMachine::OnCompletion(RequestState& aRequest,
+                             const Attempt& /*aAttempt*/,
+                             const std::string& aFinishReason)
+{
+  aRequest.mVerdict.Advance(RunVerdict::Ran);
+  mContext.mSuspects.OnFinished(aRequest.mDigest);
+  if (aRequest.mClaim == ClaimState::Held) {
+    RequestCommand& command = Record(aRequest, OutcomeState::Done);
+    command.mCompletion = true;
+    command.mStatus = kOk;
+    command.mText = aRequest.mText;
+    command.mFinishReason = aFinishReason;
+    command.mPromptTokens = aRequest.mPromptTokens;
+    command.mTokens = aRequest.mTokens;
+  }
+  if (aRequest.mPhase == RequestPhase::Late) {
+    CloseIfNothingIsOpen(aRequest);
+    return;
+  }
+  SendCompletion(aRequest, aFinishReason);
+  Conclude(aRequest);
+}
+
+void
+RequestMachine::SendCompletion(RequestState& aRequest,
+                               const std::string& aFinishReason)
+{
+  const bool streaming = aRequest.mArrival.mStreaming;
+  if (streaming && !aRequest.mHeadSent) {
+    aRequest.mHeadSent = true;
+    mContext.Command(RequestCommandKind::SendHead, aRequest);
+  }
+  RequestCommand& command = mContext.Command(
+    streaming ? RequestCommandKind::EndStream : RequestCommandKind::SendWhole,
+    aRequest);
+  command.mFinishReason = aFinishReason;
+  command.mPromptTokens = aRequest.mPromptTokens;
+  command.mTokens = aRequest.mTokens;
+  if (!streaming) {
+    command.mCompletion = true;
+    command.mStatus = kOk;
+    command.mText = aRequest.mText;
+  }
+  aRequest.mAnswered = true;
+  ++mContext.mCounters.mAnswered;
+}
+
+void
+RequestMachine::OnPlainWhole(RequestState& aRequest,
+                             const Attempt& aAttempt,
+                             PlainAnswer aAnswer)
+{
+  mContext.mSuspects.OnFinished(aRequest.mDigest);
+  const bool late = aRequest.mPhase == RequestPhase::Late;
+  if (!late && aRequest.IsIdempotent() && IsGatewayError(aAnswer)) {
+    if (!aRequest.mAttempts.empty()) {
+      return; // The other one of a hedged pair may do better.
+    }
+    if (MayRetry(aRequest, AttemptFailure::Error)) {
+      Retry(aRequest, aAttempt, AttemptFailure::Error);
+      return;
+    }
+  }
+  aRequest.mVerdict.Advance(RunVerdict::Ran);
+  if (aRequest.mClaim == ClaimState::Held) {
+    RequestCommand& command = Record(aRequest, OutcomeState::Done);
+    command.mStatus = aAnswer.mCall.mStatus;
+    command.mBody = aAnswer.mBody;
+    command.mHeaders = aAnswer.mHeaders;
+  }
+  if (late) {
+    CloseIfNothingIsOpen(aRequest);
+    return;
+  }
+  mDispatcher.OnFirstByte(aRequest, mContext.mNow - aAttempt.mStartedAt);
+  mContext.mCounters.mHedgesWon += aAttempt.mHedge ? 1 : 0;
+  RequestCommand& command =
+    mContext.Command(RequestCommandKind::SendWhole, aRequest);
+  command.mStatus = aAnswer.mCall.mStatus;
+  command.mBody = std::move(aAnswer.mBody);
+  command.mHeaders = std::move(aAnswer.mHeaders);
+  aRequest.mAnswered = true;
+  ++mContext.mCounters.mAnswered;
+  Conclude(aRequest);
+}
+
+void
+RequestMachine::Refuse(RequestState& aRequest,
+                       RefusalKind aKind,
+                       Duration aRetryAfter)
+{
+  PH_ASSERT(!aRequest.mAnswered && !aRequest.mCallerGone);
+  for (const Attempt& it : aRequest.mAttempts) {
+    if (it.Step() != AttemptStep::Reserve) {
+      // Its content may be leaving right now.
+      aRequest.mVerdict.Advance(RunVerdict::MayHaveRun);
+    }
+  }
+  const Duration retryAfter =
+    IsFinal(aKind) ? Duration(0)
+                   : std::max(aRetryAfter, mContext.mSettings.mRetryAfter);
+  RequestCommand& command =
+    mContext.Command(aRequest.mHeadSent ? RequestCommandKind::AbortStream
+                                        : RequestCommandKind::SendRefusal,
+                     aRequest);
+  command.mRefusal = Refusal::Make(aKind, aRequest.mVerdict, retryAfter);
+  ++mContext.mCounters.mRefused[static_cast<std::size_t>(aKind)];
+  mContext.mCounters.mAborted += aRequest.mHeadSent ? 1 : 0;
+  aRequest.mAnswered = true;
+  Conclude(aRequest);
+}
+
+bool
+RequestMachine::AwaitsOutcome(const RequestState& aRequest,
+                              const Attempt& aAttempt) const
+{
+  return aRequest.mClaim == ClaimState::Held &&
+         aAttempt.Step() != AttemptStep::Reserve;
+}
+
+void
+RequestMachine::Conclude(RequestState& aRequest)
+{
+  if (aRequest.mPhase == RequestPhase::Waiting) {
+    mDispatcher.Remove(aRequest);
+  }
+  aRequest.mPhase = RequestPhase::Late;
+  std::vector<std::uint32_t> ended;
+  for (const Attempt& it : aRequest.mAttempts) {
+    if (!AwaitsOutcome(aRequest, it)) {
+      ended.push_back(it.mNumber);
+    }
+  }
+  for (std::uint32_t it : ended) {
+    mAttempts.End(aRequest, it);
+  }
+  if (!aRequest.mAttempts.empty()) {
+    mContext.mTimers.Add(mContext.mNow + mContext.mSettings.mOutcomeWait,
+                         { TimerKind::OutcomeWait, aRequest.mArrival.mId, 0 });
+  }
+  CloseIfNothingIsOpen(aRequest);
+}
+
+void
+RequestMachine::CloseIfNothingIsOpen(RequestState& aRequest)
+{
+  if (aRequest.mPhase != RequestPhase::Late || !aRequest.mAttempts.empty() ||
+      aRequest.mClaim == ClaimState::Asked) {
+    return;
+  }
+  if (aRequest.mClaim == ClaimState::Held) {
+    Record(aRequest,
+           aRequest.mSent ? OutcomeState::MayHaveRun : OutcomeState::NotRun);
+  }
+  RequestCommand& settle =
+    mContext.Command(RequestCommandKind::Settle, aRequest);
+  const std::uint32_t prompt = aRequest.mPromptTokens > 0
+                                 ? aRequest.mPromptTokens
+                                 : aRequest.mArrival.mPromptTokens;
+  settle.mPromptTokens = aRequest.mSent ? prompt : 0;
+  settle.mTokens = aRequest.mTokens;
+  mContext.Command(RequestCommandKind::Forget, aRequest);
+  aRequest.mPhase = RequestPhase::Over;
+  mContext.mOver.push_back(aRequest.mArrival.mId);
+}
+
+RequestCommand&
+RequestMachine::Record(RequestState& aRequest, OutcomeState aOutcome)
+{
+  aRequest.mClaim = ClaimState::Closed;
+  RequestCommand& command =
+    mContext.Command(RequestCommandKind::RecordOutcome, aRequest);
+  command.mIdempotencyKey = aRequest.mArrival.mIdempotencyKey;
+  command.mBodyDigest = aRequest.mArrival.mBodyDigest;
+  command.mRowVersion = aRequest.mRowVersion;
+  command.mOutcome = aOutcome;
+  return command;
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Request/UpstreamWatch.cpp
@@ -0,0 +1,144 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Request/UpstreamWatch.h>
+
+#include <algorithm>
+#include <set>
+
+namespace peridothoist {
+
+namespace {
+
+/// A report that comes sooner after a break may have left before it.
+constexpr Duration kSignOfLifeDelay = 100ms;
+
+} // namespace
+
+void
+UpstreamWatch::OnBroken(const std::string& aUpstream,
+                        const std::string& aDigest)
+{
+  UpstreamState* upstream = mContext.mUpstreams.Find(aUpstream);
+  if (upstream == nullptr || upstream->mDead) {
+    return;
+  }
+  mBreaks[aUpstream].push_back({ aDigest, mContext.mNow });
+  mContext.mSuspects.OnBroken(aDigest, mContext.mNow);
+  upstream->mDoubtfulUntil = mContext.mNow + mContext.mSettings.mDeathWindow;
+  mContext.mTimers.Add(upstream->mDoubtfulUntil, { TimerKind::Pump, 0, 0 });
+}
+
+void
+UpstreamWatch::OnReport(const std::string& aUpstream, const LoadReport& aReport)
+{
+  UpstreamState* upstream = mContext.mUpstreams.Find(aUpstream);
+  if (upstream == nullptr) {
+    return;
+  }
+  upstream->OnReport(aReport, mContext.mNow);
+  mContext.mPumpWanted = true;
+  OnSignOfLife(*upstream);
+}
+
+void
+UpstreamWatch::OnSignOfLife(UpstreamState& aUpstream)
+{
+  const auto it = mBreaks.find(aUpstream.mConfig.mName);
+  if (it == mBreaks.end() || aUpstream.mDead) {
+    return;
+  }
+  if (mContext.mNow - it->second.back().mAt < kSignOfLifeDelay) {
+    return;
+  }
+  for (const Break& each : it->second) {
+    mContext.mSuspects.OnUpstreamLived(each.mDigest);
+  }
+  mBreaks.erase(it);
+  aUpstream.mDoubtfulUntil = mContext.mNow;
+  mContext.mPumpWanted = true;
+}
+
+std::vector<std::string>
+UpstreamWatch::Blamed(const UpstreamState& aUpstream)
+{
+  // An upstream that leaves is expected to stop.
+  if (aUpstream.mConfig.mLeaving || !aUpstream.mListed) {
+    return {};
+  }
+  std::set<std::string> present;
+  for (const auto& [key, presence] : aUpstream.Present()) {
+    if (presence.mExecuting) {
+      present.insert(presence.mDigest);
+    }
+  }
+  for (const Break& it : mBreaks[aUpstream.mConfig.mName]) {
+    if (mContext.mNow - it.mAt <= mContext.mSettings.mDeathWindow) {
+      present.insert(it.mDigest);
+    }
+  }
+  return std::vector<std::string>(present.begin(), present.end());
+}
+
+std::vector<std::string>
+UpstreamWatch::OnDead(const std::string& aUpstream, DeathKind aKind)
+{
+  UpstreamState* upstream = mContext.mUpstreams.Find(aUpstream);
+  if (upstream == nullptr || upstream->mDead) {
+    return {};
+  }
+  ++mContext.mCounters.mUpstreamDeaths;
+  upstream->mDead = true;
+  upstream->mDoubtfulUntil = mContext.mNow;
+  mContext.mPumpWanted = true;
+  std::vector<std::string> quarantined;
+  const bool crashed = aKind == DeathKind::Crashed;
+  if (crashed) {
+    quarantined = mContext.mSuspects.OnCrash(Blamed(*upstream), mContext.mNow);
+  }
+  mBreaks.erase(aUpstream);
+  EndAttempts(*upstream, crashed);
+  if (crashed) {
+    upstream->Clear();
+    mContext.mCancels.Drop(aUpstream);
+  }
+  return quarantined;
+}
+
+void
+UpstreamWatch::EndAttempts(UpstreamState& aUpstream, bool aGone)
+{
+  std::vector<AttemptKey> keys;
+  for (const auto& [key, presence] : aUpstream.Present()) {
+    keys.push_back(key);
+  }
+  for (const AttemptKey& key : keys) {
+    RequestState* request = mContext.Find(key.mId);
+    if (request == nullptr) {
+      continue;
+    }
+    // What must not repeat keeps its call: its answer may still come.
+    if (!aGone && !request->IsIdempotent() && request->mSent) {
+      continue;
+    }
+    mAttempts.OnUpstreamLost(
+      *request, key.mAttempt, aUpstream.mConfig.mName, aGone);
+  }
+}
+
+void
+UpstreamWatch::OnAlive(const std::string& aUpstream)
+{
+  UpstreamState* upstream = mContext.mUpstreams.Find(aUpstream);
+  if (upstream == nullptr) {
+    return;
+  }
+  if (!upstream->mDead) {
+    OnSignOfLife(*upstream);
+    return;
+  }
+  upstream->mDead = false;
+  upstream->mBackoffUntil = mContext.mNow;
+  mContext.mPumpWanted = true;
+  mContext.mCancels.Hurry(aUpstream, mContext.mNow, *mContext.mOut);
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Routing/UpstreamState.h
+++ b/Peridothoist/Routing/UpstreamState.h
@@ -72,19 +72,23 @@
   std::uint32_t FreePieces() const;
   const LoadReport& Report() const { return mReport; }
 
+  /// A call broke, and no sign of life or death came since.
+  bool IsDoubtful(TimePoint aNow) const { return aNow < mDoubtfulUntil; }
+
   /// Whether new work may be sent here at all.
   bool TakesWork(TimePoint aNow) const
   {
-    return mListed && !mConfig.mLeaving && !mDead && aNow >= mBackoffUntil;
+    return mListed && !mConfig.mLeaving && !mDead && aNow >= mBackoffUntil &&
+           !IsDoubtful(aNow);
   }
 
   Upstream mConfig;
   UpstreamRole mRole;
-  bool mListed = true;     ///< In the configuration in force.
-  bool mDead = false;      ///< Reported dead and not alive again.
-  bool mClearing = false;  ///< Being emptied for an isolated request.
-  bool mDoubtful = false;  ///< A call broke; no sign of life since.
-  TimePoint mBackoffUntil; ///< No new work before this.
+  bool mListed = true;      ///< In the configuration in force.
+  bool mDead = false;       ///< Reported dead and not alive again.
+  bool mClearing = false;   ///< Being emptied for an isolated request.
+  TimePoint mDoubtfulUntil; ///< See IsDoubtful().
+  TimePoint mBackoffUntil;  ///< No new work before this.
 
 private:
   std::map<AttemptKey, Presence> mPresent;
