Follow the engines' counting of tokens, and the defaults of a workspace

max_tokens counts the whole answer, also when a stream resumes. A late answer makes a cancel go out again only when it says that something is held.

--- a/Peridothoist/Request/AttemptMachine.cpp
+++ b/Peridothoist/Request/AttemptMachine.cpp
@@ -112,9 +112,20 @@
   return command;
 }
 
+bool
+AttemptMachine::StillTakesWork(const AttemptPlace& aPlace) const
+{
+  const UpstreamState* upstream = mContext.mUpstreams.Find(aPlace.mUpstream);
+  return upstream != nullptr && upstream->TakesWork(mContext.mNow);
+}
+
 void
 AttemptMachine::BeginReserve(RequestState& aRequest, Attempt& aAttempt)
 {
+  if (!StillTakesWork(aAttempt.mDecode)) {
+    Fail(aRequest, aAttempt, AttemptFailure::Full);
+    return;
+  }
   RequestCommand& command =
     Call(RequestCommandKind::Reserve, aRequest, aAttempt, aAttempt.mDecode);
   command.mPieces = aRequest.mPieces;
@@ -123,6 +134,10 @@
 void
 AttemptMachine::BeginPrefill(RequestState& aRequest, Attempt& aAttempt)
 {
+  if (!StillTakesWork(aAttempt.mPrefill)) {
+    Fail(aRequest, aAttempt, AttemptFailure::Full);
+    return;
+  }
   SetExecuting(aRequest, aAttempt, aAttempt.mPrefill);
   ++mContext.mCounters.mPrefills;
   RequestCommand& command =
@@ -151,7 +166,7 @@
   RequestCommand& command =
     Call(RequestCommandKind::Decode, aRequest, aAttempt, aAttempt.mDecode);
   command.mResumeFrom = aAttempt.mResumeFrom;
-  command.mMaxTokens = aRequest.mArrival.mMaxTokens - aAttempt.mResumeFrom;
+  command.mMaxTokens = aRequest.mArrival.mMaxTokens;
 }
 
 void
--- a/Peridothoist/Request/AttemptMachine.h
+++ b/Peridothoist/Request/AttemptMachine.h
@@ -109,6 +109,8 @@
   void BeginPlain(RequestState& aRequest, Attempt& aAttempt);
   void BeginNothing(RequestState& aRequest, Attempt& aAttempt);
 
+  /// The upstream may have begun to leave since it was chosen.
+  bool StillTakesWork(const AttemptPlace& aPlace) const;
   RequestCommand& Call(RequestCommandKind aKind,
                        RequestState& aRequest,
                        Attempt& aAttempt,
--- a/Peridothoist/Request/EntryCore.cpp
+++ b/Peridothoist/Request/EntryCore.cpp
@@ -57,10 +57,12 @@
   };
 
   /// Finds an answer's target. An answer for an attempt that is over, or for
-  /// a call that isn't open, is dropped.
+  /// a call that isn't open, is dropped; one that says that something is held
+  /// (aOk) makes the attempt's cancels go out again.
   Target Find(std::uint64_t aId,
               std::uint32_t aAttempt,
-              std::initializer_list<AttemptStep> aSteps)
+              AttemptStep aStep,
+              bool aOk)
   {
     Target target;
     target.mRequest = mContext.Find(aId);
@@ -69,15 +71,16 @@
                          : target.mRequest->FindAttempt(aAttempt);
     if (attempt == nullptr) {
       ++mContext.mCounters.mEventsDropped;
-      mContext.mCancels.OnLateAnswer(
-        { aId, aAttempt }, mContext.mNow, *mContext.mOut);
+      if (aOk) {
+        mContext.mCancels.OnLateAnswer(
+          { aId, aAttempt }, mContext.mNow, *mContext.mOut);
+      }
       return target;
     }
     const AttemptStep step = attempt->Step();
     const bool open = step == AttemptStep::Prefill ? attempt->mPrefill.mCallOpen
                                                    : attempt->mDecode.mCallOpen;
-    if (std::find(aSteps.begin(), aSteps.end(), step) == aSteps.end() ||
-        !open) {
+    if (step != aStep || !open) {
       ++mContext.mCounters.mEventsDropped;
       return target;
     }
@@ -265,7 +268,8 @@
                            RequestCommands& aOut)
 {
   mImpl->Begin(aNow, aOut);
-  const auto target = mImpl->Find(aId, aAttempt, { AttemptStep::Reserve });
+  const auto target =
+    mImpl->Find(aId, aAttempt, AttemptStep::Reserve, aAnswer.mCall.Ok());
   if (target.mAttempt != nullptr) {
     mImpl->mAttempts.OnReserve(*target.mRequest, *target.mAttempt, aAnswer);
   }
@@ -280,7 +284,8 @@
                            RequestCommands& aOut)
 {
   mImpl->Begin(aNow, aOut);
-  const auto target = mImpl->Find(aId, aAttempt, { AttemptStep::Prefill });
+  const auto target =
+    mImpl->Find(aId, aAttempt, AttemptStep::Prefill, aAnswer.mCall.Ok());
   if (target.mAttempt != nullptr) {
     mImpl->mAttempts.OnPrefill(*target.mRequest, *target.mAttempt, aAnswer);
   }
@@ -295,7 +300,8 @@
                           RequestCommands& aOut)
 {
   mImpl->Begin(aNow, aOut);
-  const auto target = mImpl->Find(aId, aAttempt, { AttemptStep::Import });
+  const auto target =
+    mImpl->Find(aId, aAttempt, AttemptStep::Import, aAnswer.mCall.Ok());
   if (target.mAttempt != nullptr) {
     mImpl->mAttempts.OnImport(*target.mRequest, *target.mAttempt, aAnswer);
   }
@@ -311,7 +317,7 @@
                    RequestCommands& aOut)
 {
   mImpl->Begin(aNow, aOut);
-  const auto target = mImpl->Find(aId, aAttempt, { AttemptStep::Decode });
+  const auto target = mImpl->Find(aId, aAttempt, AttemptStep::Decode, false);
   if (target.mAttempt != nullptr) {
     mImpl->mAttempts.OnToken(
       *target.mRequest, *target.mAttempt, aIndex, std::move(aText));
@@ -327,7 +333,7 @@
                        RequestCommands& aOut)
 {
   mImpl->Begin(aNow, aOut);
-  const auto target = mImpl->Find(aId, aAttempt, { AttemptStep::Decode });
+  const auto target = mImpl->Find(aId, aAttempt, AttemptStep::Decode, false);
   if (target.mAttempt != nullptr) {
     mImpl->mAttempts.OnDecodeEnd(*target.mRequest, *target.mAttempt, aEnd);
   }
@@ -342,7 +348,7 @@
                          RequestCommands& aOut)
 {
   mImpl->Begin(aNow, aOut);
-  const auto target = mImpl->Find(aId, aAttempt, { AttemptStep::CallPlain });
+  const auto target = mImpl->Find(aId, aAttempt, AttemptStep::CallPlain, false);
   if (target.mAttempt != nullptr) {
     mImpl->mAttempts.OnPlain(
       *target.mRequest, *target.mAttempt, std::move(aAnswer));
--- a/Peridothoist/Request/RequestCommand.h
+++ b/Peridothoist/Request/RequestCommand.h
@@ -62,7 +62,7 @@
   std::string mModel;            ///< Prefill.
   std::string mResumeText;       ///< Prefill: what was generated already.
   std::uint32_t mResumeFrom = 0; ///< Decode: index of the first token wanted.
-  std::uint32_t mMaxTokens = 0;  ///< Decode: tokens still wanted.
+  std::uint32_t mMaxTokens = 0;  ///< Decode: of the whole answer.
   std::string mSourceAddress;    ///< Import: the prefill engine's "ip:port".
   std::string mKv;               ///< Import.
 
--- a/Peridothoist/Request/RequestMachine.cpp
+++ b/Peridothoist/Request/RequestMachine.cpp
@@ -1,6 +1,6 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Request/RequestMachine.h>
-#include <Peridothoist/Request/WorkspaceDefaults.h>
+#include <Peridothoist/Config/ConfigurationReader.h>
 
 #include <algorithm>
 #include <array>
@@ -112,13 +112,19 @@
   }
   const bool keyless = aRequest.mArrival.mIdempotencyKey.empty();
   if (!aRequest.IsIdempotent() && keyless &&
-      IsIdempotencyKeyRequired(*mContext.mConfiguration,
-                               aRequest.mArrival.mWorkspace)) {
+      DefaultsOf(aRequest).mIdempotencyKeyRequired) {
     return RefusalKind::IdempotencyKeyMissing;
   }
   return mDispatcher.Admit(aRequest, aRetryAfter);
 }
 
+Defaults
+RequestMachine::DefaultsOf(const RequestState& aRequest) const
+{
+  return EffectiveDefaults(*mContext.mConfiguration,
+                           aRequest.mArrival.mWorkspace);
+}
+
 std::optional<RefusalKind>
 RequestMachine::CheckRight(const RequestState& aRequest) const
 {
@@ -366,13 +372,18 @@
     mContext.mBudget.OnFresh();
   }
   const Attempt* attempt = aRequest.FindAttempt(aAttempt);
+  PH_ASSERT(attempt != nullptr);
   mContext.mCounters.mHedges += attempt->mHedge ? 1 : 0;
   mContext.mCounters.mResumed += attempt->mResumeFrom > 0 ? 1 : 0;
   const Route& route = *aRequest.mArrival.mRoute;
-  const Defaults& defaults = mContext.mConfiguration->mDefaults;
-  if (aRequest.IsPlain() && route.mIdempotent && defaults.mHedgeLookups &&
-      route.mClass == RequestClass::Lookup && !attempt->mIsolated &&
-      !attempt->mHedge) {
+  const bool hedged = aRequest.IsPlain() && route.mIdempotent &&
+                      route.mClass == RequestClass::Lookup &&
+                      !attempt->mIsolated && !attempt->mHedge;
+  if (!hedged) {
+    return;
+  }
+  const Defaults defaults = DefaultsOf(aRequest);
+  if (defaults.mHedgeLookups) {
     mContext.mTimers.Add(mContext.mNow + defaults.mHedgeDelay,
                          { TimerKind::Hedge, aRequest.mArrival.mId, aAttempt });
   }
--- a/Peridothoist/Request/RequestMachine.h
+++ b/Peridothoist/Request/RequestMachine.h
@@ -72,6 +72,7 @@
                                           Duration& aRetryAfter);
   std::optional<RefusalKind> CheckRight(const RequestState& aRequest) const;
   std::optional<RefusalKind> CheckStart(const RequestState& aRequest) const;
+  Defaults DefaultsOf(const RequestState& aRequest) const;
   void Claim(RequestState& aRequest);
 
   // Answers of the table service
