--- /dev/null
+++ b/SystemTests/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the system tests' harness: processes, relays, callers, items."""
