--- a/Peridothoist/Entry/EntrySettings.h
+++ b/Peridothoist/Entry/EntrySettings.h
@@ -27,13 +27,13 @@
 
   // Limits and times
   std::uint32_t mMaxHeaderBytes = 16 * 1024;
+  std::uint32_t mMaxBodyBytes = 1024 * 1024; ///< Of any workspace.
   std::uint32_t mMaxConnections = 16384;
   std::uint32_t mMaxConnectionsPerAddress = 8192;
   Duration mIdleTimeout = 30s;      ///< Caller connection without progress.
   Duration mRequestTimeout = 10s;   ///< From first byte to whole request.
   Duration mFollowInterval = 200ms; ///< Between questions to control.
   Duration mLoadInterval = 200ms;   ///< Between load reports of upstreams.
-  Duration mTickInterval = 5ms;     ///< Between the core's ticks.
   Duration mEntriesMaxAge = 5s;     ///< How long callers may keep an answer of
                                 ///< GET /v1/entries; a leaving VM serves late
                                 ///< callers this long and a second more.
