Call the platform, commit changes and keep outcomes of requests

Commits whose answer was lost are settled by the operation's row: while it is absent it is written as given up, so that a commit still on its way fails. Repeating the commit was ruled out, since it could take effect long after the operator was told that it is in doubt. A 503 to a transaction counts as in doubt: nothing says that the service did not apply it before it failed. Claims are settled the same way, by the attempt that the row names.

--- a/Peridothoist/Config/ConfigCodec.cpp
+++ b/Peridothoist/Config/ConfigCodec.cpp
@@ -82,8 +82,9 @@
                   aPath + ".json: must be an object, or null to remove");
   }
   if (!body->is_null() &&
-      !std::all_of(
-        body->begin(), body->end(), [](auto& it) { return !it.is_object(); })) {
+      !std::all_of(body->begin(), body->end(), [](const json& aValue) {
+        return !aValue.is_object();
+      })) {
     return Refuse(aReason, aPath + ".json: holds an object within");
   }
   return ItemEdit{ *itemKind,
--- a/Peridothoist/Config/ConfigText.cpp
+++ b/Peridothoist/Config/ConfigText.cpp
@@ -80,9 +80,9 @@
   }
   const std::string_view inner = aText.substr(1, aText.size() - 2);
   const bool hasColon = inner.find(':') != std::string_view::npos;
-  return hasColon && std::all_of(inner.begin(), inner.end(), [](char c) {
-           return std::isxdigit(static_cast<unsigned char>(c)) != 0 ||
-                  c == ':' || c == '.';
+  return hasColon && std::all_of(inner.begin(), inner.end(), [](char aChar) {
+           return std::isxdigit(static_cast<unsigned char>(aChar)) != 0 ||
+                  aChar == ':' || aChar == '.';
          });
 }
 
@@ -148,8 +148,8 @@
 IsUrlPath(std::string_view aText)
 {
   return !aText.empty() && aText.front() == '/' &&
-         std::all_of(aText.begin(), aText.end(), [](char c) {
-           return c > ' ' && c < 0x7f && c != '?' && c != '#';
+         std::all_of(aText.begin(), aText.end(), [](char aChar) {
+           return aChar > ' ' && aChar < 0x7f && aChar != '?' && aChar != '#';
          });
 }
 
@@ -157,8 +157,9 @@
 IsHex(std::string_view aText)
 {
   return !aText.empty() && aText.size() % 2 == 0 &&
-         std::all_of(aText.begin(), aText.end(), [](char c) {
-           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+         std::all_of(aText.begin(), aText.end(), [](char aChar) {
+           return (aChar >= '0' && aChar <= '9') ||
+                  (aChar >= 'a' && aChar <= 'f');
          });
 }
 
--- a/Peridothoist/Config/ConfigurationCheck.cpp
+++ b/Peridothoist/Config/ConfigurationCheck.cpp
@@ -67,8 +67,9 @@
 {
   for (const std::string& it : aItem.mPools) {
     if (aConfiguration.mPools.count(it) == 0) {
-      const std::string path = ItemPath(ItemKind::Workspace, aItem.mName);
-      return Refuse(aReason, path + ".pools: no pool \"" + it + "\"");
+      std::string text = ItemPath(ItemKind::Workspace, aItem.mName);
+      text.append(".pools: no pool \"").append(it).append("\"");
+      return Refuse(aReason, text);
     }
   }
   return true;
@@ -169,8 +170,8 @@
            Reason* aReason)
 {
   if (aEdits == nullptr) {
-    return std::all_of(aItems.begin(), aItems.end(), [&](const auto& entry) {
-      return CheckItem(aConfiguration, entry.second, aReason);
+    return std::all_of(aItems.begin(), aItems.end(), [&](const auto& aEntry) {
+      return CheckItem(aConfiguration, aEntry.second, aReason);
     });
   }
   return std::all_of(
--- a/Peridothoist/Config/ConfigurationDiff.cpp
+++ b/Peridothoist/Config/ConfigurationDiff.cpp
@@ -67,9 +67,10 @@
     const json before = aBefore.value(it, json());
     const json after = aAfter.value(it, json());
     if (before != after) {
-      text += "~ " + aPath + "." + it + ": " +
-              (before.is_null() ? "(unset)" : before.dump()) + " -> " +
-              (after.is_null() ? "(unset)" : after.dump()) + "\n";
+      text.append("~ ").append(aPath).append(".").append(it).append(": ");
+      text.append(before.is_null() ? "(unset)" : before.dump());
+      text.append(" -> ");
+      text.append(after.is_null() ? "(unset)" : after.dump()).append("\n");
     }
   }
   return text.empty() ? "~ " + aPath + "\n" : text;
--- a/Peridothoist/Config/ConfigurationReader.cpp
+++ b/Peridothoist/Config/ConfigurationReader.cpp
@@ -436,7 +436,8 @@
 std::string
 ConfigurationReader::WriteItem(const ConfigItem& aItem)
 {
-  json value = std::visit([](const auto& it) { return WriteAs(it); }, aItem);
+  json value =
+    std::visit([](const auto& aValue) { return WriteAs(aValue); }, aItem);
   value["schema"] = kItemSchemaVersion;
   return value.dump();
 }
@@ -473,6 +474,7 @@
 ConfigurationReader::DefaultNames()
 {
   std::vector<std::string> names;
+  names.reserve(kDefaultFields.size());
   for (const ItemField<Defaults>& it : kDefaultFields) {
     names.emplace_back(it.mName);
   }
--- a/Peridothoist/Config/ItemField.cpp
+++ b/Peridothoist/Config/ItemField.cpp
@@ -180,7 +180,7 @@
   for (const nlohmann::json& it : aJson) {
     std::string text;
     if (!ReadValue(it, aLimits, text, aWhy)) {
-      aWhy = "each entry " + aWhy;
+      aWhy.insert(0, "each entry ");
       return false;
     }
     if (std::find(aValue.begin(), aValue.end(), text) != aValue.end()) {
--- a/Peridothoist/Config/ItemField.h
+++ b/Peridothoist/Config/ItemField.h
@@ -198,7 +198,8 @@
     }
     std::string why;
     if (!ReadField(*field, entry.value(), aItem, why)) {
-      Reason::Set(aReason, ReasonCode::Invalid, path + ": " + why);
+      why.insert(0, path + ": ");
+      Reason::Set(aReason, ReasonCode::Invalid, std::move(why));
       return false;
     }
   }
--- /dev/null
+++ b/Peridothoist/Platform/OutcomeStore.cpp
@@ -0,0 +1,53 @@
+/// Claims and outcomes of requests that must not repeat.
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Platform/OutcomeStore.h>
+
+#include <Peridothoist/Platform/ClaimInsertion.h>
+#include <Peridothoist/Platform/OutcomeRecording.h>
+
+namespace peridothoist {
+
+std::uint64_t
+detail::UnixNow()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::seconds>(now).count());
+}
+
+OutcomeStore::OutcomeStore(Reactor& aReactor,
+                           Platform& aPlatform,
+                           const Settings& aSettings,
+                           std::uint64_t aSeed)
+  : mContext(std::make_shared<detail::OutcomeContext>(
+      detail::OutcomeContext{ aReactor,
+                              aPlatform,
+                              aSettings,
+                              Random(aSeed),
+                              0 }))
+{
+}
+
+void
+OutcomeStore::Insert(const std::string& aWorkspace,
+                     const RequestCommand& aCommand,
+                     ClaimDone aDone)
+{
+  detail::ClaimInsertion::Start(
+    mContext, aWorkspace, aCommand, std::move(aDone));
+}
+
+void
+OutcomeStore::Record(const std::string& aWorkspace,
+                     const RequestCommand& aCommand)
+{
+  detail::OutcomeRecording::Start(mContext, aWorkspace, aCommand);
+}
+
+std::size_t
+OutcomeStore::OpenRecords() const
+{
+  return mContext->mOpenRecords;
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Platform/PlatformClient.h
@@ -0,0 +1,75 @@
+/// Calls the platform over HTTP, as docs/PLATFORM.md describes it. Keeps
+/// within a rate of its own, so that one process can't use up the service.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Platform/Platform.h>
+#include <Peridothoist/Shell/HttpClient.h>
+#include <Peridothoist/Shell/Reactor.h>
+
+#include <deque>
+
+namespace peridothoist {
+
+/// Address and limits of a platform client.
+struct PlatformClientSettings
+{
+  std::string mUrl; ///< "http://ip:port".
+  Duration mConnectTimeout = std::chrono::milliseconds(500);
+  Duration mCallTimeout = std::chrono::seconds(1);
+  Duration mObjectTimeout = std::chrono::seconds(10);
+  double mCallsPerSecond = 200;
+  double mBurstCalls = 200;
+  std::size_t mMaxWaiting = 4096; ///< Beyond: fails as not reached.
+};
+
+/// Calls to the real platform.
+class PlatformClient : public Platform
+{
+public:
+  using Settings = PlatformClientSettings;
+
+  PlatformClient(Reactor& aReactor,
+                 HttpClient& aHttp,
+                 const Settings& aSettings);
+  ~PlatformClient() override;
+  PlatformClient(const PlatformClient&) = delete;
+  PlatformClient& operator=(const PlatformClient&) = delete;
+
+  // See: Platform
+  void Commit(const TableTransaction& aTransaction,
+              TransactionDone aDone) override;
+  void Scan(const std::string& aFrom,
+            const std::string& aTo,
+            std::size_t aLimit,
+            ScanDone aDone) override;
+  void PutObject(const std::string& aName,
+                 std::string aBody,
+                 PutDone aDone) override;
+  void GetObject(const std::string& aName, ObjectDone aDone) override;
+  void ListVms(VmListDone aDone) override;
+
+private:
+  struct Waiting
+  {
+    HttpCall mCall;
+    HttpClient::WholeAnswer mDone;
+  };
+
+  HttpCall MakeCall(const char* aMethod, const std::string& aPath) const;
+  void Send(HttpCall aCall, HttpClient::WholeAnswer aDone);
+  void Refill();
+  void Pump();
+
+  Reactor& mReactor;
+  HttpClient& mHttp;
+  Settings mSettings;
+
+  // Rate: each call takes one token.
+  double mTokens;
+  TimePoint mRefilled;
+  std::deque<Waiting> mWaiting; ///< In order of arrival.
+  Reactor::TimerId mTimer = 0;  ///< Set while something waits.
+};
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Platform/PlatformCodec.cpp
@@ -0,0 +1,208 @@
+/// Bodies of the platform's calls and answers.
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Platform/PlatformCodec.h>
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cctype>
+
+namespace peridothoist {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpBadRequest = 400;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpConflict = 409;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpServerError = 500;
+
+bool
+IsWhole(const HttpCallOutcome& aOutcome, int aStatus)
+{
+  return aOutcome.mFailure == CallFailure::None && aOutcome.mStatus == aStatus;
+}
+
+std::string
+TextOf(const json& aJson, const char* aName)
+{
+  const auto it = aJson.find(aName);
+  return it != aJson.end() && it->is_string() ? it->get<std::string>()
+                                              : std::string();
+}
+
+std::uint64_t
+NumberOf(const json& aJson, const char* aName)
+{
+  const auto it = aJson.find(aName);
+  return it != aJson.end() && it->is_number_unsigned()
+           ? it->get<std::uint64_t>()
+           : 0;
+}
+
+bool
+FlagOf(const json& aJson, const char* aName)
+{
+  const auto it = aJson.find(aName);
+  return it != aJson.end() && it->is_boolean() && it->get<bool>();
+}
+
+TransactionEnd
+EndWithoutResult(const HttpCallOutcome& aOutcome)
+{
+  if (!aOutcome.mMayHaveBeenSent) {
+    return TransactionEnd::NotReached;
+  }
+  const int status = aOutcome.mStatus;
+  const bool isClientError = aOutcome.mFailure == CallFailure::None &&
+                             status >= kHttpBadRequest &&
+                             status < kHttpServerError;
+  if (!isClientError || status == kHttpConflict) {
+    return TransactionEnd::InDoubt;
+  }
+  return status == kHttpTooManyRequests ? TransactionEnd::NotReached
+                                        : TransactionEnd::Refused;
+}
+
+} // namespace
+
+const char*
+ToName(TransactionEnd aEnd)
+{
+  static constexpr std::array<const char*, 5> kNames = {
+    "committed", "conflict", "refused", "not_reached", "in_doubt"
+  };
+  return kNames[static_cast<std::size_t>(aEnd)];
+}
+
+std::string
+EncodeTransaction(const TableTransaction& aTransaction)
+{
+  json conditions = json::array();
+  for (const RowCondition& it : aTransaction.mConditions) {
+    conditions.push_back({ { "key", it.mKey }, { "version", it.mVersion } });
+  }
+  json writes = json::array();
+  for (const RowWrite& it : aTransaction.mWrites) {
+    writes.push_back(
+      { { "key", it.mKey },
+        { "value", it.mValue ? json(*it.mValue) : json(nullptr) } });
+  }
+  const json body = { { "conditions", std::move(conditions) },
+                      { "writes", std::move(writes) } };
+  return body.dump();
+}
+
+TransactionResult
+DecodeTransaction(const HttpCallOutcome& aOutcome, const std::string& aBody)
+{
+  TransactionResult result;
+  result.mReason = aOutcome.mReason;
+  const json body = json::parse(aBody, nullptr, false);
+  if (IsWhole(aOutcome, kHttpOk) && body.is_object() &&
+      FlagOf(body, "committed")) {
+    result.mEnd = TransactionEnd::Committed;
+    result.mRevision = NumberOf(body, "revision");
+    return result;
+  }
+  if (IsWhole(aOutcome, kHttpConflict) && body.is_object() &&
+      !FlagOf(body, "committed")) {
+    result.mEnd = TransactionEnd::Conflict;
+    result.mConflictKey = TextOf(body, "conflict");
+    result.mConflictVersion = NumberOf(body, "version");
+    return result;
+  }
+  result.mEnd = EndWithoutResult(aOutcome);
+  if (result.mReason.empty()) {
+    result.mReason = "status " + std::to_string(aOutcome.mStatus);
+  }
+  return result;
+}
+
+ScanResult
+DecodeScan(const HttpCallOutcome& aOutcome, const std::string& aBody)
+{
+  ScanResult result;
+  const json body = json::parse(aBody, nullptr, false);
+  if (!IsWhole(aOutcome, kHttpOk) || !body.is_object() ||
+      !body.contains("rows") || !body["rows"].is_array()) {
+    return result;
+  }
+  for (const json& it : body["rows"]) {
+    if (!it.is_object() || NumberOf(it, "version") == 0) {
+      return result;
+    }
+    result.mRows.push_back(
+      { TextOf(it, "key"), TextOf(it, "value"), NumberOf(it, "version") });
+  }
+  result.mReached = true;
+  result.mRevision = NumberOf(body, "revision");
+  result.mMore = FlagOf(body, "more");
+  return result;
+}
+
+ObjectResult
+DecodeObject(const HttpCallOutcome& aOutcome, std::string aBody)
+{
+  ObjectResult result;
+  result.mFound = IsWhole(aOutcome, kHttpOk);
+  result.mReached = result.mFound || IsWhole(aOutcome, kHttpNotFound);
+  if (result.mFound) {
+    result.mBody = std::move(aBody);
+  }
+  return result;
+}
+
+VmListResult
+DecodeVmList(const HttpCallOutcome& aOutcome, const std::string& aBody)
+{
+  VmListResult result;
+  const json body = json::parse(aBody, nullptr, false);
+  if (!IsWhole(aOutcome, kHttpOk) || !body.is_object() ||
+      !body.contains("vms") || !body["vms"].is_array()) {
+    return result;
+  }
+  result.mReached = true;
+  for (const json& it : body["vms"]) {
+    if (!it.is_object()) {
+      continue;
+    }
+    Member member;
+    member.mVm = TextOf(it, "vm");
+    member.mZone = TextOf(it, "zone");
+    member.mEntryAddress = TextOf(it, "entry_address");
+    member.mEntryPeer = TextOf(it, "entry_peer");
+    member.mControlPeer = TextOf(it, "control_peer");
+    member.mState =
+      MemberStateFromName(TextOf(it, "state")).value_or(MemberState::Live);
+    if (!member.mVm.empty() && !member.mZone.empty() &&
+        !member.mControlPeer.empty()) {
+      result.mVms.push_back(std::move(member));
+    }
+  }
+  return result;
+}
+
+std::string
+EncodeQueryValue(std::string_view aText)
+{
+  static constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string text;
+  for (char it : aText) {
+    const auto c = static_cast<unsigned char>(it);
+    if (std::isalnum(c) != 0 || it == '-' || it == '_' || it == '.' ||
+        it == '~' || it == '/') {
+      text += it;
+    } else {
+      text += '%';
+      text += kDigits[c >> 4];
+      text += kDigits[c & 15];
+    }
+  }
+  return text;
+}
+
+} // namespace peridothoist
