--- /dev/null
+++ b/PerformanceTest/Percentiles.h
@@ -0,0 +1,44 @@
+/// Exact percentiles of collected values, and the benchmarks' key=value lines.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+
+#include <algorithm>
+#include <cstdarg>
+
+namespace peridothoist::perf {
+
+/// Collected values of one measure.
+class Percentiles
+{
+public:
+  void Add(double aValue) { mValues.push_back(aValue); }
+
+  std::size_t Count() const { return mValues.size(); }
+
+  /// The value that the given share (0 to 1) of values does not exceed; 0
+  /// when there are none.
+  double At(double aShare)
+  {
+    if (mValues.empty()) {
+      return 0;
+    }
+    const auto last = static_cast<double>(mValues.size() - 1);
+    const auto rank = static_cast<std::size_t>(aShare * last + 0.5);
+    std::nth_element(mValues.begin(), mValues.begin() + rank, mValues.end());
+    return mValues[rank];
+  }
+
+private:
+  std::vector<double> mValues;
+};
+
+/// Prints one line of a benchmark's result.
+inline void
+PrintValue(const std::string& aKey, double aValue)
+{
+  std::printf("%s=%.6g\n", aKey.c_str(), aValue);
+  std::fflush(stdout);
+}
+
+} // namespace peridothoist::perf
