Tie the entry's parts into a daemon

Cause: the parts need one place that makes them, connects them and leaves without cutting a request. Ruled out: exiting on a second signal, as that cuts requests; it is logged. Measured: builds, and refuses bad settings by name; not yet run against a control process.

--- /dev/null
+++ b/Daemons/EntryMain.cpp
@@ -0,0 +1,131 @@
+/// peridothoist-entry: serves callers on one VM.
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Entry/EntryProcess.h>
+#include <Peridothoist/Shell/FlagsFromEnvironment.h>
+#include <Peridothoist/Shell/Log.h>
+#include <Peridothoist/Shell/Reactor.h>
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+
+DEFINE_string(vm, "", "name of this VM, as the platform lists it");
+DEFINE_string(zone, "", "availability zone of this VM");
+DEFINE_string(listen, "", "ip:port for callers");
+DEFINE_string(peer_listen, "", "ip:port for peers");
+DEFINE_string(control, "", "control processes, ip:port,..., own VM's first");
+DEFINE_string(platform, "", "the platform's services, http://ip:port");
+DEFINE_string(peer_secret, "", "secret shared by all peers, 16 bytes or more");
+DEFINE_string(peer_certificate, "", "PEM file, for mutual TLS between peers");
+DEFINE_string(peer_private_key, "", "PEM file, for mutual TLS between peers");
+DEFINE_string(peer_ca, "", "PEM file of the authority that signed peers");
+DEFINE_string(certificate, "", "PEM file: serve callers over TLS");
+DEFINE_string(private_key, "", "PEM file of the certificate's key");
+DEFINE_uint32(max_header_bytes, 16384, "headers of one request, in bytes");
+DEFINE_uint32(max_body_bytes, 1048576, "body of one request, in bytes");
+DEFINE_uint32(max_connections, 16384, "callers' connections in all");
+DEFINE_uint32(max_connections_per_address, 8192, "connections per caller IP");
+DEFINE_double(idle_timeout, 30, "seconds without progress on a connection");
+DEFINE_double(request_timeout, 10, "seconds from first byte to whole request");
+DEFINE_double(entries_max_age, 5, "seconds that callers may keep /v1/entries");
+DEFINE_double(load_interval, 0.2, "seconds between load reports of upstreams");
+DEFINE_double(trace_sampling, 0, "share of requests that are traced, 0 to 1");
+DEFINE_string(log_level, "info", "debug, info, warning, error or off");
+
+namespace {
+
+using namespace peridothoist;
+
+Duration
+Seconds(double aSeconds)
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(aSeconds));
+}
+
+std::vector<std::string>
+SplitByComma(const std::string& aText)
+{
+  std::vector<std::string> parts;
+  std::size_t start = 0;
+  while (start < aText.size()) {
+    const std::size_t end = std::min(aText.find(',', start), aText.size());
+    parts.push_back(aText.substr(start, end - start));
+    start = end + 1;
+  }
+  return parts;
+}
+
+EntrySettings
+SettingsFromFlags()
+{
+  EntrySettings settings;
+  settings.mVm = FLAGS_vm;
+  settings.mZone = FLAGS_zone;
+  settings.mListen = FLAGS_listen;
+  settings.mPeerListen = FLAGS_peer_listen;
+  settings.mControls = SplitByComma(FLAGS_control);
+  settings.mPlatform = FLAGS_platform;
+  settings.mPeerSecret = FLAGS_peer_secret;
+  settings.mPeerCertificate = FLAGS_peer_certificate;
+  settings.mPeerPrivateKey = FLAGS_peer_private_key;
+  settings.mPeerAuthority = FLAGS_peer_ca;
+  settings.mCertificate = FLAGS_certificate;
+  settings.mPrivateKey = FLAGS_private_key;
+  settings.mMaxHeaderBytes = FLAGS_max_header_bytes;
+  settings.mMaxBodyBytes = FLAGS_max_body_bytes;
+  settings.mMaxConnections = FLAGS_max_connections;
+  settings.mMaxConnectionsPerAddress = FLAGS_max_connections_per_address;
+  settings.mIdleTimeout = Seconds(FLAGS_idle_timeout);
+  settings.mRequestTimeout = Seconds(FLAGS_request_timeout);
+  settings.mEntriesMaxAge = Seconds(FLAGS_entries_max_age);
+  settings.mLoadInterval = Seconds(FLAGS_load_interval);
+  settings.mTraceSampling = FLAGS_trace_sampling;
+  return settings;
+}
+
+int
+Fail(const std::string& aText)
+{
+  std::fprintf(stderr, "peridothoist-entry: %s\n", aText.c_str());
+  return 1;
+}
+
+} // namespace
+
+int
+main(int aArgc, char** aArgv)
+{
+  gflags::SetUsageMessage("serves callers on one VM");
+  std::string fault;
+  if (!ReadFlags(&aArgc, &aArgv, &fault)) {
+    return Fail(fault);
+  }
+  const auto level = LogLevelFromName(FLAGS_log_level);
+  if (!level) {
+    return Fail("log_level: \"" + FLAGS_log_level +
+                "\"; allowed: debug, info, warning, error, off");
+  }
+  Log::Settings log;
+  log.mLevel = *level;
+  Log::Start(log);
+
+  const auto reactor = Reactor::Create();
+  if (reactor == nullptr) {
+    return Fail("no event loop can be made");
+  }
+  Reason reason;
+  auto process =
+    EntryProcess::Create(SettingsFromFlags(), reactor.get(), &reason);
+  if (process == nullptr) {
+    Log::Stop();
+    return Fail(reason.mText);
+  }
+  for (const int signal : { SIGTERM, SIGINT }) {
+    reactor->OnSignal(signal, [&process] { process->StartLeaving(); });
+  }
+  reactor->Run();
+  process.reset();
+  Log::Stop();
+  return 0;
+}
--- /dev/null
+++ b/Peridothoist/Entry/EntryProcess.cpp
@@ -0,0 +1,429 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Entry/EntryProcess.h>
+
+#include <Peridothoist/Shell/FlagsFromEnvironment.h>
+#include <Peridothoist/Shell/Log.h>
+
+#include <algorithm>
+#include <random>
+
+namespace peridothoist {
+
+namespace {
+
+constexpr Duration kDrainCheckInterval = 50ms;
+constexpr Duration kLateCallerMargin = 1s;
+/// How long a leaving entry waits for the platform to take outcomes.
+constexpr Duration kRecordLimit = 60s;
+constexpr Duration kHandOverTime = 600ms;
+
+std::uint64_t
+RandomSeed()
+{
+  std::random_device device;
+  return (std::uint64_t(device()) << 32) | device();
+}
+
+/// VM name and a random number: new with each start.
+std::string
+MakeInstance(const std::string& aVm, std::uint64_t aSeed)
+{
+  char buf[17];
+  std::snprintf(buf,
+                sizeof buf,
+                "%012llx",
+                static_cast<unsigned long long>(aSeed & 0xffffffffffffULL));
+  return aVm + "-" + buf;
+}
+
+/// Reads the files that settings name into credentials.
+bool
+ReadCredentials(const EntrySettings& aSettings,
+                PeerCredentials& aCredentials,
+                Reason* aReason)
+{
+  struct Row
+  {
+    const char* mSetting;
+    const std::string& mPath;
+    std::string& mText;
+  };
+  aCredentials.mSharedSecret = aSettings.mPeerSecret;
+  const Row rows[] = {
+    { "peer_certificate",
+      aSettings.mPeerCertificate,
+      aCredentials.mCertificatePem },
+    { "peer_private_key",
+      aSettings.mPeerPrivateKey,
+      aCredentials.mPrivateKeyPem },
+    { "peer_ca", aSettings.mPeerAuthority, aCredentials.mAuthorityPem },
+  };
+  for (const Row& row : rows) {
+    if (row.mPath.empty()) {
+      continue;
+    }
+    std::string fault;
+    auto text = ReadFileSetting(row.mSetting, row.mPath, &fault);
+    if (!text) {
+      Reason::Set(aReason, ReasonCode::Invalid, fault);
+      return false;
+    }
+    row.mText = std::move(*text);
+  }
+  return true;
+}
+
+} // namespace
+
+std::unique_ptr<EntryProcess>
+EntryProcess::Create(const Settings& aSettings,
+                     Reactor* aReactor,
+                     Reason* aReason)
+{
+  if (const auto fault = aSettings.Check()) {
+    Reason::Set(aReason, fault->mCode, fault->mText);
+    return nullptr;
+  }
+  std::unique_ptr<EntryProcess> process(new EntryProcess(aSettings, aReactor));
+  if (!process->StartClients(aReason)) {
+    return nullptr;
+  }
+  process->BuildParts();
+  if (!process->StartServers(aReason)) {
+    return nullptr;
+  }
+  process->mFollower->Start();
+  Log::Info("entry_started")
+    .Field("instance", process->mInstance)
+    .Field("zone", aSettings.mZone)
+    .Field("listen", aSettings.mListen);
+  return process;
+}
+
+EntryProcess::EntryProcess(const Settings& aSettings, Reactor* aReactor)
+  : mSettings(aSettings)
+  , mReactor(aReactor)
+  , mInstance(MakeInstance(aSettings.mVm, RandomSeed()))
+  , mRandom(RandomSeed())
+  , mTracer({ aSettings.mTraceSampling }, RandomSeed())
+{
+}
+
+EntryProcess::~EntryProcess()
+{
+  mReactor->CancelTimer(mLeaveTimer);
+}
+
+bool
+EntryProcess::StartClients(Reason* aReason)
+{
+  mHttp = HttpClient::Create(*mReactor);
+  if (mHttp == nullptr) {
+    Reason::Set(aReason, ReasonCode::Refused, "no HTTP client can be made");
+    return false;
+  }
+  PeerClientSettings peers;
+  if (!ReadCredentials(mSettings, peers.mCredentials, aReason)) {
+    return false;
+  }
+  mPeerClient = PeerClient::Create(*mReactor, peers, aReason);
+  return mPeerClient != nullptr;
+}
+
+void
+EntryProcess::BuildParts()
+{
+  PlatformClientSettings platform;
+  platform.mUrl = mSettings.mPlatform;
+  mPlatform = std::make_unique<PlatformClient>(*mReactor, *mHttp, platform);
+
+  mView = std::make_unique<EntryView>(EntryViewSettings{}, mInstance);
+  mPeers =
+    std::make_unique<EntryPeers>(mReactor, mPeerClient.get(), mView.get());
+  mAllowance = std::make_unique<AllowanceDesk>(
+    AllowanceDeskSettings{}, mReactor, &mView->Book(), mPeers.get());
+
+  OutcomeStoreSettings claims;
+  claims.mEntryInstance = mInstance;
+  mClaims =
+    std::make_unique<OutcomeStore>(*mReactor, *mPlatform, claims, RandomSeed());
+
+  EntryCoreSettings core;
+  core.mZone = mSettings.mZone;
+  mCore = EntryCore::Create(core, mView->SharedConfig(), mView.get(), &mRandom);
+  PH_ASSERT(mCore != nullptr);
+  mRunner = std::make_unique<RequestRunner>(UpstreamCallerSettings{},
+                                            mReactor,
+                                            mHttp.get(),
+                                            mCore.get(),
+                                            mClaims.get(),
+                                            mAllowance.get(),
+                                            this,
+                                            mInstance);
+
+  RequestIntakeSettings intake;
+  intake.mZone = mSettings.mZone;
+  mIntake = std::make_unique<RequestIntake>(
+    intake, mReactor, mView.get(), mAllowance.get(), mRunner.get(), &mTracer);
+  EntryPagesSettings pages;
+  pages.mZone = mSettings.mZone;
+  pages.mEntriesMaxAge = mSettings.mEntriesMaxAge;
+  mPages = std::make_unique<EntryPages>(pages, mReactor, mView.get(), this);
+
+  LoadPollerSettings poller;
+  poller.mInterval = mSettings.mLoadInterval;
+  mPoller = std::make_unique<LoadPoller>(poller, mReactor, mHttp.get(), this);
+
+  ViewFollowerSettings follower;
+  follower.mControls = mSettings.mControls;
+  follower.mInterval = mSettings.mFollowInterval;
+  mFollower = std::make_unique<ViewFollower>(
+    follower, mReactor, mPeerClient.get(), mView.get(), this);
+  mView->SetListener(this);
+}
+
+bool
+EntryProcess::StartServers(Reason* aReason)
+{
+  PeerServerSettings peers;
+  peers.mAddress = mSettings.mPeerListen;
+  if (!ReadCredentials(mSettings, peers.mCredentials, aReason)) {
+    return false;
+  }
+  mPeerServer =
+    PeerServer::Create(*mReactor, peers, nullptr, mPeers.get(), aReason);
+  if (mPeerServer == nullptr) {
+    return false;
+  }
+  const auto address = ParseSocketAddress(mSettings.mListen);
+  PH_ASSERT(address.has_value());
+  HttpServerSettings http;
+  http.mAddress = address->mNumber;
+  http.mPort = address->mPort;
+  http.mMaxHeaderBytes = mSettings.mMaxHeaderBytes;
+  http.mMaxBodyBytes = mSettings.mMaxBodyBytes;
+  http.mMaxConnections = mSettings.mMaxConnections;
+  http.mMaxConnectionsPerAddress = mSettings.mMaxConnectionsPerAddress;
+  http.mIdleTimeout = mSettings.mIdleTimeout;
+  http.mRequestTimeout = mSettings.mRequestTimeout;
+  std::string fault;
+  if (!mSettings.mCertificate.empty()) {
+    auto certificate =
+      ReadFileSetting("certificate", mSettings.mCertificate, &fault);
+    auto key = ReadFileSetting("private_key", mSettings.mPrivateKey, &fault);
+    if (!certificate || !key) {
+      Reason::Set(aReason, ReasonCode::Invalid, fault);
+      return false;
+    }
+    http.mCertificatePem = std::move(*certificate);
+    http.mPrivateKeyPem = std::move(*key);
+  }
+  mServer = HttpServer::Create(*mReactor, http, this, &fault);
+  if (mServer == nullptr) {
+    Reason::Set(aReason, ReasonCode::Refused, "listen: " + fault);
+    return false;
+  }
+  return true;
+}
+
+void
+EntryProcess::OnRequest(std::shared_ptr<HttpExchange> aExchange)
+{
+  if (!mPages->Answer(*aExchange)) {
+    mIntake->OnRequest(std::move(aExchange));
+  }
+}
+
+void
+EntryProcess::OnConfiguration(
+  std::shared_ptr<const Configuration> aConfiguration)
+{
+  mPoller->SetConfiguration(*aConfiguration);
+  mRunner->Deliver(
+    [&](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
+      aCore.SetConfiguration(aConfiguration, aNow, aOut);
+    });
+  Log::Info("configuration_in_force")
+    .Field("version", aConfiguration->mVersion);
+}
+
+void
+EntryProcess::FillQuestion(peer::FollowRequest& aRequest)
+{
+  const TimePoint now = mReactor->Now();
+  aRequest.set_vm(mSettings.mVm);
+  aRequest.set_zone(mSettings.mZone);
+  aRequest.set_entry_address(mSettings.mListen);
+  aRequest.set_entry_peer(mSettings.mPeerListen);
+  aRequest.set_entry_instance(mInstance);
+  aRequest.set_leaving(mLeaving);
+  const auto add = [&aRequest](const QuarantinedDigest& aDigest,
+                               bool aSuspect) {
+    peer::QuarantineEntry* entry = aRequest.add_quarantine();
+    entry->set_digest(aDigest.mDigest);
+    entry->set_lasts_us(static_cast<std::uint64_t>(aDigest.mLasts.count()));
+    entry->set_suspect(aSuspect);
+  };
+  for (const QuarantinedDigest& digest : mCore->Quarantined(now)) {
+    add(digest, false);
+  }
+  for (const QuarantinedDigest& digest : mCore->Suspects(now)) {
+    add(digest, true);
+  }
+}
+
+void
+EntryProcess::OnFollowed(const peer::ViewUpdate& aUpdate)
+{
+  const auto& members = mView->Members();
+  const auto live =
+    std::count_if(members.begin(), members.end(), [](const Member& aMember) {
+      return aMember.mState == MemberState::Live &&
+             !aMember.mEntryInstance.empty();
+    });
+  mCore->SetEntryCount(
+    static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(1, live)));
+  TakeQuarantine(aUpdate);
+}
+
+void
+EntryProcess::TakeQuarantine(const peer::ViewUpdate& aUpdate)
+{
+  const TimePoint now = mReactor->Now();
+  for (const peer::QuarantineEntry& entry : aUpdate.quarantine()) {
+    if (entry.lasts_us() <= entry.age_us()) {
+      continue;
+    }
+    const Duration lasts(
+      static_cast<Duration::rep>(entry.lasts_us() - entry.age_us()));
+    if (entry.suspect()) {
+      mCore->OnSuspect(entry.digest(), lasts, now);
+      continue;
+    }
+    mRunner->Deliver(
+      [&](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
+        aCore.OnQuarantine(entry.digest(), lasts, aNow, aOut);
+      });
+  }
+}
+
+void
+EntryProcess::OnLoadReport(const std::string& aUpstream,
+                           const LoadReport& aReport)
+{
+  mRunner->Deliver(
+    [&](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
+      aCore.OnLoadReport(aUpstream, aReport, aNow, aOut);
+    });
+}
+
+void
+EntryProcess::OnCacheEvent(const std::string& aUpstream,
+                           std::uint64_t aPrefix,
+                           bool aStored)
+{
+  mCore->OnCacheEvent(aUpstream, aPrefix, aStored, mReactor->Now());
+}
+
+void
+EntryProcess::OnUpstreamDead(const std::string& aUpstream, DeathKind aKind)
+{
+  Log::Warning("upstream_dead")
+    .Field("upstream", aUpstream)
+    .Field("kind", ToName(aKind));
+  mRunner->Deliver(
+    [&](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
+      aCore.OnUpstreamDead(aUpstream, aKind, aNow, aOut);
+    });
+}
+
+void
+EntryProcess::OnUpstreamAlive(const std::string& aUpstream)
+{
+  Log::Info("upstream_alive").Field("upstream", aUpstream);
+  mRunner->Deliver(
+    [&](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
+      aCore.OnUpstreamAlive(aUpstream, aNow, aOut);
+    });
+}
+
+std::string
+EntryProcess::RenderMetrics()
+{
+  mMetrics.TakeCore(*mCore);
+  mMetrics.TakeIntake(mIntake->Counters());
+  mMetrics.TakeAllowance(mAllowance->Counters());
+  mMetrics.TakeView(*mView, mReactor->Now());
+  return mMetrics.Render();
+}
+
+void
+EntryProcess::OnRequestOver(const CallerRequestFacts& aFacts,
+                            int aStatus,
+                            std::uint32_t aTokens)
+{
+  const Duration took = mReactor->Now() - aFacts.mArrivedAt;
+  mMetrics.ObserveRequest(aFacts.mRoute, aStatus, took);
+  Log::Info("request_done")
+    .Field("id", aFacts.mId)
+    .Field("route", aFacts.mRoute)
+    .Field("workspace", aFacts.mWorkspace)
+    .Field("status", aStatus)
+    .Field("tokens", aTokens)
+    .Field("ms", std::chrono::duration<double, std::milli>(took).count());
+}
+
+void
+EntryProcess::StartLeaving()
+{
+  if (mLeaving) {
+    Log::Info("already_leaving").Field("open_requests", mRunner->Open());
+    return;
+  }
+  mLeaving = true;
+  mCore->StartDrain();
+  Log::Info("leaving").Field("open_requests", mRunner->Open());
+  // Callers keep their answer of GET /v1/entries for a while and may still
+  // come until then.
+  mLeaveTimer =
+    mReactor->Schedule(mSettings.mEntriesMaxAge + kLateCallerMargin, [this] {
+      mServer->StartDrain();
+      mRequestsDoneAt = mReactor->Now();
+      CheckDrained();
+    });
+}
+
+void
+EntryProcess::CheckDrained()
+{
+  const TimePoint now = mReactor->Now();
+  const bool requestsDone =
+    mServer->OpenExchanges() == 0 && mRunner->Open() == 0;
+  if (!requestsDone) {
+    mRequestsDoneAt = now;
+  }
+  const bool recordsDone = mCore->IsIdle() && mClaims->OpenRecords() == 0;
+  const bool waitedLong = now - mRequestsDoneAt >= kRecordLimit;
+  if (requestsDone && (recordsDone || waitedLong)) {
+    if (!recordsDone) {
+      Log::Error("left_with_unwritten_outcomes")
+        .Field("outcomes", mClaims->OpenRecords());
+    }
+    FinishLeaving();
+    return;
+  }
+  mLeaveTimer =
+    mReactor->Schedule(kDrainCheckInterval, [this] { CheckDrained(); });
+}
+
+void
+EntryProcess::FinishLeaving()
+{
+  mAllowance->HandOver();
+  mLeaveTimer = mReactor->Schedule(kHandOverTime, [this] {
+    Log::Info("left");
+    mReactor->Stop();
+  });
+}
+
+} // namespace peridothoist
