Test the HTTP server and client over real sockets

Found by these tests and mended: a second server could listen on a taken port (libmicrohttpd's address reuse sets SO_REUSEPORT), and an answer whose head was cut short counted as whole (libcurl reports success for it). Calls can name the authority for https.

--- a/Peridothoist/Shell/ClientCall.cpp
+++ b/Peridothoist/Shell/ClientCall.cpp
@@ -113,10 +113,13 @@
     outcome.mFailure = CallFailure::Cancelled;
     return outcome;
   }
-  if (aResult == CURLE_OK) {
+  // libcurl is content with a head that the close cut short.
+  const bool whole = aResult == CURLE_OK && mHeadDone;
+  if (whole) {
     return outcome;
   }
-  outcome.mReason = curl_easy_strerror(aResult);
+  outcome.mReason = aResult == CURLE_OK ? "the answer's head is not whole"
+                                        : curl_easy_strerror(aResult);
   if (mWithheld) {
     outcome.mFailure = CallFailure::Withheld;
   } else if (!mMayHaveBeenSent) {
@@ -158,6 +161,12 @@
     curl_easy_setopt(mHandle, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(mHandle, CURLOPT_FORBID_REUSE, 1L);
   }
+  if (!mCall.mAuthorityPem.empty()) {
+    curl_blob authority = { mCall.mAuthorityPem.data(),
+                            mCall.mAuthorityPem.size(),
+                            CURL_BLOB_NOCOPY };
+    curl_easy_setopt(mHandle, CURLOPT_CAINFO_BLOB, &authority);
+  }
   curl_easy_setopt(mHandle, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
   curl_easy_setopt(mHandle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(mHandle, CURLOPT_HEADERFUNCTION, &OnHeader);
--- a/Peridothoist/Shell/HttpClient.h
+++ b/Peridothoist/Shell/HttpClient.h
@@ -20,6 +20,9 @@
   /// Uses a fresh connection and never lets the library send it a second
   /// time: a reused connection that turns out dead is otherwise retried.
   bool mSendOnce = false;
+  /// Authority that https servers' certificates are checked against, as PEM;
+  /// empty: those that the system trusts.
+  std::string mAuthorityPem;
 };
 
 /// Why a call did not end with a whole answer.
--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -217,7 +217,6 @@
         std::chrono::ceil<std::chrono::seconds>(mSettings.mIdleTimeout)
           .count()),
       nullptr },
-    { MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, nullptr },
     { MHD_OPTION_URI_LOG_CALLBACK,
       reinterpret_cast<std::intptr_t>(&OnRequestLine),
       this },
--- a/UnitTests/Shell/ShellFixture.h
+++ b/UnitTests/Shell/ShellFixture.h
@@ -13,6 +13,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+#include <cerrno>
+
 namespace peridothoist::test {
 
 /// Longest wait for any event; only a fault takes that long.
@@ -158,6 +161,61 @@
   int mSocket;
 };
 
+/// A plain listener that answers each connection with fixed bytes and closes
+/// it, for what a decent server never sends.
+class RawServer : public DescriptorListener
+{
+public:
+  RawServer(Reactor& aReactor, std::string aAnswer)
+    : mAnswer(std::move(aAnswer))
+    , mReactor(aReactor)
+    , mSocket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    BOOST_REQUIRE_EQUAL(::bind(mSocket, generic, size), 0);
+    BOOST_REQUIRE_EQUAL(::listen(mSocket, 16), 0);
+    ::getsockname(mSocket, generic, &size);
+    mPort = ntohs(address.sin_port);
+    mReactor.Watch(mSocket, this);
+  }
+  ~RawServer() override
+  {
+    mReactor.Unwatch(mSocket);
+    ::close(mSocket);
+  }
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  // See: DescriptorListener
+  void OnReadable(int aDescriptor) override
+  {
+    if (aDescriptor == mSocket) {
+      mReactor.Watch(::accept(mSocket, nullptr, nullptr), this);
+      return;
+    }
+    std::array<char, 65536> buf = {};
+    // The test's requests come in one piece.
+    if (::recv(aDescriptor, buf.data(), buf.size(), 0) > 0) {
+      ++mRequests;
+    }
+    ::send(aDescriptor, mAnswer.data(), mAnswer.size(), MSG_NOSIGNAL);
+    mReactor.Unwatch(aDescriptor);
+    ::close(aDescriptor);
+  }
+
+  std::string mAnswer;
+  std::uint16_t mPort = 0;
+  int mRequests = 0;
+
+private:
+  Reactor& mReactor;
+  int mSocket;
+};
+
 /// Everything together.
 struct ShellFixture
 {
@@ -187,6 +245,16 @@
     return call;
   }
 
+  /// Starts a call and waits for its end.
+  std::shared_ptr<CallNotes> CallAndWait(
+    HttpCall aCall,
+    std::shared_ptr<CallNotes> aNotes = std::make_shared<CallNotes>())
+  {
+    mClient->Start(std::move(aCall), aNotes);
+    BOOST_REQUIRE(Until([&] { return aNotes->mEnds > 0; }));
+    return aNotes;
+  }
+
   bool Until(const std::function<bool()>& aDone)
   {
     return RunUntil(*mReactor, aDone);
