--- a/Peridothoist/Entry/RequestIntake.cpp
+++ b/Peridothoist/Entry/RequestIntake.cpp
@@ -111,7 +111,7 @@
       return;
     }
   }
-  Spend(std::move(candidate));
+  Spend(candidate);
 }
 
 bool
@@ -264,7 +264,7 @@
 }
 
 void
-RequestIntake::Spend(std::shared_ptr<Candidate> aCandidate)
+RequestIntake::Spend(const std::shared_ptr<Candidate>& aCandidate)
 {
   const HttpRequest& request = aCandidate->mExchange->Request();
   if (aCandidate->mCompletion) {
--- a/Peridothoist/Entry/RequestIntake.h
+++ b/Peridothoist/Entry/RequestIntake.h
@@ -80,7 +80,7 @@
   bool CheckRoute(Candidate& aCandidate);
   bool CheckPools(Candidate& aCandidate);
 
-  void Spend(std::shared_ptr<Candidate> aCandidate);
+  void Spend(const std::shared_ptr<Candidate>& aCandidate);
   void OnSpent(Candidate& aCandidate, const AllowanceAnswer& aAnswer);
   void Admit(Candidate& aCandidate);
   CallerContent MakeContent(const Candidate& aCandidate) const;
--- a/Peridothoist/Entry/UpstreamCaller.cpp
+++ b/Peridothoist/Entry/UpstreamCaller.cpp
@@ -338,7 +338,7 @@
 }
 
 void
-UpstreamCaller::Start(HttpCall aCall, std::shared_ptr<Call> aListener)
+UpstreamCaller::Start(HttpCall aCall, const std::shared_ptr<Call>& aListener)
 {
   const HttpClient::CallId id = mClient->Start(std::move(aCall), aListener);
   aListener->SetId(id);
--- a/Peridothoist/Entry/UpstreamCaller.h
+++ b/Peridothoist/Entry/UpstreamCaller.h
@@ -128,7 +128,7 @@
                     const char* aPath,
                     Duration aTimeout) const;
   std::string RequestId(const RequestCommand& aCommand) const;
-  void Start(HttpCall aCall, std::shared_ptr<Call> aListener);
+  void Start(HttpCall aCall, const std::shared_ptr<Call>& aListener);
   void Finished(const CallKey& aKey, HttpClient::CallId aCall);
 
   Settings mSettings;
--- a/Peridothoist/Entry/ViewFollower.cpp
+++ b/Peridothoist/Entry/ViewFollower.cpp
@@ -43,7 +43,7 @@
     mSettings.mControls[mControl],
     std::move(request),
     mSettings.mDeadline,
-    [this, now](std::optional<peer::ViewUpdate> aUpdate,
+    [this, now](const std::optional<peer::ViewUpdate>& aUpdate,
                 const Reason& aReason) { OnAnswer(aUpdate, aReason, now); });
 }
 
--- a/UnitTests/Entry/CompletionBodyTest.cpp
+++ b/UnitTests/Entry/CompletionBodyTest.cpp
@@ -39,9 +39,9 @@
 
 BOOST_AUTO_TEST_CASE(ReadsTextParts)
 {
-  const auto body = ParseChat(
-    R"({"model":"m","messages":[{"role":"user","content":)"
-    R"([{"type":"text","text":"a"},{"type":"text","text":"b"}]}]})");
+  const auto body =
+    ParseChat(R"({"model":"m","messages":[{"role":"user","content":)"
+              R"([{"type":"text","text":"a"},{"type":"text","text":"b"}]}]})");
   BOOST_REQUIRE(body);
   BOOST_TEST(body->mPrompt == "user: ab\n");
 }
