Free engine memory also when word of a crash comes late

Found by the fault test: a reservation that was still being sent when its engine crashed reached the restarted engine and stayed held. Cancels now go out whatever is said of the engine's death.

--- a/Peridothoist/Request/AttemptMachine.cpp
+++ b/Peridothoist/Request/AttemptMachine.cpp
@@ -306,11 +306,6 @@
   if (attempt == nullptr) {
     return;
   }
-  for (AttemptPlace* place : { &attempt->mPrefill, &attempt->mDecode }) {
-    if (aGone && place->mUpstream == aUpstream) {
-      place->mMayHold = false;
-    }
-  }
   const bool prefill = attempt->mPrefill.mUpstream == aUpstream;
   const AttemptPlace& lost = prefill ? attempt->mPrefill : attempt->mDecode;
   // A call of content may have been on its way there.
--- a/Peridothoist/Request/AttemptMachine.h
+++ b/Peridothoist/Request/AttemptMachine.h
@@ -68,7 +68,9 @@
   /// Ends an attempt, and frees what it may hold.
   void End(RequestState& aRequest, std::uint32_t aAttempt);
 
-  /// Ends an attempt whose upstream is lost. aGone: so is its memory.
+  /// Ends an attempt whose upstream is lost. aGone: its process crashed. The
+  /// cancels go out all the same: word of a crash may come when the process
+  /// runs again and took new work.
   void OnUpstreamLost(RequestState& aRequest,
                       std::uint32_t aAttempt,
                       const std::string& aUpstream,
--- a/Peridothoist/Request/CancelLedger.cpp
+++ b/Peridothoist/Request/CancelLedger.cpp
@@ -138,11 +138,14 @@
   }
 }
 
-bool
-CancelLedger::Holds(const std::string& aUpstream) const
+std::set<std::string>
+CancelLedger::Upstreams() const
 {
-  const auto it = mEntries.lower_bound(Place{ aUpstream, {} });
-  return it != mEntries.end() && it->first.mUpstream == aUpstream;
+  std::set<std::string> upstreams;
+  for (const auto& [place, entry] : mEntries) {
+    upstreams.insert(place.mUpstream);
+  }
+  return upstreams;
 }
 
 std::optional<TimePoint>
--- a/Peridothoist/Request/CancelLedger.h
+++ b/Peridothoist/Request/CancelLedger.h
@@ -45,7 +45,7 @@
   /// Sends what is due.
   void OnTick(TimePoint aNow, RequestCommands& aOut);
 
-  /// The upstream's memory is gone.
+  /// The upstream is gone for good.
   void Drop(const std::string& aUpstream);
 
   /// The upstream answers again: sends all its cancels at once.
@@ -53,7 +53,8 @@
              TimePoint aNow,
              RequestCommands& aOut);
 
-  bool Holds(const std::string& aUpstream) const;
+  /// Upstreams with open cancels.
+  std::set<std::string> Upstreams() const;
   std::optional<TimePoint> Next() const;
   std::size_t Size() const { return mEntries.size(); }
   std::uint64_t Sent() const { return mSent; }
--- a/Peridothoist/Request/EntryCore.cpp
+++ b/Peridothoist/Request/EntryCore.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace peridothoist {
 
@@ -160,6 +161,34 @@
     }
   }
 
+  /// Forgets upstreams that are out of the configuration and that nothing of
+  /// this entry needs any more.
+  void DropGone()
+  {
+    for (const std::string& name : mContext.mCancels.Upstreams()) {
+      UpstreamState* upstream = mContext.mUpstreams.Find(name);
+      if (upstream != nullptr && !upstream->mListed && upstream->mDead) {
+        mContext.mCancels.Drop(name);
+        upstream->Clear();
+      }
+    }
+    const std::set<std::string> needed = mContext.mCancels.Upstreams();
+    mContext.mUpstreams.DropUnlisted(
+      [&needed](const std::string& aName) { return needed.count(aName) > 0; });
+  }
+
+  /// Whether a cancel is open at an upstream that could answer it.
+  bool HasLiveCancels()
+  {
+    for (const std::string& name : mContext.mCancels.Upstreams()) {
+      const UpstreamState* upstream = mContext.mUpstreams.Find(name);
+      if (upstream != nullptr && !upstream->mDead) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   static std::vector<QuarantinedDigest> Listed(
     const std::vector<ListedDigest>& aDigests,
     TimePoint aNow)
@@ -209,9 +238,7 @@
   mImpl->Begin(aNow, aOut);
   context.mConfiguration = std::move(aConfiguration);
   context.mUpstreams.SetConfiguration(*context.mConfiguration);
-  context.mUpstreams.DropUnlisted([&context](const std::string& aName) {
-    return context.mCancels.Holds(aName);
-  });
+  mImpl->DropGone();
   mImpl->mDispatcher.OnConfiguration();
   context.mPumpWanted = true;
   mImpl->Finish();
@@ -500,8 +527,7 @@
 bool
 EntryCore::IsIdle() const
 {
-  return mImpl->mContext.mRequests.empty() &&
-         mImpl->mContext.mCancels.Size() == 0;
+  return mImpl->mContext.mRequests.empty() && !mImpl->HasLiveCancels();
 }
 
 const EntryCounters&
--- a/Peridothoist/Request/EntryCore.h
+++ b/Peridothoist/Request/EntryCore.h
@@ -134,7 +134,8 @@
   /// Begins a graceful shutdown: cuts nothing, and still serves what comes.
   void StartDrain();
 
-  /// No request, no kept claim and no cancel is open.
+  /// No request, no kept claim and no cancel is open, but for cancels at
+  /// upstreams that are dead.
   bool IsIdle() const;
 
   // Metrics
--- a/Peridothoist/Request/UpstreamWatch.cpp
+++ b/Peridothoist/Request/UpstreamWatch.cpp
@@ -96,10 +96,6 @@
   }
   mBreaks.erase(aUpstream);
   EndAttempts(*upstream, crashed);
-  if (crashed) {
-    upstream->Clear();
-    mContext.mCancels.Drop(aUpstream);
-  }
   return quarantined;
 }
 
--- /dev/null
+++ b/UnitTests/Request/FakeWorld.h
@@ -0,0 +1,818 @@
+/// Fake engines, services, table and callers round one or more routers. What
+/// happens next, and what goes wrong, is the test's choice: each call is taken
+/// one stage further by Step().
+#pragma once
+
+#include <Request/Router.h>
+
+#include <algorithm>
+#include <set>
+
+namespace peridothoist::test {
+
+enum class Fault
+{
+  None,
+  NotConnected, ///< Nothing leaves.
+  Lose,         ///< The request, or the answer after its effect, is lost.
+  Break,        ///< Closed before the answer is whole.
+  Duplicate,    ///< The answer comes twice.
+  BadStatus     ///< A whole answer of an unwanted status.
+};
+
+/// Pools and routes of the fake world.
+inline std::shared_ptr<Configuration>
+MakeConfiguration(std::uint32_t aDecodes = 3)
+{
+  auto config = std::make_shared<Configuration>();
+  config->mVersion = 1;
+  for (const char* name : { "a", "b" }) {
+    config->mWorkspaces[name] = { name, 1e9, 1e9, { "pre", "dec", "svc" } };
+  }
+  config->mPools["pre"] = { "pre", UpstreamRole::Prefill, "m" };
+  config->mPools["dec"] = { "dec", UpstreamRole::Decode, "m" };
+  config->mPools["svc"] = { "svc", UpstreamRole::Plain, "" };
+  const auto add = [&](const std::string& aPool, std::uint32_t aNumber) {
+    Upstream upstream;
+    upstream.mName = aPool + std::to_string(aNumber);
+    upstream.mPool = aPool;
+    upstream.mAddress = "10.0.0.1:" + std::to_string(aNumber);
+    upstream.mMemoryPieces = 4;
+    config->mUpstreams[upstream.mName] = upstream;
+  };
+  for (std::uint32_t n = 0; n < aDecodes; ++n) {
+    add("pre", n);
+    add("dec", n);
+    add("svc", n);
+  }
+  const auto route = [&](const char* aName, bool aPlain, bool aIdempotent) {
+    Route it;
+    it.mName = aName;
+    it.mPath = std::string("/") + aName;
+    it.mIdempotent = aIdempotent;
+    it.mClass = !aIdempotent ? RequestClass::NonIdempotent
+                : aPlain     ? RequestClass::Lookup
+                             : RequestClass::Draft;
+    it.mPlainPool = aPlain ? "svc" : "";
+    it.mPrefillPool = aPlain ? "" : "pre";
+    it.mDecodePool = aPlain ? "" : "dec";
+    config->mRoutes[aName] = it;
+  };
+  route("chat", false, true);
+  route("lookup", true, true);
+  route("post", true, false);
+  route("cert", false, false);
+  return config;
+}
+
+class FakeWorld
+{
+public:
+  /// One request to send.
+  struct Ask
+  {
+    std::string mRoute = "chat";
+    std::string mBody = "x";
+    std::string mKey; ///< For routes that are not idempotent.
+    bool mStreaming = true;
+    std::string mWorkspace = "a";
+  };
+
+  /// What a caller saw.
+  struct Caller
+  {
+    Ask mAsk;
+    bool mGone = false;
+    int mFinals = 0;
+    int mForgotten = 0;
+    std::uint32_t mTokens = 0;
+    std::optional<Refusal> mRefusal;
+    bool mComplete = false;
+    int mExecuted = 0; ///< Times that its content reached an upstream.
+    TimePoint mArrivedAt;
+  };
+
+  static constexpr std::uint32_t kTokens = 3;
+
+  explicit FakeWorld(std::shared_ptr<Configuration> aConfig)
+    : mConfig(std::move(aConfig))
+    , mNow(TimePoint(1h))
+  {
+    for (const auto& [name, upstream] : mConfig->mUpstreams) {
+      mEngines[name] = Engine();
+    }
+  }
+
+  void AddRouter(std::unique_ptr<Router> aRouter)
+  {
+    mRouters.push_back(std::move(aRouter));
+  }
+
+  // What tests do
+  std::uint64_t Arrive(std::size_t aRouter, const Ask& aAsk)
+  {
+    const std::uint64_t id = mNextId++;
+    Caller& caller = mCallers[id];
+    caller.mAsk = aAsk;
+    caller.mArrivedAt = mNow;
+    Event event;
+    event.mKind = EventKind::Arrival;
+    Arrival& arrival = event.mArrival;
+    arrival.mId = id;
+    arrival.mWorkspace = aAsk.mWorkspace;
+    arrival.mKeyName = "k";
+    arrival.mRoute = std::make_shared<Route>(mConfig->mRoutes[aAsk.mRoute]);
+    arrival.mBodyDigest = aAsk.mBody;
+    arrival.mIdempotencyKey = aAsk.mKey;
+    arrival.mPromptTokens = 100;
+    arrival.mMaxTokens = kTokens;
+    arrival.mStreaming = aAsk.mStreaming;
+    arrival.mArrivedAt = mNow;
+    Tell(aRouter % mRouters.size(), event);
+    return id;
+  }
+
+  /// Takes one open call a stage further.
+  void Step(std::size_t aNumber, Fault aFault)
+  {
+    if (mCalls.empty()) {
+      return;
+    }
+    const CallPointer call = mCalls[aNumber % mCalls.size()];
+    switch (call->mStage) {
+      case Stage::Connecting:
+        StepConnecting(call, aFault);
+        break;
+      case Stage::OnWire:
+        StepOnWire(call, aFault);
+        break;
+      case Stage::Streaming:
+        StepStreaming(call, aFault);
+        break;
+      case Stage::Answering:
+        StepAnswering(call, aFault);
+        break;
+    }
+  }
+
+  void LeaveCaller(std::size_t aNumber)
+  {
+    if (mCallers.empty()) {
+      return;
+    }
+    auto it = mCallers.begin();
+    std::advance(it, std::ptrdiff_t(aNumber % mCallers.size()));
+    it->second.mGone = true;
+    Event event;
+    event.mKind = EventKind::CallerGone;
+    event.mId = it->first;
+    Tell(mRouterOf[it->first], event);
+  }
+
+  void Crash(const std::string& aUpstream)
+  {
+    Engine& engine = mEngines[aUpstream];
+    if (!engine.mAlive) {
+      return;
+    }
+    engine.mAlive = false;
+    engine.mHeld.clear();
+    for (const CallPointer& call : mCalls) {
+      const bool there = call->mCommand.mUpstream == aUpstream;
+      if (there && call->mStage != Stage::Connecting) {
+        call->mStage = Stage::Answering;
+        call->mAnswer = Failed(*call, CallEnd::Broken);
+      }
+    }
+    NoticeAll(aUpstream, EventKind::Dead);
+  }
+
+  void Revive(const std::string& aUpstream)
+  {
+    Engine& engine = mEngines[aUpstream];
+    if (!engine.mAlive) {
+      engine.mAlive = true;
+      NoticeAll(aUpstream, EventKind::Alive);
+    }
+  }
+
+  void Report(const std::string& aUpstream)
+  {
+    if (mEngines[aUpstream].mAlive) {
+      NoticeAll(aUpstream, EventKind::Load);
+    }
+  }
+
+  /// Delivers the oldest notice about upstreams.
+  void StepNotice()
+  {
+    if (!mNotices.empty()) {
+      const Notice notice = mNotices.front();
+      mNotices.erase(mNotices.begin());
+      Tell(notice.mRouter, notice.mEvent);
+    }
+  }
+
+  void SetLeaving(const std::string& aUpstream, bool aLeaving)
+  {
+    auto config = std::make_shared<Configuration>(*mConfig);
+    config->mUpstreams[aUpstream].mLeaving = aLeaving;
+    ++config->mVersion;
+    mConfig = config;
+    for (std::size_t n = 0; n < mRouters.size(); ++n) {
+      Event event;
+      event.mKind = EventKind::Config;
+      event.mConfig = config;
+      Tell(n, event);
+    }
+  }
+
+  /// Lets time pass. Notices are never later than this, and what is on the
+  /// wire of an aborted call doesn't outlive it by much.
+  void Advance(Duration aBy)
+  {
+    while (!mNotices.empty()) {
+      StepNotice();
+    }
+    mNow += aBy;
+    const auto dead = [this](const CallPointer& aCall) {
+      return aCall->mAborted && mNow - aCall->mSentAt > 1500ms;
+    };
+    mCalls.erase(std::remove_if(mCalls.begin(), mCalls.end(), dead),
+                 mCalls.end());
+    for (std::size_t n = 0; n < mRouters.size(); ++n) {
+      Tell(n, Event());
+    }
+  }
+
+  /// Lets all end without further faults. False when it doesn't.
+  bool Quiesce()
+  {
+    for (auto& [name, engine] : mEngines) {
+      Revive(name);
+    }
+    for (int n = 0; n < 2000; ++n) {
+      for (int i = 0; i < 1000 && StepAll(); ++i) {
+      }
+      if (mCalls.empty() && mNotices.empty() && AllIdle()) {
+        return true;
+      }
+      for (auto& [name, engine] : mEngines) {
+        Report(name);
+      }
+      Advance(200ms);
+    }
+    return false;
+  }
+
+  /// Steps every call once without fault; false when none is open.
+  bool StepAll()
+  {
+    while (!mNotices.empty()) {
+      StepNotice();
+    }
+    const std::size_t calls = mCalls.size();
+    for (std::size_t n = 0; n < calls; ++n) {
+      Step(n, Fault::None);
+    }
+    return calls > 0;
+  }
+
+  /// Checks what must hold when all is over.
+  void CheckEnd()
+  {
+    for (const auto& [id, caller] : mCallers) {
+      Require(caller.mGone || caller.mFinals == 1, "not answered once", id);
+      const bool refused = caller.mRefusal.has_value();
+      const bool notRun =
+        refused && caller.mRefusal->mVerdict == RunVerdict::NotRun;
+      Require(!notRun || caller.mExecuted == 0, "not run, but ran", id);
+    }
+    for (const auto& [name, engine] : mEngines) {
+      Require(engine.mHeld.empty(), "memory held at the end", 0);
+    }
+  }
+
+  /// The first thing seen that must not happen; empty when none was.
+  const std::string& Violation() const { return mViolation; }
+
+  // What tests look at
+  std::map<std::uint64_t, Caller>& Callers() { return mCallers; }
+  std::size_t OpenCalls() const { return mCalls.size(); }
+  TimePoint Now() const { return mNow; }
+  Router& At(std::size_t aRouter) { return *mRouters[aRouter]; }
+  std::set<std::string> mPoison;     ///< Bodies that crash what runs them.
+  std::map<std::string, int> mKills; ///< Crashes, by poisonous body.
+  int mContentCalls = 0; ///< Calls with content that were tried at all.
+  bool mAllDown = false; ///< Every connection fails.
+
+private:
+  enum class Stage
+  {
+    Connecting,
+    OnWire,
+    Streaming,
+    Answering
+  };
+
+  /// One call of a router, on its way.
+  struct Call
+  {
+    std::size_t mRouter = 0;
+    RequestCommand mCommand;
+    Stage mStage = Stage::Connecting;
+    Event mAnswer;
+    std::uint32_t mNextToken = 0;
+    bool mAborted = false; ///< Its router doesn't hear of it any more.
+    TimePoint mSentAt;
+  };
+
+  using CallPointer = std::shared_ptr<Call>;
+
+  struct Engine
+  {
+    bool mAlive = true;
+    std::map<std::string, std::uint32_t> mHeld; ///< Pieces, by request id.
+  };
+
+  struct Row
+  {
+    std::uint64_t mVersion = 0;
+    OutcomeState mState = OutcomeState::MayHaveRun;
+    bool mClaimed = true; ///< No outcome written yet.
+    std::string mDigest;
+    std::uint64_t mToken = 0; ///< The claiming request.
+    std::string mBody;
+  };
+
+  struct Notice
+  {
+    std::size_t mRouter;
+    Event mEvent;
+  };
+
+  static bool IsContent(RequestCommandKind aKind)
+  {
+    return aKind == RequestCommandKind::Prefill ||
+           aKind == RequestCommandKind::CallPlain;
+  }
+
+  static std::string TokenText(const std::string& aBody, std::uint32_t aIndex)
+  {
+    return aBody + "." + std::to_string(aIndex) + ";";
+  }
+
+  static std::string WholeText(const std::string& aBody)
+  {
+    std::string text;
+    for (std::uint32_t n = 0; n < kTokens; ++n) {
+      text += TokenText(aBody, n);
+    }
+    return text;
+  }
+
+  void Require(bool aHolds, const std::string& aWhat, std::uint64_t aId)
+  {
+    if (!aHolds && mViolation.empty()) {
+      mViolation = aWhat + ", request " + std::to_string(aId);
+    }
+  }
+
+  bool AllIdle() const
+  {
+    return std::all_of(mRouters.begin(),
+                       mRouters.end(),
+                       [](const auto& aRouter) { return aRouter->IsIdle(); });
+  }
+
+  void Tell(std::size_t aRouter, const Event& aEvent)
+  {
+    if (aEvent.mKind == EventKind::Arrival) {
+      mRouterOf[aEvent.mArrival.mId] = aRouter;
+    }
+    RequestCommands commands;
+    mRouters[aRouter]->Handle(aEvent, mNow, commands);
+    for (RequestCommand& it : commands) {
+      Perform(aRouter, std::move(it));
+    }
+  }
+
+  void NoticeAll(const std::string& aUpstream, EventKind aKind)
+  {
+    for (std::size_t n = 0; n < mRouters.size(); ++n) {
+      Notice notice{ n, Event() };
+      notice.mEvent.mKind = aKind;
+      notice.mEvent.mUpstream = aUpstream;
+      const Engine& engine = mEngines[aUpstream];
+      std::uint32_t held = 0;
+      for (const auto& [request, pieces] : engine.mHeld) {
+        held += pieces;
+      }
+      const std::uint32_t total = mConfig->mUpstreams[aUpstream].mMemoryPieces;
+      notice.mEvent.mLoad.mTotalPieces = total;
+      notice.mEvent.mLoad.mFreePieces = total - std::min(total, held);
+      notice.mEvent.mLoad.mRunning = std::uint32_t(engine.mHeld.size());
+      mNotices.push_back(notice);
+    }
+  }
+
+  static std::string RequestId(const Call& aCall)
+  {
+    return std::to_string(aCall.mCommand.mId) + "/" +
+           std::to_string(aCall.mCommand.mAttempt);
+  }
+
+  // Commands
+  void Perform(std::size_t aRouter, RequestCommand aCommand)
+  {
+    Caller& caller = mCallers[aCommand.mId];
+    const std::string& body = caller.mAsk.mBody;
+    switch (aCommand.mKind) {
+      case RequestCommandKind::Cancel:
+        Abort(aCommand);
+        Start(aRouter, std::move(aCommand));
+        break;
+      case RequestCommandKind::Reserve:
+      case RequestCommandKind::Prefill:
+      case RequestCommandKind::CallPlain:
+        Require(!mConfig->mUpstreams[aCommand.mUpstream].mLeaving,
+                "new work at a leaving upstream",
+                aCommand.mId);
+        mContentCalls += IsContent(aCommand.mKind) ? 1 : 0;
+        Start(aRouter, std::move(aCommand));
+        break;
+      case RequestCommandKind::InsertClaim:
+      case RequestCommandKind::Import:
+      case RequestCommandKind::Decode:
+      case RequestCommandKind::RecordOutcome:
+        Start(aRouter, std::move(aCommand));
+        break;
+      case RequestCommandKind::SendHead:
+        Require(caller.mFinals == 0, "head after the end", aCommand.mId);
+        break;
+      case RequestCommandKind::SendToken:
+        Require(aCommand.mTokenIndex == caller.mTokens &&
+                  aCommand.mText == TokenText(body, caller.mTokens) &&
+                  caller.mFinals == 0,
+                "token out of place",
+                aCommand.mId);
+        ++caller.mTokens;
+        break;
+      case RequestCommandKind::EndStream:
+        Require(caller.mTokens == kTokens, "stream ends short", aCommand.mId);
+        End(caller, aCommand.mId);
+        caller.mComplete = true;
+        break;
+      case RequestCommandKind::SendWhole:
+        Require(aCommand.mCompletion ? aCommand.mText == WholeText(body)
+                                     : aCommand.mStatus != 200 ||
+                                         aCommand.mBody == WholeText(body),
+                "another answer",
+                aCommand.mId);
+        End(caller, aCommand.mId);
+        caller.mComplete = aCommand.mStatus == 200;
+        break;
+      case RequestCommandKind::SendRefusal:
+      case RequestCommandKind::AbortStream:
+        caller.mRefusal = aCommand.mRefusal;
+        End(caller, aCommand.mId);
+        break;
+      case RequestCommandKind::Settle:
+        break;
+      case RequestCommandKind::Forget:
+        Require(++caller.mForgotten == 1, "forgotten twice", aCommand.mId);
+        break;
+    }
+  }
+
+  void End(Caller& aCaller, std::uint64_t aId)
+  {
+    Require(++aCaller.mFinals == 1, "answered twice", aId);
+  }
+
+  void Start(std::size_t aRouter, RequestCommand aCommand)
+  {
+    auto call = std::make_shared<Call>();
+    call->mRouter = aRouter;
+    call->mCommand = std::move(aCommand);
+    call->mSentAt = mNow;
+    mCalls.push_back(std::move(call));
+  }
+
+  /// A cancel closes its attempt's open calls at the upstream. What is on the
+  /// wire may arrive all the same.
+  void Abort(const RequestCommand& aCancel)
+  {
+    std::vector<CallPointer> gone;
+    for (const CallPointer& call : mCalls) {
+      const RequestCommand& command = call->mCommand;
+      const bool same = command.mId == aCancel.mId &&
+                        command.mAttempt == aCancel.mAttempt &&
+                        command.mUpstream == aCancel.mUpstream;
+      if (!same || command.mKind == RequestCommandKind::Cancel) {
+        continue;
+      }
+      call->mAborted = true;
+      call->mSentAt = mNow;
+      if (call->mStage != Stage::OnWire) {
+        gone.push_back(call);
+      }
+    }
+    for (const CallPointer& call : gone) {
+      Drop(call);
+    }
+  }
+
+  void Drop(const CallPointer& aCall)
+  {
+    mCalls.erase(std::remove(mCalls.begin(), mCalls.end(), aCall),
+                 mCalls.end());
+  }
+
+  // Stages
+  void StepConnecting(const CallPointer& aCall, Fault aFault)
+  {
+    const RequestCommand& command = aCall->mCommand;
+    const bool table = command.mUpstream.empty();
+    const bool up = table || (mEngines[command.mUpstream].mAlive && !mAllDown);
+    if (!up || aFault == Fault::NotConnected) {
+      aCall->mAnswer = Failed(*aCall, CallEnd::NotConnected);
+      aCall->mAnswer.mCall.mMayHaveBeenSent = false;
+      Answer(aCall);
+      return;
+    }
+    if (IsContent(command.mKind) && !mRouters[aCall->mRouter]->MayStillSend(
+                                      command.mId, command.mAttempt, mNow)) {
+      aCall->mAnswer = Failed(*aCall, CallEnd::Withheld);
+      aCall->mAnswer.mCall.mMayHaveBeenSent = false;
+      Answer(aCall);
+      return;
+    }
+    aCall->mStage = Stage::OnWire;
+  }
+
+  void StepOnWire(const CallPointer& aCall, Fault aFault)
+  {
+    if (aFault == Fault::Lose && !aCall->mAborted) {
+      aCall->mAnswer = Failed(*aCall, CallEnd::TimedOut);
+      Answer(aCall);
+      return;
+    }
+    aCall->mStage = Stage::Answering;
+    Arrive(aCall, aFault);
+    if (aCall->mAborted) {
+      Drop(aCall);
+    }
+  }
+
+  void StepAnswering(const CallPointer& aCall, Fault aFault)
+  {
+    const RequestCommandKind kind = aCall->mCommand.mKind;
+    if (kind == RequestCommandKind::InsertClaim && aFault == Fault::Lose) {
+      // The shell settles a lost answer by reading again.
+      aCall->mStage = Stage::OnWire;
+      return;
+    }
+    if (aFault == Fault::Lose || aFault == Fault::Break) {
+      const bool lost = aFault == Fault::Lose;
+      aCall->mAnswer =
+        Failed(*aCall, lost ? CallEnd::TimedOut : CallEnd::Broken);
+    }
+    const Event answer = aCall->mAnswer;
+    Answer(aCall);
+    if (aFault == Fault::Duplicate &&
+        kind != RequestCommandKind::RecordOutcome) {
+      Tell(aCall->mRouter, answer);
+    }
+  }
+
+  void StepStreaming(const CallPointer& aCall, Fault aFault)
+  {
+    if (aFault == Fault::Break || aFault == Fault::Lose) {
+      const bool lost = aFault == Fault::Lose;
+      aCall->mAnswer =
+        Failed(*aCall, lost ? CallEnd::TimedOut : CallEnd::Broken);
+      Answer(aCall);
+      return;
+    }
+    const std::string body = mCallers[aCall->mCommand.mId].mAsk.mBody;
+    if (aCall->mNextToken < kTokens) {
+      const std::uint32_t index = aCall->mNextToken++;
+      Event event = Ok(*aCall, 200);
+      event.mKind = EventKind::Token;
+      event.mIndex = index;
+      event.mText = TokenText(body, index);
+      Tell(aCall->mRouter, event);
+      if (aFault == Fault::Duplicate) {
+        Tell(aCall->mRouter, event);
+      }
+      return;
+    }
+    mEngines[aCall->mCommand.mUpstream].mHeld.erase(RequestId(*aCall));
+    aCall->mAnswer = Ok(*aCall, 200);
+    aCall->mAnswer.mDone = true;
+    aCall->mAnswer.mIndex = kTokens;
+    Answer(aCall);
+  }
+
+  /// Hands an answer to the router and forgets the call.
+  void Answer(const CallPointer& aCall)
+  {
+    Drop(aCall);
+    const RequestCommandKind kind = aCall->mCommand.mKind;
+    const bool failed = aCall->mAnswer.mCall.mEnd != CallEnd::Whole;
+    if (kind == RequestCommandKind::RecordOutcome) {
+      if (failed) {
+        Start(aCall->mRouter, aCall->mCommand); // Written when it can be.
+      }
+      return;
+    }
+    if (kind == RequestCommandKind::InsertClaim && failed) {
+      const bool sent = aCall->mAnswer.mCall.mMayHaveBeenSent;
+      aCall->mAnswer.mClaim.mKind =
+        sent ? ClaimAnswerKind::Unsettled : ClaimAnswerKind::Unreachable;
+    }
+    if (kind == RequestCommandKind::Cancel) {
+      aCall->mAnswer.mOk = !failed;
+    }
+    if (!aCall->mAborted) {
+      Tell(aCall->mRouter, aCall->mAnswer);
+    }
+  }
+
+  Event Ok(const Call& aCall, int aStatus) const
+  {
+    static const std::map<RequestCommandKind, EventKind> kKinds = {
+      { RequestCommandKind::InsertClaim, EventKind::Claim },
+      { RequestCommandKind::Reserve, EventKind::Reserve },
+      { RequestCommandKind::Prefill, EventKind::Prefill },
+      { RequestCommandKind::Import, EventKind::Import },
+      { RequestCommandKind::Decode, EventKind::DecodeEnd },
+      { RequestCommandKind::CallPlain, EventKind::Plain },
+      { RequestCommandKind::Cancel, EventKind::CancelAck },
+      { RequestCommandKind::RecordOutcome, EventKind::Tick }
+    };
+    Event event;
+    event.mKind = kKinds.at(aCall.mCommand.mKind);
+    event.mId = aCall.mCommand.mId;
+    event.mAttempt = aCall.mCommand.mAttempt;
+    event.mUpstream = aCall.mCommand.mUpstream;
+    event.mCall = { CallEnd::Whole, true, aStatus };
+    return event;
+  }
+
+  Event Failed(const Call& aCall, CallEnd aEnd) const
+  {
+    Event event = Ok(aCall, 0);
+    event.mCall = { aEnd, true, 0 };
+    event.mOk = false;
+    return event;
+  }
+
+  // Upstreams and the table
+  void Arrive(const CallPointer& aCall, Fault aFault)
+  {
+    const RequestCommand& command = aCall->mCommand;
+    Engine& engine = mEngines[command.mUpstream];
+    if (!command.mUpstream.empty() && !engine.mAlive) {
+      aCall->mAnswer = Failed(*aCall, CallEnd::Broken);
+      return;
+    }
+    if (aFault == Fault::BadStatus &&
+        command.mKind != RequestCommandKind::Cancel &&
+        !command.mUpstream.empty()) {
+      aCall->mAnswer = Ok(*aCall, 503);
+      return;
+    }
+    const std::string id = RequestId(*aCall);
+    switch (command.mKind) {
+      case RequestCommandKind::Reserve:
+        ArriveReserve(*aCall, engine, id);
+        break;
+      case RequestCommandKind::Prefill:
+      case RequestCommandKind::CallPlain:
+        Execute(*aCall);
+        break;
+      case RequestCommandKind::Import:
+        aCall->mAnswer = Ok(*aCall, engine.mHeld.count(id) > 0 ? 200 : 409);
+        break;
+      case RequestCommandKind::Decode:
+        aCall->mAnswer = Ok(*aCall, 409);
+        if (engine.mHeld.count(id) > 0) {
+          aCall->mStage = Stage::Streaming;
+          aCall->mNextToken = command.mResumeFrom;
+        }
+        break;
+      case RequestCommandKind::Cancel:
+        engine.mHeld.erase(id);
+        aCall->mAnswer = Ok(*aCall, 200);
+        break;
+      case RequestCommandKind::InsertClaim:
+        InsertRow(*aCall);
+        break;
+      case RequestCommandKind::RecordOutcome:
+        WriteRow(*aCall);
+        break;
+      default:
+        break;
+    }
+  }
+
+  void ArriveReserve(Call& aCall, Engine& aEngine, const std::string& aId)
+  {
+    std::uint32_t held = 0;
+    for (const auto& [request, pieces] : aEngine.mHeld) {
+      held += pieces;
+    }
+    const Upstream& config = mConfig->mUpstreams[aCall.mCommand.mUpstream];
+    const bool fits = held + aCall.mCommand.mPieces <= config.mMemoryPieces;
+    if (fits) {
+      aEngine.mHeld[aId] = aCall.mCommand.mPieces;
+    }
+    aCall.mAnswer = Ok(aCall, fits ? 201 : 409);
+  }
+
+  void Execute(Call& aCall)
+  {
+    Caller& caller = mCallers[aCall.mCommand.mId];
+    ++caller.mExecuted;
+    const bool refused =
+      caller.mRefusal && caller.mRefusal->mVerdict == RunVerdict::NotRun;
+    Require(!refused, "ran after \"not run\"", aCall.mCommand.mId);
+    const std::string& key = caller.mAsk.mKey;
+    if (!mConfig->mRoutes[caller.mAsk.mRoute].mIdempotent && !key.empty()) {
+      const std::string name = caller.mAsk.mWorkspace + "/" + key;
+      Require(++mExecutedKeys[name] == 1, "ran twice", aCall.mCommand.mId);
+    }
+    aCall.mAnswer = Ok(aCall, 200);
+    aCall.mAnswer.mText = WholeText(caller.mAsk.mBody);
+    if (mPoison.count(caller.mAsk.mBody) > 0) {
+      ++mKills[caller.mAsk.mBody];
+      Crash(aCall.mCommand.mUpstream);
+      aCall.mStage = Stage::Answering;
+      aCall.mAnswer = Failed(aCall, CallEnd::Broken);
+    }
+  }
+
+  void InsertRow(Call& aCall)
+  {
+    const RequestCommand& command = aCall.mCommand;
+    const Caller& caller = mCallers[command.mId];
+    const std::string key =
+      caller.mAsk.mWorkspace + "/" + command.mIdempotencyKey;
+    aCall.mAnswer = Ok(aCall, 200);
+    ClaimAnswer& answer = aCall.mAnswer.mClaim;
+    Row& row = mRows[key];
+    const bool fresh = row.mVersion == 0;
+    const bool released = !row.mClaimed && row.mState == OutcomeState::NotRun;
+    if (fresh || (released && row.mDigest == command.mBodyDigest)) {
+      row = Row();
+      row.mVersion = ++mTableVersion;
+      row.mDigest = command.mBodyDigest;
+      row.mToken = command.mId;
+    }
+    answer.mRowVersion = row.mVersion;
+    answer.mKind = ClaimAnswerKind::ExistsSame;
+    if (row.mDigest != command.mBodyDigest) {
+      answer.mKind = ClaimAnswerKind::ExistsOtherBody;
+    } else if (row.mClaimed && row.mToken == command.mId) {
+      answer.mKind = ClaimAnswerKind::Inserted;
+    } else if (!row.mClaimed && row.mState == OutcomeState::Done) {
+      answer.mKept = KeptOutcome{ 200, row.mBody, {} };
+    }
+  }
+
+  void WriteRow(Call& aCall)
+  {
+    const RequestCommand& command = aCall.mCommand;
+    const Caller& caller = mCallers[command.mId];
+    Row& row = mRows[caller.mAsk.mWorkspace + "/" + command.mIdempotencyKey];
+    aCall.mAnswer = Ok(aCall, 200);
+    const bool ours = row.mClaimed && row.mToken == command.mId;
+    const bool current =
+      command.mRowVersion == 0 || command.mRowVersion == row.mVersion;
+    if (!ours || !current || row.mVersion == 0) {
+      return;
+    }
+    row.mVersion = ++mTableVersion;
+    row.mClaimed = false;
+    row.mState = command.mOutcome;
+    row.mBody = command.mCompletion ? command.mText : command.mBody;
+  }
+
+  std::shared_ptr<Configuration> mConfig;
+  TimePoint mNow;
+  std::vector<std::unique_ptr<Router>> mRouters;
+  std::map<std::uint64_t, Caller> mCallers;
+  std::map<std::uint64_t, std::size_t> mRouterOf;
+  std::map<std::string, Engine> mEngines;
+  std::map<std::string, Row> mRows;
+  std::map<std::string, int> mExecutedKeys;
+  std::vector<CallPointer> mCalls;
+  std::vector<Notice> mNotices;
+  std::uint64_t mNextId = 1;
+  std::uint64_t mTableVersion = 0;
+  std::string mViolation;
+};
+
+} // namespace peridothoist::test
