--- a/UnitTests/Request/FakeWorld.h
+++ b/UnitTests/Request/FakeWorld.h
@@ -342,6 +342,7 @@
     bool mClaimed = true; ///< No outcome written yet.
     std::string mDigest;
     std::uint64_t mToken = 0; ///< The claiming request.
+    int mStatus = 0;
     std::string mBody;
   };
 
@@ -778,7 +779,7 @@
     } else if (row.mClaimed && row.mToken == command.mId) {
       answer.mKind = ClaimAnswerKind::Inserted;
     } else if (!row.mClaimed && row.mState == OutcomeState::Done) {
-      answer.mKept = KeptOutcome{ 200, row.mBody, {} };
+      answer.mKept = KeptOutcome{ row.mStatus, row.mBody, {} };
     }
   }
 
@@ -797,6 +798,7 @@
     row.mVersion = ++mTableVersion;
     row.mClaimed = false;
     row.mState = command.mOutcome;
+    row.mStatus = command.mStatus;
     row.mBody = command.mCompletion ? command.mText : command.mBody;
   }
 
