--- a/Peridothoist/Shell/Reactor.cpp
+++ b/Peridothoist/Shell/Reactor.cpp
@@ -1,6 +1,8 @@
 /// The event loop over ACE_Dev_Poll_Reactor. Few descriptors are registered
 /// with ACE: its epoll wait takes one event at a time, so parts with many
 /// sockets gather them in an epoll descriptor of their own and watch that.
+/// Timers stand in an ACE heap that a timerfd drives: the reactor's own wait
+/// counts whole milliseconds and spins through the last one before a timer.
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Shell/Reactor.h>
 
@@ -14,6 +16,7 @@
 #include <ace/Timer_Queue.h>
 
 #include <sys/eventfd.h>
+#include <sys/timerfd.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -61,13 +64,14 @@
 /// The one event handler that ACE knows; it hands events on.
 struct Reactor::Impl : ACE_Event_Handler
 {
-  explicit Impl(int aWakeUp)
+  Impl(int aWakeUp, int aTimer)
     : mWakeUp(aWakeUp)
+    , mTimer(aTimer)
     , mReactor(new ACE_Dev_Poll_Reactor(
                  std::min(ACE::max_handles(), kMaxWatchedDescriptors),
                  true,
                  nullptr,
-                 &mTimerQueue,
+                 nullptr,
                  1,
                  nullptr,
                  0),
@@ -78,8 +82,10 @@
   ~Impl() override
   {
     mReactor.remove_handler(mWakeUp, READ_MASK | DONT_CALL);
+    mReactor.remove_handler(mTimer, READ_MASK | DONT_CALL);
     mReactor.close();
     ::close(mWakeUp);
+    ::close(mTimer);
   }
 
   Impl(const Impl&) = delete;
@@ -90,6 +96,8 @@
   int handle_timeout(const ACE_Time_Value& aTime, const void* aTimer) override;
   int handle_signal(int aSignal, siginfo_t* aInfo, ucontext_t* aUser) override;
 
+  void ExpireTimers();
+  void ArmTimer();
   void WakeUp() const;
   void RunPosted();
   void RunSignals();
@@ -101,8 +109,11 @@
   };
 
   // The loop.
-  int mWakeUp;                    ///< eventfd: posted tasks and signals.
-  MonotonicTimerHeap mTimerQueue; ///< Outlives mReactor.
+  int mWakeUp; ///< eventfd: posted tasks and signals.
+  int mTimer;  ///< timerfd: the earliest timer is due.
+  MonotonicTimerHeap mTimerQueue;
+  ACE_Time_Value mArmedFor; ///< What mTimer is set to; zero: nothing.
+  bool mExpiring = false;   ///< Timers run now; mTimer is set afterwards.
   ACE_Reactor mReactor;
   std::atomic<bool> mStop{ false };
   std::optional<TimePoint> mNow; ///< Set while an event is handled.
@@ -126,6 +137,8 @@
   if (aDescriptor == mWakeUp) {
     RunSignals();
     RunPosted();
+  } else if (aDescriptor == mTimer) {
+    ExpireTimers();
   } else if (const auto it = mListeners.find(aDescriptor);
              it != mListeners.end()) {
     it->second->OnReadable(aDescriptor);
@@ -150,6 +163,43 @@
   return 0;
 }
 
+/// Runs the timers that are due.
+void
+Reactor::Impl::ExpireTimers()
+{
+  std::uint64_t count = 0;
+  [[maybe_unused]] const ssize_t n = ::read(mTimer, &count, sizeof(count));
+  mArmedFor = ACE_Time_Value::zero;
+  mExpiring = true;
+  mTimerQueue.expire();
+  mExpiring = false;
+  ArmTimer();
+}
+
+/// Sets the timerfd to the earliest timer, if it isn't set to that already.
+void
+Reactor::Impl::ArmTimer()
+{
+  if (mExpiring || mTimerQueue.is_empty()) {
+    return;
+  }
+  const ACE_Time_Value earliest = mTimerQueue.earliest_time();
+  if (earliest == mArmedFor) {
+    return;
+  }
+  mArmedFor = earliest;
+  const ACE_Time_Value wait = earliest - mTimerQueue.gettimeofday();
+  itimerspec spec = {};
+  constexpr long kNanosPerMicro = 1000;
+  if (wait > ACE_Time_Value::zero) {
+    spec.it_value.tv_sec = wait.sec();
+    spec.it_value.tv_nsec = wait.usec() * kNanosPerMicro;
+  } else {
+    spec.it_value.tv_nsec = 1; // Zero would switch it off.
+  }
+  ::timerfd_settime(mTimer, 0, &spec, nullptr);
+}
+
 /// Runs in the signal's context: only notes it and wakes the loop.
 int
 Reactor::Impl::handle_signal(int aSignal,
@@ -210,12 +260,20 @@
   if (wakeUp < 0) {
     return nullptr;
   }
+  const int timer =
+    ::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  if (timer < 0) {
+    ::close(wakeUp);
+    return nullptr;
+  }
   // A write to a closed socket is an error there, not the process's end.
   std::signal(SIGPIPE, SIG_IGN);
-  auto impl = std::make_unique<Impl>(wakeUp);
+  auto impl = std::make_unique<Impl>(wakeUp, timer);
   if (impl->mReactor.initialized() == 0 ||
       impl->mReactor.register_handler(
-        wakeUp, impl.get(), ACE_Event_Handler::READ_MASK) != 0) {
+        wakeUp, impl.get(), ACE_Event_Handler::READ_MASK) != 0 ||
+      impl->mReactor.register_handler(
+        timer, impl.get(), ACE_Event_Handler::READ_MASK) != 0) {
     return nullptr;
   }
   return std::unique_ptr<Reactor>(new Reactor(std::move(impl)));
@@ -249,10 +307,13 @@
 Reactor::Schedule(Duration aDelay, Task aTask)
 {
   const TimerId id = ++mImpl->mLastTimer;
-  const long aceTimer = mImpl->mReactor.schedule_timer(
-    mImpl.get(), reinterpret_cast<const void*>(id), ToTimeValue(aDelay));
+  const long aceTimer = mImpl->mTimerQueue.schedule(
+    mImpl.get(),
+    reinterpret_cast<const void*>(id),
+    mImpl->mTimerQueue.gettimeofday() + ToTimeValue(aDelay));
   PH_ASSERT(aceTimer >= 0);
   mImpl->mTimers[id] = { aceTimer, std::move(aTask) };
+  mImpl->ArmTimer();
   return id;
 }
 
@@ -261,7 +322,7 @@
 {
   const auto it = mImpl->mTimers.find(aTimer);
   if (it != mImpl->mTimers.end()) {
-    mImpl->mReactor.cancel_timer(it->second.mAceTimer);
+    mImpl->mTimerQueue.cancel(it->second.mAceTimer);
     mImpl->mTimers.erase(it);
   }
 }
