Keep a completion's outcome as its caller got it

Cause: a resend of a non-idempotent completion was answered with an empty body, as only the text was handed to the outcome's row. Ruled out: formatting in the core, which knows nothing of dialects.

--- a/Peridothoist/Entry/CallerRequest.cpp
+++ b/Peridothoist/Entry/CallerRequest.cpp
@@ -127,11 +127,18 @@
   }
   PH_ASSERT(mWriter != nullptr);
   mStatus = 200;
-  mExchange->Respond(
-    200,
-    { { "content-type", "application/json" },
-      { "peridothoist-run", ToName(RunVerdict::Ran) } },
-    mWriter->Whole(aCommand.mText, aCommand.mFinishReason, UsageOf(aCommand)));
+  mExchange->Respond(200,
+                     { { "content-type", "application/json" },
+                       { "peridothoist-run", ToName(RunVerdict::Ran) } },
+                     CompletionAnswer(aCommand));
+}
+
+std::string
+CallerRequest::CompletionAnswer(const RequestCommand& aCommand) const
+{
+  PH_ASSERT(mWriter != nullptr);
+  return mWriter->Whole(
+    aCommand.mText, aCommand.mFinishReason, UsageOf(aCommand));
 }
 
 void
--- a/Peridothoist/Entry/CallerRequest.h
+++ b/Peridothoist/Entry/CallerRequest.h
@@ -56,6 +56,9 @@
   /// Carries out an answer command of the core.
   void Perform(const RequestCommand& aCommand);
 
+  /// The whole answer's body for a command that carries a completion.
+  std::string CompletionAnswer(const RequestCommand& aCommand) const;
+
   const CallerRequestFacts& Facts() const { return mFacts; }
   const CallerContent& Content() const { return mContent; }
 
--- a/Peridothoist/Entry/RequestRunner.cpp
+++ b/Peridothoist/Entry/RequestRunner.cpp
@@ -74,7 +74,7 @@
       InsertClaim(aCommand);
       break;
     case RequestCommandKind::RecordOutcome:
-      mClaims->Record(mWorkspaces[aCommand.mId], aCommand);
+      RecordOutcome(aCommand, request);
       break;
     case RequestCommandKind::Settle:
       Settle(aCommand);
@@ -136,6 +136,20 @@
     });
 }
 
+void
+RequestRunner::RecordOutcome(const RequestCommand& aCommand,
+                             const CallerRequest* aRequest)
+{
+  RequestCommand command = aCommand;
+  if (command.mCompletion && aRequest != nullptr) {
+    // Kept as the caller would have got it: a resend is answered the same.
+    command.mBody = aRequest->CompletionAnswer(aCommand);
+    command.mHeaders["content-type"] = "application/json";
+    command.mCompletion = false;
+  }
+  mClaims->Record(mWorkspaces[command.mId], command);
+}
+
 void
 RequestRunner::Settle(const RequestCommand& aCommand)
 {
--- a/Peridothoist/Entry/RequestRunner.h
+++ b/Peridothoist/Entry/RequestRunner.h
@@ -84,6 +84,8 @@
   void RunPending();
   void Run(const RequestCommand& aCommand);
   void InsertClaim(const RequestCommand& aCommand);
+  void RecordOutcome(const RequestCommand& aCommand,
+                     const CallerRequest* aRequest);
   void Settle(const RequestCommand& aCommand);
   void Forget(std::uint64_t aId);
   void ArmTick();
