Add the quickstart

Cause: a newcomer needs one command that shows the whole system. Ruled out: fixed ports on 127.0.0.1, as six VMs need addresses of their own.

--- a/quickstart.sh
+++ b/quickstart.sh
@@ -114,3 +114,93 @@
 for n in $(seq $VMS); do wait_for "http://$(admin_of "$n")/readyz"; done
 
 say "pools, upstreams, routes, a workspace and its key"
+items() {
+  local n=0 it
+  echo '{"items":['
+  echo '{"kind":"pool","name":"prefill","json":{"role":"prefill","model":"m1"}},'
+  echo '{"kind":"pool","name":"decode","json":{"role":"decode","model":"m1"}},'
+  echo '{"kind":"pool","name":"registry","json":{"role":"plain"}},'
+  for it in "${PREFILLS[@]}"; do
+    n=$((n + 1))
+    echo "{\"kind\":\"upstream\",\"name\":\"pre$n\",\"json\":{\"pool\":\"prefill\",\"address\":\"$it\",\"zone\":\"${ZONES[$((n % 3))]}\"}},"
+  done
+  n=0
+  for it in "${DECODES[@]}"; do
+    n=$((n + 1))
+    echo "{\"kind\":\"upstream\",\"name\":\"dec$n\",\"json\":{\"pool\":\"decode\",\"address\":\"$it\",\"zone\":\"${ZONES[$((n % 3))]}\",\"memory_pieces\":20,\"piece_tokens\":4096}},"
+  done
+  echo "{\"kind\":\"upstream\",\"name\":\"registry1\",\"json\":{\"pool\":\"registry\",\"address\":\"$REGISTRY\",\"zone\":\"zone-a\"}},"
+  echo '{"kind":"route","name":"chat","json":{"path":"/v1/chat/completions","class":"draft","prefill_pool":"prefill","decode_pool":"decode"}},'
+  echo '{"kind":"route","name":"certificates","json":{"path":"/certificates","class":"non_idempotent","idempotent":false,"plain_pool":"registry"}},'
+  echo '{"kind":"route","name":"lookups","json":{"path":"/lookups","class":"lookup","plain_pool":"registry"}}'
+  echo ']}'
+}
+items > "$LOGS/items.json"
+ctl apply "$LOGS/items.json" --yes --wait
+ctl workspaces create rafts rate_tokens_per_second=100000 \
+  burst_tokens=200000 pools=prefill,decode,registry --wait
+ctl keys create rafts --output=json > "$LOGS/key.json"
+KEY=$(python3 -c 'import json,sys; print(json.load(sys.stdin)["key"])' < "$LOGS/key.json")
+AUTH=(-H "Authorization: Bearer $KEY")
+for n in $(seq $VMS); do wait_for "http://$(entry_of "$n")/readyz"; done
+
+# call VM METHOD PATH BODY [CURL OPTIONS]: one call with the workspace's key.
+call() {
+  local n=$1 method=$2 path=$3 body=$4
+  shift 4
+  curl -sS --max-time 20 -X "$method" "http://$(entry_of "$n")$path" \
+    "${AUTH[@]}" -H 'Content-Type: application/json' -d "$body" "$@"
+}
+
+# A new key is in force within three seconds.
+for n in $(seq $VMS); do
+  for k in $(seq 30); do
+    curl -fs -o /dev/null "${AUTH[@]}" "http://$(entry_of "$n")/v1/entries" && break
+    sleep 0.1
+  done
+done
+
+say "which entries should this caller use?"
+curl -fsS "${AUTH[@]}" "http://$(entry_of 1)/v1/entries"
+echo
+
+say "a streamed chat completion"
+call 2 POST /v1/chat/completions \
+  '{"model":"m1","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"Summarise the service history of raft 4711."}]}' \
+  -N | tee "$LOGS/stream.txt"
+grep -q '^data: \[DONE\]' "$LOGS/stream.txt"
+
+say "one certificate, asked for twice with the same Idempotency-Key at two VMs"
+call 3 POST /certificates '{"raft":"4711"}' -H 'Idempotency-Key: cert-4711' \
+  > "$LOGS/first.json"
+call 5 POST /certificates '{"raft":"4711"}' -H 'Idempotency-Key: cert-4711' \
+  > "$LOGS/second.json"
+cat "$LOGS/first.json"
+echo
+cmp "$LOGS/first.json" "$LOGS/second.json"
+curl -fsS "http://$REGISTRY/ran" > "$LOGS/ran.json"
+echo "what the registry ran: $(cat "$LOGS/ran.json")"
+python3 - "$LOGS/ran.json" <<'PYTHON'
+import json, sys
+ran = json.load(open(sys.argv[1]))
+counts = [count for key, count in ran.items() if "cert-4711" in key]
+assert counts == [1], f"the certificate ran {counts} times"
+PYTHON
+
+say "a lookup"
+call 6 POST /lookups '{"raft":"4711"}'
+echo
+
+say "the key is withdrawn and stops working everywhere"
+ctl keys withdraw "${KEY%%.*}"
+sleep 3
+for n in $(seq $VMS); do
+  status=$(call "$n" POST /lookups '{"raft":"4711"}' -o /dev/null -w '%{http_code}')
+  echo "vm$n: $status"
+  [ "$status" = 401 ]
+done
+
+say "drain and stop"
+for pid in "${PIDS[@]}"; do kill -TERM "$pid" 2> /dev/null || true; done
+stop_all
+echo "quickstart passed"
