--- a/Peridothoist/Membership/Member.h
+++ b/Peridothoist/Membership/Member.h
@@ -34,7 +34,8 @@
 
   /// Since the VM itself was last heard; empty: nobody ever heard it.
   std::optional<Duration> mAge;
-  Duration mKnownFor{ 0 }; ///< Since anyone first knew this VM.
+  Duration mKnownFor{ 0 };   ///< Since anyone first knew this VM.
+  Duration mRunningFor{ 0 }; ///< Since its control process started, at least.
 
   // What the VM said of itself when last heard.
   ViewStamp mStamp;
--- a/Peridothoist/Peers/PeerCodec.cpp
+++ b/Peridothoist/Peers/PeerCodec.cpp
@@ -110,6 +110,7 @@
   message.set_never_heard(!aMember.mAge.has_value());
   message.set_age_us(ToMicroseconds(aMember.mAge.value_or(Duration::zero())));
   message.set_known_us(ToMicroseconds(aMember.mKnownFor));
+  message.set_running_us(ToMicroseconds(aMember.mRunningFor));
   message.set_view_version(aMember.mStamp.mVersion);
   message.set_plan_epoch(aMember.mStamp.mPlanEpoch);
   message.set_platform_unreachable(aMember.mPlatformUnreachable);
@@ -134,6 +135,7 @@
     member.mAge = FromMicroseconds(aMessage.age_us());
   }
   member.mKnownFor = FromMicroseconds(aMessage.known_us());
+  member.mRunningFor = FromMicroseconds(aMessage.running_us());
   member.mStamp.mVersion = aMessage.view_version();
   member.mStamp.mPlanEpoch = aMessage.plan_epoch();
   member.mPlatformUnreachable = aMessage.platform_unreachable();
--- /dev/null
+++ b/UnitTests/View/FreshnessRuleTest.cpp
@@ -0,0 +1,104 @@
+/// The freshness rule under cuts, pauses, joins, restarts, lost and late
+/// messages: nobody acts without a change for longer than the limit.
+#define BOOST_TEST_MODULE FreshnessRule
+#include <Peridothoist/Peridothoist.h>
+#include <Support/PropertyRun.h>
+#include <View/FreshnessModel.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace peridothoist;
+using namespace peridothoist::test;
+
+namespace rc {
+
+template<>
+struct Arbitrary<Step>
+{
+  static Gen<Step> arbitrary()
+  {
+    const auto number = gen::inRange(0u, 10000u);
+    return gen::build<Step>(
+      gen::set(&Step::mOp, gen::inRange(0u, FreshnessModel::kOps)),
+      gen::set(&Step::mNode, number),
+      gen::set(&Step::mOther, number),
+      gen::set(&Step::mDetail, number));
+  }
+};
+
+} // namespace rc
+
+namespace {
+
+constexpr int kSteps = 120;
+
+std::vector<Step>
+AnySteps()
+{
+  return *rc::gen::container<std::vector<Step>>(kSteps,
+                                                rc::gen::arbitrary<Step>());
+}
+
+std::size_t
+RunSteps(Naive aNaive)
+{
+  FreshnessModel model(aNaive);
+  for (const Step& step : AnySteps()) {
+    model.Run(step);
+    RC_ASSERT(!model.SomeoneActsOnStaleView());
+  }
+  return model.CountChanges();
+}
+
+bool
+HoldsWith(Naive aNaive, int aCases)
+{
+  return Holds([aNaive] { RunSteps(aNaive); }, aCases);
+}
+
+constexpr int kNaiveCases = 20000;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(NobodyActsWithoutABindingChange)
+{
+  std::size_t changes = 0;
+  BOOST_TEST(Holds([&changes] { changes += RunSteps(Naive::No); }, 5000));
+  BOOST_TEST_MESSAGE("accepted changes in 5000 runs: " << changes);
+  BOOST_TEST(changes > 5000u);
+}
+
+BOOST_AUTO_TEST_CASE(NaiveRulesAreFound)
+{
+  BOOST_TEST(!HoldsWith(Naive::ResetAges, kNaiveCases));
+  BOOST_TEST(!HoldsWith(Naive::TrustRequests, kNaiveCases));
+  BOOST_TEST(!HoldsWith(Naive::ListedMembersOnly, kNaiveCases));
+  BOOST_TEST(!HoldsWith(Naive::NoGate, kNaiveCases));
+  BOOST_TEST(!HoldsWith(Naive::NoInDoubt, kNaiveCases));
+  BOOST_TEST(!HoldsWith(Naive::ForgetRestarts, kNaiveCases));
+  BOOST_TEST(!HoldsWith(Naive::AnyVersion, kNaiveCases));
+}
+
+BOOST_AUTO_TEST_CASE(WholeOutageStopsNobody)
+{
+  FreshnessModel model(Naive::No);
+  model.Platform().mUp = false;
+  for (int i = 0; i < 1000; ++i) {
+    model.Advance(500ms);
+    model.TalkAll();
+    BOOST_TEST(model.CountFresh() == 3u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(OneSilentMemberStopsAnOutagesAgreement)
+{
+  FreshnessModel model(Naive::No);
+  model.Platform().mUp = false;
+  model.Node(0).mPaused = true;
+  for (int i = 0; i < 10; ++i) {
+    model.Advance(500ms);
+    model.TalkAll();
+  }
+  BOOST_TEST(model.CountFresh() == 0u);
+}
