Prove the freshness rule, and count a restarted member out of rule (c)

The model (joins, kills, pauses, cuts, groups, lost and late messages, lost commit answers) found two faults of the first version, which remembered control instances: a restarted VM asked peers that hadn't heard its new instance yet, and a fleet in which all who knew the old instance had restarted, too. Now a member's word counts only if its control process had started before the view's present confirmation, less the longest time that a commit may be on its way; that needs no memory. It costs: a control process that starts within an outage ends the agreement until the platform is back.

--- a/Peridothoist/Membership/MemberList.cpp
+++ b/Peridothoist/Membership/MemberList.cpp
@@ -7,10 +7,9 @@
 
 namespace {
 
-/// Fills what the record lacks; a word's own values are never replaced by an
-/// empty one.
+/// Takes a value unless it is empty.
 void
-TakeAddress(std::string& aHeld, const std::string& aGiven)
+TakeGiven(std::string& aHeld, const std::string& aGiven)
 {
   if (!aGiven.empty()) {
     aHeld = aGiven;
@@ -170,7 +169,7 @@
   for (const auto& [vm, record] : mRecords) {
     MemberWord word;
     word.mVm = vm;
-    word.mControlInstance = record.mMember.mControlInstance;
+    word.mStartedBy = record.mStartedBy;
     word.mAsOf = vm == mSelf ? aNow : record.mHeardFrom;
     word.mStamp = record.mMember.mStamp;
     word.mPlatformUnreachable = record.mMember.mPlatformUnreachable;
@@ -234,13 +233,14 @@
     record.mMember.mVm = aMember.mVm;
     record.mMember.mState = aMember.mState;
     record.mFirstKnown = firstKnown;
+    record.mStartedBy = aNow;
   }
   record.mFirstKnown = std::min(record.mFirstKnown, firstKnown);
   if (!record.mHeardFrom) {
-    TakeAddress(record.mMember.mZone, aMember.mZone);
-    TakeAddress(record.mMember.mEntryAddress, aMember.mEntryAddress);
-    TakeAddress(record.mMember.mEntryPeer, aMember.mEntryPeer);
-    TakeAddress(record.mMember.mControlPeer, aMember.mControlPeer);
+    TakeGiven(record.mMember.mZone, aMember.mZone);
+    TakeGiven(record.mMember.mEntryAddress, aMember.mEntryAddress);
+    TakeGiven(record.mMember.mEntryPeer, aMember.mEntryPeer);
+    TakeGiven(record.mMember.mControlPeer, aMember.mControlPeer);
   }
   return record;
 }
@@ -261,6 +261,7 @@
   record.mMember = aMember;
   record.mHeardFrom = from;
   record.mHeardUntil = aNow;
+  TakeStart(record, before, aNow);
   // An instance that said it leaves doesn't come back to life.
   if (before.mState == MemberState::Leaving &&
       before.mEntryInstance == aMember.mEntryInstance && aMember.mVm != mSelf) {
@@ -269,6 +270,17 @@
   TakeEntry(record, aMember, from, aNow);
 }
 
+void
+MemberList::TakeStart(Record& aRecord, const Member& aBefore, TimePoint aUntil)
+{
+  const Member& member = aRecord.mMember;
+  const TimePoint startedBy = aUntil - member.mRunningFor;
+  const bool isSame = !member.mControlInstance.empty() &&
+                      member.mControlInstance == aBefore.mControlInstance;
+  aRecord.mStartedBy =
+    isSame ? std::min(aRecord.mStartedBy, startedBy) : startedBy;
+}
+
 void
 MemberList::TakeEntry(Record& aRecord,
                       const Member& aMember,
@@ -325,6 +337,7 @@
 {
   Member member = aRecord.mMember;
   member.mKnownFor = std::max(aNow - aRecord.mFirstKnown, Duration{ 0 });
+  member.mRunningFor = std::max(aNow - aRecord.mStartedBy, Duration{ 0 });
   if (aRecord.mListedLeaving) {
     member.mState = MemberState::Leaving;
   }
--- a/Peridothoist/Membership/MemberList.h
+++ b/Peridothoist/Membership/MemberList.h
@@ -105,6 +105,7 @@
     std::optional<TimePoint> mAsked;      ///< Last picked as a peer.
     bool mListed = false;                 ///< On the platform's latest list.
     bool mListedLeaving = false;          ///< And said to leave there.
+    TimePoint mStartedBy; ///< Its control instance had started by then.
     /// The latest entry instance, kept when a word names none.
     std::string mEntryInstance;
     std::optional<TimePoint> mEntryUntil; ///< U of its latest word.
@@ -112,6 +113,7 @@
 
   Record& Know(const Member& aMember, TimePoint aNow);
   void MergeWord(const Member& aMember, TimePoint aSent, TimePoint aNow);
+  void TakeStart(Record& aRecord, const Member& aBefore, TimePoint aUntil);
   void TakeEntry(Record& aRecord,
                  const Member& aMember,
                  TimePoint aFrom,
--- a/Peridothoist/View/FreshView.cpp
+++ b/Peridothoist/View/FreshView.cpp
@@ -45,7 +45,9 @@
 void
 FreshView::ConfirmByAgreement(const ViewStamp& aStamp, TimePoint aAsOf)
 {
-  Confirm({ aStamp, aAsOf });
+  if (mConfirmed) {
+    Confirm({ aStamp, aAsOf });
+  }
 }
 
 std::optional<NotFresh>
--- a/Peridothoist/View/FreshView.h
+++ b/Peridothoist/View/FreshView.h
@@ -62,6 +62,8 @@
   void ConfirmByPeer(const ViewStamp& aStamp, Duration aAge, TimePoint aSent);
 
   /// (c) Every member agreed at aAsOf that nothing beyond aStamp was accepted.
+  /// Does nothing before the first confirmation by (a) or (b): a process that
+  /// just started doesn't know yet who has to agree.
   void ConfirmByAgreement(const ViewStamp& aStamp, TimePoint aAsOf);
 
   /// Empty when the view may be acted on at aNow. Call it with the clock read
@@ -77,6 +79,9 @@
   /// Until when the view may be acted on unless it is confirmed again.
   std::optional<TimePoint> FreshUntil() const;
 
+  /// The time for which the last confirmation holds.
+  const std::optional<TimePoint>& ConfirmedAt() const { return mConfirmed; }
+
   const ViewStamp& Stamp() const { return mStamp; }
   const Settings& GetSettings() const { return mSettings; }
 
--- a/Peridothoist/View/OutageAgreement.cpp
+++ b/Peridothoist/View/OutageAgreement.cpp
@@ -9,61 +9,32 @@
 const char*
 ToName(AgreementObstacle aObstacle)
 {
-  static constexpr std::array<const char*, 6> kNames = {
-    "none",     "silent",     "platform_reachable",
-    "in_doubt", "newer_view", "restarted"
+  static constexpr std::array<const char*, 7> kNames = {
+    "none",       "silent",      "platform_reachable", "in_doubt",
+    "newer_view", "unconfirmed", "restarted"
   };
   return kNames[static_cast<std::size_t>(aObstacle)];
 }
 
-OutageAgreement::OutageAgreement(Duration aLimit)
-  : mLimit(aLimit)
+OutageAgreement::OutageAgreement(const Settings& aSettings)
+  : mSettings(aSettings)
 {
 }
 
-void
-OutageAgreement::Observe(const std::vector<MemberWord>& aMembers,
-                         TimePoint aNow)
-{
-  std::map<std::string, std::string> instances;
-  for (const MemberWord& word : aMembers) {
-    const auto known = mInstances.find(word.mVm);
-    const std::string& before =
-      known == mInstances.end() ? word.mControlInstance : known->second;
-    const std::string& after =
-      word.mControlInstance.empty() ? before : word.mControlInstance;
-    if (!before.empty() && before != after) {
-      mRestartSeenAt = aNow;
-      mRestartedVm = word.mVm;
-    }
-    instances[word.mVm] = after;
-  }
-  mInstances = std::move(instances);
-}
-
-void
-OutageAgreement::OnConfirmed(TimePoint aAsOf)
-{
-  if (mRestartSeenAt && aAsOf >= *mRestartSeenAt) {
-    mRestartSeenAt.reset();
-    mRestartedVm.clear();
-  }
-}
-
 AgreementResult
 OutageAgreement::Evaluate(const ViewStamp& aHeld,
+                          std::optional<TimePoint> aConfirmed,
                           const std::vector<MemberWord>& aMembers,
                           TimePoint aNow) const
 {
   AgreementResult result;
   result.mAsOf = aNow;
-  if (mRestartSeenAt) {
-    result.mObstacle = AgreementObstacle::Restarted;
-    result.mVm = mRestartedVm;
+  if (!aConfirmed) {
+    result.mObstacle = AgreementObstacle::Unconfirmed;
     return result;
   }
   for (const MemberWord& word : aMembers) {
-    result.mObstacle = ObstacleOf(word, aHeld, aNow);
+    result.mObstacle = ObstacleOf(word, aHeld, *aConfirmed, aNow);
     if (result.mObstacle != AgreementObstacle::None) {
       result.mVm = word.mVm;
       return result;
@@ -76,11 +47,15 @@
 AgreementObstacle
 OutageAgreement::ObstacleOf(const MemberWord& aWord,
                             const ViewStamp& aHeld,
+                            TimePoint aConfirmed,
                             TimePoint aNow) const
 {
-  if (!aWord.mAsOf || aNow - *aWord.mAsOf >= mLimit) {
+  if (!aWord.mAsOf || aNow - *aWord.mAsOf >= mSettings.mStalenessLimit) {
     return AgreementObstacle::Silent;
   }
+  if (aWord.mStartedBy + mSettings.mCommitOnItsWayLimit > aConfirmed) {
+    return AgreementObstacle::Restarted;
+  }
   if (!aWord.mPlatformUnreachable) {
     return AgreementObstacle::PlatformReachable;
   }
--- a/Peridothoist/View/OutageAgreement.h
+++ b/Peridothoist/View/OutageAgreement.h
@@ -30,11 +30,11 @@
 ///   - A paused VM doesn't answer: no agreement, its last word grows old. When
 ///     *this* VM was paused, its clock went on, and T is old when it wakes.
 ///   - A member restarted: what its old instance accepted may be in nobody's
-///     word. Once a new control instance of a known member was seen at u,
-///     there is no agreement until the view is confirmed for a time >= u by
-///     (a) or (b): by then the old instance accepted nothing more. A VM that
-///     is in this state says "in doubt" of itself, for those that never knew
-///     the old instance.
+///     word. A member's word counts only if its control process had started
+///     mCommitOnItsWayLimit before the view's present confirmation: what any
+///     older instance accepted, or had sent to the platform, is covered by
+///     that confirmation. So a control process that starts within an outage
+///     ends the agreement until (a) or (b) confirms again.
 ///   - A member says that it reaches the platform: no agreement; its view is
 ///     to be had by (b).
 #pragma once
@@ -48,12 +48,12 @@
 struct MemberWord
 {
   std::string mVm;
-  std::string mControlInstance;
   std::optional<TimePoint> mAsOf; ///< Not before; empty: never heard.
+  TimePoint mStartedBy{};         ///< Its control process ran by then.
   ViewStamp mStamp;
   bool mPlatformUnreachable = false;
   /// A commit was sent whose answer isn't known, from *before* it is sent
-  /// until it is settled; or a restart is unsettled (see below).
+  /// until it is settled.
   bool mCommitInDoubt = false;
 };
 
@@ -65,7 +65,8 @@
   PlatformReachable, ///< A member reaches the platform.
   InDoubt,           ///< A member holds a commit in doubt.
   NewerView,         ///< A member holds what this VM doesn't.
-  Restarted          ///< A member's instance changed within the outage.
+  Unconfirmed,       ///< The view was never confirmed by (a) or (b).
+  Restarted          ///< A member started after the view was confirmed.
 };
 
 const char*
@@ -79,38 +80,36 @@
   TimePoint mAsOf{}; ///< Without obstacle: the oldest word's time.
 };
 
-/// Evaluates rule (c), and remembers the control instances that were seen.
+/// Limits of an OutageAgreement.
+struct OutageAgreementSettings
+{
+  Duration mStalenessLimit = std::chrono::seconds(2); ///< Older is silence.
+  /// Longest time from sending a commit to its effect at the platform.
+  Duration mCommitOnItsWayLimit = std::chrono::seconds(5);
+};
+
+/// Evaluates rule (c).
 class OutageAgreement
 {
 public:
-  /// aLimit is the staleness limit; an older word counts as silence.
-  explicit OutageAgreement(Duration aLimit);
-
-  /// Takes note of the members' instances. Call it whenever members were
-  /// merged, in an outage or not, with all that are known.
-  void Observe(const std::vector<MemberWord>& aMembers, TimePoint aNow);
-
-  /// The view was confirmed for aAsOf by (a) or (b); not by an agreement.
-  void OnConfirmed(TimePoint aAsOf);
+  using Settings = OutageAgreementSettings;
 
-  /// Whether a restart was seen that no confirmation has followed: this VM
-  /// then has to say "commit in doubt" of itself.
-  bool HasUnsettledRestart() const { return mRestartSeenAt.has_value(); }
+  explicit OutageAgreement(const Settings& aSettings);
 
   /// Whether the members, this VM among them, agree that aHeld is the truth.
+  /// aConfirmed is FreshView::ConfirmedAt().
   AgreementResult Evaluate(const ViewStamp& aHeld,
+                           std::optional<TimePoint> aConfirmed,
                            const std::vector<MemberWord>& aMembers,
                            TimePoint aNow) const;
 
 private:
   AgreementObstacle ObstacleOf(const MemberWord& aWord,
                                const ViewStamp& aHeld,
+                               TimePoint aConfirmed,
                                TimePoint aNow) const;
 
-  Duration mLimit;
-  std::map<std::string, std::string> mInstances; ///< VM to control instance.
-  std::optional<TimePoint> mRestartSeenAt;       ///< The latest unsettled one.
-  std::string mRestartedVm;                      ///< Its VM, for logs.
+  Settings mSettings;
 };
 
 } // namespace peridothoist
--- a/UnitTests/View/FreshnessModel.h
+++ b/UnitTests/View/FreshnessModel.h
@@ -59,6 +59,7 @@
   bool mPaused = false;
   bool mAlive = true;
   unsigned mIncarnation = 1;
+  TimePoint mStartedAt{};
   std::unique_ptr<MemberList> mList;
   std::unique_ptr<FreshView> mView;
   std::unique_ptr<OutageAgreement> mAgreement;
@@ -77,6 +78,7 @@
 {
 public:
   static constexpr Duration kLimit = std::chrono::seconds(2);
+  static constexpr Duration kCommitOnItsWay = std::chrono::seconds(3);
   static constexpr unsigned kOps = 16;
   static constexpr std::size_t kMaxNodes = 7;
 
@@ -88,8 +90,8 @@
       AddNode();
     }
     Relist();
-    for (unsigned i = 0; i < 3; ++i) {
-      Advance(100ms);
+    for (unsigned i = 0; i < 20; ++i) {
+      Advance(200ms);
       TalkAll();
     }
   }
@@ -141,7 +143,13 @@
         node.mPaused = !node.mPaused;
         break;
       default:
-        aStep.mDetail % 3 == 0 ? Relist() : Deliver(aStep.mOther);
+        if (aStep.mDetail % 4 == 0) {
+          Relist();
+        } else if (aStep.mDetail % 4 == 1) {
+          mChangesAreLost = !mChangesAreLost;
+        } else {
+          Deliver(aStep.mOther);
+        }
         break;
     }
   }
@@ -195,7 +203,7 @@
 private:
   struct InFlight
   {
-    std::size_t mTo;
+    std::optional<std::size_t> mTo; ///< Empty: the platform.
     unsigned mIncarnation;
     std::function<void()> mArrive;
   };
@@ -215,6 +223,7 @@
   {
     aNode.mSelf.mControlInstance =
       aNode.mSelf.mVm + "#" + std::to_string(aNode.mIncarnation);
+    aNode.mStartedAt = mNow;
     aNode.mSelf.mStamp = {};
     aNode.mSelf.mPlatformUnreachable = true;
     aNode.mSelf.mCommitInDoubt = false;
@@ -224,7 +233,8 @@
     FreshViewSettings settings;
     settings.mStalenessLimit = kLimit;
     aNode.mView = std::make_unique<FreshView>(settings);
-    aNode.mAgreement = std::make_unique<OutageAgreement>(kLimit);
+    aNode.mAgreement = std::make_unique<OutageAgreement>(
+      OutageAgreementSettings{ kLimit, kCommitOnItsWay });
   }
 
   void Restart(std::size_t aNode)
@@ -264,12 +274,13 @@
       return;
     }
     const std::size_t i = aWhich % mFlying.size();
-    if (mNodes[mFlying[i].mTo].mPaused) {
+    const std::optional<std::size_t> to = mFlying[i].mTo;
+    if (to && mNodes[*to].mPaused) {
       return;
     }
     const InFlight message = std::move(mFlying[i]);
     mFlying.erase(mFlying.begin() + static_cast<std::ptrdiff_t>(i));
-    if (mNodes[message.mTo].mIncarnation == message.mIncarnation) {
+    if (!to || mNodes[*to].mIncarnation == message.mIncarnation) {
       message.mArrive();
     }
   }
@@ -280,8 +291,8 @@
   {
     aNode.mSelf.mStamp = aNode.mView->Stamp();
     aNode.mSelf.mCommitInDoubt =
-      mNaive != Naive::NoInDoubt &&
-      (aNode.mCommitting || aNode.mAgreement->HasUnsettledRestart());
+      mNaive != Naive::NoInDoubt && aNode.mCommitting.has_value();
+    aNode.mSelf.mRunningFor = mNow - aNode.mStartedAt;
     aNode.mList->SetSelf(aNode.mSelf, mNow);
     return aNode.mSelf;
   }
@@ -290,8 +301,10 @@
   {
     Word(aNode);
     std::vector<MemberWord> words = aNode.mList->Words(mNow);
-    if (mNaive != Naive::ForgetRestarts) {
-      aNode.mAgreement->Observe(words, mNow);
+    if (mNaive == Naive::ForgetRestarts) {
+      for (MemberWord& word : words) {
+        word.mStartedBy = TimePoint{};
+      }
     }
     if (!aNode.mSelf.mPlatformUnreachable) {
       return;
@@ -302,8 +315,8 @@
     const ViewStamp compared = mNaive == Naive::AnyVersion
                                  ? ViewStamp{ ~0ull, ~0ull }
                                  : aNode.mView->Stamp();
-    const AgreementResult result =
-      aNode.mAgreement->Evaluate(compared, words, mNow);
+    const AgreementResult result = aNode.mAgreement->Evaluate(
+      compared, aNode.mView->ConfirmedAt(), words, mNow);
     if (result.mObstacle == AgreementObstacle::None) {
       aNode.mView->ConfirmByAgreement(aNode.mView->Stamp(), result.mAsOf);
     }
@@ -356,7 +369,6 @@
     aNode.mList->MergePlatform(aListed, aSent, mNow);
     aNode.mView->Hold(aStamp);
     aNode.mView->ConfirmByPlatform(aStamp, aSent);
-    aNode.mAgreement->OnConfirmed(aSent);
     Settle(aNode, aStamp);
     Agree(aNode);
   }
@@ -385,7 +397,7 @@
            if (mNaive == Naive::TrustRequests) {
              Take(to, self, members, age, mNow);
            }
-           to.mView->Hold(Larger(to.mView->Stamp(), self.mStamp));
+           HoldFrom(to, self);
            Agree(to);
            if (mNodes[aFrom].mIncarnation == incarnation &&
                to.mGroup == mNodes[aFrom].mGroup) {
@@ -413,16 +425,21 @@
             TimePoint aSent)
   {
     aNode.mList->MergeReply(aSender, aMembers, aSent, mNow);
-    aNode.mView->Hold(Larger(aNode.mView->Stamp(), aSender.mStamp));
+    HoldFrom(aNode, aSender);
     const Duration age = mNaive == Naive::ResetAges ? Duration{ 0 } : aAge;
     const TimePoint sent = mNaive == Naive::ResetAges ? mNow : aSent;
-    if (age < kLimit) {
-      aNode.mView->ConfirmByPeer(aSender.mStamp, age, sent);
-      aNode.mAgreement->OnConfirmed(sent - age);
-    }
+    aNode.mView->ConfirmByPeer(aSender.mStamp, age, sent);
     Agree(aNode);
   }
 
+  /// Takes the changes that came with a message, if they did.
+  void HoldFrom(ModelNode& aNode, const Member& aSender)
+  {
+    if (!mChangesAreLost) {
+      aNode.mView->Hold(Larger(aNode.mView->Stamp(), aSender.mStamp));
+    }
+  }
+
   static ViewStamp Larger(const ViewStamp& aLeft, const ViewStamp& aRight)
   {
     return { std::max(aLeft.mVersion, aRight.mVersion),
@@ -448,19 +465,20 @@
     ++(aIsPlan ? next.mPlanEpoch : next.mVersion);
     node.mCommitting = next;
     auto commit = [this,
+                   sent = mNow,
                    aNode,
                    aIsPlan,
                    aMode,
                    next,
                    author = node.mSelf.mControlInstance,
                    incarnation = node.mIncarnation] {
-      CommitArrives(aNode, aIsPlan, aMode, next, author, incarnation);
+      if (mNow < sent + kCommitOnItsWay) {
+        CommitArrives(aNode, aIsPlan, aMode, next, author, incarnation);
+      }
     };
     if (aMode == 0) {
       // A commit on its way arrives whatever becomes of its author.
-      const std::size_t platform = 0;
-      mFlying.push_back(
-        { platform, mNodes[platform].mIncarnation, std::move(commit) });
+      mFlying.push_back({ std::nullopt, 0, std::move(commit) });
     } else {
       commit();
     }
@@ -519,6 +537,7 @@
   }
 
   Naive mNaive;
+  bool mChangesAreLost = false; ///< Stamps arrive, changes don't.
   TimePoint mNow;
   ModelPlatform mPlatform;
   std::vector<ModelNode> mNodes;
