--- /dev/null
+++ b/Peridothoist/Control/ControlState.cpp
@@ -0,0 +1,121 @@
+/// What the parts of a control process share.
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Control/ControlState.h>
+
+#include <Peridothoist/Peers/PeerCodec.h>
+
+namespace peridothoist {
+
+namespace {
+
+/// An entry that didn't follow for this long is taken for stopped.
+constexpr Duration kEntrySilence = std::chrono::seconds(2);
+
+Member
+IdentityOf(const ControlSettings& aSettings)
+{
+  Member self;
+  self.mVm = aSettings.mVm;
+  self.mZone = aSettings.mZone;
+  self.mEntryAddress = aSettings.mEntryAddress;
+  self.mEntryPeer = aSettings.mEntryPeer;
+  self.mControlPeer = aSettings.mPeerListen;
+  self.mControlInstance = aSettings.mInstance;
+  return self;
+}
+
+} // namespace
+
+ControlState::ControlState(const ControlSettings& aSettings,
+                           ViewKeeperListener& aListener,
+                           TimePoint aNow)
+  : mSettings(aSettings)
+  , mView(aSettings.mFresh, aListener)
+  , mMembers(aSettings.mMembers, IdentityOf(aSettings), aNow)
+  , mQuarantine(QuarantineBookSettings())
+  , mOutage(aSettings.mFresh.mStalenessLimit)
+{
+}
+
+Member
+ControlState::MakeSelf(TimePoint aNow) const
+{
+  Member self = IdentityOf(mSettings);
+  if (HasEntry(aNow)) {
+    self.mEntryInstance = mEntry.mInstance;
+    self.mEntryAddress = mEntry.mAddress;
+    self.mEntryPeer = mEntry.mPeer;
+  }
+  const bool entryLeaves = HasEntry(aNow) && mEntry.mLeaving;
+  self.mState =
+    mLeaving || entryLeaves ? MemberState::Leaving : MemberState::Live;
+  self.mStamp = mView.Fresh().Stamp();
+  self.mPlatformUnreachable = mPlatformSilent;
+  self.mCommitInDoubt = IsInDoubt();
+  return self;
+}
+
+void
+ControlState::UpdateSelf(TimePoint aNow)
+{
+  mOutage.Observe(mMembers.Words(aNow), aNow);
+  mMembers.SetSelf(MakeSelf(aNow), aNow);
+}
+
+void
+ControlState::JudgeOutage(TimePoint aNow)
+{
+  UpdateSelf(aNow);
+  const ViewStamp& held = mView.Fresh().Stamp();
+  mAgreement = mOutage.Evaluate(held, mMembers.Words(aNow), aNow);
+  if (mPlatformSilent && mAgreement.mObstacle == AgreementObstacle::None) {
+    mView.Fresh().ConfirmByAgreement(held, mAgreement.mAsOf);
+  }
+}
+
+void
+ControlState::OnPlatformRead(const ViewStamp& aStamp, TimePoint aSent)
+{
+  mPlatformSilent = false;
+  mView.Fresh().ConfirmByPlatform(aStamp, aSent);
+  if (mView.Fresh().Stamp().Covers(aStamp)) {
+    mOutage.OnConfirmed(aSent);
+  }
+}
+
+void
+ControlState::OnPeerReply(const peer::ViewState& aState, TimePoint aSent)
+{
+  if (aState.never_confirmed()) {
+    return;
+  }
+  const ViewStamp stamp = StampOf(aState);
+  const Duration age = FromMicroseconds(aState.age_us());
+  mView.Fresh().ConfirmByPeer(stamp, age, aSent);
+  if (mView.Fresh().Stamp().Covers(stamp)) {
+    mOutage.OnConfirmed(aSent - age);
+  }
+}
+
+peer::ViewState
+ControlState::MakeState(TimePoint aNow) const
+{
+  peer::ViewState state = mView.MakeState(aNow);
+  state.set_platform_unreachable(mPlatformSilent);
+  state.set_commit_in_doubt(IsInDoubt());
+  return state;
+}
+
+bool
+ControlState::HasEntry(TimePoint aNow) const
+{
+  return !mEntry.mInstance.empty() && aNow - mEntry.mSeen < kEntrySilence;
+}
+
+bool
+ControlState::IsInDoubt() const
+{
+  return mChangeInDoubt || mPlanInDoubt || mOutage.HasUnsettledRestart();
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Control/ControlState.h
@@ -0,0 +1,68 @@
+/// What the parts of a control process share: its view, the members it knows,
+/// quarantined requests, and what it says of itself.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Control/ControlSettings.h>
+#include <Peridothoist/Control/QuarantineBook.h>
+#include <Peridothoist/Control/ViewKeeper.h>
+#include <Peridothoist/View/OutageAgreement.h>
+
+namespace peridothoist {
+
+/// The entry process on this VM, as it last followed.
+struct FollowingEntry
+{
+  std::string mInstance;
+  std::string mAddress;
+  std::string mPeer;
+  bool mLeaving = false;
+  std::uint64_t mVersion = 0; ///< Of its view.
+  TimePoint mSeen{};
+};
+
+/// One process's state; the clock is passed in.
+class ControlState
+{
+public:
+  ControlState(const ControlSettings& aSettings,
+               ViewKeeperListener& aListener,
+               TimePoint aNow);
+
+  /// Renews what this VM says of itself. Call it before it is sent or judged.
+  void UpdateSelf(TimePoint aNow);
+
+  /// Judges rule (c) of the freshness rule and confirms the view by it.
+  void JudgeOutage(TimePoint aNow);
+
+  /// The platform was read, or a peer's reply came.
+  void OnPlatformRead(const ViewStamp& aStamp, TimePoint aSent);
+  void OnPeerReply(const peer::ViewState& aState, TimePoint aSent);
+
+  /// The view's state as peers and entries are told.
+  peer::ViewState MakeState(TimePoint aNow) const;
+
+  /// Whether the entry on this VM followed lately.
+  bool HasEntry(TimePoint aNow) const;
+
+  /// Whether a commit of any kind may have taken effect without our knowing.
+  bool IsInDoubt() const;
+
+  const ControlSettings& mSettings;
+  ViewKeeper mView;
+  MemberList mMembers;
+  QuarantineBook mQuarantine;
+  FollowingEntry mEntry;
+  bool mPlatformSilent = false;
+  bool mChangeInDoubt = false;
+  bool mPlanInDoubt = false;
+  bool mLeaving = false;
+  AgreementResult mAgreement; ///< Of the last JudgeOutage().
+
+private:
+  Member MakeSelf(TimePoint aNow) const;
+
+  OutageAgreement mOutage;
+};
+
+} // namespace peridothoist
