--- a/Peridothoist/Config/ConfigCodec.cpp
+++ b/Peridothoist/Config/ConfigCodec.cpp
@@ -130,10 +130,13 @@
 std::string
 EncodeChange(const ChangeRecord& aRecord)
 {
-  const json value = { { "version", aRecord.mChange.mVersion },
-                       { "operation", aRecord.mChange.mOperationId },
-                       { "operator", aRecord.mOperator },
-                       { "edits", EncodeEdits(aRecord.mChange.mEdits) } };
+  json value = { { "version", aRecord.mChange.mVersion },
+                 { "operation", aRecord.mChange.mOperationId },
+                 { "operator", aRecord.mOperator },
+                 { "edits", EncodeEdits(aRecord.mChange.mEdits) } };
+  if (!aRecord.mOverrideReason.empty()) {
+    value["override_reason"] = aRecord.mOverrideReason;
+  }
   return value.dump();
 }
 
@@ -142,10 +145,11 @@
 {
   const json value = json::parse(aText, nullptr, false);
   const std::string path = "change";
-  if (!HasOnly(value,
-               { "version", "operation", "operator", "edits" },
-               path,
-               aReason)) {
+  if (!HasOnly(
+        value,
+        { "version", "operation", "operator", "override_reason", "edits" },
+        path,
+        aReason)) {
     return std::nullopt;
   }
   const json* version =
@@ -165,6 +169,11 @@
   record.mChange.mOperationId = operation->get<std::string>();
   record.mChange.mEdits = std::move(*edits);
   record.mOperator = who->get<std::string>();
+  const json why = value.value("override_reason", json(std::string()));
+  if (!why.is_string()) {
+    return Refuse(aReason, path + ".override_reason: must be text");
+  }
+  record.mOverrideReason = why.get<std::string>();
   return record;
 }
 
--- a/Peridothoist/Config/ConfigCodec.h
+++ b/Peridothoist/Config/ConfigCodec.h
@@ -14,7 +14,8 @@
 struct ChangeRecord
 {
   ConfigChange mChange;
-  std::string mOperator; ///< The operator's name.
+  std::string mOperator;       ///< The operator's name.
+  std::string mOverrideReason; ///< Why silent VMs were passed over, if so.
 };
 
 /// The head row: current version and the newest snapshot's.
--- /dev/null
+++ b/Peridothoist/Control/ControlProcess.cpp
@@ -0,0 +1,402 @@
+/// A control process.
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Control/ControlProcess.h>
+
+#include <Peridothoist/Control/AdminChangePages.h>
+#include <Peridothoist/Control/AdminOrderPages.h>
+#include <Peridothoist/Control/AdminOutcomePages.h>
+#include <Peridothoist/Control/AdminServer.h>
+#include <Peridothoist/Control/AdminViewPages.h>
+#include <Peridothoist/Control/ChangeDesk.h>
+#include <Peridothoist/Control/ControlState.h>
+#include <Peridothoist/Control/FollowDesk.h>
+#include <Peridothoist/Control/PeerExchanger.h>
+#include <Peridothoist/Control/Reclaimer.h>
+#include <Peridothoist/Control/SharePlanner.h>
+#include <Peridothoist/Control/UpstreamKeeper.h>
+#include <Peridothoist/Peers/PeerClient.h>
+#include <Peridothoist/Peers/PeerServer.h>
+#include <Peridothoist/Platform/ChangeCommitter.h>
+#include <Peridothoist/Platform/ConfigFollower.h>
+#include <Peridothoist/Platform/SnapshotKeeper.h>
+#include <Peridothoist/Shell/Log.h>
+#include <Peridothoist/Shell/Metrics.h>
+
+#include <random>
+
+namespace peridothoist {
+
+namespace {
+
+std::uint64_t
+MakeSeed()
+{
+  std::random_device device;
+  return (std::uint64_t(device()) << 32) | device();
+}
+
+} // namespace
+
+/// All parts, and what they tell each other.
+struct ControlProcess::Impl
+  : ViewKeeperListener
+  , ChangeCommitterListener
+  , ConfigFollowerListener
+  , ControlPeerHandler
+{
+  Impl(Reactor& aReactor,
+       HttpClient& aHttp,
+       Platform& aPlatform,
+       const Settings& aSettings)
+    : mReactor(aReactor)
+    , mPlatform(aPlatform)
+    , mSettings(aSettings)
+    , mState(mSettings, *this, aReactor.Now())
+    , mInForce(mSettings.mInForce)
+    , mFollowDesk(mState)
+    , mFollower(aReactor, aPlatform, mSettings.mFollower, *this, MakeSeed())
+    , mCommitter(aReactor, aPlatform, mSettings.mCommitter, *this, MakeSeed())
+    , mSnapshots(aPlatform, mSettings.mSnapshots)
+    , mPlanner(aReactor, aPlatform, mState)
+    , mUpstreams(aReactor, aHttp, aPlatform, mState)
+    , mReclaimer(aReactor, mState, mUpstreams, mMetrics)
+    , mAlive(std::make_shared<bool>(true))
+  {
+  }
+  ~Impl() override
+  {
+    *mAlive = false;
+    mReactor.CancelTimer(mTickTimer);
+    mReactor.CancelTimer(mListTimer);
+  }
+
+  bool Start(Reason* aReason);
+  bool StartPeers(Reason* aReason);
+  bool StartAdmin(Reason* aReason);
+  void OnTick();
+  void ListVms();
+  bool IsUrgent() const;
+  void SettleOverdue();
+
+  // See: ViewKeeperListener
+  void OnViewChanged(const ViewStamp& aStamp) override;
+
+  // See: ChangeCommitterListener
+  void OnChangeAccepted(const ChangeRecord& aRecord) override;
+  void OnCommitInDoubt(const KeySuspension& aSuspension) override;
+  void OnCommitSettled(const std::string& aOperationId) override;
+
+  // See: ConfigFollowerListener
+  std::uint64_t HeldVersion() const override { return mState.mView.Version(); }
+  void OnPlatformRead(const ViewStamp& aStamp, TimePoint aSent) override;
+  void OnPlatformSilent() override;
+  void OnPlatformChange(const ChangeRecord& aRecord) override;
+  void OnPlatformSnapshot(const Configuration& aConfiguration) override;
+  void OnPlatformPlan(const SharePlan& aPlan,
+                      std::uint64_t aRowVersion) override;
+
+  // See: ControlPeerHandler
+  void OnExchange(const peer::ExchangeRequest& aRequest,
+                  PeerAnswer<peer::ExchangeReply> aAnswer) override;
+  void OnFollow(const peer::FollowRequest& aRequest,
+                PeerAnswer<peer::ViewUpdate> aAnswer) override;
+
+  Reactor& mReactor;
+  Platform& mPlatform;
+  const Settings mSettings;
+  Metrics mMetrics;
+  ControlState mState;
+  InForceTracker mInForce;
+  FollowDesk mFollowDesk;
+  ConfigFollower mFollower;
+  ChangeCommitter mCommitter;
+  SnapshotKeeper mSnapshots;
+  SharePlanner mPlanner;
+  UpstreamKeeper mUpstreams;
+  Reclaimer mReclaimer;
+  std::uint64_t mLastPushed = 0; ///< Version that peers were last told of.
+  bool mPushDue = false;         ///< A push is posted.
+
+  std::unique_ptr<PeerClient> mPeers;
+  std::unique_ptr<PeerExchanger> mExchanger;
+  std::unique_ptr<ChangeDesk> mChanges;
+  std::unique_ptr<PeerServer> mPeerServer;
+  std::unique_ptr<AdminServer> mAdmin;
+  std::unique_ptr<AdminViewPages> mViewPages;
+  std::unique_ptr<AdminChangePages> mChangePages;
+  std::unique_ptr<AdminOutcomePages> mOutcomePages;
+  std::unique_ptr<AdminOrderPages> mOrderPages;
+  std::unique_ptr<HttpServer> mHttpServer;
+
+  Reactor::TimerId mTickTimer = 0;
+  Reactor::TimerId mListTimer = 0;
+  std::shared_ptr<bool> mAlive;
+};
+
+bool
+ControlProcess::Impl::Start(Reason* aReason)
+{
+  if (!StartPeers(aReason) || !StartAdmin(aReason)) {
+    return false;
+  }
+  mFollower.Start();
+  ListVms();
+  OnTick();
+  Log::Info("control_started")
+    .Field("vm", mSettings.mVm)
+    .Field("zone", mSettings.mZone)
+    .Field("instance", mSettings.mInstance)
+    .Field("admin_port", mHttpServer->Port())
+    .Field("peer_port", mPeerServer->Port());
+  return true;
+}
+
+bool
+ControlProcess::Impl::StartPeers(Reason* aReason)
+{
+  PeerClientSettings client;
+  client.mCredentials = mSettings.mPeerCredentials;
+  mPeers = PeerClient::Create(mReactor, client, aReason);
+  if (!mPeers) {
+    return false;
+  }
+  mExchanger =
+    std::make_unique<PeerExchanger>(mReactor, *mPeers, mState, MakeSeed());
+  mChanges = std::make_unique<ChangeDesk>(
+    mReactor, mState, *mExchanger, mCommitter, mFollower);
+  PeerServerSettings server;
+  server.mAddress = mSettings.mPeerListen;
+  server.mCredentials = mSettings.mPeerCredentials;
+  mPeerServer = PeerServer::Create(mReactor, server, this, nullptr, aReason);
+  return mPeerServer != nullptr;
+}
+
+bool
+ControlProcess::Impl::StartAdmin(Reason* aReason)
+{
+  mAdmin = std::make_unique<AdminServer>(mSettings.mOperators);
+  mViewPages =
+    std::make_unique<AdminViewPages>(mReactor, mState, mUpstreams, mMetrics);
+  mChangePages =
+    std::make_unique<AdminChangePages>(mState, *mChanges, mInForce);
+  mOutcomePages =
+    std::make_unique<AdminOutcomePages>(mReactor, mState, mPlatform);
+  mOrderPages = std::make_unique<AdminOrderPages>(mReactor, mState, mUpstreams);
+  mViewPages->Register(*mAdmin);
+  mChangePages->Register(*mAdmin);
+  mOutcomePages->Register(*mAdmin);
+  mOrderPages->Register(*mAdmin);
+  std::string reason;
+  mHttpServer =
+    HttpServer::Create(mReactor, mSettings.mAdmin, mAdmin.get(), &reason);
+  if (!mHttpServer) {
+    Reason::Set(aReason, ReasonCode::Refused, "admin_listen: " + reason);
+  }
+  return mHttpServer != nullptr;
+}
+
+void
+ControlProcess::Impl::OnTick()
+{
+  const TimePoint now = mReactor.Now();
+  mState.mChangeInDoubt = mCommitter.IsInDoubt();
+  mState.mMembers.Forget(now);
+  mState.mQuarantine.Expire(now);
+  mState.JudgeOutage(now);
+  mInForce.Update(mState.mMembers.InForceMembers(), now);
+  mExchanger->OnTick(IsUrgent());
+  mPlanner.OnTick();
+  mUpstreams.OnTick();
+  mReclaimer.OnTick();
+  SettleOverdue();
+  mTickTimer = mReactor.Schedule(mSettings.mTick, [this] { OnTick(); });
+}
+
+void
+ControlProcess::Impl::ListVms()
+{
+  const TimePoint sent = mReactor.Now();
+  mPlatform.ListVms([this, alive = mAlive, sent](const VmListResult& aResult) {
+    if (!*alive) {
+      return;
+    }
+    if (aResult.mReached) {
+      mState.mMembers.MergePlatform(aResult.mVms, sent, mReactor.Now());
+    }
+    mListTimer =
+      mReactor.Schedule(mSettings.mVmListInterval, [this] { ListVms(); });
+  });
+}
+
+bool
+ControlProcess::Impl::IsUrgent() const
+{
+  const auto status = mInForce.Status(mState.mView.Version());
+  const bool isSpreading = status && !status->mInForce;
+  return mState.mPlatformSilent || mState.IsInDoubt() || isSpreading ||
+         !mState.mView.Fresh().IsFresh(mReactor.Now());
+}
+
+void
+ControlProcess::Impl::SettleOverdue()
+{
+  const TimePoint now = mReactor.Now();
+  if (mState.mPlatformSilent) {
+    return;
+  }
+  for (const KeySuspension& it : mState.mView.Suspensions().Overdue(now)) {
+    mCommitter.SettleOther(it.mOperationId);
+  }
+}
+
+void
+ControlProcess::Impl::OnViewChanged(const ViewStamp& aStamp)
+{
+  const TimePoint now = mReactor.Now();
+  if (aStamp.mVersion > mLastPushed) {
+    mInForce.OnAccepted(aStamp.mVersion, now);
+    mLastPushed = aStamp.mVersion;
+  }
+  if (mPushDue || !mExchanger) {
+    return;
+  }
+  // Posted, so that a run of changes is pushed once.
+  mPushDue = true;
+  mReactor.Post([this, alive = mAlive] {
+    if (*alive) {
+      mPushDue = false;
+      mExchanger->AskNow(mSettings.mExchange.mPushPeers);
+    }
+  });
+}
+
+void
+ControlProcess::Impl::OnChangeAccepted(const ChangeRecord& aRecord)
+{
+  Log::Info("change_accepted")
+    .Field("version", aRecord.mChange.mVersion)
+    .Field("operation", aRecord.mChange.mOperationId)
+    .Field("operator", aRecord.mOperator);
+  mState.mView.TakeChange(aRecord.mChange);
+  mSnapshots.OnCommitted(mState.mView.Config());
+}
+
+void
+ControlProcess::Impl::OnCommitInDoubt(const KeySuspension& aSuspension)
+{
+  Log::Warning("change_in_doubt")
+    .Field("operation", aSuspension.mOperationId)
+    .Field("version", aSuspension.mVersion);
+  mState.mChangeInDoubt = true;
+  mState.mView.Suspensions().Suspend(aSuspension, mReactor.Now());
+  mExchanger->AskNow(mSettings.mExchange.mPushPeers);
+}
+
+void
+ControlProcess::Impl::OnCommitSettled(const std::string& aOperationId)
+{
+  Log::Info("change_settled").Field("operation", aOperationId);
+  mState.mChangeInDoubt = mCommitter.IsInDoubt();
+  mState.mView.Suspensions().Settle(aOperationId);
+}
+
+void
+ControlProcess::Impl::OnPlatformRead(const ViewStamp& aStamp, TimePoint aSent)
+{
+  if (mState.mPlatformSilent) {
+    Log::Info("platform_back");
+  }
+  mState.OnPlatformRead(aStamp, aSent);
+}
+
+void
+ControlProcess::Impl::OnPlatformSilent()
+{
+  if (!mState.mPlatformSilent) {
+    Log::Warning("platform_silent");
+  }
+  mState.mPlatformSilent = true;
+}
+
+void
+ControlProcess::Impl::OnPlatformChange(const ChangeRecord& aRecord)
+{
+  mState.mView.TakeChange(aRecord.mChange);
+}
+
+void
+ControlProcess::Impl::OnPlatformSnapshot(const Configuration& aConfiguration)
+{
+  mState.mView.TakeConfiguration(aConfiguration);
+}
+
+void
+ControlProcess::Impl::OnPlatformPlan(const SharePlan& aPlan,
+                                     std::uint64_t aRowVersion)
+{
+  mPlanner.OnRow(aPlan, aRowVersion);
+}
+
+void
+ControlProcess::Impl::OnExchange(const peer::ExchangeRequest& aRequest,
+                                 PeerAnswer<peer::ExchangeReply> aAnswer)
+{
+  aAnswer(mExchanger->Answer(aRequest));
+}
+
+void
+ControlProcess::Impl::OnFollow(const peer::FollowRequest& aRequest,
+                               PeerAnswer<peer::ViewUpdate> aAnswer)
+{
+  bool isNews = false;
+  aAnswer(mFollowDesk.Answer(aRequest, mReactor.Now(), &isNews));
+  if (isNews) {
+    mExchanger->AskNow(mSettings.mExchange.mPushPeers);
+  }
+}
+
+std::unique_ptr<ControlProcess>
+ControlProcess::Create(Reactor& aReactor,
+                       HttpClient& aHttp,
+                       Platform& aPlatform,
+                       const Settings& aSettings,
+                       Reason* aReason)
+{
+  auto impl = std::make_unique<Impl>(aReactor, aHttp, aPlatform, aSettings);
+  if (!impl->Start(aReason)) {
+    return nullptr;
+  }
+  return std::unique_ptr<ControlProcess>(new ControlProcess(std::move(impl)));
+}
+
+ControlProcess::ControlProcess(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+ControlProcess::~ControlProcess() = default;
+
+std::uint16_t
+ControlProcess::AdminPort() const
+{
+  return mImpl->mHttpServer->Port();
+}
+
+std::uint16_t
+ControlProcess::PeerPort() const
+{
+  return mImpl->mPeerServer->Port();
+}
+
+void
+ControlProcess::Leave(std::function<void()> aDone)
+{
+  Log::Info("control_leaving");
+  mImpl->mState.mLeaving = true;
+  mImpl->mUpstreams.ReleaseAll();
+  mImpl->mHttpServer->StartDrain();
+  mImpl->mExchanger->AskNow(mImpl->mSettings.mExchange.mPushPeers);
+  mImpl->mReactor.Schedule(mImpl->mSettings.mLeaveTime, std::move(aDone));
+}
+
+} // namespace peridothoist
