--- /dev/null
+++ b/CommandLine/AllCommands.cpp
@@ -0,0 +1,22 @@
+/// The table of all commands.
+#include <Peridothoist/Peridothoist.h>
+#include <CommandLine/Command.h>
+
+#include <CommandLine/ControlCommands.h>
+#include <CommandLine/ItemCommands.h>
+
+namespace peridothoist {
+
+const std::vector<Command>&
+AllCommands()
+{
+  static const std::vector<Command> commands = [] {
+    std::vector<Command> all = ItemCommands();
+    const std::vector<Command> more = ControlCommands();
+    all.insert(all.end(), more.begin(), more.end());
+    return all;
+  }();
+  return commands;
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Platform/PlatformClient.cpp
+++ b/Peridothoist/Platform/PlatformClient.cpp
@@ -32,6 +32,7 @@
   HttpCall call = MakeCall("POST", "/tables/txn");
   call.mHeaders["content-type"] = "application/json";
   call.mBody = EncodeTransaction(aTransaction);
+  call.mTotalTimeout = mSettings.mWriteTimeout;
   call.mSendOnce = true;
   Send(std::move(call),
        [aDone = std::move(aDone)](const HttpCallOutcome& aOutcome,
@@ -101,7 +102,7 @@
   call.mMethod = aMethod;
   call.mUrl = mSettings.mUrl + aPath;
   call.mConnectTimeout = mSettings.mConnectTimeout;
-  call.mTotalTimeout = mSettings.mCallTimeout;
+  call.mTotalTimeout = mSettings.mReadTimeout;
   return call;
 }
 
--- a/Peridothoist/Platform/PlatformClient.h
+++ b/Peridothoist/Platform/PlatformClient.h
@@ -16,7 +16,10 @@
 {
   std::string mUrl; ///< "http://ip:port".
   Duration mConnectTimeout = std::chrono::milliseconds(500);
-  Duration mCallTimeout = std::chrono::seconds(1);
+  /// Of reads; well below the staleness limit of views, so that an outage in
+  /// which nothing answers is noticed in time.
+  Duration mReadTimeout = std::chrono::milliseconds(700);
+  Duration mWriteTimeout = std::chrono::seconds(1);
   Duration mObjectTimeout = std::chrono::seconds(10);
   double mCallsPerSecond = 200;
   double mBurstCalls = 200;
