Reset aborted streams of HTTP/1.0 callers, and test the rest of the shell

Without chunks the close ends an answer, so an aborted stream looked complete. Timers hand their own address to ACE's queue in place of a number cast to a pointer. Tests for the loop, logs, metrics, traces and settings.

--- a/Peridothoist/Peers/PeerClient.cpp
+++ b/Peridothoist/Peers/PeerClient.cpp
@@ -286,7 +286,7 @@
     peer->mEntry = peer::Entry::NewStub(peer->mChannel);
   }
   peer->mLastUse = ++mCalls;
-  const auto found = peer;
+  auto found = peer;
   if (mPeers.size() > mSettings.mMaxChannels) {
     EvictLeastUsed();
   }
--- a/Peridothoist/Shell/ClientCall.cpp
+++ b/Peridothoist/Shell/ClientCall.cpp
@@ -208,7 +208,10 @@
   }
   for (const auto& [name, value] : mCall.mHeaders) {
     // libcurl's way to send a header without a value is the semicolon.
-    add(value.empty() ? name + ";" : name + ": " + value);
+    std::string line = name;
+    line += value.empty() ? ";" : ": ";
+    line += value;
+    add(line);
   }
   curl_easy_setopt(mHandle, CURLOPT_HTTPHEADER, mHeaderList);
 }
--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -317,7 +317,7 @@
                            MHD_Connection* aConnection,
                            const char* aPath,
                            const char* aMethod,
-                           const char* /*aVersion*/,
+                           const char* aVersion,
                            const char* aUpload,
                            std::size_t* aUploadSize,
                            void** /*aRequest*/)
@@ -325,7 +325,11 @@
   auto& self = *static_cast<Impl*>(aSelf);
   detail::ServerConnection& connection = ConnectionOf(aConnection);
   if (!connection.mExchange) {
-    return self.ReadHeadOf(connection, aMethod, aPath);
+    const MHD_Result read = self.ReadHeadOf(connection, aMethod, aPath);
+    if (std::strcmp(aVersion, MHD_HTTP_VERSION_1_0) == 0) {
+      connection.mExchange->SetStreamsEndWithClose();
+    }
+    return read;
   }
   if (*aUploadSize > 0) {
     return self.ReadBodyOf(connection, aUpload, aUploadSize);
--- a/Peridothoist/Shell/Reactor.cpp
+++ b/Peridothoist/Shell/Reactor.cpp
@@ -104,6 +104,7 @@
 
   struct Timer
   {
+    TimerId mId = 0;
     long mAceTimer = 0;
     Task mTask;
   };
@@ -151,10 +152,8 @@
 Reactor::Impl::handle_timeout(const ACE_Time_Value& /*aTime*/,
                               const void* aTimer)
 {
-  const auto it = mTimers.find(reinterpret_cast<TimerId>(aTimer));
-  if (it == mTimers.end()) {
-    return 0;
-  }
+  const auto it = mTimers.find(static_cast<const Timer*>(aTimer)->mId);
+  PH_ASSERT(it != mTimers.end());
   const Task task = std::move(it->second.mTask);
   mTimers.erase(it);
   mNow = ReadClock();
@@ -307,12 +306,14 @@
 Reactor::Schedule(Duration aDelay, Task aTask)
 {
   const TimerId id = ++mImpl->mLastTimer;
-  const long aceTimer = mImpl->mTimerQueue.schedule(
+  Impl::Timer& timer = mImpl->mTimers[id];
+  timer = { id, 0, std::move(aTask) };
+  // The queue hands the address back, which stands until the timer is erased.
+  timer.mAceTimer = mImpl->mTimerQueue.schedule(
     mImpl.get(),
-    reinterpret_cast<const void*>(id),
+    &timer,
     mImpl->mTimerQueue.gettimeofday() + ToTimeValue(aDelay));
-  PH_ASSERT(aceTimer >= 0);
-  mImpl->mTimers[id] = { aceTimer, std::move(aTask) };
+  PH_ASSERT(timer.mAceTimer >= 0);
   mImpl->ArmTimer();
   return id;
 }
--- a/Peridothoist/Shell/ServerExchange.cpp
+++ b/Peridothoist/Shell/ServerExchange.cpp
@@ -197,9 +197,12 @@
     MHD_suspend_connection(mConnection);
     return 0;
   }
+  if (n == 0 && mAnswer == Answer::Ended) {
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  }
   if (n == 0) {
-    return mAnswer == Answer::Ended ? MHD_CONTENT_READER_END_OF_STREAM
-                                    : MHD_CONTENT_READER_END_WITH_ERROR;
+    Reset();
+    return MHD_CONTENT_READER_END_WITH_ERROR;
   }
   std::memcpy(aBuffer, mBuffer.data() + mBufferStart, n);
   mBufferStart += n;
@@ -226,6 +229,17 @@
   }
 }
 
+/// Resets the connection where its close would pass for the stream's end.
+void
+ServerExchange::Reset() const
+{
+  if (mStreamsEndWithClose) {
+    // On Linux this drops a TCP connection at once, with a reset.
+    const sockaddr nowhere = { AF_UNSPEC, {} };
+    ::connect(mDescriptor, &nowhere, sizeof(nowhere));
+  }
+}
+
 void
 ServerExchange::AddHeaders(const HttpHeaders& aHeaders)
 {
--- a/Peridothoist/Shell/ServerExchange.h
+++ b/Peridothoist/Shell/ServerExchange.h
@@ -36,6 +36,10 @@
   ServerExchange(const ServerExchange&) = delete;
   ServerExchange& operator=(const ServerExchange&) = delete;
 
+  /// The caller speaks HTTP/1.0, where a stream's end is the close: one that
+  /// breaks must be reset instead.
+  void SetStreamsEndWithClose() { mStreamsEndWithClose = true; }
+
   /// The request, while it is being read.
   HttpRequest& MutableRequest() { return mRequest; }
 
@@ -87,6 +91,7 @@
                       std::size_t aSize);
   ssize_t ReadSome(char* aBuffer, std::size_t aSize);
   void DropSentPart();
+  void Reset() const;
   void AddHeaders(const HttpHeaders& aHeaders);
   void Wake();
   void OnDropped();
@@ -106,6 +111,7 @@
   int mStatus = 0;
   bool mSuspended = false; ///< Invariant: only while mConnection is set.
   bool mGone = false;      ///< The caller went away.
+  bool mStreamsEndWithClose = false;
 
   // The part of a stream that waits to be sent.
   std::string mBuffer;
--- a/UnitTests/Shell/HttpServerTest.cpp
+++ b/UnitTests/Shell/HttpServerTest.cpp
@@ -210,6 +210,27 @@
   BOOST_TEST(mHandler.mGone == 3);
 }
 
+BOOST_AUTO_TEST_CASE(AbortedStreamToAnOldCallerIsReset)
+{
+  // Without chunks the close ends an answer, so a broken one must not close.
+  mHandler.mAnswer = [](HttpExchange& aExchange) {
+    aExchange.StartStream(200, {});
+    aExchange.Write("some of it");
+    aExchange.Request().mPath == "/abort" ? aExchange.AbortStream()
+                                          : aExchange.EndStream();
+  };
+  Serve();
+  RawCaller whole(mServer->Port());
+  whole.Send("GET / HTTP/1.0\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(Until([&] { return whole.Receive(); }));
+  BOOST_TEST(!whole.mReset);
+  BOOST_TEST(whole.mReceived.find("\r\n\r\nsome of it") != std::string::npos);
+  RawCaller broken(mServer->Port());
+  broken.Send("GET /abort HTTP/1.0\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(Until([&] { return broken.Receive(); }));
+  BOOST_TEST(broken.mReset);
+}
+
 BOOST_AUTO_TEST_CASE(SlowSendersAreCutOff)
 {
   HttpServerSettings settings;
--- /dev/null
+++ b/UnitTests/Shell/ObservationTest.cpp
@@ -0,0 +1,181 @@
+/// Logs, metrics, traces and settings, as others read them.
+#define BOOST_TEST_MODULE Observation
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Shell/FlagsFromEnvironment.h>
+#include <Peridothoist/Shell/Log.h>
+#include <Peridothoist/Shell/Metrics.h>
+#include <Peridothoist/Shell/Trace.h>
+
+#include <boost/test/unit_test.hpp>
+#include <gflags/gflags.h>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+
+DEFINE_int32(test_number, 1, "A number");
+DEFINE_string(test_text, "", "A text");
+DEFINE_string(test_other, "kept", "A text that nobody sets");
+
+using namespace peridothoist;
+using namespace std::string_literals;
+
+RC_BOOST_PROP(AnyValueStaysOneLogToken, (const std::string& aValue))
+{
+  const std::string quoted = QuoteForLog(aValue);
+  RC_ASSERT(!quoted.empty());
+  const bool plain = quoted == aValue;
+  RC_ASSERT(plain || (quoted.front() == '"' && quoted.back() == '"'));
+  const auto breaks = [](char aChar) {
+    return aChar == '\n' || aChar == '\r' || aChar == '\0';
+  };
+  RC_ASSERT(std::none_of(quoted.begin(), quoted.end(), breaks));
+  RC_ASSERT(!plain || quoted.find(' ') == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(LogLevels)
+{
+  for (const char* name : { "debug", "info", "warning", "error", "off" }) {
+    BOOST_TEST(ToName(LogLevelFromName(name).value()) == name);
+  }
+  BOOST_TEST(!LogLevelFromName("loud"));
+  Log::Settings settings;
+  settings.mLevel = LogLevel::Error;
+  Log::Start(settings);
+  BOOST_TEST(!Log::IsOn(LogLevel::Warning));
+  BOOST_TEST(Log::IsOn(LogLevel::Error));
+  Log::Error("test")
+    .Field("braces", "{} {0}")
+    .Field("number", 7)
+    .Field("real", 0.5);
+  Log::Stop();
+  BOOST_TEST(Log::IsOn(LogLevel::Info));
+}
+
+BOOST_AUTO_TEST_CASE(MetricsInPrometheusFormat)
+{
+  Metrics metrics;
+  metrics.Describe("requests_total", "Requests.");
+  metrics.GetCounter("requests_total", { { "code", "200" } }).Add();
+  metrics.GetCounter("requests_total", { { "code", "200" } }).Add(2);
+  metrics.GetCounter("requests_total", { { "code", "a\"b\n" } }).Add();
+  metrics.GetGauge("open").Set(4);
+  Summary& summary = metrics.GetSummary("latency_seconds", { { "hop", "x" } });
+  for (int i = 1; i <= 1000; ++i) {
+    summary.Observe(std::chrono::milliseconds(i));
+  }
+  const std::string text = metrics.Render();
+  for (const char* line : { "# HELP requests_total Requests.\n",
+                            "# TYPE requests_total counter\n",
+                            "requests_total{code=\"200\"} 3\n",
+                            "requests_total{code=\"a\\\"b\\n\"} 1\n",
+                            "open 4\n",
+                            "latency_seconds_count{hop=\"x\"} 1000\n",
+                            "latency_seconds_max{hop=\"x\"} 1\n" }) {
+    BOOST_TEST(text.find(line) != std::string::npos, line << text);
+  }
+  BOOST_TEST(summary.Mean() == 0.5005, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(summary.Quantile(0) == 0.5, boost::test_tools::tolerance(0.02));
+  BOOST_TEST(summary.Quantile(2) == 0.99, boost::test_tools::tolerance(0.02));
+  BOOST_TEST(Summary().Quantile(0) == 0);
+}
+
+RC_BOOST_PROP(TraceparentComesBack,
+              (std::uint64_t aHigh, std::uint64_t aSpan, bool aSampled))
+{
+  RC_PRE(aSpan != 0);
+  const TraceContext context = { aHigh, 1, aSpan, aSampled };
+  const auto read = ParseTraceparent(ToTraceparent(context));
+  RC_ASSERT(read.has_value());
+  RC_ASSERT(read->mTraceHigh == aHigh && read->mTraceLow == 1U);
+  RC_ASSERT(read->mSpan == aSpan && read->mSampled == aSampled);
+}
+
+RC_BOOST_PROP(AnyTraceparentIsSurvived, (const std::string& aHeader))
+{
+  if (const auto read = ParseTraceparent(aHeader)) {
+    RC_ASSERT(read->IsValid());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(BadTraceparents)
+{
+  const std::string good =
+    "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+  BOOST_TEST(ParseTraceparent(good).has_value());
+  BOOST_TEST(ParseTraceparent("01" + good.substr(2) + "-more").has_value());
+  for (const std::string& bad :
+       { std::string(),
+         good + "-more",
+         "ff" + good.substr(2),
+         "00-00000000000000000000000000000000-b7ad6b7169203331-01"s,
+         "00-0af7651916cd43dd8448eb211c80319c-0000000000000000-01"s,
+         "00-0AF7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"s }) {
+    BOOST_TEST(!ParseTraceparent(bad).has_value(), bad);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SpansKeepTheirTrace)
+{
+  Tracer off({ 0 }, 1);
+  Tracer on({ 1 }, 1);
+  BOOST_TEST(!off.StartRoot("a", "").Context().mSampled);
+  Span root = on.StartRoot("a", "");
+  Span child = on.StartChild("b", root.Context());
+  BOOST_TEST(child.Context().mSampled);
+  BOOST_TEST(child.Context().mTraceHigh == root.Context().mTraceHigh);
+  BOOST_TEST(child.Context().mSpan != root.Context().mSpan);
+  const std::string unsampled =
+    "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00";
+  BOOST_TEST(!on.StartRoot("a", unsampled).Context().mSampled);
+}
+
+BOOST_AUTO_TEST_CASE(EnvironmentThenCommandLine)
+{
+  BOOST_TEST(EnvironmentNameOf("peer_port") == "PERIDOTHOIST_PEER_PORT");
+  ::setenv("PERIDOTHOIST_TEST_NUMBER", "5", 1);
+  ::setenv("PERIDOTHOIST_TEST_TEXT", "environment", 1);
+  std::string program = "test";
+  std::string flag = "--test_text=command line";
+  std::vector<char*> arguments = { program.data(), flag.data(), nullptr };
+  int argc = 2;
+  char** argv = arguments.data();
+  std::string reason;
+  BOOST_TEST(ReadFlags(&argc, &argv, &reason), reason);
+  BOOST_TEST(FLAGS_test_number == 5);
+  BOOST_TEST(FLAGS_test_text == "command line");
+  BOOST_TEST(FLAGS_test_other == "kept");
+  ::setenv("PERIDOTHOIST_TEST_NUMBER", "many", 1);
+  BOOST_TEST(!ReadFlags(&argc, &argv, &reason));
+  BOOST_TEST(reason.find("PERIDOTHOIST_TEST_NUMBER") != std::string::npos);
+  BOOST_TEST(reason.find("many") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(Checkers)
+{
+  for (const char* good : { "127.0.0.1:0", "10.1.2.3:65535", "[::1]:80" }) {
+    BOOST_TEST(!CheckSocketAddress("address", good), good);
+  }
+  for (const char* bad : { "",
+                           "127.0.0.1",
+                           "localhost:80",
+                           "127.0.0.1:65536",
+                           "127.0.0.1:-1",
+                           "127.0.0.1:8x",
+                           "::1:80",
+                           "[127.0.0.1]:80" }) {
+    const auto error = CheckSocketAddress("address", bad);
+    BOOST_REQUIRE(error.has_value());
+    BOOST_TEST(error->find("setting address is") != std::string::npos);
+  }
+  BOOST_TEST(!CheckIpNumber("ip", "::1"));
+  BOOST_TEST(CheckIpNumber("ip", "1.2.3").has_value());
+  BOOST_TEST(!CheckName("zone", "mxc-uno"));
+  BOOST_TEST(CheckName("zone", "a b").has_value());
+  BOOST_TEST(CheckName("zone", "").has_value());
+  BOOST_TEST(!CheckRange("ratio", 1, 0, 1));
+  BOOST_TEST(CheckRange("ratio", 1.1, 0, 1).value() ==
+             "setting ratio is \"1.1\"; allowed: 0 to 1");
+  std::string reason;
+  BOOST_TEST(!ReadFileSetting("cert", "/nowhere/at/all", &reason));
+  BOOST_TEST(reason.find("setting cert is") != std::string::npos);
+}
--- a/UnitTests/Shell/ShellFixture.h
+++ b/UnitTests/Shell/ShellFixture.h
@@ -143,7 +143,8 @@
     while ((n = ::recv(mSocket, buf.data(), buf.size(), MSG_DONTWAIT)) > 0) {
       mReceived.append(buf.data(), static_cast<std::size_t>(n));
     }
-    mClosed = mClosed || n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    mReset = mReset || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    mClosed = mClosed || n == 0 || mReset;
     return mClosed;
   }
 
@@ -156,6 +157,7 @@
 
   std::string mReceived;
   bool mClosed = false;
+  bool mReset = false;
 
 private:
   int mSocket;
