--- /dev/null
+++ b/UnitTests/Keys/KeyRingTest.cpp
@@ -0,0 +1,220 @@
+/// Keys: what is taken as one, who it stands for, and that a withdrawn or
+/// suspended one stops wherever it is asked.
+#define BOOST_TEST_MODULE KeyRing
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Keys/KeyRing.h>
+#include <Peridothoist/Keys/KeyText.h>
+#include <Support/PropertyRun.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace peridothoist;
+using namespace peridothoist::test;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+NewKey
+Make(const std::string& aName, unsigned char aFill)
+{
+  KeyEntropy entropy;
+  entropy.mSecret.fill(aFill);
+  entropy.mSalt.fill(static_cast<unsigned char>(aFill + 1));
+  return *MakeKey(aName, "workspace-of-" + aName, entropy, nullptr);
+}
+
+std::map<std::string, KeyRecord>
+Records(const std::vector<NewKey>& aKeys)
+{
+  std::map<std::string, KeyRecord> records;
+  for (const NewKey& key : aKeys) {
+    records[key.mRecord.mName] = key.mRecord;
+  }
+  return records;
+}
+
+} // namespace
+
+RC_BOOST_PROP(AnyTextIsTakenWholeOrRefused, (const std::string& aText))
+{
+  const auto text = KeyText::Parse(aText, nullptr);
+  if (text) {
+    RC_ASSERT(text->mName + "." + text->mSecret == aText);
+  }
+}
+
+RC_BOOST_PROP(OnlyTheKeyItselfAuthenticates,
+              (unsigned char aFill, std::size_t aAt, char aOther))
+{
+  const NewKey key = Make("alpha", aFill);
+  KeyRing ring({});
+  ring.SetKeys(1, Records({ key, Make("beta", aFill) }));
+  const auto identity = ring.Authenticate(key.mText, nullptr);
+  RC_ASSERT(identity.has_value());
+  RC_ASSERT(identity->mWorkspace == "workspace-of-alpha");
+
+  std::string changed = key.mText;
+  changed[aAt % changed.size()] = aOther;
+  const bool isSame = changed == key.mText;
+  RC_ASSERT(ring.Authenticate(changed, nullptr).has_value() == isSame);
+}
+
+BOOST_AUTO_TEST_CASE(RecordsHoldNoSecret)
+{
+  const NewKey key = Make("alpha", 7);
+  const std::string secret = KeyText::Parse(key.mText, nullptr)->mSecret;
+  BOOST_TEST(key.mRecord.mDigest.size() == 64u);
+  BOOST_TEST(key.mRecord.mDigest.find(secret) == std::string::npos);
+  BOOST_TEST(key.mRecord.mSalt.find(secret) == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ReasonsRepeatNoSecret)
+{
+  KeyRing ring({});
+  Reason reason;
+  for (const char* text : { "s3cr3t", "alpha.s3cr3t", "alpha.s3cr3t!" }) {
+    BOOST_TEST(!ring.Authenticate(text, &reason).has_value());
+    BOOST_TEST(reason.mText.find("s3cr3t") == std::string::npos);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WithdrawnKeyStopsAtDispatchToo)
+{
+  const NewKey old = Make("alpha", 1);
+  KeyRing ring({});
+  ring.SetKeys(1, Records({ old }));
+  const KeyIdentity identity = *ring.Authenticate(old.mText, nullptr);
+  BOOST_TEST(ring.StillGood(identity, nullptr));
+
+  ring.SetKeys(2, {});
+  BOOST_TEST(!ring.StillGood(identity, nullptr));
+  // A new key of the same name is another key.
+  ring.SetKeys(3, Records({ Make("alpha", 2) }));
+  BOOST_TEST(!ring.StillGood(identity, nullptr));
+  BOOST_TEST(!ring.Authenticate(old.mText, nullptr).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderViewBringsNoKeyBack)
+{
+  const NewKey key = Make("alpha", 1);
+  KeyRing ring({});
+  ring.SetKeys(5, {});
+  BOOST_TEST(!ring.SetKeys(4, Records({ key })));
+  BOOST_TEST(!ring.Authenticate(key.mText, nullptr).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ShownKeyWithoutRecordNeverMatchesAnEmptyDigest)
+{
+  KeyRecord record;
+  record.mName = "alpha";
+  KeyRing ring({});
+  ring.SetKeys(1, { { "alpha", record } });
+  BOOST_TEST(!ring.Authenticate("alpha.x", nullptr).has_value());
+}
+
+namespace {
+
+/// A step in the life of suspensions at one VM.
+struct SuspensionStep
+{
+  unsigned mOp = 0;
+  unsigned mWhich = 0;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const SuspensionStep& aStep)
+{
+  return aOut << aStep.mOp << ':' << aStep.mWhich;
+}
+
+} // namespace
+
+namespace rc {
+
+template<>
+struct Arbitrary<SuspensionStep>
+{
+  static Gen<SuspensionStep> arbitrary()
+  {
+    return gen::build<SuspensionStep>(
+      gen::set(&SuspensionStep::mOp, gen::inRange(0u, 4u)),
+      gen::set(&SuspensionStep::mWhich, gen::inRange(0u, 6u)));
+  }
+};
+
+} // namespace rc
+
+/// Operation i would make version i + 2 and withdraw the key. Repeats of its
+/// suspension keep coming from peers. The key is refused exactly while an
+/// operation is in doubt, however much time passes.
+RC_BOOST_PROP(SuspensionEndsWithItsCommitOnly,
+              (const std::vector<SuspensionStep>& aSteps))
+{
+  const NewKey key = Make("alpha", 1);
+  KeyRing ring({});
+  ring.SetKeys(1, Records({ key }));
+  std::set<unsigned> inDoubt;
+  std::set<unsigned> settled;
+  std::uint64_t version = 1;
+  TimePoint now = kStart;
+  for (const SuspensionStep& step : aSteps) {
+    const unsigned i = step.mWhich;
+    const std::string operation = "operation-" + std::to_string(i);
+    if (step.mOp == 0) {
+      RC_ASSERT(
+        ring.Suspend({ operation, i + 2, { "alpha" }, Duration{ 0 } }, now));
+      if (settled.count(i) == 0 && i + 2 > version) {
+        inDoubt.insert(i);
+      }
+    } else if (step.mOp == 1) {
+      ring.Settle(operation);
+      settled.insert(i);
+      inDoubt.erase(i);
+    } else if (step.mOp == 2) {
+      version = std::max<std::uint64_t>(version, i + 2);
+      ring.SetKeys(version, Records({ key }));
+      inDoubt.erase(inDoubt.begin(),
+                    inDoubt.upper_bound(static_cast<unsigned>(version - 2)));
+    } else {
+      now += std::chrono::minutes(1);
+    }
+    RC_ASSERT(ring.Authenticate(key.mText, nullptr).has_value() ==
+              inDoubt.empty());
+    RC_ASSERT(ring.Suspensions(now).size() == inDoubt.size());
+  }
+}
+
+/// The naive rule, a suspension that ends after some time, lets a withdrawn
+/// key back in while its commit is still in doubt.
+BOOST_AUTO_TEST_CASE(SuspensionThatEndsByAgeIsWrong)
+{
+  const NewKey key = Make("alpha", 1);
+  KeyRing ring({});
+  ring.SetKeys(1, Records({ key }));
+  ring.Suspend({ "operation", 2, { "alpha" }, Duration{ 0 } }, kStart);
+  const TimePoint later = kStart + std::chrono::minutes(10);
+  BOOST_TEST(!ring.Authenticate(key.mText, nullptr).has_value());
+  BOOST_TEST(ring.Overdue(kStart + 1s).empty());
+  BOOST_TEST(ring.Overdue(later).size() == 1u);
+
+  // What ends by age does: a peer that dropped it after ten seconds.
+  KeyRing byAge({});
+  byAge.SetKeys(1, Records({ key }));
+  byAge.Suspend({ "operation", 2, { "alpha" }, Duration{ 0 } }, kStart);
+  for (const KeySuspension& it : byAge.Overdue(later)) {
+    byAge.Settle(it.mOperationId);
+  }
+  BOOST_TEST(byAge.Authenticate(key.mText, nullptr).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(FullOfSuspensionsSaysSo)
+{
+  KeyRingSettings settings;
+  settings.mMaxSuspensions = 1;
+  KeyRing ring(settings);
+  BOOST_TEST(ring.Suspend({ "one", 2, { "a" }, Duration{ 0 } }, kStart));
+  BOOST_TEST(ring.Suspend({ "one", 2, { "a" }, Duration{ 0 } }, kStart));
+  BOOST_TEST(!ring.Suspend({ "two", 2, { "b" }, Duration{ 0 } }, kStart));
+}
