--- a/Peridothoist/Request/EntryCore.cpp
+++ b/Peridothoist/Request/EntryCore.cpp
@@ -273,14 +273,14 @@
 
 void
 EntryCore::OnClaimAnswer(std::uint64_t aId,
-                         ClaimAnswer aAnswer,
+                         const ClaimAnswer& aAnswer,
                          TimePoint aNow,
                          RequestCommands& aOut)
 {
   mImpl->Begin(aNow, aOut);
   RequestState* request = mImpl->mContext.Find(aId);
   if (request != nullptr) {
-    mImpl->mRequests.OnClaim(*request, std::move(aAnswer));
+    mImpl->mRequests.OnClaim(*request, aAnswer);
   } else {
     ++mImpl->mContext.mCounters.mEventsDropped;
   }
--- a/Peridothoist/Request/EntryCore.h
+++ b/Peridothoist/Request/EntryCore.h
@@ -50,7 +50,7 @@
   void OnArrival(Arrival aArrival, TimePoint aNow, RequestCommands& aOut);
   void OnCallerGone(std::uint64_t aId, TimePoint aNow, RequestCommands& aOut);
   void OnClaimAnswer(std::uint64_t aId,
-                     ClaimAnswer aAnswer,
+                     const ClaimAnswer& aAnswer,
                      TimePoint aNow,
                      RequestCommands& aOut);
   void OnReserveAnswer(std::uint64_t aId,
--- a/Peridothoist/Request/RequestMachine.cpp
+++ b/Peridothoist/Request/RequestMachine.cpp
@@ -1,6 +1,5 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Request/RequestMachine.h>
-#include <Peridothoist/Config/ConfigurationReader.h>
 
 #include <algorithm>
 #include <array>
@@ -9,7 +8,6 @@
 
 namespace {
 
-constexpr int kOk = 200;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 
@@ -21,22 +19,6 @@
          aArrival.mBodyDigest;
 }
 
-/// Refusals after which it makes no sense to come back with the same.
-bool
-IsFinal(RefusalKind aKind)
-{
-  switch (aKind) {
-    case RefusalKind::KeyWithdrawn:
-    case RefusalKind::PoolNotAllowed:
-    case RefusalKind::IdempotencyKeyMissing:
-    case RefusalKind::IdempotencyKeyMismatch:
-    case RefusalKind::TooLarge:
-      return true;
-    default:
-      return false;
-  }
-}
-
 /// An answer that another upstream might give better.
 bool
 IsGatewayError(const PlainAnswer& aAnswer)
@@ -55,6 +37,8 @@
   , mAttempts(aAttempts)
   , mDispatcher(aDispatcher)
   , mWatch(aWatch)
+  , mRules(aContext, aDispatcher)
+  , mCloser(aContext, aAttempts, aDispatcher)
 {
 }
 
@@ -84,9 +68,10 @@
   mContext.mTimers.Add(request.mDeadline, { TimerKind::Deadline, id, 0 });
 
   Duration retryAfter(0);
-  const std::optional<RefusalKind> kind = CheckArrival(request, retryAfter);
+  const std::optional<RefusalKind> kind =
+    mRules.CheckArrival(request, retryAfter);
   if (kind) {
-    Refuse(request, *kind, retryAfter);
+    mCloser.Refuse(request, *kind, retryAfter);
     return;
   }
   if (route.mIdempotent || request.mArrival.mIdempotencyKey.empty()) {
@@ -96,75 +81,6 @@
   Claim(request);
 }
 
-std::optional<RefusalKind>
-RequestMachine::CheckArrival(const RequestState& aRequest,
-                             Duration& aRetryAfter)
-{
-  const std::optional<TimePoint> quarantined =
-    mContext.mSuspects.QuarantinedUntil(aRequest.mDigest, mContext.mNow);
-  if (quarantined) {
-    aRetryAfter = *quarantined - mContext.mNow;
-    return RefusalKind::Quarantined;
-  }
-  const std::optional<RefusalKind> right = CheckRight(aRequest);
-  if (right) {
-    return right;
-  }
-  const bool keyless = aRequest.mArrival.mIdempotencyKey.empty();
-  if (!aRequest.IsIdempotent() && keyless &&
-      DefaultsOf(aRequest).mIdempotencyKeyRequired) {
-    return RefusalKind::IdempotencyKeyMissing;
-  }
-  return mDispatcher.Admit(aRequest, aRetryAfter);
-}
-
-Defaults
-RequestMachine::DefaultsOf(const RequestState& aRequest) const
-{
-  return EffectiveDefaults(*mContext.mConfiguration,
-                           aRequest.mArrival.mWorkspace);
-}
-
-std::optional<RefusalKind>
-RequestMachine::CheckRight(const RequestState& aRequest) const
-{
-  const Route& route = *aRequest.mArrival.mRoute;
-  if (route.mOpenToAll) {
-    return std::nullopt;
-  }
-  const auto& workspaces = mContext.mConfiguration->mWorkspaces;
-  const auto workspace = workspaces.find(aRequest.mArrival.mWorkspace);
-  if (workspace == workspaces.end()) {
-    return RefusalKind::PoolNotAllowed;
-  }
-  const std::vector<std::string>& pools = workspace->second.mPools;
-  for (const std::string* pool :
-       { &route.mPrefillPool, &route.mDecodePool, &route.mPlainPool }) {
-    if (!pool->empty() &&
-        std::find(pools.begin(), pools.end(), *pool) == pools.end()) {
-      return RefusalKind::PoolNotAllowed;
-    }
-  }
-  return std::nullopt;
-}
-
-std::optional<RefusalKind>
-RequestMachine::CheckStart(const RequestState& aRequest) const
-{
-  if (mContext.mSuspects.QuarantinedUntil(aRequest.mDigest, mContext.mNow)) {
-    return RefusalKind::Quarantined;
-  }
-  if (aRequest.mHeadSent) {
-    return std::nullopt; // It was accepted, and its answer is on its way.
-  }
-  const std::optional<RefusalKind> right = CheckRight(aRequest);
-  if (right) {
-    return right;
-  }
-  return mContext.mGate->MayDispatch(
-    aRequest.mArrival.mWorkspace, aRequest.mArrival.mKeyName, mContext.mNow);
-}
-
 void
 RequestMachine::Claim(RequestState& aRequest)
 {
@@ -177,7 +93,7 @@
 }
 
 void
-RequestMachine::OnClaim(RequestState& aRequest, ClaimAnswer aAnswer)
+RequestMachine::OnClaim(RequestState& aRequest, const ClaimAnswer& aAnswer)
 {
   static constexpr std::array<ClaimHandler, 5> kHandlers = {
     &RequestMachine::OnClaimInserted,
@@ -195,7 +111,7 @@
   aRequest.mClaim = ours ? ClaimState::Held : ClaimState::Closed;
   aRequest.mRowVersion = aAnswer.mRowVersion;
   if (aRequest.mPhase == RequestPhase::Late) {
-    CloseIfNothingIsOpen(aRequest);
+    mCloser.CloseIfNothingIsOpen(aRequest);
     return;
   }
   const ClaimHandler handler =
@@ -216,39 +132,32 @@
 {
   if (!aAnswer.mKept) {
     aRequest.mVerdict.Advance(RunVerdict::MayHaveRun);
-    Refuse(aRequest, RefusalKind::InProgress);
+    mCloser.Refuse(aRequest, RefusalKind::InProgress);
     return;
   }
   aRequest.mVerdict.Advance(RunVerdict::Ran);
-  RequestCommand& command =
-    mContext.Command(RequestCommandKind::SendWhole, aRequest);
-  command.mStatus = aAnswer.mKept->mStatus;
-  command.mBody = aAnswer.mKept->mBody;
-  command.mHeaders = aAnswer.mKept->mHeaders;
-  aRequest.mAnswered = true;
-  ++mContext.mCounters.mAnswered;
-  Conclude(aRequest);
+  mCloser.AnswerKept(aRequest, *aAnswer.mKept);
 }
 
 void
 RequestMachine::OnClaimOtherBody(RequestState& aRequest,
                                  const ClaimAnswer& /*aAnswer*/)
 {
-  Refuse(aRequest, RefusalKind::IdempotencyKeyMismatch);
+  mCloser.Refuse(aRequest, RefusalKind::IdempotencyKeyMismatch);
 }
 
 void
 RequestMachine::OnClaimUnreachable(RequestState& aRequest,
                                    const ClaimAnswer& /*aAnswer*/)
 {
-  Refuse(aRequest, RefusalKind::ClaimUnavailable);
+  mCloser.Refuse(aRequest, RefusalKind::ClaimUnavailable);
 }
 
 void
 RequestMachine::OnClaimUnsettled(RequestState& aRequest,
                                  const ClaimAnswer& /*aAnswer*/)
 {
-  Refuse(aRequest, RefusalKind::ClaimUnavailable);
+  mCloser.Refuse(aRequest, RefusalKind::ClaimUnavailable);
 }
 
 void
@@ -259,7 +168,7 @@
   }
   ++mContext.mCounters.mCallersGone;
   aRequest.mCallerGone = true;
-  Conclude(aRequest);
+  mCloser.Conclude(aRequest);
 }
 
 void
@@ -287,7 +196,7 @@
 void
 RequestMachine::RefuseLate(RequestState& aRequest)
 {
-  Refuse(aRequest, RefusalKind::DeadlinePassed);
+  mCloser.Refuse(aRequest, RefusalKind::DeadlinePassed);
 }
 
 void
@@ -310,7 +219,7 @@
     aRequest.mSent = true;
     mAttempts.End(aRequest, aRequest.mAttempts.front().mNumber);
   }
-  CloseIfNothingIsOpen(aRequest);
+  mCloser.CloseIfNothingIsOpen(aRequest);
 }
 
 void
@@ -324,7 +233,7 @@
     }
   }
   for (RequestState* it : waiting) {
-    Refuse(*it, RefusalKind::Quarantined);
+    mCloser.Refuse(*it, RefusalKind::Quarantined);
   }
 }
 
@@ -337,7 +246,7 @@
     return false;
   }
   if (!aRequest.mSent) {
-    aRequest.mWithheldFor = CheckStart(aRequest);
+    aRequest.mWithheldFor = mRules.CheckStart(aRequest);
     if (aRequest.mWithheldFor) {
       return false;
     }
@@ -351,12 +260,12 @@
 bool
 RequestMachine::OnBeforeStart(RequestState& aRequest)
 {
-  const std::optional<RefusalKind> kind = CheckStart(aRequest);
+  const std::optional<RefusalKind> kind = mRules.CheckStart(aRequest);
   if (!kind) {
     return true;
   }
   if (aRequest.mPhase == RequestPhase::Waiting) {
-    Refuse(aRequest, *kind);
+    mCloser.Refuse(aRequest, *kind);
   }
   return false;
 }
@@ -381,7 +290,7 @@
   if (!hedged) {
     return;
   }
-  const Defaults defaults = DefaultsOf(aRequest);
+  const Defaults defaults = mRules.DefaultsOf(aRequest);
   if (defaults.mHedgeLookups) {
     mContext.mTimers.Add(mContext.mNow + defaults.mHedgeDelay,
                          { TimerKind::Hedge, aRequest.mArrival.mId, aAttempt });
@@ -400,7 +309,7 @@
                                 AttemptFailure aFailure)
 {
   if (aRequest.mPhase == RequestPhase::Late) {
-    CloseIfNothingIsOpen(aRequest);
+    mCloser.CloseIfNothingIsOpen(aRequest);
     return;
   }
   if (!aRequest.mAttempts.empty()) {
@@ -460,16 +369,17 @@
   const std::optional<TimePoint> quarantined =
     mContext.mSuspects.QuarantinedUntil(aRequest.mDigest, mContext.mNow);
   if (quarantined) {
-    Refuse(aRequest, RefusalKind::Quarantined, *quarantined - mContext.mNow);
+    mCloser.Refuse(
+      aRequest, RefusalKind::Quarantined, *quarantined - mContext.mNow);
     return;
   }
   if (aFailure == AttemptFailure::Withdrawn && aRequest.mWithheldFor) {
-    Refuse(aRequest, *aRequest.mWithheldFor);
+    mCloser.Refuse(aRequest, *aRequest.mWithheldFor);
     return;
   }
   const bool late = mContext.mNow >= aRequest.mDeadline;
-  Refuse(aRequest,
-         late ? RefusalKind::DeadlinePassed : RefusalKind::UpstreamFailed);
+  mCloser.Refuse(
+    aRequest, late ? RefusalKind::DeadlinePassed : RefusalKind::UpstreamFailed);
 }
 
 void
@@ -503,45 +413,7 @@
 {
   aRequest.mVerdict.Advance(RunVerdict::Ran);
   mContext.mSuspects.OnFinished(aRequest.mDigest);
-  if (aRequest.mClaim == ClaimState::Held) {
-    RequestCommand& command = Record(aRequest, OutcomeState::Done);
-    command.mCompletion = true;
-    command.mStatus = kOk;
-    command.mText = aRequest.mText;
-    command.mFinishReason = aFinishReason;
-    command.mPromptTokens = aRequest.mPromptTokens;
-    command.mTokens = aRequest.mTokens;
-  }
-  if (aRequest.mPhase == RequestPhase::Late) {
-    CloseIfNothingIsOpen(aRequest);
-    return;
-  }
-  SendCompletion(aRequest, aFinishReason);
-  Conclude(aRequest);
-}
-
-void
-RequestMachine::SendCompletion(RequestState& aRequest,
-                               const std::string& aFinishReason)
-{
-  const bool streaming = aRequest.mArrival.mStreaming;
-  if (streaming && !aRequest.mHeadSent) {
-    aRequest.mHeadSent = true;
-    mContext.Command(RequestCommandKind::SendHead, aRequest);
-  }
-  RequestCommand& command = mContext.Command(
-    streaming ? RequestCommandKind::EndStream : RequestCommandKind::SendWhole,
-    aRequest);
-  command.mFinishReason = aFinishReason;
-  command.mPromptTokens = aRequest.mPromptTokens;
-  command.mTokens = aRequest.mTokens;
-  if (!streaming) {
-    command.mCompletion = true;
-    command.mStatus = kOk;
-    command.mText = aRequest.mText;
-  }
-  aRequest.mAnswered = true;
-  ++mContext.mCounters.mAnswered;
+  mCloser.AnswerCompletion(aRequest, aFinishReason);
 }
 
 void
@@ -561,119 +433,11 @@
     }
   }
   aRequest.mVerdict.Advance(RunVerdict::Ran);
-  if (aRequest.mClaim == ClaimState::Held) {
-    RequestCommand& command = Record(aRequest, OutcomeState::Done);
-    command.mStatus = aAnswer.mCall.mStatus;
-    command.mBody = aAnswer.mBody;
-    command.mHeaders = aAnswer.mHeaders;
-  }
-  if (late) {
-    CloseIfNothingIsOpen(aRequest);
-    return;
-  }
-  mDispatcher.OnFirstByte(aRequest, mContext.mNow - aAttempt.mStartedAt);
-  mContext.mCounters.mHedgesWon += aAttempt.mHedge ? 1 : 0;
-  RequestCommand& command =
-    mContext.Command(RequestCommandKind::SendWhole, aRequest);
-  command.mStatus = aAnswer.mCall.mStatus;
-  command.mBody = std::move(aAnswer.mBody);
-  command.mHeaders = std::move(aAnswer.mHeaders);
-  aRequest.mAnswered = true;
-  ++mContext.mCounters.mAnswered;
-  Conclude(aRequest);
-}
-
-void
-RequestMachine::Refuse(RequestState& aRequest,
-                       RefusalKind aKind,
-                       Duration aRetryAfter)
-{
-  PH_ASSERT(!aRequest.mAnswered && !aRequest.mCallerGone);
-  for (const Attempt& it : aRequest.mAttempts) {
-    if (it.Step() != AttemptStep::Reserve) {
-      // Its content may be leaving right now.
-      aRequest.mVerdict.Advance(RunVerdict::MayHaveRun);
-    }
-  }
-  const Duration retryAfter =
-    IsFinal(aKind) ? Duration(0)
-                   : std::max(aRetryAfter, mContext.mSettings.mRetryAfter);
-  RequestCommand& command =
-    mContext.Command(aRequest.mHeadSent ? RequestCommandKind::AbortStream
-                                        : RequestCommandKind::SendRefusal,
-                     aRequest);
-  command.mRefusal = Refusal::Make(aKind, aRequest.mVerdict, retryAfter);
-  ++mContext.mCounters.mRefused[static_cast<std::size_t>(aKind)];
-  mContext.mCounters.mAborted += aRequest.mHeadSent ? 1 : 0;
-  aRequest.mAnswered = true;
-  Conclude(aRequest);
-}
-
-bool
-RequestMachine::AwaitsOutcome(const RequestState& aRequest,
-                              const Attempt& aAttempt) const
-{
-  return aRequest.mClaim == ClaimState::Held &&
-         aAttempt.Step() != AttemptStep::Reserve;
-}
-
-void
-RequestMachine::Conclude(RequestState& aRequest)
-{
-  if (aRequest.mPhase == RequestPhase::Waiting) {
-    mDispatcher.Remove(aRequest);
-  }
-  aRequest.mPhase = RequestPhase::Late;
-  std::vector<std::uint32_t> ended;
-  for (const Attempt& it : aRequest.mAttempts) {
-    if (!AwaitsOutcome(aRequest, it)) {
-      ended.push_back(it.mNumber);
-    }
-  }
-  for (std::uint32_t it : ended) {
-    mAttempts.End(aRequest, it);
-  }
-  if (!aRequest.mAttempts.empty()) {
-    mContext.mTimers.Add(mContext.mNow + mContext.mSettings.mOutcomeWait,
-                         { TimerKind::OutcomeWait, aRequest.mArrival.mId, 0 });
-  }
-  CloseIfNothingIsOpen(aRequest);
-}
-
-void
-RequestMachine::CloseIfNothingIsOpen(RequestState& aRequest)
-{
-  if (aRequest.mPhase != RequestPhase::Late || !aRequest.mAttempts.empty() ||
-      aRequest.mClaim == ClaimState::Asked) {
-    return;
+  if (!late) {
+    mDispatcher.OnFirstByte(aRequest, mContext.mNow - aAttempt.mStartedAt);
+    mContext.mCounters.mHedgesWon += aAttempt.mHedge ? 1 : 0;
   }
-  if (aRequest.mClaim == ClaimState::Held) {
-    Record(aRequest,
-           aRequest.mSent ? OutcomeState::MayHaveRun : OutcomeState::NotRun);
-  }
-  RequestCommand& settle =
-    mContext.Command(RequestCommandKind::Settle, aRequest);
-  const std::uint32_t prompt = aRequest.mPromptTokens > 0
-                                 ? aRequest.mPromptTokens
-                                 : aRequest.mArrival.mPromptTokens;
-  settle.mPromptTokens = aRequest.mSent ? prompt : 0;
-  settle.mTokens = aRequest.mTokens;
-  mContext.Command(RequestCommandKind::Forget, aRequest);
-  aRequest.mPhase = RequestPhase::Over;
-  mContext.mOver.push_back(aRequest.mArrival.mId);
-}
-
-RequestCommand&
-RequestMachine::Record(RequestState& aRequest, OutcomeState aOutcome)
-{
-  aRequest.mClaim = ClaimState::Closed;
-  RequestCommand& command =
-    mContext.Command(RequestCommandKind::RecordOutcome, aRequest);
-  command.mIdempotencyKey = aRequest.mArrival.mIdempotencyKey;
-  command.mBodyDigest = aRequest.mArrival.mBodyDigest;
-  command.mRowVersion = aRequest.mRowVersion;
-  command.mOutcome = aOutcome;
-  return command;
+  mCloser.AnswerPlain(aRequest, std::move(aAnswer));
 }
 
 } // namespace peridothoist
--- a/Peridothoist/Request/RequestMachine.h
+++ b/Peridothoist/Request/RequestMachine.h
@@ -1,19 +1,17 @@
 /// Takes each request from its arrival to its one final answer: claim, queue,
-/// attempts, retries, stream and outcome. Knows callers and the table
-/// service; upstreams are left to AttemptMachine.
+/// attempts, retries and stream. Upstreams are left to AttemptMachine, the end
+/// to RequestCloser.
 ///
-/// What must hold here:
-/// - one final answer for each request, whatever comes later;
-/// - a request that is not idempotent gets another attempt only while no byte
-///   of it has left, and runs only while its claim is held;
-/// - a claim is closed as "not run" only when no attempt is open and no byte
-///   has left, so that nothing of it can run after that.
+/// What must hold here: a request that is not idempotent gets another attempt
+/// only while no byte of it has left, and runs only while its claim is held.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Request/AttemptMachine.h>
 #include <Peridothoist/Request/Dispatcher.h>
 #include <Peridothoist/Request/EntryContext.h>
+#include <Peridothoist/Request/RequestCloser.h>
+#include <Peridothoist/Request/RequestRules.h>
 #include <Peridothoist/Request/UpstreamWatch.h>
 
 namespace peridothoist {
@@ -31,7 +29,7 @@
 
   // Events
   void OnArrival(Arrival aArrival);
-  void OnClaim(RequestState& aRequest, ClaimAnswer aAnswer);
+  void OnClaim(RequestState& aRequest, const ClaimAnswer& aAnswer);
   void OnCallerGone(RequestState& aRequest);
   void OnDeadline(RequestState& aRequest);
   void OnHedgeDue(RequestState& aRequest, std::uint32_t aAttempt);
@@ -67,11 +65,6 @@
                                                 const ClaimAnswer&);
 
   // Arrival
-  std::optional<RefusalKind> CheckArrival(const RequestState& aRequest,
-                                          Duration& aRetryAfter);
-  std::optional<RefusalKind> CheckRight(const RequestState& aRequest) const;
-  std::optional<RefusalKind> CheckStart(const RequestState& aRequest) const;
-  Defaults DefaultsOf(const RequestState& aRequest) const;
   void Claim(RequestState& aRequest);
 
   // Answers of the table service
@@ -92,21 +85,12 @@
              AttemptFailure aFailure);
   void GiveUp(RequestState& aRequest, AttemptFailure aFailure);
 
-  // End
-  void Refuse(RequestState& aRequest,
-              RefusalKind aKind,
-              Duration aRetryAfter = Duration(0));
-  void Conclude(RequestState& aRequest);
-  void CloseIfNothingIsOpen(RequestState& aRequest);
-  bool AwaitsOutcome(const RequestState& aRequest,
-                     const Attempt& aAttempt) const;
-  RequestCommand& Record(RequestState& aRequest, OutcomeState aOutcome);
-  void SendCompletion(RequestState& aRequest, const std::string& aFinishReason);
-
   EntryContext& mContext;
   AttemptMachine& mAttempts;
   Dispatcher& mDispatcher;
   UpstreamWatch& mWatch;
+  RequestRules mRules;
+  RequestCloser mCloser;
 };
 
 } // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Request/RequestRules.cpp
@@ -0,0 +1,78 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Request/RequestRules.h>
+#include <Peridothoist/Config/ConfigurationReader.h>
+
+#include <algorithm>
+
+namespace peridothoist {
+
+std::optional<RefusalKind>
+RequestRules::CheckArrival(const RequestState& aRequest,
+                           Duration& aRetryAfter) const
+{
+  const std::optional<TimePoint> quarantined =
+    mContext.mSuspects.QuarantinedUntil(aRequest.mDigest, mContext.mNow);
+  if (quarantined) {
+    aRetryAfter = *quarantined - mContext.mNow;
+    return RefusalKind::Quarantined;
+  }
+  const std::optional<RefusalKind> right = CheckRight(aRequest);
+  if (right) {
+    return right;
+  }
+  const bool keyless = aRequest.mArrival.mIdempotencyKey.empty();
+  if (!aRequest.IsIdempotent() && keyless &&
+      DefaultsOf(aRequest).mIdempotencyKeyRequired) {
+    return RefusalKind::IdempotencyKeyMissing;
+  }
+  return mDispatcher.Admit(aRequest, aRetryAfter);
+}
+
+Defaults
+RequestRules::DefaultsOf(const RequestState& aRequest) const
+{
+  return EffectiveDefaults(*mContext.mConfiguration,
+                           aRequest.mArrival.mWorkspace);
+}
+
+std::optional<RefusalKind>
+RequestRules::CheckRight(const RequestState& aRequest) const
+{
+  const Route& route = *aRequest.mArrival.mRoute;
+  if (route.mOpenToAll) {
+    return std::nullopt;
+  }
+  const auto& workspaces = mContext.mConfiguration->mWorkspaces;
+  const auto workspace = workspaces.find(aRequest.mArrival.mWorkspace);
+  if (workspace == workspaces.end()) {
+    return RefusalKind::PoolNotAllowed;
+  }
+  const std::vector<std::string>& pools = workspace->second.mPools;
+  for (const std::string* pool :
+       { &route.mPrefillPool, &route.mDecodePool, &route.mPlainPool }) {
+    if (!pool->empty() &&
+        std::find(pools.begin(), pools.end(), *pool) == pools.end()) {
+      return RefusalKind::PoolNotAllowed;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<RefusalKind>
+RequestRules::CheckStart(const RequestState& aRequest) const
+{
+  if (mContext.mSuspects.QuarantinedUntil(aRequest.mDigest, mContext.mNow)) {
+    return RefusalKind::Quarantined;
+  }
+  if (aRequest.mHeadSent) {
+    return std::nullopt; // It was accepted, and its answer is on its way.
+  }
+  const std::optional<RefusalKind> right = CheckRight(aRequest);
+  if (right) {
+    return right;
+  }
+  return mContext.mGate->MayDispatch(
+    aRequest.mArrival.mWorkspace, aRequest.mArrival.mKeyName, mContext.mNow);
+}
+
+} // namespace peridothoist
--- a/UnitTests/Request/ChaosTest.cpp
+++ b/UnitTests/Request/ChaosTest.cpp
@@ -153,7 +153,7 @@
 {
   auto config = MakeConfiguration();
   FakeWorld world(config);
-  world.mOnly = aOnly;
+  world.SetOnly(aOnly);
   world.AddRouter(aMake(config, 1));
   world.AddRouter(aMake(config, 2));
   const Model model;
--- /dev/null
+++ b/UnitTests/Request/FakeTable.h
@@ -0,0 +1,73 @@
+/// A fake table service with conditional writes.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Request/Answers.h>
+#include <Peridothoist/Request/RequestCommand.h>
+
+namespace peridothoist::test {
+
+class FakeTable
+{
+public:
+  /// Inserts a claim if its row is absent or released; else says what is
+  /// there. A repeated insert by the same request finds its own row.
+  ClaimAnswer Insert(const std::string& aWorkspace,
+                     const RequestCommand& aCommand)
+  {
+    Row& row = mRows[aWorkspace + "/" + aCommand.mIdempotencyKey];
+    const bool released = !row.mClaimed && row.mState == OutcomeState::NotRun;
+    if (row.mVersion == 0 ||
+        (released && row.mDigest == aCommand.mBodyDigest)) {
+      row = Row();
+      row.mVersion = ++mVersion;
+      row.mDigest = aCommand.mBodyDigest;
+      row.mToken = aCommand.mId;
+    }
+    ClaimAnswer answer;
+    answer.mRowVersion = row.mVersion;
+    answer.mKind = ClaimAnswerKind::ExistsSame;
+    if (row.mDigest != aCommand.mBodyDigest) {
+      answer.mKind = ClaimAnswerKind::ExistsOtherBody;
+    } else if (row.mClaimed && row.mToken == aCommand.mId) {
+      answer.mKind = ClaimAnswerKind::Inserted;
+    } else if (!row.mClaimed && row.mState == OutcomeState::Done) {
+      answer.mKept = KeptOutcome{ row.mStatus, row.mBody, {} };
+    }
+    return answer;
+  }
+
+  /// Writes an outcome if the row is still this claim's.
+  void Write(const std::string& aWorkspace, const RequestCommand& aCommand)
+  {
+    Row& row = mRows[aWorkspace + "/" + aCommand.mIdempotencyKey];
+    const bool ours = row.mClaimed && row.mToken == aCommand.mId;
+    const bool current =
+      aCommand.mRowVersion == 0 || aCommand.mRowVersion == row.mVersion;
+    if (!ours || !current || row.mVersion == 0) {
+      return;
+    }
+    row.mVersion = ++mVersion;
+    row.mClaimed = false;
+    row.mState = aCommand.mOutcome;
+    row.mStatus = aCommand.mStatus;
+    row.mBody = aCommand.mCompletion ? aCommand.mText : aCommand.mBody;
+  }
+
+private:
+  struct Row
+  {
+    std::uint64_t mVersion = 0;
+    OutcomeState mState = OutcomeState::MayHaveRun;
+    bool mClaimed = true; ///< No outcome written yet.
+    std::string mDigest;
+    std::uint64_t mToken = 0; ///< The claiming request.
+    int mStatus = 0;
+    std::string mBody;
+  };
+
+  std::map<std::string, Row> mRows;
+  std::uint64_t mVersion = 0;
+};
+
+} // namespace peridothoist::test
--- a/UnitTests/Request/FakeWorld.h
+++ b/UnitTests/Request/FakeWorld.h
@@ -3,6 +3,9 @@
 /// one stage further by Step().
 #pragma once
 
+#include <Request/FakeCallers.h>
+#include <Request/FakeConfiguration.h>
+#include <Request/FakeTable.h>
 #include <Request/Router.h>
 
 #include <algorithm>
@@ -20,79 +23,12 @@
   BadStatus     ///< A whole answer of an unwanted status.
 };
 
-/// Pools and routes of the fake world.
-inline std::shared_ptr<Configuration>
-MakeConfiguration(std::uint32_t aDecodes = 3)
-{
-  auto config = std::make_shared<Configuration>();
-  config->mVersion = 1;
-  for (const char* name : { "a", "b" }) {
-    config->mWorkspaces[name] = { name, 1e9, 1e9, { "pre", "dec", "svc" } };
-  }
-  config->mPools["pre"] = { "pre", UpstreamRole::Prefill, "m" };
-  config->mPools["dec"] = { "dec", UpstreamRole::Decode, "m" };
-  config->mPools["svc"] = { "svc", UpstreamRole::Plain, "" };
-  const auto add = [&](const std::string& aPool, std::uint32_t aNumber) {
-    Upstream upstream;
-    upstream.mName = aPool + std::to_string(aNumber);
-    upstream.mPool = aPool;
-    upstream.mAddress = "10.0.0.1:" + std::to_string(aNumber);
-    upstream.mMemoryPieces = 4;
-    config->mUpstreams[upstream.mName] = upstream;
-  };
-  for (std::uint32_t n = 0; n < aDecodes; ++n) {
-    add("pre", n);
-    add("dec", n);
-    add("svc", n);
-  }
-  const auto route = [&](const char* aName, bool aPlain, bool aIdempotent) {
-    Route it;
-    it.mName = aName;
-    it.mPath = std::string("/") + aName;
-    it.mIdempotent = aIdempotent;
-    it.mClass = !aIdempotent ? RequestClass::NonIdempotent
-                : aPlain     ? RequestClass::Lookup
-                             : RequestClass::Draft;
-    it.mPlainPool = aPlain ? "svc" : "";
-    it.mPrefillPool = aPlain ? "" : "pre";
-    it.mDecodePool = aPlain ? "" : "dec";
-    config->mRoutes[aName] = it;
-  };
-  route("chat", false, true);
-  route("lookup", true, true);
-  route("post", true, false);
-  route("cert", false, false);
-  return config;
-}
-
 class FakeWorld
 {
 public:
-  /// One request to send.
-  struct Ask
-  {
-    std::string mRoute = "chat";
-    std::string mBody = "x";
-    std::string mKey; ///< For routes that are not idempotent.
-    bool mStreaming = true;
-    std::string mWorkspace = "a";
-  };
-
-  /// What a caller saw.
-  struct Caller
-  {
-    Ask mAsk;
-    bool mGone = false;
-    int mFinals = 0;
-    int mForgotten = 0;
-    std::uint32_t mTokens = 0;
-    std::optional<Refusal> mRefusal;
-    bool mComplete = false;
-    int mExecuted = 0; ///< Times that its content reached an upstream.
-    TimePoint mArrivedAt;
-  };
-
-  static constexpr std::uint32_t kTokens = 3;
+  using Ask = FakeCallers::Ask;
+  using Caller = FakeCallers::Caller;
+  static constexpr std::uint32_t kTokens = FakeCallers::kTokens;
 
   explicit FakeWorld(std::shared_ptr<Configuration> aConfig)
     : mConfig(std::move(aConfig))
@@ -282,26 +218,29 @@
   void CheckEnd()
   {
     for (const auto& [id, caller] : mCallers) {
-      Require(caller.mGone || caller.mFinals == 1, "not answered once", id);
+      mRules.Require(
+        caller.mGone || caller.mFinals == 1, "not answered once", id);
       const bool refused = caller.mRefusal.has_value();
       const bool notRun =
         refused && caller.mRefusal->mVerdict == RunVerdict::NotRun;
-      Require(!notRun || caller.mExecuted == 0, "not run, but ran", id);
+      mRules.Require(!notRun || caller.mExecuted == 0, "not run, but ran", id);
     }
     for (const auto& [name, engine] : mEngines) {
-      Require(engine.mHeld.empty(), "memory held at the end", 0);
+      mRules.Require(engine.mHeld.empty(), "memory held at the end", 0);
     }
   }
 
   /// The first thing seen that must not happen; empty when none was.
-  const std::string& Violation() const { return mViolation; }
+  const std::string& Violation() const { return mRules.Violation(); }
 
   // What tests look at
   std::map<std::uint64_t, Caller>& Callers() { return mCallers; }
   std::size_t OpenCalls() const { return mCalls.size(); }
   TimePoint Now() const { return mNow; }
   Router& At(std::size_t aRouter) { return *mRouters[aRouter]; }
-  std::string mOnly;             ///< Only this violation counts; empty: all do.
+  /// Only this violation counts; empty: all do.
+  void SetOnly(const std::string& aOnly) { mRules.SetOnly(aOnly); }
+
   std::set<std::string> mPoison; ///< Bodies that crash what runs them.
   std::map<std::string, int> mKills; ///< Crashes, by poisonous body.
   int mContentSent = 0;  ///< Calls with content of which bytes left.
@@ -337,17 +276,6 @@
     std::map<std::string, std::uint32_t> mHeld; ///< Pieces, by request id.
   };
 
-  struct Row
-  {
-    std::uint64_t mVersion = 0;
-    OutcomeState mState = OutcomeState::MayHaveRun;
-    bool mClaimed = true; ///< No outcome written yet.
-    std::string mDigest;
-    std::uint64_t mToken = 0; ///< The claiming request.
-    int mStatus = 0;
-    std::string mBody;
-  };
-
   struct Notice
   {
     std::size_t mRouter;
@@ -360,28 +288,6 @@
            aKind == RequestCommandKind::CallPlain;
   }
 
-  static std::string TokenText(const std::string& aBody, std::uint32_t aIndex)
-  {
-    return aBody + "." + std::to_string(aIndex) + ";";
-  }
-
-  static std::string WholeText(const std::string& aBody)
-  {
-    std::string text;
-    for (std::uint32_t n = 0; n < kTokens; ++n) {
-      text += TokenText(aBody, n);
-    }
-    return text;
-  }
-
-  void Require(bool aHolds, const std::string& aWhat, std::uint64_t aId)
-  {
-    const bool counts = mOnly.empty() || aWhat == mOnly;
-    if (!aHolds && counts && mViolation.empty()) {
-      mViolation = aWhat + ", request " + std::to_string(aId);
-    }
-  }
-
   bool AllIdle() const
   {
     return std::all_of(mRouters.begin(),
@@ -429,8 +335,6 @@
   // Commands
   void Perform(std::size_t aRouter, RequestCommand aCommand)
   {
-    Caller& caller = mCallers[aCommand.mId];
-    const std::string& body = caller.mAsk.mBody;
     switch (aCommand.mKind) {
       case RequestCommandKind::Cancel:
         Abort(aCommand);
@@ -439,9 +343,9 @@
       case RequestCommandKind::Reserve:
       case RequestCommandKind::Prefill:
       case RequestCommandKind::CallPlain:
-        Require(!mConfig->mUpstreams[aCommand.mUpstream].mLeaving,
-                "new work at a leaving upstream",
-                aCommand.mId);
+        mRules.Require(!mConfig->mUpstreams[aCommand.mUpstream].mLeaving,
+                       "new work at a leaving upstream",
+                       aCommand.mId);
         mContentCalls += IsContent(aCommand.mKind) ? 1 : 0;
         Start(aRouter, std::move(aCommand));
         break;
@@ -451,49 +355,12 @@
       case RequestCommandKind::RecordOutcome:
         Start(aRouter, std::move(aCommand));
         break;
-      case RequestCommandKind::SendHead:
-        Require(caller.mFinals == 0, "head after the end", aCommand.mId);
-        break;
-      case RequestCommandKind::SendToken:
-        Require(aCommand.mTokenIndex == caller.mTokens &&
-                  aCommand.mText == TokenText(body, caller.mTokens) &&
-                  caller.mFinals == 0,
-                "token out of place",
-                aCommand.mId);
-        ++caller.mTokens;
-        break;
-      case RequestCommandKind::EndStream:
-        Require(caller.mTokens == kTokens, "stream ends short", aCommand.mId);
-        End(caller, aCommand.mId);
-        caller.mComplete = true;
-        break;
-      case RequestCommandKind::SendWhole:
-        Require(aCommand.mCompletion ? aCommand.mText == WholeText(body)
-                                     : aCommand.mStatus != 200 ||
-                                         aCommand.mBody == WholeText(body),
-                "another answer",
-                aCommand.mId);
-        End(caller, aCommand.mId);
-        caller.mComplete = aCommand.mStatus == 200;
-        break;
-      case RequestCommandKind::SendRefusal:
-      case RequestCommandKind::AbortStream:
-        caller.mRefusal = aCommand.mRefusal;
-        End(caller, aCommand.mId);
-        break;
-      case RequestCommandKind::Settle:
-        break;
-      case RequestCommandKind::Forget:
-        Require(++caller.mForgotten == 1, "forgotten twice", aCommand.mId);
+      default:
+        mSeen.Perform(aCommand);
         break;
     }
   }
 
-  void End(Caller& aCaller, std::uint64_t aId)
-  {
-    Require(++aCaller.mFinals == 1, "answered twice", aId);
-  }
-
   void Start(std::size_t aRouter, RequestCommand aCommand)
   {
     auto call = std::make_shared<Call>();
@@ -606,7 +473,7 @@
       Event event = Ok(*aCall, 200);
       event.mKind = EventKind::Token;
       event.mIndex = index;
-      event.mText = TokenText(body, index);
+      event.mText = FakeCallers::TokenText(body, index);
       Tell(aCall->mRouter, event);
       if (aFault == Fault::Duplicate) {
         Tell(aCall->mRouter, event);
@@ -713,10 +580,13 @@
         aCall->mAnswer = Ok(*aCall, 200);
         break;
       case RequestCommandKind::InsertClaim:
-        InsertRow(*aCall);
+        aCall->mAnswer = Ok(*aCall, 200);
+        aCall->mAnswer.mClaim =
+          mTable.Insert(mCallers[command.mId].mAsk.mWorkspace, command);
         break;
       case RequestCommandKind::RecordOutcome:
-        WriteRow(*aCall);
+        aCall->mAnswer = Ok(*aCall, 200);
+        mTable.Write(mCallers[command.mId].mAsk.mWorkspace, command);
         break;
       default:
         break;
@@ -743,14 +613,15 @@
     ++caller.mExecuted;
     const bool refused =
       caller.mRefusal && caller.mRefusal->mVerdict == RunVerdict::NotRun;
-    Require(!refused, "ran after \"not run\"", aCall.mCommand.mId);
+    mRules.Require(!refused, "ran after \"not run\"", aCall.mCommand.mId);
     const std::string& key = caller.mAsk.mKey;
     if (!mConfig->mRoutes[caller.mAsk.mRoute].mIdempotent && !key.empty()) {
       const std::string name = caller.mAsk.mWorkspace + "/" + key;
-      Require(++mExecutedKeys[name] == 1, "ran twice", aCall.mCommand.mId);
+      mRules.Require(
+        ++mExecutedKeys[name] == 1, "ran twice", aCall.mCommand.mId);
     }
     aCall.mAnswer = Ok(aCall, 200);
-    aCall.mAnswer.mText = WholeText(caller.mAsk.mBody);
+    aCall.mAnswer.mText = FakeCallers::WholeText(caller.mAsk.mBody);
     if (mPoison.count(caller.mAsk.mBody) > 0) {
       ++mKills[caller.mAsk.mBody];
       Crash(aCall.mCommand.mUpstream);
@@ -759,66 +630,19 @@
     }
   }
 
-  void InsertRow(Call& aCall)
-  {
-    const RequestCommand& command = aCall.mCommand;
-    const Caller& caller = mCallers[command.mId];
-    const std::string key =
-      caller.mAsk.mWorkspace + "/" + command.mIdempotencyKey;
-    aCall.mAnswer = Ok(aCall, 200);
-    ClaimAnswer& answer = aCall.mAnswer.mClaim;
-    Row& row = mRows[key];
-    const bool fresh = row.mVersion == 0;
-    const bool released = !row.mClaimed && row.mState == OutcomeState::NotRun;
-    if (fresh || (released && row.mDigest == command.mBodyDigest)) {
-      row = Row();
-      row.mVersion = ++mTableVersion;
-      row.mDigest = command.mBodyDigest;
-      row.mToken = command.mId;
-    }
-    answer.mRowVersion = row.mVersion;
-    answer.mKind = ClaimAnswerKind::ExistsSame;
-    if (row.mDigest != command.mBodyDigest) {
-      answer.mKind = ClaimAnswerKind::ExistsOtherBody;
-    } else if (row.mClaimed && row.mToken == command.mId) {
-      answer.mKind = ClaimAnswerKind::Inserted;
-    } else if (!row.mClaimed && row.mState == OutcomeState::Done) {
-      answer.mKept = KeptOutcome{ row.mStatus, row.mBody, {} };
-    }
-  }
-
-  void WriteRow(Call& aCall)
-  {
-    const RequestCommand& command = aCall.mCommand;
-    const Caller& caller = mCallers[command.mId];
-    Row& row = mRows[caller.mAsk.mWorkspace + "/" + command.mIdempotencyKey];
-    aCall.mAnswer = Ok(aCall, 200);
-    const bool ours = row.mClaimed && row.mToken == command.mId;
-    const bool current =
-      command.mRowVersion == 0 || command.mRowVersion == row.mVersion;
-    if (!ours || !current || row.mVersion == 0) {
-      return;
-    }
-    row.mVersion = ++mTableVersion;
-    row.mClaimed = false;
-    row.mState = command.mOutcome;
-    row.mStatus = command.mStatus;
-    row.mBody = command.mCompletion ? command.mText : command.mBody;
-  }
-
   std::shared_ptr<Configuration> mConfig;
   TimePoint mNow;
   std::vector<std::unique_ptr<Router>> mRouters;
-  std::map<std::uint64_t, Caller> mCallers;
+  Rules mRules;
+  FakeCallers mSeen{ mRules };
+  std::map<std::uint64_t, Caller>& mCallers = mSeen.mCallers;
   std::map<std::uint64_t, std::size_t> mRouterOf;
   std::map<std::string, Engine> mEngines;
-  std::map<std::string, Row> mRows;
+  FakeTable mTable;
   std::map<std::string, int> mExecutedKeys;
   std::vector<CallPointer> mCalls;
   std::vector<Notice> mNotices;
   std::uint64_t mNextId = 1;
-  std::uint64_t mTableVersion = 0;
-  std::string mViolation;
 };
 
 } // namespace peridothoist::test
--- /dev/null
+++ b/UnitTests/Routing/RoutingTest.cpp
@@ -0,0 +1,178 @@
+/// Retry budget, credits, free memory, hints and choosers.
+#define BOOST_TEST_MODULE Routing
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Routing/Chooser.h>
+#include <Peridothoist/Routing/CreditPool.h>
+#include <Peridothoist/Routing/RetryBudget.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <set>
+
+using namespace peridothoist;
+
+namespace {
+
+UpstreamState
+MakeEngine(const std::string& aName, std::uint32_t aPieces)
+{
+  Upstream config;
+  config.mName = aName;
+  config.mMemoryPieces = aPieces;
+  return UpstreamState(config, UpstreamRole::Decode);
+}
+
+} // namespace
+
+RC_BOOST_PROP(RetriesAreAShareOfFreshRequests, ())
+{
+  const double share = *rc::gen::inRange(0, 50) / 100.0;
+  const double burst = *rc::gen::inRange(1, 50);
+  RetryBudget budget(share, burst);
+  int fresh = 0;
+  int extra = 0;
+  const int moves = *rc::gen::inRange(0, 500);
+  for (int n = 0; n < moves; ++n) {
+    const int move = *rc::gen::inRange(0, 3);
+    if (move == 0) {
+      budget.OnFresh();
+      ++fresh;
+    } else {
+      const bool taken = move == 1 ? budget.TakeRetry() : budget.TakeHedge();
+      extra += taken ? 1 : 0;
+    }
+    RC_ASSERT(extra <= share * fresh + burst + 1e-9);
+  }
+}
+
+RC_BOOST_PROP(EntriesWithinTheirCreditNeverOverfill, ())
+{
+  const auto entries = *rc::gen::inRange<std::uint32_t>(1, 10);
+  const auto total = *rc::gen::inRange<std::uint32_t>(1, 100);
+  CreditPool credits;
+  credits.SetEntryCount(entries);
+  RC_ASSERT(credits.Credit(total) * entries >= total);
+  RC_ASSERT((credits.Credit(total) - 1) * entries < total);
+}
+
+RC_BOOST_PROP(OneEntryNeverReservesMoreThanThereIs, ())
+{
+  const auto total = *rc::gen::inRange<std::uint32_t>(1, 40);
+  CreditPool credits;
+  credits.SetEntryCount(*rc::gen::inRange<std::uint32_t>(1, 10));
+  UpstreamState engine = MakeEngine("e", total);
+  const TimePoint now{ 1h };
+  const auto free = *rc::gen::inRange<std::uint32_t>(0, total + 1);
+  engine.OnReport({ free, total, 0, 0, 0us }, now);
+  for (std::uint64_t n = 1; n < 100; ++n) {
+    const auto pieces = *rc::gen::inRange<std::uint32_t>(1, 6);
+    if (credits.MayReserve(engine, pieces)) {
+      Presence presence;
+      presence.mPieces = pieces;
+      presence.mAt = now + 1ms;
+      engine.Join({ n, 1 }, presence);
+    }
+    RC_ASSERT(engine.PiecesHeld() <= total);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FreePiecesAreTheReportLessWhatCameSince)
+{
+  UpstreamState engine = MakeEngine("e", 20);
+  const TimePoint now{ 1h };
+  Presence before;
+  before.mPieces = 3;
+  before.mAt = now - 2s;
+  engine.Join({ 1, 1 }, before);
+  engine.OnReport({ 8, 20, 0, 0, 1s }, now);
+  BOOST_TEST(engine.FreePieces() == 8u);
+  Presence after;
+  after.mPieces = 5;
+  after.mAt = now - 500ms;
+  engine.Join({ 2, 1 }, after);
+  BOOST_TEST(engine.FreePieces() == 3u);
+  engine.OnReport({ 20, 20, 0, 0, 2s }, now); // Older than the last one.
+  BOOST_TEST(engine.FreePieces() == 3u);
+  engine.OnFull(0u, 100ms, now);
+  BOOST_TEST(engine.FreePieces() == 0u);
+  BOOST_TEST(!engine.TakesWork(now));
+  BOOST_TEST(engine.TakesWork(now + 100ms));
+}
+
+BOOST_AUTO_TEST_CASE(EqualEnginesAreAllChosen)
+{
+  // Entries that see the same lagging reports must not choose alike.
+  std::vector<UpstreamState> engines;
+  for (int n = 0; n < 6; ++n) {
+    engines.push_back(MakeEngine("e" + std::to_string(n), 20));
+  }
+  std::vector<UpstreamState*> candidates;
+  for (UpstreamState& it : engines) {
+    candidates.push_back(&it);
+  }
+  const PrefixHints hints{ PrefixHintsSettings() };
+  const ChooseQuestion question{ &hints, 1, 1000, "z" };
+  std::set<std::string> chosen;
+  for (std::uint64_t seed = 0; seed < 100; ++seed) {
+    Random random(seed);
+    const auto chooser = Chooser::Create("cost");
+    chosen.insert(chooser->Choose(candidates, question, random)->mConfig.mName);
+  }
+  BOOST_TEST(chosen.size() == 6u);
+  Random random(1);
+  std::set<std::string> herd;
+  const auto naive = Chooser::Create("least_loaded");
+  for (int n = 0; n < 100; ++n) {
+    herd.insert(naive->Choose(candidates, question, random)->mConfig.mName);
+  }
+  BOOST_TEST(herd.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(CachedPrefixAttractsUntilTheQueueIsLong)
+{
+  PrefixHints hints{ PrefixHintsSettings() };
+  std::vector<UpstreamState> engines;
+  for (int n = 0; n < 3; ++n) {
+    Upstream config;
+    config.mName = "p" + std::to_string(n);
+    engines.emplace_back(config, UpstreamRole::Prefill);
+  }
+  std::vector<UpstreamState*> candidates;
+  for (UpstreamState& it : engines) {
+    candidates.push_back(&it);
+  }
+  hints.OnStored(42, "p1");
+  const ChooseQuestion question{ &hints, 42, 4000, "" };
+  Random random(1);
+  const auto chooser = Chooser::Create("cost");
+  BOOST_TEST(chooser->Choose(candidates, question, random) == candidates[1]);
+  engines[1].OnReport({ 0, 0, 0, 20, 0us }, TimePoint(1h));
+  BOOST_TEST(chooser->Choose(candidates, question, random) != candidates[1]);
+  hints.OnEvicted(42, "p1");
+  BOOST_TEST(hints.Holders(42).empty());
+}
+
+RC_BOOST_PROP(HintsStayBounded, ())
+{
+  const PrefixHintsSettings settings{ 10, 2 };
+  PrefixHints hints(settings);
+  std::set<std::uint64_t> known;
+  for (int n = 0; n < 200; ++n) {
+    const auto prefix = *rc::gen::inRange<std::uint64_t>(0, 40);
+    const std::string upstream(1, char('a' + *rc::gen::inRange(0, 5)));
+    if (*rc::gen::arbitrary<bool>()) {
+      hints.OnStored(prefix, upstream);
+      RC_ASSERT(hints.Has(prefix, upstream));
+    } else {
+      hints.OnEvicted(prefix, upstream);
+      RC_ASSERT(!hints.Has(prefix, upstream));
+    }
+    std::size_t held = 0;
+    for (std::uint64_t it = 0; it < 40; ++it) {
+      RC_ASSERT(hints.Holders(it).size() <= settings.mMaxUpstreamsPerPrefix);
+      held += hints.Holders(it).empty() ? 0 : 1;
+    }
+    RC_ASSERT(held <= settings.mMaxPrefixes);
+  }
+}
