Test lost tokens, cut-off upstreams, crossed cancels and copies of a suspect

Trials with single faults put into the core showed that the tests did not see short streams, ignored late grants, copies of a suspect run at once and quarantine without having been alone; each has a test now.

--- a/UnitTests/Request/ChaosTest.cpp
+++ b/UnitTests/Request/ChaosTest.cpp
@@ -22,6 +22,7 @@
   Notice,
   Advance,
   Crash,
+  Cut,
   Revive,
   Report,
   CallerGone,
@@ -43,6 +44,7 @@
                                               { 3, Move::Notice },
                                               { 6, Move::Advance },
                                               { 1, Move::Crash },
+                                              { 1, Move::Cut },
                                               { 2, Move::Revive },
                                               { 3, Move::Report },
                                               { 1, Move::CallerGone },
@@ -88,6 +90,9 @@
       case Move::Crash:
         aWorld.Crash(upstream);
         break;
+      case Move::Cut:
+        aWorld.Cut(upstream);
+        break;
       case Move::Revive:
         aWorld.Revive(upstream);
         break;
--- a/UnitTests/Request/CrashTest.cpp
+++ b/UnitTests/Request/CrashTest.cpp
@@ -126,6 +126,117 @@
   Check(world);
 }
 
+/// Upstreams that are cut off, or that leave and stop, blame nobody.
+RC_BOOST_PROP(OnlyCrashesAreEvidence, ())
+{
+  auto config = MakeConfiguration(kUpstreams);
+  FakeWorld world(config);
+  world.AddRouter(std::make_unique<CoreRouter>(EntryCoreSettings(), config, 1));
+  for (int n = 0; n < 60; ++n) {
+    const bool plain = *rc::gen::arbitrary<bool>();
+    const int number = *rc::gen::inRange(0, 100);
+    const std::string upstream =
+      (plain ? "svc" : "dec") + std::to_string(number % int(kUpstreams));
+    const int move = *rc::gen::inRange(0, 20);
+    if (move < 4) {
+      const std::string body = "body" + std::to_string(n);
+      world.Arrive(0, { plain ? "lookup" : "chat", body, "", true, "a" });
+    } else if (move == 4) {
+      world.Cut(upstream);
+    } else if (move == 5) {
+      world.SetLeaving(upstream, true);
+      world.Crash(upstream);
+    } else if (move == 6) {
+      world.Revive(upstream);
+      world.SetLeaving(upstream, false);
+    } else {
+      world.Step(std::size_t(number), Fault::None);
+    }
+    RC_ASSERT(world.At(0).Quarantined(world.Now()).empty());
+  }
+  RC_ASSERT(world.Quiesce());
+  world.CheckEnd();
+  RC_ASSERT(world.Violation() == "");
+  RC_ASSERT(world.At(0).Quarantined(world.Now()).empty());
+}
+
+namespace {
+
+/// Two VMs that tell each other of suspects and quarantines.
+struct TwoVms
+{
+  TwoVms()
+    : mConfig(MakeConfiguration(kUpstreams))
+    , mWorld(mConfig)
+  {
+    for (auto& vm : mVms) {
+      auto router =
+        std::make_unique<CoreRouter>(EntryCoreSettings(), mConfig, 1);
+      vm = &router->Core();
+      mWorld.AddRouter(std::move(router));
+    }
+  }
+
+  void Exchange()
+  {
+    RequestCommands commands;
+    const TimePoint now = mWorld.Now();
+    for (std::size_t n = 0; n < 2; ++n) {
+      for (const QuarantinedDigest& it : mVms[n]->Suspects(now)) {
+        mVms[1 - n]->OnSuspect(it.mDigest, it.mLasts, now);
+      }
+      for (const QuarantinedDigest& it : mVms[n]->Quarantined(now)) {
+        mVms[1 - n]->OnQuarantine(it.mDigest, it.mLasts, now, commands);
+      }
+    }
+  }
+
+  std::shared_ptr<Configuration> mConfig;
+  FakeWorld mWorld;
+  std::array<EntryCore*, 2> mVms{};
+};
+
+} // namespace
+
+/// The caller of a request that must not repeat sends it again, with a new
+/// key each time, to one VM after the other.
+BOOST_AUTO_TEST_CASE(PoisonIsKnownAtAllVms)
+{
+  TwoVms vms;
+  vms.mWorld.mPoison.insert("x");
+  for (std::size_t n = 0; n < 6; ++n) {
+    vms.mWorld.Arrive(n, { "post", "x", std::to_string(n), false, "a" });
+    vms.mWorld.Quiesce();
+    vms.Exchange();
+  }
+  vms.mWorld.CheckEnd();
+  BOOST_TEST(vms.mWorld.Violation() == "");
+  BOOST_TEST(vms.mWorld.mKills["x"] == 2);
+  const auto& callers = vms.mWorld.Callers();
+  const Refusal& last = *callers.rbegin()->second.mRefusal;
+  BOOST_TEST(bool(last.mKind == RefusalKind::Quarantined));
+  BOOST_TEST(bool(last.mVerdict == RunVerdict::NotRun));
+}
+
+/// Copies that come while the first waits to run apart don't run beside it.
+BOOST_AUTO_TEST_CASE(CopiesOfASuspectRunOneByOne)
+{
+  auto config = MakeConfiguration(kUpstreams);
+  FakeWorld world(config);
+  world.AddRouter(std::make_unique<CoreRouter>(EntryCoreSettings(), config, 1));
+  world.mPoison.insert("x");
+  world.Arrive(0, { "lookup", "x", "", false, "a" });
+  while (world.mKills["x"] == 0) {
+    world.Step(0, Fault::None);
+  }
+  world.Advance(1ms); // Word of the crash comes.
+  for (int n = 0; n < 4; ++n) {
+    world.Arrive(0, { "lookup", "x", "", false, "a" });
+  }
+  world.Quiesce();
+  BOOST_TEST(world.mKills["x"] == 2);
+}
+
 BOOST_AUTO_TEST_CASE(NaiveRouterIsFoundViolating)
 {
   const auto result = rc::detail::checkTestable([] {
--- a/UnitTests/Request/FakeWorld.h
+++ b/UnitTests/Request/FakeWorld.h
@@ -123,18 +123,38 @@
     NoticeAll(aUpstream, EventKind::Dead);
   }
 
+  /// Cuts an upstream off: it runs on and keeps its memory, unseen.
+  void Cut(const std::string& aUpstream)
+  {
+    Engine& engine = mEngines[aUpstream];
+    if (!engine.mAlive || !engine.mReachable) {
+      return;
+    }
+    engine.mReachable = false;
+    for (const CallPointer& call : mCalls) {
+      const bool there = call->mCommand.mUpstream == aUpstream;
+      if (there && call->mStage != Stage::Connecting) {
+        call->mStage = Stage::Answering;
+        call->mAnswer = Failed(*call, CallEnd::TimedOut);
+      }
+    }
+    NoticeAll(aUpstream, EventKind::Dead, DeathKind::Unreachable);
+  }
+
   void Revive(const std::string& aUpstream)
   {
     Engine& engine = mEngines[aUpstream];
-    if (!engine.mAlive) {
+    if (!engine.mAlive || !engine.mReachable) {
       engine.mAlive = true;
+      engine.mReachable = true;
       NoticeAll(aUpstream, EventKind::Alive);
     }
   }
 
   void Report(const std::string& aUpstream)
   {
-    if (mEngines[aUpstream].mAlive) {
+    const Engine& engine = mEngines[aUpstream];
+    if (engine.mAlive && engine.mReachable) {
       NoticeAll(aUpstream, EventKind::Load);
     }
   }
@@ -241,7 +261,7 @@
   /// Only this violation counts; empty: all do.
   void SetOnly(const std::string& aOnly) { mRules.SetOnly(aOnly); }
 
-  std::set<std::string> mPoison; ///< Bodies that crash what runs them.
+  std::set<std::string> mPoison;     ///< Bodies that crash what runs them.
   std::map<std::string, int> mKills; ///< Crashes, by poisonous body.
   int mContentSent = 0;  ///< Calls with content of which bytes left.
   int mContentCalls = 0; ///< Calls with content that were tried at all.
@@ -273,6 +293,7 @@
   struct Engine
   {
     bool mAlive = true;
+    bool mReachable = true;
     std::map<std::string, std::uint32_t> mHeld; ///< Pieces, by request id.
   };
 
@@ -307,12 +328,15 @@
     }
   }
 
-  void NoticeAll(const std::string& aUpstream, EventKind aKind)
+  void NoticeAll(const std::string& aUpstream,
+                 EventKind aKind,
+                 DeathKind aDeath = DeathKind::Crashed)
   {
     for (std::size_t n = 0; n < mRouters.size(); ++n) {
       Notice notice{ n, Event() };
       notice.mEvent.mKind = aKind;
       notice.mEvent.mUpstream = aUpstream;
+      notice.mEvent.mDeath = aDeath;
       const Engine& engine = mEngines[aUpstream];
       std::uint32_t held = 0;
       for (const auto& [request, pieces] : engine.mHeld) {
@@ -405,7 +429,9 @@
   {
     const RequestCommand& command = aCall->mCommand;
     const bool table = command.mUpstream.empty();
-    const bool up = table || (mEngines[command.mUpstream].mAlive && !mAllDown);
+    const Engine& engine = mEngines[command.mUpstream];
+    const bool seen = engine.mAlive && engine.mReachable && !mAllDown;
+    const bool up = table || seen;
     if (!up || aFault == Fault::NotConnected) {
       aCall->mAnswer = Failed(*aCall, CallEnd::NotConnected);
       aCall->mAnswer.mCall.mMayHaveBeenSent = false;
@@ -434,6 +460,9 @@
     Arrive(aCall, aFault);
     if (aCall->mAborted) {
       Drop(aCall);
+      if (aFault == Fault::Duplicate && aCall->mStage == Stage::Answering) {
+        Tell(aCall->mRouter, aCall->mAnswer); // It crossed with the cancel.
+      }
     }
   }
 
@@ -468,6 +497,10 @@
       return;
     }
     const std::string body = mCallers[aCall->mCommand.mId].mAsk.mBody;
+    if (aFault == Fault::BadStatus && aCall->mNextToken < kTokens) {
+      ++aCall->mNextToken; // The engine loses a token.
+      return;
+    }
     if (aCall->mNextToken < kTokens) {
       const std::uint32_t index = aCall->mNextToken++;
       Event event = Ok(*aCall, 200);
--- a/UnitTests/Routing/RoutingTest.cpp
+++ b/UnitTests/Routing/RoutingTest.cpp
@@ -4,6 +4,7 @@
 #include <Peridothoist/Routing/Chooser.h>
 #include <Peridothoist/Routing/CreditPool.h>
 #include <Peridothoist/Routing/RetryBudget.h>
+#include <Peridothoist/Routing/SuspectTable.h>
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
@@ -176,3 +177,33 @@
     RC_ASSERT(held <= settings.mMaxPrefixes);
   }
 }
+
+BOOST_AUTO_TEST_CASE(TwoCrashesAmongOthersAreNoEvidence)
+{
+  const TimePoint now{ 1h };
+  SuspectTable suspects{ SuspectTableSettings() };
+  BOOST_TEST(suspects.OnCrash({ "a", "b" }, now).empty());
+  BOOST_TEST(suspects.OnCrash({ "a", "c" }, now).empty());
+  BOOST_TEST(suspects.IsSuspect("a", now));
+  BOOST_TEST(!suspects.QuarantinedUntil("a", now).has_value());
+  const auto quarantined = suspects.OnCrash({ "a" }, now);
+  BOOST_TEST(quarantined.size() == 1u);
+  BOOST_TEST(suspects.QuarantinedUntil("a", now).has_value());
+  suspects.OnFinished("b");
+  BOOST_TEST(!suspects.IsSuspect("b", now));
+}
+
+RC_BOOST_PROP(SuspectTableStaysBounded, ())
+{
+  SuspectTableSettings settings;
+  settings.mMaxEntries = 8;
+  SuspectTable suspects(settings);
+  TimePoint now{ 1h };
+  for (int n = 0; n < 100; ++n) {
+    now += Duration(*rc::gen::inRange(0, 100000000));
+    const std::string digest = std::to_string(*rc::gen::inRange(0, 30));
+    suspects.OnCrash({ digest, "other" }, now);
+    RC_ASSERT(suspects.IsSuspect(digest, now));
+    RC_ASSERT(suspects.Size() <= settings.mMaxEntries);
+  }
+}
