Refuse truthfully before the first share plan, and make the quickstart pass

Cause: a fleet that just started refused requests as over their allowance, though no shares had been given out yet; readiness came too early. Answers' ids repeated over entries. An entry's own idea of its peer address replaced the one that operators set. Ruled out: skipping the wait before the first plan's shares, as a lost row could look like a first plan.

--- a/Peridothoist/Allowance/AllowanceBook.cpp
+++ b/Peridothoist/Allowance/AllowanceBook.cpp
@@ -89,6 +89,18 @@
   mReceived.clear();
 }
 
+bool
+AllowanceBook::HasShares(TimePoint aNow) const
+{
+  const Duration now = mClock.Read(aNow);
+  return std::any_of(mPlans.begin(), mPlans.end(), [&](const Plan& aPlan) {
+    const auto& entries = aPlan.mEntries;
+    const bool included =
+      std::find(entries.begin(), entries.end(), mSelf) != entries.end();
+    return included && aPlan.mHeardAt + mSettings.mRaiseWait <= now;
+  });
+}
+
 SpendResult
 AllowanceBook::Spend(const std::string& aWorkspace,
                      double aTokens,
--- a/Peridothoist/Allowance/AllowanceBook.h
+++ b/Peridothoist/Allowance/AllowanceBook.h
@@ -97,6 +97,10 @@
                std::vector<std::string> aEntryInstances,
                TimePoint aNow);
 
+  /// Whether this entry got shares by a plan: false for a moment after its
+  /// start, when it can only borrow.
+  bool HasShares(TimePoint aNow) const;
+
   // Requests.
 
   /// Takes aTokens at once or not at all.
--- a/Peridothoist/Control/ControlState.cpp
+++ b/Peridothoist/Control/ControlState.cpp
@@ -52,8 +52,6 @@
   Member self = IdentityOf(mSettings);
   if (HasEntry(aNow)) {
     self.mEntryInstance = mEntry.mInstance;
-    self.mEntryAddress = mEntry.mAddress;
-    self.mEntryPeer = mEntry.mPeer;
   }
   const bool entryLeaves = HasEntry(aNow) && mEntry.mLeaving;
   self.mState =
--- a/Peridothoist/Entry/EntryPages.cpp
+++ b/Peridothoist/Entry/EntryPages.cpp
@@ -108,6 +108,10 @@
     aExchange.Respond(503, kPlainText, stale->mReason.mText + "\n");
     return;
   }
+  if (!mView->Book().HasShares(mReactor->Now())) {
+    aExchange.Respond(503, kPlainText, "no share of allowances yet\n");
+    return;
+  }
   aExchange.Respond(200, kPlainText, "ready\n");
 }
 
--- a/Peridothoist/Entry/EntryProcess.cpp
+++ b/Peridothoist/Entry/EntryProcess.cpp
@@ -163,6 +163,7 @@
 
   RequestIntakeSettings intake;
   intake.mZone = mSettings.mZone;
+  intake.mInstance = mInstance;
   mIntake = std::make_unique<RequestIntake>(
     intake, mReactor, mView.get(), mAllowance.get(), mRunner.get(), &mTracer);
   EntryPagesSettings pages;
--- a/Peridothoist/Entry/ErrorAnswer.cpp
+++ b/Peridothoist/Entry/ErrorAnswer.cpp
@@ -15,7 +15,7 @@
   int mStatus;
 };
 
-constexpr std::array<IntakeErrorRow, 8> kIntakeErrors = { {
+constexpr std::array<IntakeErrorRow, 9> kIntakeErrors = { {
   { "bad_request", 400 },
   { "unauthorized", 401 },
   { "pool_not_allowed", 403 },
@@ -24,6 +24,7 @@
   { "rate_limited", 429 },
   { "never_affordable", 422 },
   { "view_stale", 503 },
+  { "no_share_yet", 503 },
 } };
 
 const IntakeErrorRow&
--- a/Peridothoist/Entry/ErrorAnswer.h
+++ b/Peridothoist/Entry/ErrorAnswer.h
@@ -18,7 +18,8 @@
   BodyTooLarge,    ///< Over the workspace's limit.
   RateLimited,     ///< Over the workspace's allowance.
   NeverAffordable, ///< Larger than the workspace's whole burst.
-  ViewStale        ///< This VM can't tell what holds now.
+  ViewStale,       ///< This VM can't tell what holds now.
+  NoShareYet       ///< This VM just started and got no allowance yet.
 };
 
 /// The name of an error, as JSON bodies and metrics carry it.
--- a/Peridothoist/Entry/RequestIntake.cpp
+++ b/Peridothoist/Entry/RequestIntake.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr Duration kNoShareRetryAfter = 1s;
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::string_view kChatPath = "/v1/chat/completions";
 constexpr std::string_view kTextPath = "/v1/completions";
@@ -309,6 +310,13 @@
       break;
     case SpendRefusal::Short:
     case SpendRefusal::UnknownWorkspace:
+      if (!mView->Book().HasShares(mReactor->Now())) {
+        Refuse(aCandidate,
+               IntakeError::NoShareYet,
+               "this VM just started and has no share of allowances yet",
+               kNoShareRetryAfter);
+        break;
+      }
       Refuse(aCandidate,
              IntakeError::RateLimited,
              "the workspace's allowance is used up",
@@ -372,11 +380,11 @@
     arrival.mMaxTokens = body.mMaxTokens;
     arrival.mPrefixHash = PrefixHash(body.mPrompt);
     arrival.mStreaming = body.mStream;
-    writer =
-      std::make_unique<CompletionWriter>(aCandidate.mDialect,
-                                         "pdh-" + std::to_string(facts.mId),
-                                         body.mModel,
-                                         std::time(nullptr));
+    writer = std::make_unique<CompletionWriter>(
+      aCandidate.mDialect,
+      "pdh-" + mSettings.mInstance + "-" + std::to_string(facts.mId),
+      body.mModel,
+      std::time(nullptr));
   } else {
     facts.mPromptTokens = static_cast<std::uint32_t>(aCandidate.mTokens);
     arrival.mPromptTokens = facts.mPromptTokens;
--- a/Peridothoist/Entry/RequestIntake.h
+++ b/Peridothoist/Entry/RequestIntake.h
@@ -17,7 +17,7 @@
 
 namespace peridothoist {
 
-constexpr std::size_t kIntakeErrors = 8; ///< Count of IntakeError.
+constexpr std::size_t kIntakeErrors = 9; ///< Count of IntakeError.
 
 /// Counters for metrics.
 struct IntakeCounters
@@ -28,7 +28,8 @@
 /// Settings of a RequestIntake.
 struct RequestIntakeSettings
 {
-  std::string mZone; ///< Of this VM: callers come from near by.
+  std::string mZone;     ///< Of this VM: callers come from near by.
+  std::string mInstance; ///< Of this entry process; part of answers' ids.
   CompletionLimits mLimits;
   /// Tokens that a call to a plain service costs besides its body.
   std::uint32_t mPlainBaseTokens = 1;
--- a/quickstart.sh
+++ b/quickstart.sh
@@ -138,7 +138,7 @@
 items > "$LOGS/items.json"
 ctl apply "$LOGS/items.json" --yes --wait
 ctl workspaces create rafts rate_tokens_per_second=100000 \
-  burst_tokens=200000 pools=prefill,decode,registry --wait
+  burst_tokens=200000 'pools=["prefill","decode","registry"]' --wait
 ctl keys create rafts --output=json > "$LOGS/key.json"
 KEY=$(python3 -c 'import json,sys; print(json.load(sys.stdin)["key"])' < "$LOGS/key.json")
 AUTH=(-H "Authorization: Bearer $KEY")
