--- a/Peridothoist/Request/UpstreamWatch.cpp
+++ b/Peridothoist/Request/UpstreamWatch.cpp
@@ -11,6 +11,13 @@
 /// A report that comes sooner after a break may have left before it.
 constexpr Duration kSignOfLifeDelay = 100ms;
 
+/// What such an upstream does is no evidence against requests.
+bool
+IsExpectedToStop(const UpstreamState& aUpstream)
+{
+  return aUpstream.mConfig.mLeaving || !aUpstream.mListed;
+}
+
 } // namespace
 
 void
@@ -18,7 +25,7 @@
                         const std::string& aDigest)
 {
   UpstreamState* upstream = mContext.mUpstreams.Find(aUpstream);
-  if (upstream == nullptr || upstream->mDead) {
+  if (upstream == nullptr || upstream->mDead || IsExpectedToStop(*upstream)) {
     return;
   }
   mBreaks[aUpstream].push_back({ aDigest, mContext.mNow });
@@ -60,8 +67,7 @@
 std::vector<std::string>
 UpstreamWatch::Blamed(const UpstreamState& aUpstream)
 {
-  // An upstream that leaves is expected to stop.
-  if (aUpstream.mConfig.mLeaving || !aUpstream.mListed) {
+  if (IsExpectedToStop(aUpstream)) {
     return {};
   }
   std::set<std::string> present;
--- a/UnitTests/Request/CrashTest.cpp
+++ b/UnitTests/Request/CrashTest.cpp
@@ -147,6 +147,7 @@
       world.SetLeaving(upstream, true);
       world.Crash(upstream);
     } else if (move == 6) {
+      world.Advance(1ms); // Word of its end comes before.
       world.Revive(upstream);
       world.SetLeaving(upstream, false);
     } else {
