--- a/CommandLine/CtlMain.cpp
+++ b/CommandLine/CtlMain.cpp
@@ -1,122 +1,101 @@
-/// peridothoistctl: operators' command line. Every change goes through a
-/// control process; nothing here talks to the platform.
+/// peridothoistctl: the operators' command line.
 #include <Peridothoist/Peridothoist.h>
-#include <Peridothoist/Shell/FlagsFromEnvironment.h>
-#include <Peridothoist/Shell/Log.h>
-
 #include <CommandLine/Command.h>
+#include <CommandLine/ControlClient.h>
 
-#include <gflags/gflags.h>
+#include <Peridothoist/Shell/FlagsFromEnvironment.h>
 
 #include <algorithm>
 #include <iostream>
 
-DEFINE_string(control,
-              "http://127.0.0.1:7003",
-              "control processes' admin addresses, tried in order");
-DEFINE_string(operator_key, "", "operator's key");
+#include <gflags/gflags.h>
+
+DEFINE_string(control, "", "control processes, http://ip:port,..., in order");
+DEFINE_string(operator_key, "", "the operator's key");
 DEFINE_string(output, "text", "text or json");
-DEFINE_string(reason, "", "written reason, kept with the change");
-DEFINE_string(override_reason,
-              "",
-              "accept a change although zones are silent, and why");
-DEFINE_bool(dry_run, false, "check a change and change nothing");
-DEFINE_bool(yes, false, "apply what was shown");
+DEFINE_string(reason, "", "why, in the operator's words");
+DEFINE_string(override_reason, "", "accept although zones are silent, and why");
+DEFINE_string(verdict, "", "ran or not_run");
+DEFINE_string(name, "", "name of the new key");
 DEFINE_bool(wait, false, "wait until the change is in force everywhere");
-DEFINE_double(timeout, 15, "seconds to wait for one answer");
+DEFINE_bool(yes, false, "apply what was shown");
+DEFINE_bool(undo, false, "take a drained upstream back");
 
 namespace {
 
 using namespace peridothoist;
-using namespace peridothoist::ctl;
 
 std::vector<std::string>
-SplitByComma(const std::string& aText)
+SplitControls(const std::string& aText)
 {
-  std::vector<std::string> parts;
+  std::vector<std::string> controls;
   std::size_t start = 0;
   while (start < aText.size()) {
     const std::size_t end = std::min(aText.find(',', start), aText.size());
-    parts.push_back(aText.substr(start, end - start));
+    controls.push_back(aText.substr(start, end - start));
     start = end + 1;
   }
-  return parts;
+  return controls;
 }
 
+/// Takes --help out of the arguments, which gflags would answer itself.
 bool
-WantsHelp(int aArgc, char** aArgv)
+TakeHelp(int* aArgc, char** aArgv)
 {
-  return std::any_of(aArgv + 1, aArgv + aArgc, [](const char* aWord) {
-    const std::string_view word = aWord;
-    return word == "--help" || word == "-h" || word == "help";
+  char** const end = aArgv + *aArgc;
+  char** const kept = std::remove_if(aArgv + 1, end, [](const char* aText) {
+    const std::string_view text = aText;
+    return text == "--help" || text == "-h";
   });
+  const bool found = kept != end;
+  *aArgc = static_cast<int>(kept - aArgv);
+  aArgv[*aArgc] = nullptr;
+  return found;
 }
 
-std::vector<std::string>
-WordsOf(int aArgc, char** aArgv)
+int
+UsageError(const std::string& aText)
 {
-  std::vector<std::string> words;
-  for (int n = 1; n < aArgc; ++n) {
-    const std::string word = aArgv[n];
-    if (word.rfind('-', 0) != 0 && word != "help") {
-      words.push_back(word);
-    }
-  }
-  return words;
+  std::cerr << aText << "\n";
+  return static_cast<int>(ExitCode::Usage);
 }
 
-ExitCode
-RunCommand(const Command& aCommand, const std::vector<std::string>& aWords)
+} // namespace
+
+int
+main(int aArgc, char** aArgv)
 {
-  const auto form = OutputFormFromName(FLAGS_output);
-  if (!form) {
-    return Output::FailUsage("output: \"" + FLAGS_output +
-                             "\"; allowed: text, json");
+  const bool help = TakeHelp(&aArgc, aArgv);
+  std::string text;
+  if (!ReadFlags(&aArgc, &aArgv, &text)) {
+    return UsageError(text);
   }
-  const std::size_t own = *aCommand.mVerb == '\0' ? 1 : 2;
-  if (aWords.size() < own + aCommand.mLeast) {
-    std::cerr << HelpOf(aWords);
-    return ExitCode::Usage;
+  if (FLAGS_output != "text" && FLAGS_output != "json") {
+    return UsageError("output is \"" + FLAGS_output +
+                      "\", must be text or json");
   }
-  AdminClientSettings settings;
-  settings.mControls = SplitByComma(FLAGS_control);
+  ControlClientSettings settings;
+  settings.mControls = SplitControls(FLAGS_control);
   settings.mOperatorKey = FLAGS_operator_key;
-  settings.mTimeout = std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(FLAGS_timeout));
-  const auto client = AdminClient::Create(settings);
-  if (client == nullptr) {
-    return Output::FailUsage("no event loop can be made");
+  if (!help && settings.mControls.empty()) {
+    return UsageError("control is empty, must be http://ip:port,...");
+  }
+  if (!help && settings.mOperatorKey.empty()) {
+    return UsageError(
+      "operator_key is empty; set it or PERIDOTHOIST_OPERATOR_KEY");
   }
-  const Output output(*form);
-  CommandContext context{ *client, output, {}, {}, {}, false, false, false };
-  context.mArguments.assign(aWords.begin() + static_cast<std::ptrdiff_t>(own),
-                            aWords.end());
+  ControlClient client(settings);
+  CommandContext context(client, std::cout, std::cerr);
+  context.mForm = FLAGS_output == "json" ? OutputForm::Json : OutputForm::Text;
   context.mReason = FLAGS_reason;
   context.mOverrideReason = FLAGS_override_reason;
-  context.mYes = FLAGS_yes;
-  context.mDryRun = FLAGS_dry_run;
+  context.mVerdict = FLAGS_verdict;
+  context.mName = FLAGS_name;
   context.mWait = FLAGS_wait;
-  return aCommand.mRun(context);
-}
-
-} // namespace
-
-int
-main(int aArgc, char** aArgv)
-{
-  if (aArgc < 2 || WantsHelp(aArgc, aArgv)) {
-    std::cout << HelpOf(WordsOf(aArgc, aArgv));
-    return static_cast<int>(aArgc < 2 ? ExitCode::Usage : ExitCode::Ok);
-  }
-  std::string fault;
-  if (!ReadFlags(&aArgc, &aArgv, &fault)) {
-    return static_cast<int>(Output::FailUsage(fault));
-  }
-  const std::vector<std::string> words = WordsOf(aArgc, aArgv);
-  const Command* command = FindCommand(words);
-  if (command == nullptr) {
-    std::cerr << HelpOf(words);
-    return static_cast<int>(ExitCode::Usage);
+  context.mYes = FLAGS_yes;
+  context.mUndo = FLAGS_undo;
+  for (int n = 1; n < aArgc; ++n) {
+    context.mArguments.emplace_back(aArgv[n]);
   }
-  return static_cast<int>(RunCommand(*command, words));
+  return static_cast<int>(RunCommand(context, help));
 }
