--- a/SystemTests/cluster.py
+++ b/SystemTests/cluster.py
@@ -108,6 +108,7 @@
         self.plain_flags = list(plain_flags)
         self.upstream_fields = upstream_fields or {}
         self.extra_edits = list(edits)
+        self.runs_before = {}  # What ran to find out that the system serves.
 
         self.platform_address = free_address(self.host)
         self.manage_address = free_address(self.host)
@@ -146,6 +147,9 @@
             self.start_vm(vm)
         for vm in self.vms:
             self.wait_ready(vm)
+        for vm in self.vms:
+            self.wait_served(vm)
+        self.runs_before = self.plain_ran()
 
     def stop(self, keep_logs=False):
         """Ends every process that this cluster started."""
@@ -276,6 +280,16 @@
     def wait_ready(self, vm, seconds=READY_SECONDS):
         self.wait_answer(vm.listen, "/readyz", seconds)
 
+    def wait_served(self, vm, seconds=READY_SECONDS):
+        """Waits until each workspace has allowance at a VM."""
+        for workspace in self.workspace_names:
+            caller = self.caller(workspace, vm)
+            wait_until(
+                lambda: caller.call("POST", "/lookups", "warm up").status == 200,
+                seconds,
+                f"{workspace} served by {vm.name}",
+            )
+
     # Configuration
 
     def first_edits(self):
@@ -386,11 +400,14 @@
         call_json(self.plain_addresses[number], "POST", "/faults", faults)
 
     def plain_ran(self):
-        """How often each "idempotency-key path" ran, over all services."""
+        """How often each "idempotency-key path" ran since the start, over all
+        services."""
         runs = {}
         for it in self.plain_addresses:
             for key, count in call_json(it, "GET", "/ran").items():
                 runs[key] = runs.get(key, 0) + count
+        for key, count in self.runs_before.items():
+            runs[key] = runs.get(key, 0) - count
         return runs
 
     def plain_log(self, number=0):
--- a/SystemTests/harness/caller.py
+++ b/SystemTests/harness/caller.py
@@ -99,6 +99,8 @@
                 self._take(line.decode().rstrip("\r\n"))
         except (OSError, http.client.HTTPException) as error:
             self.error = repr(error)
+        if wanted is None:
+            self.close()
         return self
 
     def close(self):
--- a/SystemTests/harness/items.py
+++ b/SystemTests/harness/items.py
@@ -20,7 +20,7 @@
         return f"{self.name}.{self.secret}"
 
     def edit(self):
-        digest = hashlib.sha256(bytes.fromhex(self.salt) + self.secret.encode())
+        digest = hashlib.sha256(f"{self.salt}.{self.secret}".encode())
         return item(
             "key",
             self.name,
--- a/SystemTests/harness/relay.py
+++ b/SystemTests/harness/relay.py
@@ -98,6 +98,12 @@
             writer.transport.abort()
 
     async def _serve(self, reader, writer):
+        try:
+            await self._pass_on(reader, writer)
+        except asyncio.CancelledError:
+            writer.transport.abort()  # The cluster stops.
+
+    async def _pass_on(self, reader, writer):
         owner = self.owner_of(writer.get_extra_info("peername")[1])
         while self._is_cut(owner):
             await asyncio.sleep(POLL_SECONDS)
