Probe silent connections, and start the HTTP daemon in a file of its own

A caller or upstream whose VM vanished sends no FIN: a suspended caller was never noticed and a quiet stream only at its total timeout. The kernel now probes after 5 s and gives up after three probes of 2 s. Not tested here, since loopback can't drop packets without privileges.

--- a/Peridothoist/Shell/ClientCall.cpp
+++ b/Peridothoist/Shell/ClientCall.cpp
@@ -1,6 +1,7 @@
 /// One call on a libcurl easy handle.
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Shell/ClientCall.h>
+#include <Peridothoist/Shell/SocketOptions.h>
 
 #include <algorithm>
 #include <cctype>
@@ -167,6 +168,7 @@
                             CURL_BLOB_NOCOPY };
     curl_easy_setopt(mHandle, CURLOPT_CAINFO_BLOB, &authority);
   }
+  curl_easy_setopt(mHandle, CURLOPT_SOCKOPTFUNCTION, &OnSocketMade);
   curl_easy_setopt(mHandle, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
   curl_easy_setopt(mHandle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(mHandle, CURLOPT_HEADERFUNCTION, &OnHeader);
@@ -216,6 +218,15 @@
   curl_easy_setopt(mHandle, CURLOPT_HTTPHEADER, mHeaderList);
 }
 
+int
+ClientCall::OnSocketMade(void* /*aSelf*/,
+                         curl_socket_t aSocket,
+                         curlsocktype /*aPurpose*/)
+{
+  ProbeWhenSilent(aSocket);
+  return CURL_SOCKOPT_OK;
+}
+
 int
 ClientCall::OnBeforeSend(void* aSelf,
                          char* /*aRemoteAddress*/,
--- a/Peridothoist/Shell/ClientCall.h
+++ b/Peridothoist/Shell/ClientCall.h
@@ -56,6 +56,9 @@
   void SetHeaders();
   std::size_t OnHeaderLine(std::string_view aLine);
 
+  static int OnSocketMade(void* aSelf,
+                          curl_socket_t aSocket,
+                          curlsocktype aPurpose);
   static int OnBeforeSend(void* aSelf,
                           char* aRemoteAddress,
                           char* aLocalAddress,
--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -2,19 +2,16 @@
 /// watches the library's epoll descriptor and keeps its timeouts.
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Shell/CallerWatch.h>
+#include <Peridothoist/Shell/HttpDaemon.h>
 #include <Peridothoist/Shell/HttpServer.h>
 #include <Peridothoist/Shell/RequestReader.h>
 #include <Peridothoist/Shell/ServerConnection.h>
 #include <Peridothoist/Shell/ServerExchange.h>
+#include <Peridothoist/Shell/SocketOptions.h>
 
-#include <arpa/inet.h>
-#include <fmt/format.h>
 #include <microhttpd.h>
-#include <netinet/in.h>
 #include <unistd.h>
 
-#include <algorithm>
-#include <cerrno>
 #include <cstring>
 #include <unordered_set>
 
@@ -22,10 +19,6 @@
 
 namespace {
 
-/// A connection's memory beyond its headers: their index, and the answer's
-/// head and block.
-constexpr std::size_t kConnectionSpareBytes = 6 * 1024;
-
 /// How often slow and, when draining, idle connections are looked for.
 constexpr Duration kSweepInterval = 500ms;
 
@@ -126,34 +119,6 @@
   return *static_cast<detail::ServerConnection*>(info->socket_context);
 }
 
-/// A socket address from an IP number and port; empty when it is none.
-std::optional<sockaddr_storage>
-ToSocketAddress(const std::string& aAddress, std::uint16_t aPort)
-{
-  sockaddr_storage storage = {};
-  auto* v4 = reinterpret_cast<sockaddr_in*>(&storage);
-  if (::inet_pton(AF_INET, aAddress.c_str(), &v4->sin_addr) == 1) {
-    v4->sin_family = AF_INET;
-    v4->sin_port = htons(aPort);
-    return storage;
-  }
-  auto* v6 = reinterpret_cast<sockaddr_in6*>(&storage);
-  if (::inet_pton(AF_INET6, aAddress.c_str(), &v6->sin6_addr) == 1) {
-    v6->sin6_family = AF_INET6;
-    v6->sin6_port = htons(aPort);
-    return storage;
-  }
-  return std::nullopt;
-}
-
-void
-SetText(std::string* aReason, std::string aText)
-{
-  if (aReason != nullptr) {
-    *aReason = std::move(aText);
-  }
-}
-
 } // namespace
 
 HttpServer::Impl::~Impl()
@@ -176,91 +141,22 @@
 bool
 HttpServer::Impl::Start(std::string* aReason)
 {
-  const bool tls =
-    !mSettings.mCertificatePem.empty() && !mSettings.mPrivateKeyPem.empty();
-  if (tls && MHD_is_feature_supported(MHD_FEATURE_TLS) != MHD_YES) {
-    SetText(aReason, "this build of libmicrohttpd has no TLS");
-    return false;
-  }
-  const auto address = ToSocketAddress(mSettings.mAddress, mSettings.mPort);
-  if (!address) {
-    SetText(aReason,
-            fmt::format("address {} is no IP number", mSettings.mAddress));
-    return false;
-  }
   mCallerWatch = detail::CallerWatch::Create(mReactor);
   if (mCallerWatch == nullptr) {
-    SetText(aReason, "no epoll descriptor for waiting callers");
+    *aReason = "no epoll descriptor for waiting callers";
     return false;
   }
-
-  unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
-  if (address->ss_family == AF_INET6) {
-    flags |= MHD_USE_IPv6;
-  }
-  std::vector<MHD_OptionItem> options = {
-    { MHD_OPTION_SOCK_ADDR,
-      0,
-      const_cast<sockaddr_storage*>(&*address) }, // MHD only reads it.
-    { MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      static_cast<std::intptr_t>(mSettings.mMaxHeaderBytes +
-                                 kConnectionSpareBytes),
-      nullptr },
-    { MHD_OPTION_CONNECTION_LIMIT,
-      static_cast<std::intptr_t>(mSettings.mMaxConnections),
-      nullptr },
-    { MHD_OPTION_PER_IP_CONNECTION_LIMIT,
-      static_cast<std::intptr_t>(mSettings.mMaxConnectionsPerAddress),
-      nullptr },
-    { MHD_OPTION_CONNECTION_TIMEOUT,
-      static_cast<std::intptr_t>(
-        std::chrono::ceil<std::chrono::seconds>(mSettings.mIdleTimeout)
-          .count()),
-      nullptr },
-    { MHD_OPTION_URI_LOG_CALLBACK,
-      reinterpret_cast<std::intptr_t>(&OnRequestLine),
-      this },
-    { MHD_OPTION_NOTIFY_COMPLETED,
-      reinterpret_cast<std::intptr_t>(&OnCompleted),
-      this },
-    { MHD_OPTION_NOTIFY_CONNECTION,
-      reinterpret_cast<std::intptr_t>(&OnConnection),
-      this },
+  const detail::HttpDaemonCallbacks callbacks = {
+    this, &OnAccess, &OnRequestLine, &OnCompleted, &OnConnection
   };
-  if (tls) {
-    flags |= MHD_USE_TLS;
-    options.push_back({ MHD_OPTION_HTTPS_MEM_CERT,
-                        0,
-                        const_cast<char*>(mSettings.mCertificatePem.c_str()) });
-    options.push_back({ MHD_OPTION_HTTPS_MEM_KEY,
-                        0,
-                        const_cast<char*>(mSettings.mPrivateKeyPem.c_str()) });
-  }
-  options.push_back({ MHD_OPTION_END, 0, nullptr });
-
-  errno = 0;
-  mDaemon = MHD_start_daemon(flags,
-                             mSettings.mPort,
-                             nullptr,
-                             nullptr,
-                             &OnAccess,
-                             this,
-                             MHD_OPTION_ARRAY,
-                             options.data(),
-                             MHD_OPTION_END);
+  mDaemon = detail::StartHttpDaemon(mSettings, callbacks, aReason);
   if (mDaemon == nullptr) {
-    SetText(aReason,
-            fmt::format("can't listen on {}:{}: {}",
-                        mSettings.mAddress,
-                        mSettings.mPort,
-                        errno != 0 ? std::strerror(errno)
-                                   : "refused by libmicrohttpd"));
     return false;
   }
   mPort = MHD_get_daemon_info(mDaemon, MHD_DAEMON_INFO_BIND_PORT)->port;
   mEpoll = MHD_get_daemon_info(mDaemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
   if (!mReactor.Watch(mEpoll, this)) {
-    SetText(aReason, "the reactor can't watch the server");
+    *aReason = "the reactor can't watch the server";
     return false;
   }
   mSweepTimer = mReactor.Schedule(kSweepInterval, [this] { Sweep(); });
@@ -370,6 +266,7 @@
   if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
     auto connection = std::make_unique<detail::ServerConnection>(
       aConnection, self.mReactor.Now());
+    detail::ProbeWhenSilent(connection->Descriptor());
     self.mConnections.insert(connection.get());
     *aContext = connection.release();
     return;
@@ -505,7 +402,11 @@
                    std::string* aReason)
 {
   auto impl = std::make_unique<Impl>(aReactor, aSettings, aHandler);
-  if (!impl->Start(aReason)) {
+  std::string reason;
+  if (!impl->Start(&reason)) {
+    if (aReason != nullptr) {
+      *aReason = std::move(reason);
+    }
     return nullptr;
   }
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
--- a/Peridothoist/Shell/ServerExchange.cpp
+++ b/Peridothoist/Shell/ServerExchange.cpp
@@ -236,7 +236,8 @@
   if (mStreamsEndWithClose) {
     // On Linux this drops a TCP connection at once, with a reset.
     const sockaddr nowhere = { AF_UNSPEC, {} };
-    ::connect(mDescriptor, &nowhere, sizeof(nowhere));
+    [[maybe_unused]] const int ec =
+      ::connect(mDescriptor, &nowhere, sizeof(nowhere));
   }
 }
 
--- /dev/null
+++ b/Peridothoist/Shell/SocketOptions.cpp
@@ -0,0 +1,35 @@
+/// Options of the sockets towards callers and services.
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Shell/SocketOptions.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace peridothoist::detail {
+
+namespace {
+
+// A vanished peer is noticed after kIdle + kProbes * kInterval.
+constexpr int kIdleSeconds = 5;
+constexpr int kIntervalSeconds = 2;
+constexpr int kProbes = 3;
+
+void
+SetOption(int aSocket, int aLevel, int aOption, int aValue)
+{
+  ::setsockopt(aSocket, aLevel, aOption, &aValue, sizeof(aValue));
+}
+
+} // namespace
+
+void
+ProbeWhenSilent(int aSocket)
+{
+  SetOption(aSocket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, kIdleSeconds);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, kIntervalSeconds);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+} // namespace peridothoist::detail
