Give back burst room that isn't needed, and ask borrowers, too

Cause: tokens move together with their part of the burst, so entries that had lent had no room left for their own rate to accrue in, and what a busy entry outside of the homes held was never asked for.

--- a/Peridothoist/Allowance/AllowanceBook.cpp
+++ b/Peridothoist/Allowance/AllowanceBook.cpp
@@ -196,8 +196,7 @@
   }
   account->Add(
     { aTransfer.mTokens, aTransfer.mBurstShare, aTransfer.mRateShare },
-    aTransfer.mFromInstance,
-    mClock.Read(aNow));
+    aTransfer.mFromInstance);
   return true;
 }
 
@@ -207,8 +206,7 @@
   std::vector<ShareTransfer> transfers;
   for (auto& [workspace, account] : mAccounts) {
     Touch(workspace, aNow);
-    const Duration at = mClock.Read(aNow);
-    for (const auto& it : account.Returns(at, mSettings.mReturnAfter)) {
+    for (const auto& it : account.Returns(mClock.Read(aNow))) {
       transfers.push_back(Subtract(workspace, account, it.mPart, it.mTo));
     }
   }
@@ -244,6 +242,22 @@
     aWorkspace, mPlans.back().mEntries, mSettings.mHomesPerWorkspace);
 }
 
+std::vector<std::string>
+AllowanceBook::Lenders(const std::string& aWorkspace) const
+{
+  std::vector<std::string> lenders = Homes(aWorkspace);
+  const auto account = mAccounts.find(aWorkspace);
+  if (account == mAccounts.end()) {
+    return lenders;
+  }
+  for (std::string& borrower : account->second.Borrowers()) {
+    if (std::find(lenders.begin(), lenders.end(), borrower) == lenders.end()) {
+      lenders.push_back(std::move(borrower));
+    }
+  }
+  return lenders;
+}
+
 ShareStatus
 AllowanceBook::Account(const std::string& aWorkspace, TimePoint aNow)
 {
--- a/Peridothoist/Allowance/AllowanceBook.h
+++ b/Peridothoist/Allowance/AllowanceBook.h
@@ -68,8 +68,6 @@
   /// From hearing of an epoch to raising shares: staleness limit and margin.
   Duration mRaiseWait = std::chrono::milliseconds(2500);
   std::size_t mMaxPlans = 8; ///< Plans kept for replay.
-  /// A borrowed burst unused for this long is given back.
-  Duration mReturnAfter = std::chrono::seconds(2);
   /// "demand": shares move to where they are asked for. "equal": they stay.
   std::string mShareStrategy = "demand";
 };
@@ -134,6 +132,10 @@
   /// The home entries of a workspace in the present plan, strongest first.
   std::vector<std::string> Homes(const std::string& aWorkspace) const;
 
+  /// Whom to ask for a workspace's allowance, in order: its home entries, then
+  /// those that this entry lent to.
+  std::vector<std::string> Lenders(const std::string& aWorkspace) const;
+
   /// An account as of now.
   ShareStatus Account(const std::string& aWorkspace, TimePoint aNow);
 
--- a/Peridothoist/Allowance/BorrowPlanner.cpp
+++ b/Peridothoist/Allowance/BorrowPlanner.cpp
@@ -9,13 +9,13 @@
                              const std::string& aSelf,
                              std::uint64_t aEpoch,
                              std::string aWorkspace,
-                             const std::vector<std::string>& aHomes,
+                             const std::vector<std::string>& aLenders,
                              double aRate)
   : mSettings(aSettings)
   , mSelf(aSelf)
   , mEpoch(aEpoch)
   , mWorkspace(std::move(aWorkspace))
-  , mLeft(aHomes.rbegin(), aHomes.rend())
+  , mLeft(aLenders.rbegin(), aLenders.rend())
   , mRate(aRate)
 {
   mLeft.erase(std::remove(mLeft.begin(), mLeft.end(), mSelf), mLeft.end());
--- a/Peridothoist/Allowance/BorrowPlanner.h
+++ b/Peridothoist/Allowance/BorrowPlanner.h
@@ -25,13 +25,13 @@
 public:
   using Settings = BorrowPlannerSettings;
 
-  /// aHomes are the workspace's home entries, strongest first; aRate is what
+  /// aLenders are as AllowanceBook::Lenders() gives them; aRate is what
   /// this entry's callers asked of the workspace lately, tokens a second.
   BorrowPlanner(const Settings& aSettings,
                 const std::string& aSelf,
                 std::uint64_t aEpoch,
                 std::string aWorkspace,
-                const std::vector<std::string>& aHomes,
+                const std::vector<std::string>& aLenders,
                 double aRate);
 
   /// The next ask; empty when nobody is left to ask: refuse. aMissing is what
@@ -44,7 +44,7 @@
                                 std::string aTransferId,
                                 double aHeldRate);
 
-  /// The home entry that the last ask goes to.
+  /// The entry that the last ask goes to.
   const std::string& LastAsked() const { return mLastAsked; }
 
 private:
@@ -52,7 +52,7 @@
   std::string mSelf;
   std::uint64_t mEpoch;
   std::string mWorkspace;
-  std::vector<std::string> mLeft; ///< Homes not yet asked, strongest last.
+  std::vector<std::string> mLeft; ///< Not yet asked, the first last.
   double mRate;
   std::size_t mAsked = 0;
   std::string mLastAsked;
--- a/Peridothoist/Allowance/ShareAccount.cpp
+++ b/Peridothoist/Allowance/ShareAccount.cpp
@@ -10,6 +10,8 @@
 
 constexpr double kDemandWindowSeconds = 5.0;
 constexpr double kDemandHeadroom = 1.25;   ///< Kept above the measured demand.
+constexpr double kKeptSeconds = 1.0;       ///< Of demand, kept as balance.
+constexpr double kRoomSeconds = 1.0;       ///< Of rate, kept as room to accrue.
 constexpr double kLeastReturnShare = 0.01; ///< Less isn't worth a message.
 
 double
@@ -72,7 +74,6 @@
   mBalance -= aTokens;
   mDemand = Demand(aAt) + aTokens / kDemandWindowSeconds;
   mDemandAt = aAt;
-  mUsedAt = aAt;
 }
 
 void
@@ -83,9 +84,7 @@
 }
 
 void
-ShareAccount::Add(const SharePart& aPart,
-                  const std::string& aFrom,
-                  Duration aAt)
+ShareAccount::Add(const SharePart& aPart, const std::string& aFrom)
 {
   mBurstShare += aPart.mBurstShare;
   mRateShare += aPart.mRateShare;
@@ -94,7 +93,6 @@
   Net& net = mNetFrom[aFrom];
   net.mBurstShare += aPart.mBurstShare;
   net.mRateShare += aPart.mRateShare;
-  mUsedAt = aAt;
 }
 
 SharePart
@@ -137,15 +135,21 @@
 }
 
 std::vector<ShareAccount::Return>
-ShareAccount::Returns(Duration aAt, Duration aUnusedFor) const
+ShareAccount::Returns(Duration aAt) const
 {
-  const double needed =
-    mWhole.mRate > 0 ? kDemandHeadroom * Demand(aAt) / mWhole.mRate : 0;
-  const bool isUnused = aAt - mUsedAt >= aUnusedFor;
+  if (mWhole.mRate <= 0 || mWhole.mBurst <= 0) {
+    return {};
+  }
   // Never below what the plan gives, as far as that is here already.
-  double rateLeft = mRateShare - std::max(needed, mHomeShare - mRateRaise);
-  double burstLeft = isUnused ? mBurstShare - (mHomeShare - mBurstRaise) : 0.0;
-  SharePart held = All();
+  const double rateKept = kDemandHeadroom * Demand(aAt) / mWhole.mRate;
+  double rateLeft = mRateShare - std::max(rateKept, mHomeShare - mRateRaise);
+  const double tokensKept =
+    std::min(std::max(mBalance, 0.0), kKeptSeconds * Demand(aAt));
+  const double roomKept = kRoomSeconds * Rate();
+  const double burstKept = (tokensKept + roomKept) / mWhole.mBurst;
+  double burstLeft =
+    mBurstShare - std::max(burstKept, mHomeShare - mBurstRaise);
+  double tokensLeft = std::max(mBalance, 0.0) - tokensKept;
 
   std::vector<Return> returns;
   for (const auto& [lender, net] : mNetFrom) {
@@ -155,8 +159,8 @@
     if (part.mRateShare + part.mBurstShare < kLeastReturnShare) {
       continue;
     }
-    part.mTokens = std::min(part.mBurstShare * mWhole.mBurst, held.mTokens);
-    held.mTokens -= part.mTokens;
+    part.mTokens = std::min(part.mBurstShare * mWhole.mBurst, tokensLeft);
+    tokensLeft -= part.mTokens;
     rateLeft -= part.mRateShare;
     burstLeft -= part.mBurstShare;
     returns.push_back({ lender, part });
@@ -164,6 +168,23 @@
   return returns;
 }
 
+std::vector<std::string>
+ShareAccount::Borrowers() const
+{
+  std::vector<std::string> borrowers;
+  for (const auto& [instance, net] : mNetFrom) {
+    if (net.mBurstShare < 0 || net.mRateShare < 0) {
+      borrowers.push_back(instance);
+    }
+  }
+  const auto owesMore = [this](const std::string& aLeft,
+                               const std::string& aRight) {
+    return mNetFrom.at(aLeft).mBurstShare < mNetFrom.at(aRight).mBurstShare;
+  };
+  std::stable_sort(borrowers.begin(), borrowers.end(), owesMore);
+  return borrowers;
+}
+
 void
 ShareAccount::DropRaise()
 {
--- a/Peridothoist/Allowance/ShareAccount.h
+++ b/Peridothoist/Allowance/ShareAccount.h
@@ -61,7 +61,7 @@
   void Refund(double aTokens);
 
   /// Adds what came from another entry.
-  void Add(const SharePart& aPart, const std::string& aFrom, Duration aAt);
+  void Add(const SharePart& aPart, const std::string& aFrom);
 
   /// Subtracts what goes to another entry, as far as it is held, and returns
   /// what was subtracted.
@@ -81,9 +81,13 @@
     SharePart mPart;
   };
 
-  /// What was borrowed and isn't used: rate that demand doesn't reach, and
-  /// burst when nothing was spent since aAt - aUnusedFor.
-  std::vector<Return> Returns(Duration aAt, Duration aUnusedFor) const;
+  /// What was borrowed and isn't needed: rate and balance far above the
+  /// demand here, and burst that neither holds balance nor will soon. Burst
+  /// that lies empty here is room that the lender's rate lacks.
+  std::vector<Return> Returns(Duration aAt) const;
+
+  /// Whom this entry lent to in this epoch, the largest part first.
+  std::vector<std::string> Borrowers() const;
 
   /// A leaving entry gets no more.
   void DropRaise();
@@ -120,7 +124,6 @@
   // Use, and what came from whom (below 0: was lent to it), in this epoch.
   double mDemand = 0; ///< Tokens a second, as of mDemandAt.
   Duration mDemandAt{ 0 };
-  Duration mUsedAt{ 0 };
   struct Net
   {
     double mBurstShare = 0;
--- a/Peridothoist/Entry/AllowanceDesk.cpp
+++ b/Peridothoist/Entry/AllowanceDesk.cpp
@@ -83,7 +83,7 @@
                                     mBook->Self(),
                                     mBook->Epoch(),
                                     name,
-                                    mBook->Homes(name),
+                                    mBook->Lenders(name),
                                     mDemand.Rate(name, mReactor->Now()));
   AskNext(name);
 }
--- a/UnitTests/Allowance/AllowanceModel.h
+++ b/UnitTests/Allowance/AllowanceModel.h
@@ -196,7 +196,7 @@
                             entry.mBook->Self(),
                             entry.mBook->Epoch(),
                             kWorkspace,
-                            entry.mBook->Homes(kWorkspace),
+                            entry.mBook->Lenders(kWorkspace),
                             entry.mAsked);
       while (result.mRefusal == SpendRefusal::Short) {
         const auto ask = planner.Next(
@@ -213,8 +213,9 @@
       ++mGranted;
       return true;
     }
-    const bool wasFresh = result.mRefusal == SpendRefusal::Short;
-    mWronglyRefused += wasFresh && mBucket.Level() >= aTokens;
+    const bool isRightful = mBucket.Level() >= aTokens;
+    mWronglyRefused +=
+      aBorrows && isRightful && result.mRefusal == SpendRefusal::Short;
     ++mRefused;
     return false;
   }
@@ -355,7 +356,7 @@
                           book.Self(),
                           book.Epoch(),
                           kWorkspace,
-                          book.Homes(kWorkspace),
+                          book.Lenders(kWorkspace),
                           mEntries[aEntry].mAsked);
     const auto ask =
       planner.Next(aTokens, mWhole.mBurst, NewId(), HeldRate(book));
