Prove that no old lease holder's order follows a new one's

5000 runs of three holders with pauses, restarts, releases, failed reads, lost and late writes and orders up to five seconds on their way hold; without the wait for orders, counting the lease from a late answer, taking over by first sight and checking before a pause are each found.

--- a/UnitTests/Allowance/AllowanceBoundTest.cpp
+++ b/UnitTests/Allowance/AllowanceBoundTest.cpp
@@ -34,6 +34,7 @@
 
 constexpr int kSteps = 150;
 constexpr int kCases = 5000;
+constexpr int kNaiveCases = 30000; // Until the first that fails.
 
 struct Counts
 {
@@ -60,9 +61,12 @@
 }
 
 bool
-HoldsWith(NaiveAllowance aNaive, const std::string& aStrategy, Counts* aCounts)
+HoldsWith(NaiveAllowance aNaive,
+          const std::string& aStrategy,
+          int aCases,
+          Counts* aCounts)
 {
-  return Holds([=] { RunSteps(aNaive, aStrategy, aCounts); }, kCases);
+  return Holds([=] { RunSteps(aNaive, aStrategy, aCounts); }, aCases);
 }
 
 void
@@ -101,10 +105,10 @@
 BOOST_AUTO_TEST_CASE(AllEntriesTogetherStayWithinRateAndBurst)
 {
   Counts demand;
-  BOOST_TEST(HoldsWith(NaiveAllowance::No, "demand", &demand));
+  BOOST_TEST(HoldsWith(NaiveAllowance::No, "demand", kCases, &demand));
   Report("under faults, shares by demand", demand);
   Counts equal;
-  BOOST_TEST(HoldsWith(NaiveAllowance::No, "equal", &equal));
+  BOOST_TEST(HoldsWith(NaiveAllowance::No, "equal", kCases, &equal));
   Report("under faults, equal shares", equal);
   BOOST_TEST(demand.mGranted > 10u * kCases);
 }
@@ -120,7 +124,7 @@
     Counts counts;
     BOOST_TEST_CONTEXT("naive strategy " << static_cast<int>(naive))
     {
-      BOOST_TEST(!HoldsWith(naive, "demand", &counts));
+      BOOST_TEST(!HoldsWith(naive, "demand", kNaiveCases, &counts));
     }
   }
 }
--- /dev/null
+++ b/UnitTests/Lease/LeaseTest.cpp
@@ -0,0 +1,134 @@
+/// No upstream acts on an old lease holder's order after a new one's; and
+/// what engines hold for instances that are gone is found.
+#define BOOST_TEST_MODULE Lease
+#include <Peridothoist/Peridothoist.h>
+#include <Lease/LeaseModel.h>
+#include <Peridothoist/Lease/ReclaimPlanner.h>
+#include <Support/PropertyRun.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace peridothoist;
+using namespace peridothoist::test;
+
+namespace rc {
+
+template<>
+struct Arbitrary<LeaseStep>
+{
+  static Gen<LeaseStep> arbitrary()
+  {
+    const auto number = gen::inRange(0u, 10000u);
+    return gen::build<LeaseStep>(
+      gen::set(&LeaseStep::mOp, gen::inRange(0u, LeaseModel::kOps)),
+      gen::set(&LeaseStep::mHolder, number),
+      gen::set(&LeaseStep::mDetail, number));
+  }
+};
+
+} // namespace rc
+
+namespace {
+
+constexpr int kSteps = 250;
+constexpr int kCases = 5000;
+
+struct Counts
+{
+  std::size_t mOrders = 0;
+  std::size_t mTakeOvers = 0;
+};
+
+void
+RunSteps(NaiveLease aNaive, Counts* aCounts)
+{
+  LeaseModel model(aNaive);
+  const auto steps =
+    *rc::gen::resize(rc::kNominalSize,
+                     rc::gen::container<std::vector<LeaseStep>>(
+                       kSteps, rc::gen::arbitrary<LeaseStep>()));
+  for (const LeaseStep& step : steps) {
+    model.Run(step);
+    RC_ASSERT(!model.UncheckedWentBack());
+    RC_ASSERT(!model.CheckedWentBack());
+  }
+  aCounts->mOrders += model.Orders();
+  aCounts->mTakeOvers += model.Fence();
+}
+
+bool
+HoldsWith(NaiveLease aNaive, Counts* aCounts)
+{
+  return Holds([=] { RunSteps(aNaive, aCounts); }, kCases);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(NoOldOrderAfterANewOne)
+{
+  Counts counts;
+  BOOST_TEST(HoldsWith(NaiveLease::No, &counts));
+  BOOST_TEST_MESSAGE("orders " << counts.mOrders << ", take-overs "
+                               << counts.mTakeOvers);
+  BOOST_TEST(counts.mOrders > 1u * kCases);
+  BOOST_TEST(counts.mTakeOvers > 2u * kCases);
+}
+
+BOOST_AUTO_TEST_CASE(NaiveHoldersAreFound)
+{
+  for (NaiveLease naive : { NaiveLease::NoOrderWait,
+                            NaiveLease::CountFromAnswer,
+                            NaiveLease::TakeOverBySight,
+                            NaiveLease::CheckEarly }) {
+    Counts counts;
+    BOOST_TEST_CONTEXT("naive holder " << static_cast<int>(naive))
+    {
+      BOOST_TEST(!HoldsWith(naive, &counts));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswerOfATakeOverIsSettledByReading)
+{
+  LeaseMachine machine({}, "a");
+  TimePoint now(std::chrono::hours(1));
+  BOOST_TEST((machine.Next(now).mKind == LeaseActionKind::Read));
+  machine.OnRead({}, now);
+  const LeaseAction take = machine.Next(now);
+  BOOST_TEST((take.mKind == LeaseActionKind::Write));
+  BOOST_TEST(take.mRow.mFence == 1u);
+  machine.OnWrite(LeaseWriteResult::InDoubt, 0, now);
+  BOOST_TEST(!machine.IsHeld(now));
+
+  now += 1s;
+  BOOST_TEST((machine.Next(now).mKind == LeaseActionKind::Read));
+  machine.OnRead({ take.mRow, 17 }, now);
+  BOOST_TEST(!machine.IsHeld(now));
+  const LeaseAction renew = machine.Next(now);
+  BOOST_TEST(renew.mRow.mFence == 1u);
+  BOOST_TEST(renew.mIfRowVersion == 17u);
+  machine.OnWrite(LeaseWriteResult::Committed, 18, now + 1s);
+  BOOST_TEST(machine.IsHeld(now + 9s));
+  BOOST_TEST(!machine.IsHeld(now + 9500ms));
+  BOOST_TEST(machine.MayOrder(FenceCheck::Checked, false, now + 2s));
+  BOOST_TEST(!machine.MayOrder(FenceCheck::Unchecked, true, now + 2s));
+  BOOST_TEST(!machine.MayOrder(FenceCheck::Unchecked, false, now + 7s));
+  BOOST_TEST(machine.MayOrder(FenceCheck::Unchecked, true, now + 7s));
+}
+
+BOOST_AUTO_TEST_CASE(OnlyRequestsOfGoneInstancesAreReclaimed)
+{
+  const std::vector<HeldRequest> held = {
+    { "decode-1", "vm1#1/5/1" },   { "decode-1", "vm1#2/1/1" },
+    { "decode-1", "vm1#1/6/2" },   { "decode-2", "vm1#1/7/1" },
+    { "decode-2", "unknown/1/1" }, { "decode-2", "malformed" },
+    { "decode-2", "/1" },
+  };
+  const auto orders = PlanReclaim(held, { { "vm1", "vm1#1" } });
+  BOOST_TEST(orders.size() == 2u);
+  BOOST_TEST(orders[0].mUpstream == "decode-1");
+  BOOST_TEST(orders[0].mRequests == 2u);
+  BOOST_TEST(orders[1].mEntryInstance == "vm1#1");
+  BOOST_TEST((InstanceOfRequest("a/b/1/2") == "a/b"));
+}
