--- /dev/null
+++ b/UnitTests/Membership/MembershipTest.cpp
@@ -0,0 +1,285 @@
+/// Members: what is believed of them, who is gone for certain, whom to ask,
+/// and where a workspace's callers are sent.
+#define BOOST_TEST_MODULE Membership
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Allowance/PlanKeeper.h>
+#include <Peridothoist/Membership/EntryDirectory.h>
+#include <Peridothoist/Membership/MemberList.h>
+#include <Peridothoist/Membership/OwnEntry.h>
+#include <Peridothoist/Membership/Rendezvous.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+
+using namespace peridothoist;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+Member
+Vm(const std::string& aVm, const std::string& aZone, int aInstance = 1)
+{
+  Member member;
+  member.mVm = aVm;
+  member.mZone = aZone;
+  member.mEntryAddress = aVm + ":80";
+  member.mControlPeer = aVm + ":81";
+  member.mEntryInstance = aVm + "#" + std::to_string(aInstance);
+  member.mControlInstance = aVm + "#" + std::to_string(aInstance);
+  member.mAge = Duration{ 0 };
+  return member;
+}
+
+MemberList
+ListOf(const std::string& aSelf)
+{
+  return { MemberListSettings{}, Vm(aSelf, "uno"), kStart };
+}
+
+const Member&
+Find(const std::vector<Member>& aMembers, const std::string& aVm)
+{
+  const auto it =
+    std::find_if(aMembers.begin(), aMembers.end(), [&](const Member& aMember) {
+      return aMember.mVm == aVm;
+    });
+  BOOST_REQUIRE((it != aMembers.end()));
+  return *it;
+}
+
+bool
+IsGone(const MemberList& aList, const std::string& aInstance, TimePoint aNow)
+{
+  const auto gone = aList.Gone(aNow);
+  return std::any_of(gone.begin(), gone.end(), [&](const GoneInstance& aGone) {
+    return aGone.mEntryInstance == aInstance;
+  });
+}
+
+std::vector<std::string>
+Nodes(std::size_t aCount)
+{
+  std::vector<std::string> nodes;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    nodes.push_back("vm" + std::to_string(i));
+  }
+  return nodes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AgesAddUpAndNewerWordsWin)
+{
+  MemberList list = ListOf("a");
+  Member far = Vm("far", "dos");
+  far.mAge = 300ms;
+  far.mStamp = { 7, 1 };
+  list.MergeReply(Vm("b", "dos"), { far }, kStart, kStart + 50ms);
+  BOOST_TEST((Find(list.Export(kStart + 1s), "far").mAge ==
+              Duration(std::chrono::milliseconds(1300))));
+  // An older word by another way changes nothing.
+  far.mAge = 900ms;
+  far.mStamp = { 6, 1 };
+  list.MergeReply(Vm("c", "dos"), { far }, kStart + 100ms, kStart + 150ms);
+  BOOST_TEST(Find(list.Export(kStart + 1s), "far").mStamp.mVersion == 7u);
+}
+
+BOOST_AUTO_TEST_CASE(RequestsMakeKnownButSayNothingOfFreshness)
+{
+  MemberList list = ListOf("a");
+  list.MergeRequest(Vm("b", "dos"), { Vm("c", "tres") }, kStart);
+  BOOST_TEST(list.Size() == 3u);
+  for (const MemberWord& word : list.Words(kStart)) {
+    BOOST_TEST(word.mAsOf.has_value() == (word.mVm == "a"));
+  }
+  for (const GateMember& member : list.GateMembers(kStart)) {
+    BOOST_TEST(!member.mExchangedAgo.has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LeavingSticksToItsInstance)
+{
+  MemberList list = ListOf("a");
+  Member leaving = Vm("b", "dos");
+  leaving.mState = MemberState::Leaving;
+  list.MergeReply(leaving, {}, kStart, kStart);
+  list.MergeReply(Vm("b", "dos"), {}, kStart + 1s, kStart + 1s);
+  BOOST_TEST(
+    (Find(list.Export(kStart + 1s), "b").mState == MemberState::Leaving));
+  list.MergeReply(Vm("b", "dos", 2), {}, kStart + 2s, kStart + 2s);
+  BOOST_TEST((Find(list.Export(kStart + 2s), "b").mState == MemberState::Live));
+}
+
+/// Words of two instances of one VM, the second newer, arrive by any ways and
+/// late. The newer one is never taken for gone.
+RC_BOOST_PROP(OnlyReplacedInstancesAreGone,
+              (const std::vector<std::uint16_t>& aWords))
+{
+  MemberList list = ListOf("a");
+  const TimePoint replacedAt = kStart + 5s;
+  TimePoint now = kStart;
+  for (std::uint16_t raw : aWords) {
+    now += std::chrono::milliseconds(raw % 400);
+    const Duration late = std::chrono::milliseconds((raw / 7) % 3000);
+    const Duration way = std::chrono::milliseconds((raw / 3) % 300);
+    const TimePoint spokenAt = std::max(kStart, now - late - way);
+    Member word = Vm("b", "dos", spokenAt < replacedAt ? 1 : 2);
+    // Sent before it arrived; the age carried is never less than the true one.
+    const TimePoint sent = now - way;
+    word.mAge = std::max(sent - spokenAt, Duration{ 0 });
+    list.MergeReply(Vm("c", "tres"), { word }, sent, now);
+    RC_ASSERT(!IsGone(list, "b#2", now));
+    RC_ASSERT(!IsGone(list, "b#1", now) || now >= replacedAt);
+  }
+}
+
+/// What the order of arrival alone would get wrong.
+BOOST_AUTO_TEST_CASE(OldWordThatArrivesLastReplacesNobody)
+{
+  MemberList list = ListOf("a");
+  list.MergeReply(Vm("b", "dos", 2), {}, kStart, kStart + 10ms);
+  Member old = Vm("b", "dos", 1);
+  old.mAge = 5s;
+  const TimePoint now = kStart + 1s;
+  list.MergeReply(Vm("c", "tres"), { old }, now, now + 10ms);
+  BOOST_TEST(!IsGone(list, "b#2", now + 10ms));
+  BOOST_TEST(Find(list.Export(now), "b").mEntryInstance == "b#2");
+}
+
+BOOST_AUTO_TEST_CASE(VmThatLeftTheListAndIsSilentIsGone)
+{
+  MemberList list = ListOf("a");
+  list.MergePlatform({ Vm("a", "uno"), Vm("b", "dos") }, kStart, kStart);
+  list.MergeReply(Vm("b", "dos"), {}, kStart, kStart);
+  TimePoint now = kStart + 3min;
+  // Silent, but the list can't be read: nobody is forgotten.
+  list.Forget(now);
+  BOOST_TEST(list.Size() == 2u);
+  list.MergePlatform({ Vm("a", "uno"), Vm("b", "dos") }, now, now);
+  list.Forget(now);
+  BOOST_TEST(list.Size() == 2u);
+  BOOST_TEST(!IsGone(list, "b#1", now));
+  list.MergePlatform({ Vm("a", "uno") }, now, now);
+  BOOST_TEST(IsGone(list, "b#1", now));
+  list.Forget(now);
+  BOOST_TEST(list.Size() == 1u);
+  BOOST_TEST(IsGone(list, "b#1", now));
+}
+
+BOOST_AUTO_TEST_CASE(PeersCoverEveryZoneAndEveryoneInTurn)
+{
+  MemberList list = ListOf("a");
+  for (int i = 0; i < 9; ++i) {
+    const std::string zone = "zone" + std::to_string(i % 3);
+    list.MergeRequest(Vm("vm" + std::to_string(i), zone), {}, kStart);
+  }
+  Random random(1);
+  std::set<std::string> asked;
+  for (int round = 0; round < 3; ++round) {
+    const TimePoint now = kStart + std::chrono::seconds(round);
+    std::set<std::string> zones;
+    for (const Member& peer : list.PickPeers(3, now, random)) {
+      zones.insert(peer.mZone);
+      asked.insert(peer.mVm);
+    }
+    BOOST_TEST(zones.size() == 3u);
+  }
+  BOOST_TEST(asked.size() == 9u);
+}
+
+/// A follow request of a dead entry that is read late doesn't make its
+/// successor look replaced.
+BOOST_AUTO_TEST_CASE(LateFollowDoesNotReplaceTheEntry)
+{
+  OwnEntry entry({});
+  entry.OnFollow("old", false, kStart);
+  entry.OnFollow("new", false, kStart + 1s);
+  BOOST_TEST(entry.Instance(kStart + 1s) == "old");
+  entry.OnFollow("new", false, kStart + 2s);
+  BOOST_TEST(entry.Instance(kStart + 2s) == "new");
+  entry.OnFollow("old", true, kStart + 2100ms);
+  entry.OnFollow("old", true, kStart + 2100ms);
+  BOOST_TEST(entry.Instance(kStart + 2100ms) == "new");
+  BOOST_TEST(!entry.IsLeaving());
+  BOOST_TEST(entry.Instance(kStart + 10s).empty());
+}
+
+/// When one of n nodes goes, only the keys that lived on it move, and about
+/// 1 / n of the places do.
+RC_BOOST_PROP(OnlyTheLeaversKeysMove, (std::uint8_t aCount, std::uint8_t aOut))
+{
+  const std::size_t n = 4 + aCount % 60;
+  const std::vector<std::string> nodes = Nodes(n);
+  std::vector<std::string> fewer = nodes;
+  const std::string out = nodes[aOut % n];
+  fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(aOut % n));
+  constexpr std::size_t kKeys = 2000;
+  std::size_t moved = 0;
+  for (std::size_t i = 0; i < kKeys; ++i) {
+    const std::string key = "workspace" + std::to_string(i);
+    std::vector<std::string> before = RendezvousTop(key, nodes, 3);
+    const std::vector<std::string> after = RendezvousTop(key, fewer, 3);
+    const auto it = std::find(before.begin(), before.end(), out);
+    if (it == before.end()) {
+      RC_ASSERT(before == after);
+      continue;
+    }
+    ++moved;
+    before.erase(it);
+    RC_ASSERT(std::equal(before.begin(), before.end(), after.begin()));
+  }
+  const double expected = 3.0 * kKeys / static_cast<double>(n);
+  RC_ASSERT(moved > expected * 0.6 && moved < expected * 1.5);
+}
+
+BOOST_AUTO_TEST_CASE(DirectoryPutsTheCallersZoneFirst)
+{
+  std::vector<Member> members;
+  for (int i = 0; i < 6; ++i) {
+    members.push_back(
+      Vm("vm" + std::to_string(i), "zone" + std::to_string(i % 3)));
+  }
+  const EntryDirectory directory({});
+  const auto all = directory.Choose("workspace", "none", members);
+  BOOST_TEST(all.size() == 3u);
+  const Member& last = Find(members, all[2].substr(0, all[2].find(':')));
+  const auto near = directory.Choose("workspace", last.mZone, members);
+  const Member& first = Find(members, near[0].substr(0, near[0].find(':')));
+  BOOST_TEST(first.mZone == last.mZone);
+  BOOST_TEST(std::is_permutation(all.begin(), all.end(), near.begin()));
+
+  members[0].mState = MemberState::Leaving;
+  members[1].mAge = 1min;
+  members[2].mAge.reset();
+  for (const std::string& it : directory.Choose("workspace", "x", members)) {
+    BOOST_TEST((it == "vm3:80" || it == "vm4:80" || it == "vm5:80"));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(PlanChangesWithItsEntriesButNotTooOften)
+{
+  PlanKeeper keeper({});
+  std::vector<Member> members = { Vm("a", "uno"), Vm("b", "dos") };
+  const auto first = keeper.Propose(members, kStart);
+  BOOST_REQUIRE(first.has_value());
+  BOOST_TEST(first->mEpoch == 1u);
+  keeper.OnPlan(*first, kStart);
+  keeper.OnPlan({ 1, {} }, kStart + 1s);
+  BOOST_TEST(keeper.Current().mEntryInstances.size() == 2u);
+
+  members[1].mAge = 10s;
+  BOOST_TEST(!keeper.Propose(members, kStart + 5s).has_value());
+  const auto second = keeper.Propose(members, kStart + 6s);
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST(second->mEpoch == 2u);
+  BOOST_TEST((second->mEntryInstances == std::vector<std::string>{ "a#1" }));
+  keeper.OnPlan(*second, kStart + 6s);
+  BOOST_TEST(!keeper.Propose(members, kStart + 1min).has_value());
+  BOOST_TEST(keeper.Propose(members, kStart + 6min).has_value());
+  // Nobody alive: the old plan stays.
+  members[0].mAge = 10s;
+  BOOST_TEST(!keeper.Propose(members, kStart + 6min).has_value());
+}
