--- a/Peridothoist/Control/ControlState.cpp
+++ b/Peridothoist/Control/ControlState.cpp
@@ -24,6 +24,14 @@
   return self;
 }
 
+OutageAgreementSettings
+OutageSettings(const ControlSettings& aSettings)
+{
+  OutageAgreementSettings settings;
+  settings.mStalenessLimit = aSettings.mFresh.mStalenessLimit;
+  return settings;
+}
+
 } // namespace
 
 ControlState::ControlState(const ControlSettings& aSettings,
@@ -33,7 +41,7 @@
   , mView(aSettings.mFresh, aListener)
   , mMembers(aSettings.mMembers, IdentityOf(aSettings), aNow)
   , mQuarantine(QuarantineBookSettings())
-  , mOutage({ aSettings.mFresh.mStalenessLimit })
+  , mOutage(OutageSettings(aSettings))
   , mStartedAt(aNow)
 {
 }
@@ -44,8 +52,6 @@
   Member self = IdentityOf(mSettings);
   if (HasEntry(aNow)) {
     self.mEntryInstance = mEntry.mInstance;
-    self.mEntryAddress = mEntry.mAddress;
-    self.mEntryPeer = mEntry.mPeer;
   }
   const bool entryLeaves = HasEntry(aNow) && mEntry.mLeaving;
   self.mState =
