Say in doubt from before a commit leaves; test control processes together

The outage agreement counts on a word that is given before the commit is sent, so committer and planner now give it then. Found by the new tests: a key made at one VM could not be withdrawn at another for as long as that one lagged (the answer was 404); changes that hold for any version now wait for a confirmation younger than themselves. Peers ended a settled suspension only after 10 s; now they settle it themselves after 3 s.

--- a/CommandLine/ControlCommands.cpp
+++ b/CommandLine/ControlCommands.cpp
@@ -124,8 +124,11 @@
     return ReportFailure(aContext, trial);
   }
   const std::string diff = trial.mBody.value("diff", "");
-  PrintAnswer(
-    aContext, trial.mBody, diff.empty() ? "nothing would change\n" : diff);
+  // One JSON document for each run: the change's, if it is applied.
+  if (aContext.mForm == OutputForm::Text || !aContext.mYes || diff.empty()) {
+    PrintAnswer(
+      aContext, trial.mBody, diff.empty() ? "nothing would change\n" : diff);
+  }
   if (diff.empty()) {
     return ExitCode::Ok;
   }
--- a/Peridothoist/Control/ChangeDesk.cpp
+++ b/Peridothoist/Control/ChangeDesk.cpp
@@ -13,7 +13,7 @@
 constexpr Duration kWinnerPoll = std::chrono::milliseconds(20);
 constexpr Duration kWinnerWait = std::chrono::seconds(1);
 constexpr std::size_t kMaxTries = 5;
-constexpr std::size_t kGatePeers = 8; ///< Asked at once before a change.
+constexpr std::size_t kGatePeers = 12; ///< Asked at once before a change.
 
 } // namespace
 
@@ -22,6 +22,7 @@
 {
   ChangeRequest mRequest;
   Done mDone; ///< Called once.
+  TimePoint mSubmitted;
   TimePoint mGateUntil;
   TimePoint mWinnerUntil;
   std::size_t mTries = 0; ///< Starts after another change came first.
@@ -70,9 +71,33 @@
   const auto work = std::make_shared<Work>();
   work->mRequest = aRequest;
   work->mDone = std::move(aDone);
+  if (aRequest.mAnyBase) {
+    // What it edits may have come with a version that isn't held yet.
+    work->mSubmitted = mReactor.Now();
+    mFollower.PollSoon();
+    WaitForNewest(work);
+    return;
+  }
   Start(work);
 }
 
+void
+ChangeDesk::WaitForNewest(const WorkPtr& aWork)
+{
+  const auto confirmed = mState.mView.Fresh().ConfirmedAt();
+  if (confirmed && *confirmed >= aWork->mSubmitted) {
+    Start(aWork);
+    return;
+  }
+  if (mReactor.Now() - aWork->mSubmitted >= kWinnerWait) {
+    aWork->Answer(ReasonCode::Unreachable,
+                  "the newest version can't be read",
+                  mState.mView.Version());
+    return;
+  }
+  Later(kWinnerPoll, [this, aWork] { WaitForNewest(aWork); });
+}
+
 void
 ChangeDesk::Start(const WorkPtr& aWork)
 {
--- a/Peridothoist/Control/ChangeDesk.h
+++ b/Peridothoist/Control/ChangeDesk.h
@@ -57,6 +57,7 @@
   struct Work;
   using WorkPtr = std::shared_ptr<Work>;
 
+  void WaitForNewest(const WorkPtr& aWork);
   void Start(const WorkPtr& aWork);
   bool CheckRequest(const Work& aWork) const;
   void WaitForGate(const WorkPtr& aWork);
--- a/Peridothoist/Control/ControlFlags.cpp
+++ b/Peridothoist/Control/ControlFlags.cpp
@@ -138,6 +138,7 @@
   const auto limit = std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(aSeconds));
   aSettings.mFresh.mStalenessLimit = limit;
+  aSettings.mOutage.mStalenessLimit = limit;
   aSettings.mInForce.mStalenessLimit = limit;
   aSettings.mGate.mExchangeLimit = limit;
   aSettings.mMembers.mSilenceLimit = limit;
--- a/Peridothoist/Control/ControlProcess.cpp
+++ b/Peridothoist/Control/ControlProcess.cpp
@@ -82,6 +82,7 @@
   void OnViewChanged(const ViewStamp& aStamp) override;
 
   // See: ChangeCommitterListener
+  void OnCommitOpen(bool aOpen) override { mState.mChangeInDoubt = aOpen; }
   void OnChangeAccepted(const ChangeRecord& aRecord) override;
   void OnCommitInDoubt(const KeySuspension& aSuspension) override;
   void OnCommitSettled(const std::string& aOperationId) override;
@@ -199,7 +200,6 @@
 ControlProcess::Impl::OnTick()
 {
   const TimePoint now = mReactor.Now();
-  mState.mChangeInDoubt = mCommitter.IsInDoubt();
   mState.mMembers.Forget(now);
   mState.mQuarantine.Expire(now);
   mState.JudgeOutage(now);
@@ -287,7 +287,6 @@
   Log::Warning("change_in_doubt")
     .Field("operation", aSuspension.mOperationId)
     .Field("version", aSuspension.mVersion);
-  mState.mChangeInDoubt = true;
   mState.mView.Suspensions().Suspend(aSuspension, mReactor.Now());
   mExchanger->AskNow(mSettings.mExchange.mPushPeers);
 }
@@ -296,7 +295,6 @@
 ControlProcess::Impl::OnCommitSettled(const std::string& aOperationId)
 {
   Log::Info("change_settled").Field("operation", aOperationId);
-  mState.mChangeInDoubt = mCommitter.IsInDoubt();
   mState.mView.Suspensions().Settle(aOperationId);
 }
 
--- a/Peridothoist/Control/ControlSettings.h
+++ b/Peridothoist/Control/ControlSettings.h
@@ -12,6 +12,7 @@
 #include <Peridothoist/Shell/HttpServer.h>
 #include <Peridothoist/View/FreshView.h>
 #include <Peridothoist/View/InForceTracker.h>
+#include <Peridothoist/View/OutageAgreement.h>
 
 namespace peridothoist {
 
@@ -58,6 +59,7 @@
   ChangeCommitterSettings mCommitter;
   SnapshotKeeperSettings mSnapshots;
   FreshViewSettings mFresh;
+  OutageAgreementSettings mOutage;
   MemberListSettings mMembers;
   InForceTrackerSettings mInForce;
   ChangeGateSettings mGate;
--- a/Peridothoist/Control/ControlState.cpp
+++ b/Peridothoist/Control/ControlState.cpp
@@ -24,14 +24,6 @@
   return self;
 }
 
-OutageAgreementSettings
-OutageSettings(const ControlSettings& aSettings)
-{
-  OutageAgreementSettings settings;
-  settings.mStalenessLimit = aSettings.mFresh.mStalenessLimit;
-  return settings;
-}
-
 } // namespace
 
 ControlState::ControlState(const ControlSettings& aSettings,
@@ -41,7 +33,7 @@
   , mView(aSettings.mFresh, aListener)
   , mMembers(aSettings.mMembers, IdentityOf(aSettings), aNow)
   , mQuarantine(QuarantineBookSettings())
-  , mOutage(OutageSettings(aSettings))
+  , mOutage(aSettings.mOutage)
   , mStartedAt(aNow)
 {
 }
--- a/Peridothoist/Control/ControlState.h
+++ b/Peridothoist/Control/ControlState.h
@@ -54,8 +54,8 @@
   QuarantineBook mQuarantine;
   FollowingEntry mEntry;
   bool mPlatformSilent = false;
-  bool mChangeInDoubt = false;
-  bool mPlanInDoubt = false;
+  bool mChangeInDoubt = false; ///< From before it is sent until it is known.
+  bool mPlanInDoubt = false;   ///< The same for the share plan.
   bool mLeaving = false;
   AgreementResult mAgreement; ///< Of the last JudgeOutage().
 
--- a/Peridothoist/Control/SharePlanner.cpp
+++ b/Peridothoist/Control/SharePlanner.cpp
@@ -33,9 +33,11 @@
     return;
   }
   mRowVersion = aRowVersion;
-  if (mState.mPlanInDoubt && aRowVersion != mWritingOver) {
+  if (mState.mPlanInDoubt && !mOpen && aRowVersion != mWritingOver) {
     // Our write's condition fails from now on, if it didn't take effect.
     mState.mPlanInDoubt = false;
+    mEverInDoubt = false;
+    mWriting.reset();
   }
   mKeeper.OnPlan(aPlan, mReactor.Now());
   mState.mView.TakePlan(aPlan);
@@ -90,6 +92,7 @@
 SharePlanner::Write()
 {
   mOpen = true;
+  mState.mPlanInDoubt = true;
   const TableTransaction transaction{ { { kSharePlanRow, mWritingOver } },
                                       { { kSharePlanRow,
                                           EncodeSharePlan(*mWriting) } } };
@@ -105,13 +108,14 @@
 SharePlanner::OnWritten(const TransactionResult& aResult)
 {
   mOpen = false;
-  if (aResult.mEnd == TransactionEnd::InDoubt) {
-    mState.mPlanInDoubt = true;
-    return;
-  }
-  if (aResult.mEnd == TransactionEnd::NotReached && mState.mPlanInDoubt) {
+  mEverInDoubt = mEverInDoubt || aResult.mEnd == TransactionEnd::InDoubt;
+  const bool isKnown =
+    aResult.mEnd != TransactionEnd::InDoubt &&
+    (aResult.mEnd != TransactionEnd::NotReached || !mEverInDoubt);
+  if (!isKnown) {
     return;
   }
+  mEverInDoubt = false;
   const SharePlan plan = *mWriting;
   mWriting.reset();
   if (aResult.mEnd == TransactionEnd::Committed) {
--- a/Peridothoist/Control/SharePlanner.h
+++ b/Peridothoist/Control/SharePlanner.h
@@ -40,6 +40,7 @@
   std::optional<SharePlan> mWriting;        ///< Its answer is missing.
   std::uint64_t mWritingOver = 0;           ///< Row version of its condition.
   bool mOpen = false;                       ///< A call is under way.
+  bool mEverInDoubt = false;                ///< An answer to mWriting was lost.
   std::shared_ptr<bool> mAlive;
 };
 
--- a/Peridothoist/Control/ViewKeeper.cpp
+++ b/Peridothoist/Control/ViewKeeper.cpp
@@ -7,12 +7,26 @@
 
 namespace peridothoist {
 
+namespace {
+
+KeyRingSettings
+SuspensionSettings()
+{
+  KeyRingSettings settings;
+  // Longer than its own process takes to settle a commit while the platform
+  // answers; then every process settles it for itself.
+  settings.mSettleAfter = std::chrono::seconds(3);
+  return settings;
+}
+
+} // namespace
+
 ViewKeeper::ViewKeeper(const FreshViewSettings& aFresh,
                        ViewKeeperListener& aListener)
   : mListener(aListener)
   , mLog(ViewLogSettings())
   , mFresh(aFresh)
-  , mSuspensions(KeyRingSettings())
+  , mSuspensions(SuspensionSettings())
 {
 }
 
--- a/Peridothoist/Platform/ChangeCommitter.cpp
+++ b/Peridothoist/Platform/ChangeCommitter.cpp
@@ -137,12 +137,17 @@
                             EncodeHead({ version, aHead.mSnapshot }) },
                           { change, EncodeChange(record) },
                           { operation, EncodeOperation(version) } };
+  mListener.OnCommitOpen(true);
   mPlatform.Commit(transaction, Guard(&ChangeCommitter::OnWritten));
 }
 
 void
 ChangeCommitter::OnWritten(const TransactionResult& aResult)
 {
+  if (aResult.mEnd != TransactionEnd::InDoubt &&
+      aResult.mEnd != TransactionEnd::Committed) {
+    mListener.OnCommitOpen(false);
+  }
   switch (aResult.mEnd) {
     case TransactionEnd::Committed:
       Accept();
@@ -188,6 +193,9 @@
 ChangeCommitter::OnSettled(std::uint64_t aVersion)
 {
   mInDoubt = false;
+  if (aVersion == 0) {
+    mListener.OnCommitOpen(false);
+  }
   const std::string operation = mOrders.front().mRecord.mChange.mOperationId;
   if (aVersion != 0) {
     Accept();
@@ -201,6 +209,7 @@
 ChangeCommitter::Accept()
 {
   mListener.OnChangeAccepted(mOrders.front().mRecord);
+  mListener.OnCommitOpen(false);
   Finish(ReasonCode::None, {}, mOrders.front().mRecord.mChange.mVersion);
 }
 
--- a/Peridothoist/Platform/ChangeCommitter.h
+++ b/Peridothoist/Platform/ChangeCommitter.h
@@ -29,6 +29,10 @@
 public:
   virtual ~ChangeCommitterListener() = default;
 
+  /// A commit is about to be sent (true), or what became of it is known
+  /// (false). In between, this process has to say that it is in doubt.
+  virtual void OnCommitOpen(bool aOpen) = 0;
+
   /// The change took effect. Called before the commit's own answer.
   virtual void OnChangeAccepted(const ChangeRecord& aRecord) = 0;
 
--- a/UnitTests/Control/ChangeCommitterTest.cpp
+++ b/UnitTests/Control/ChangeCommitterTest.cpp
@@ -32,6 +32,7 @@
   , ConfigFollowerListener
 {
   // See: ChangeCommitterListener
+  void OnCommitOpen(bool aOpen) override { mOpen = aOpen; }
   void OnChangeAccepted(const ChangeRecord& aRecord) override
   {
     mAccepted.push_back(aRecord.mChange.mOperationId);
@@ -68,6 +69,7 @@
   void OnPlatformPlan(const SharePlan&, std::uint64_t) override {}
 
   ConfigurationStore mStore;
+  bool mOpen = false;
   std::vector<std::string> mAccepted;
   std::vector<KeySuspension> mSuspended;
   std::vector<std::string> mSettled;
@@ -167,6 +169,8 @@
             EncodeSnapshot(reader.mStore.Get()));
   RC_ASSERT(EncodeSnapshot(b.mStore.Get()) ==
             EncodeSnapshot(reader.mStore.Get()));
+  RC_ASSERT(!a.mOpen);
+  RC_ASSERT(!b.mOpen);
   RC_ASSERT(a.mSuspended.size() == a.mSettled.size());
   RC_ASSERT(b.mSuspended.size() == b.mSettled.size());
 }
@@ -196,6 +200,7 @@
     *committer, { { 1, "op", { { ItemKind::Key, "k1", "" } } }, "maria" });
   BOOST_TEST((result.mReason.mCode == ReasonCode::InDoubt));
   BOOST_TEST(committer->IsInDoubt());
+  BOOST_TEST(view.mOpen);
   BOOST_REQUIRE(view.mSuspended.size() == 1u);
   BOOST_TEST(view.mSuspended[0].mVersion == 1u);
   BOOST_TEST(
--- /dev/null
+++ b/UnitTests/Control/ControlFixture.h
@@ -0,0 +1,246 @@
+/// Several control processes on one reactor, with the platform in memory and
+/// real gRPC and HTTP on loopback.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Control/ControlProcess.h>
+#include <Peridothoist/Peers/PeerClient.h>
+
+#include <Control/MemoryPlatform.h>
+#include <Shell/ShellFixture.h>
+
+#include <nlohmann/json.hpp>
+
+namespace peridothoist {
+
+/// The SHA-256 of the operator's key "operator-key".
+constexpr const char* kOperatorKeyDigest =
+  "c9736463f555cdb7d2a78cfd7aa8b8c4f09d906d78f8dab9228eda30a28c2818";
+
+/// One answer of the admin API.
+struct AdminAnswer
+{
+  int mStatus = 0;
+  nlohmann::json mBody;
+};
+
+/// A port that is free now.
+inline std::uint16_t
+FreePort()
+{
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  BOOST_REQUIRE_EQUAL(
+    ::bind(socket, reinterpret_cast<sockaddr*>(&address), size), 0);
+  BOOST_REQUIRE_EQUAL(
+    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size), 0);
+  ::close(socket);
+  return ntohs(address.sin_port);
+}
+
+/// A platform of one process's own, which can be cut off from the shared one.
+class CutPlatform : public Platform
+{
+public:
+  CutPlatform(Reactor& aReactor, MemoryPlatform& aShared)
+    : mReactor(aReactor)
+    , mShared(aShared)
+  {
+  }
+
+  bool mCut = false;
+
+  // See: Platform
+  void Commit(const TableTransaction& aTransaction,
+              TransactionDone aDone) override
+  {
+    if (!mCut) {
+      mShared.Commit(aTransaction, std::move(aDone));
+      return;
+    }
+    mReactor.Post([aDone = std::move(aDone)] { aDone(TransactionResult()); });
+  }
+  void Scan(const std::string& aFrom,
+            const std::string& aTo,
+            std::size_t aLimit,
+            ScanDone aDone) override
+  {
+    if (!mCut) {
+      mShared.Scan(aFrom, aTo, aLimit, std::move(aDone));
+      return;
+    }
+    mReactor.Post([aDone = std::move(aDone)] { aDone(ScanResult()); });
+  }
+  void PutObject(const std::string& aName,
+                 std::string aBody,
+                 PutDone aDone) override
+  {
+    mShared.PutObject(aName, std::move(aBody), std::move(aDone));
+  }
+  void GetObject(const std::string& aName, ObjectDone aDone) override
+  {
+    mShared.GetObject(aName, std::move(aDone));
+  }
+  void ListVms(VmListDone aDone) override
+  {
+    if (!mCut) {
+      mShared.ListVms(std::move(aDone));
+      return;
+    }
+    mReactor.Post([aDone = std::move(aDone)] { aDone(VmListResult()); });
+  }
+
+private:
+  Reactor& mReactor;
+  MemoryPlatform& mShared;
+};
+
+/// One VM's control process.
+struct ControlNode
+{
+  ControlSettings mSettings;
+  std::unique_ptr<CutPlatform> mPlatform;
+  std::unique_ptr<ControlProcess> mProcess; ///< Null while it is down.
+};
+
+/// VMs vm0, vm1, ... in zones z0 to z2, faster than in production.
+struct ControlFixture
+{
+  explicit ControlFixture(std::size_t aCount)
+    : mReactor(Reactor::Create())
+    , mHttp(HttpClient::Create(*mReactor))
+    , mShared(*mReactor)
+  {
+    for (std::size_t n = 0; n < aCount; ++n) {
+      mNodes.push_back(MakeNode(n));
+    }
+    for (const ControlNode& it : mNodes) {
+      mShared.mVms.push_back(ListedAs(it.mSettings));
+    }
+    for (ControlNode& it : mNodes) {
+      Start(it);
+    }
+  }
+
+  ControlNode MakeNode(std::size_t aIndex)
+  {
+    ControlNode node;
+    ControlSettings& settings = node.mSettings;
+    settings.mVm = "vm" + std::to_string(aIndex);
+    settings.mZone = "z" + std::to_string(aIndex % 3);
+    settings.mPeerListen = "127.0.0.1:" + std::to_string(FreePort());
+    settings.mEntryAddress = "127.0.0.1:1";
+    settings.mEntryPeer = "127.0.0.1:2";
+    settings.mPeerCredentials.mSharedSecret = "0123456789abcdef";
+    settings.mOperators = { { "maria", OperatorDigest() } };
+    settings.mOutage.mCommitOnItsWayLimit = 200ms;
+    settings.mTick = 25ms;
+    settings.mVmListInterval = 50ms;
+    settings.mFollower.mInterval = 50ms;
+    settings.mExchange.mInterval = 100ms;
+    settings.mExchange.mUrgentInterval = 25ms;
+    settings.mCommitter.mAnswerLimit = 300ms;
+    settings.mCommitter.mSettler.mBackoff = { 5ms, 50ms };
+    node.mPlatform = std::make_unique<CutPlatform>(*mReactor, mShared);
+    return node;
+  }
+
+  static std::string OperatorDigest() { return kOperatorKeyDigest; }
+
+  static Member ListedAs(const ControlSettings& aSettings)
+  {
+    Member member;
+    member.mVm = aSettings.mVm;
+    member.mZone = aSettings.mZone;
+    member.mEntryAddress = aSettings.mEntryAddress;
+    member.mEntryPeer = aSettings.mEntryPeer;
+    member.mControlPeer = aSettings.mPeerListen;
+    return member;
+  }
+
+  void Start(ControlNode& aNode)
+  {
+    aNode.mSettings.mInstance =
+      aNode.mSettings.mVm + "-c-" + std::to_string(++mStarts);
+    Reason reason;
+    aNode.mProcess = ControlProcess::Create(
+      *mReactor, *mHttp, *aNode.mPlatform, aNode.mSettings, &reason);
+    BOOST_REQUIRE_MESSAGE(aNode.mProcess != nullptr, reason.mText);
+  }
+
+  AdminAnswer Call(std::size_t aNode,
+                   const std::string& aMethod,
+                   const std::string& aPath,
+                   const nlohmann::json& aBody = nullptr,
+                   const std::string& aKey = "operator-key")
+  {
+    HttpCall call;
+    call.mMethod = aMethod;
+    call.mUrl = "http://127.0.0.1:" +
+                std::to_string(mNodes[aNode].mProcess->AdminPort()) + aPath;
+    call.mHeaders["authorization"] = "Bearer " + aKey;
+    if (!aBody.is_null()) {
+      call.mBody = aBody.dump();
+    }
+    std::optional<AdminAnswer> answer;
+    mHttp->Fetch(
+      std::move(call),
+      [&](const HttpCallOutcome& aOutcome, const std::string& aText) {
+        answer = AdminAnswer{ aOutcome.mStatus,
+                              nlohmann::json::parse(aText, nullptr, false) };
+      });
+    test::RunUntil(*mReactor, [&] { return answer.has_value(); });
+    return answer.value_or(AdminAnswer());
+  }
+
+  nlohmann::json View(std::size_t aNode)
+  {
+    return Call(aNode, "GET", "/admin/v1/status").mBody["view"];
+  }
+
+  /// Polls until aDone holds for the view of each running node.
+  bool UntilAll(const std::function<bool(const nlohmann::json&)>& aDone)
+  {
+    for (std::size_t n = 0; n < mNodes.size(); ++n) {
+      const TimePoint end = mReactor->Now() + 8s;
+      while (mNodes[n].mProcess && !aDone(View(n))) {
+        if (mReactor->Now() > end) {
+          return false;
+        }
+        Pause(10ms);
+      }
+    }
+    return true;
+  }
+
+  bool UntilFresh()
+  {
+    return UntilAll(
+      [](const nlohmann::json& aView) { return aView.value("fresh", false); });
+  }
+
+  bool UntilVersion(std::uint64_t aVersion)
+  {
+    return UntilAll([aVersion](const nlohmann::json& aView) {
+      return aView.value("version", std::uint64_t(0)) == aVersion;
+    });
+  }
+
+  /// Lets everything run for a time.
+  void Pause(Duration aDuration)
+  {
+    mReactor->Schedule(aDuration, [this] { mReactor->Stop(); });
+    mReactor->Run();
+  }
+
+  std::unique_ptr<Reactor> mReactor;
+  std::unique_ptr<HttpClient> mHttp;
+  MemoryPlatform mShared;
+  std::vector<ControlNode> mNodes;
+  int mStarts = 0;
+};
+
+} // namespace peridothoist
--- a/UnitTests/Control/MemoryPlatform.h
+++ b/UnitTests/Control/MemoryPlatform.h
@@ -32,6 +32,9 @@
   /// The fate of the next calls, in order; then mFate.
   std::deque<CallFate> mNextFates;
   CallFate mFate = CallFate::Answer;
+  /// While set: transactions that write a row with this prefix are lost on
+  /// their way, and their callers never know.
+  std::string mLoseCommitsOf;
   std::vector<Member> mVms;
   std::map<std::string, std::string> mObjects;
   std::size_t mCommits = 0; ///< Transactions that took effect.
@@ -96,7 +99,7 @@
   {
     TransactionResult result;
     result.mEnd = TransactionEnd::InDoubt;
-    switch (NextFate()) {
+    switch (FateOf(aTransaction)) {
       case CallFate::Answer:
         result = Apply(aTransaction);
         break;
@@ -163,6 +166,16 @@
   }
 
 private:
+  CallFate FateOf(const TableTransaction& aTransaction)
+  {
+    for (const RowWrite& it : aTransaction.mWrites) {
+      if (!mLoseCommitsOf.empty() && it.mKey.rfind(mLoseCommitsOf, 0) == 0) {
+        return CallFate::LoseRequest;
+      }
+    }
+    return NextFate();
+  }
+
   CallFate NextFate()
   {
     if (mNextFates.empty()) {
