Wait until the allowance's split has settled before a system test starts

Entries that join in one epoch of the split refuse for up to its raise wait (2.5 s) after the next one; tests of other points must not meet that.

--- a/SystemTests/cluster.py
+++ b/SystemTests/cluster.py
@@ -18,6 +18,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 
 from harness import items
@@ -27,6 +28,7 @@
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 READY_SECONDS = 20
+SETTLED_SECONDS = 3.5
 OPERATOR_KEY = "operator-test-key"
 PEER_SECRET = "peer-test-secret"
 BUILD = os.path.abspath(os.environ.get("PERIDOTHOIST_BUILD", "build"))
@@ -147,8 +149,7 @@
             self.start_vm(vm)
         for vm in self.vms:
             self.wait_ready(vm)
-        for vm in self.vms:
-            self.wait_served(vm)
+        self.wait_settled()
         self.runs_before = self.plain_ran()
 
     def stop(self, keep_logs=False):
@@ -280,15 +281,22 @@
     def wait_ready(self, vm, seconds=READY_SECONDS):
         self.wait_answer(vm.listen, "/readyz", seconds)
 
-    def wait_served(self, vm, seconds=READY_SECONDS):
-        """Waits until each workspace has allowance at a VM."""
-        for workspace in self.workspace_names:
-            caller = self.caller(workspace, vm)
-            wait_until(
-                lambda: caller.call("POST", "/lookups", "warm up").status == 200,
-                seconds,
-                f"{workspace} served by {vm.name}",
-            )
+    def wait_settled(self, seconds=60):
+        """Waits until every VM has served every workspace without a refusal
+        for longer than a change of the allowance's split takes."""
+        deadline = time.monotonic() + seconds
+        since = time.monotonic()
+        while time.monotonic() - since < SETTLED_SECONDS:
+            answers = [
+                self.caller(workspace, vm).call("POST", "/lookups", "warm up")
+                for vm in self.vms
+                for workspace in self.workspace_names
+            ]
+            if any(it.status not in (200, 403) for it in answers):
+                since = time.monotonic()
+            if time.monotonic() > deadline:
+                raise TimeoutError(f"not settled: {answers}")
+            time.sleep(0.1)
 
     # Configuration
 
