--- a/Peridothoist/Allowance/AllowanceBook.cpp
+++ b/Peridothoist/Allowance/AllowanceBook.cpp
@@ -89,6 +89,18 @@
   mReceived.clear();
 }
 
+bool
+AllowanceBook::HasShares(TimePoint aNow) const
+{
+  const Duration now = mClock.Read(aNow);
+  return std::any_of(mPlans.begin(), mPlans.end(), [&](const Plan& aPlan) {
+    const auto& entries = aPlan.mEntries;
+    const bool included =
+      std::find(entries.begin(), entries.end(), mSelf) != entries.end();
+    return included && aPlan.mHeardAt + mSettings.mRaiseWait <= now;
+  });
+}
+
 SpendResult
 AllowanceBook::Spend(const std::string& aWorkspace,
                      double aTokens,
@@ -309,16 +321,16 @@
                         const SharePart& aPart,
                         const std::string& aTo)
 {
-  aAccount.Subtract(aPart, aTo);
+  const SharePart taken = aAccount.Subtract(aPart, aTo);
   ShareTransfer transfer;
   transfer.mTransferId = mSelf + "/" + std::to_string(mNextTransfer++);
   transfer.mFromInstance = mSelf;
   transfer.mToInstance = aTo;
   transfer.mEpoch = Epoch();
   transfer.mWorkspace = aWorkspace;
-  transfer.mTokens = aPart.mTokens;
-  transfer.mBurstShare = aPart.mBurstShare;
-  transfer.mRateShare = aPart.mRateShare;
+  transfer.mTokens = taken.mTokens;
+  transfer.mBurstShare = taken.mBurstShare;
+  transfer.mRateShare = taken.mRateShare;
   return transfer;
 }
 
--- a/Peridothoist/Allowance/BorrowPlanner.h
+++ b/Peridothoist/Allowance/BorrowPlanner.h
@@ -11,8 +11,12 @@
 struct BorrowPlannerSettings
 {
   std::size_t mMaxAsks = 3; ///< Entries asked for one request.
-  double mAhead = 2.0;      ///< Asks for this many times what is missing,
-                            ///< so that the next request needs no asking.
+  /// Asks for this many times what is missing, so that the next request needs
+  /// no asking.
+  double mAhead = 2.0;
+  /// Asks for rate up to this many times the demand: at just the demand a
+  /// balance runs dry now and then.
+  double mRateHeadroom = 1.5;
 };
 
 /// Plans the asks for one request that an entry's own balance didn't cover.
@@ -32,10 +36,13 @@
 
   /// The next ask; empty when nobody is left to ask: refuse. aMissing is what
   /// Spend() still lacks, aWholeBurst bounds what is asked for. aTransferId
-  /// must be new.
+  /// must be new. aHeldRate is the rate that this entry has already, tokens a
+  /// second: only what its demand needs beyond that is asked for, as rate
+  /// taken without need is missed elsewhere.
   std::optional<BorrowAsk> Next(double aMissing,
                                 double aWholeBurst,
-                                std::string aTransferId);
+                                std::string aTransferId,
+                                double aHeldRate);
 
   /// The home entry that the last ask goes to.
   const std::string& LastAsked() const { return mLastAsked; }
