Let a control process name another address to its peers

Additive flag peer_address; default peer_listen as before. A control process told its peers the address that it listens on, so that they went round a relay (or any address translation) before it, and the system tests' cut of a VM from its peers did not hold: a cut VM still answered 200.

--- a/Daemons/ControlMain.cpp
+++ b/Daemons/ControlMain.cpp
@@ -13,6 +13,7 @@
 DEFINE_string(zone, "", "availability zone of this VM");
 DEFINE_string(admin_listen, "", "ip:port for operators");
 DEFINE_string(peer_listen, "", "ip:port for peers and entries");
+DEFINE_string(peer_address, "", "ip:port where peers reach it, if another");
 DEFINE_string(entry_address, "", "ip:port where callers reach the entry here");
 DEFINE_string(entry_peer, "", "ip:port where peers reach the entry here");
 DEFINE_string(platform, "", "the platform's services, http://ip:port");
@@ -42,6 +43,7 @@
   values.mZone = FLAGS_zone;
   values.mAdminListen = FLAGS_admin_listen;
   values.mPeerListen = FLAGS_peer_listen;
+  values.mPeerAddress = FLAGS_peer_address;
   values.mEntryAddress = FLAGS_entry_address;
   values.mEntryPeer = FLAGS_entry_peer;
   values.mPlatform = FLAGS_platform;
--- a/Peridothoist/Control/ControlFlags.cpp
+++ b/Peridothoist/Control/ControlFlags.cpp
@@ -59,6 +59,12 @@
       return Refuse(aReason, *error);
     }
   }
+  if (!aValues.mPeerAddress.empty()) {
+    const auto error = CheckSocketAddress("peer_address", aValues.mPeerAddress);
+    if (error) {
+      return Refuse(aReason, *error);
+    }
+  }
   const std::string_view url = aValues.mPlatform;
   const bool hasScheme = url.substr(0, kHttpScheme.size()) == kHttpScheme;
   if (!hasScheme || !IsAddress(url.substr(kHttpScheme.size()))) {
@@ -193,6 +199,8 @@
   settings.mEntryAddress = aValues.mEntryAddress;
   settings.mEntryPeer = aValues.mEntryPeer;
   settings.mPeerListen = aValues.mPeerListen;
+  settings.mPeerAddress =
+    aValues.mPeerAddress.empty() ? aValues.mPeerListen : aValues.mPeerAddress;
   settings.mPlatform.mUrl = aValues.mPlatform;
   settings.mPeerCredentials.mSharedSecret = aValues.mPeerSecret;
   settings.mAdmin.mAddress = admin.mNumber;
--- a/Peridothoist/Control/ControlFlags.h
+++ b/Peridothoist/Control/ControlFlags.h
@@ -15,6 +15,7 @@
   std::string mZone;
   std::string mAdminListen;
   std::string mPeerListen;
+  std::string mPeerAddress; ///< Empty: the same as mPeerListen.
   std::string mEntryAddress;
   std::string mEntryPeer;
   std::string mPlatform;
--- a/Peridothoist/Control/ControlSettings.h
+++ b/Peridothoist/Control/ControlSettings.h
@@ -48,7 +48,8 @@
 
   // Where it serves and what it calls.
   HttpServerSettings mAdmin;
-  std::string mPeerListen; ///< gRPC, "ip:port".
+  std::string mPeerListen;  ///< gRPC, "ip:port".
+  std::string mPeerAddress; ///< Where peers reach it, "ip:port".
   PeerCredentials mPeerCredentials;
   PlatformClientSettings mPlatform;
   std::vector<OperatorKey> mOperators;
--- a/Peridothoist/Control/ControlState.cpp
+++ b/Peridothoist/Control/ControlState.cpp
@@ -19,7 +19,8 @@
   self.mZone = aSettings.mZone;
   self.mEntryAddress = aSettings.mEntryAddress;
   self.mEntryPeer = aSettings.mEntryPeer;
-  self.mControlPeer = aSettings.mPeerListen;
+  self.mControlPeer = aSettings.mPeerAddress.empty() ? aSettings.mPeerListen
+                                                     : aSettings.mPeerAddress;
   self.mControlInstance = aSettings.mInstance;
   return self;
 }
--- a/SystemTests/cluster.py
+++ b/SystemTests/cluster.py
@@ -222,6 +222,7 @@
                 f"--zone={vm.zone}",
                 f"--admin_listen={vm.admin}",
                 f"--peer_listen={vm.control_peer_own}",
+                f"--peer_address={vm.control_peer}",
                 f"--entry_address={vm.listen}",
                 f"--entry_peer={vm.entry_peer}",
                 f"--platform=http://{vm.platform}",
