Look up who owns a connection only for cuts of single pairs

Each accept read /proc/net/tcp on the relays' thread; beside a run with thousands of sockets the relays stood still and the control processes took the platform for silent.

--- a/SystemTests/cluster.py
+++ b/SystemTests/cluster.py
@@ -283,22 +283,36 @@
         self.wait_answer(vm.listen, "/readyz", seconds)
 
     def wait_settled(self, seconds=60):
-        """Waits until every VM has served every workspace without a refusal
-        for longer than a change of the allowance's split takes."""
+        """Waits until all VMs know each other, and every workspace has been
+        served everywhere, under one split of the allowance, for longer than a
+        change of the split takes."""
         deadline = time.monotonic() + seconds
         since = time.monotonic()
+        before = None
         while time.monotonic() - since < SETTLED_SECONDS:
+            split = [self.split_seen(it) for it in self.vms]
             answers = [
                 self.caller(workspace, vm).call("POST", "/lookups", "warm up")
                 for vm in self.vms
                 for workspace in self.workspace_names
             ]
-            if any(it.status not in (200, 403) for it in answers):
+            served = all(it.status in (200, 403) for it in answers)
+            if not served or None in split or split != before:
                 since = time.monotonic()
+            before = split
             if time.monotonic() > deadline:
-                raise TimeoutError(f"not settled: {answers}")
+                raise TimeoutError(f"not settled: {split} {answers}")
             time.sleep(0.1)
 
+    def split_seen(self, vm):
+        """The epoch of the allowance's split that a control process has; None
+        while it does not know every VM's entry."""
+        status = self.admin("GET", "/status", vm=vm).json
+        known = [it for it in status.get("vms", []) if it.get("entry_instance")]
+        if len(known) < len(self.vms):
+            return None
+        return status["view"]["plan_epoch"]
+
     # Configuration
 
     def first_edits(self):
--- a/SystemTests/harness/relay.py
+++ b/SystemTests/harness/relay.py
@@ -39,6 +39,22 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+class Source:
+    """Who a connection comes from, looked up when first asked for."""
+
+    def __init__(self, port, owner_of):
+        self.port = port
+        self.owner_of = owner_of
+        self.known = False
+        self.name = None
+
+    def owner(self):
+        if not self.known:
+            self.name = self.owner_of(self.port)
+            self.known = True
+        return self.name
+
+
 class Relay:
     """Passes connections to one address on to another."""
 
@@ -89,8 +105,10 @@
 
         self.relays.run(drop())
 
-    def _is_cut(self, owner):
-        return self.cut_all or owner in self.cut_owners
+    def _is_cut(self, source):
+        if self.cut_all or not self.cut_owners:
+            return self.cut_all
+        return source.owner() in self.cut_owners
 
     async def _close(self):
         self.server.close()
@@ -104,8 +122,9 @@
             writer.transport.abort()  # The cluster stops.
 
     async def _pass_on(self, reader, writer):
-        owner = self.owner_of(writer.get_extra_info("peername")[1])
-        while self._is_cut(owner):
+        port = writer.get_extra_info("peername")[1]
+        source = Source(port, self.owner_of)
+        while self._is_cut(source):
             await asyncio.sleep(POLL_SECONDS)
         host, port = self.target.rsplit(":", 1)
         try:
@@ -116,21 +135,21 @@
         self.writers |= {writer, far_writer}
         try:
             await asyncio.gather(
-                self._pump(owner, reader, far_writer),
-                self._pump(owner, far_reader, writer),
+                self._pump(source, reader, far_writer),
+                self._pump(source, far_reader, writer),
             )
         finally:
             self.writers -= {writer, far_writer}
             writer.close()
             far_writer.close()
 
-    async def _pump(self, owner, reader, writer):
+    async def _pump(self, source, reader, writer):
         try:
             while True:
                 data = await reader.read(CHUNK_BYTES)
                 if self.delay_seconds:
                     await asyncio.sleep(self.delay_seconds)
-                while self._is_cut(owner):
+                while self._is_cut(source):
                     await asyncio.sleep(POLL_SECONDS)
                 if not data:
                     writer.write_eof()
