Make a fleet's first share plan sooner and whole

Cause: the first plan was written with the first VM alone, and the next one could follow only 6 s later: three VMs took 14.9 s to become ready. The first plan now waits up to 2 s for entries not yet heard of, and epochs may follow each other after 3 s, which is longer than the wait before shares are raised. A cancel that is answered whole counts as done unless the upstream is in trouble, so that a plain service without that call isn't asked for ever. Ruled out: no gap between epochs, as shares would be cut again before they were raised. Test: the plan test named the old gap of 6 s; it now holds the same checks around 3 s, and a case for the first plan is new.

--- a/Peridothoist/Allowance/PlanKeeper.cpp
+++ b/Peridothoist/Allowance/PlanKeeper.cpp
@@ -20,8 +20,11 @@
 }
 
 std::optional<SharePlan>
-PlanKeeper::Propose(const std::vector<Member>& aMembers, TimePoint aNow) const
+PlanKeeper::Propose(const std::vector<Member>& aMembers, TimePoint aNow)
 {
+  if (mCurrent.mEpoch == 0 && AwaitsFirst(aMembers, aNow)) {
+    return std::nullopt;
+  }
   if (mChanged && aNow - *mChanged < mSettings.mMinGap) {
     return std::nullopt;
   }
@@ -35,6 +38,20 @@
   return SharePlan{ mCurrent.mEpoch + 1, std::move(wanted) };
 }
 
+bool
+PlanKeeper::AwaitsFirst(const std::vector<Member>& aMembers, TimePoint aNow)
+{
+  if (!mFirstAsked) {
+    mFirstAsked = aNow;
+  }
+  const bool allHeard =
+    std::all_of(aMembers.begin(), aMembers.end(), [](const Member& aMember) {
+      return !aMember.mEntryInstance.empty() ||
+             aMember.mState == MemberState::Leaving;
+    });
+  return !allHeard && aNow - *mFirstAsked < mSettings.mFirstWait;
+}
+
 std::vector<std::string>
 PlanKeeper::Wanted(const std::vector<Member>& aMembers) const
 {
--- a/Peridothoist/Allowance/PlanKeeper.h
+++ b/Peridothoist/Allowance/PlanKeeper.h
@@ -22,7 +22,10 @@
   Duration mGoneAfter = std::chrono::seconds(5);
   /// Shortest time between epochs; longer than AllowanceBook's mRaiseWait, so
   /// that shares are raised before the next cut.
-  Duration mMinGap = std::chrono::seconds(6);
+  Duration mMinGap = std::chrono::seconds(3);
+  /// The first plan of a fleet waits this long for entries that are not yet
+  /// heard of: each one that comes later costs an epoch.
+  Duration mFirstWait = std::chrono::seconds(2);
   /// A plan is renewed after this time, which brings lost transfers back.
   Duration mRenewAfter = std::chrono::minutes(5);
 };
@@ -41,15 +44,17 @@
   /// The plan to write, or empty when the present one will do. aMembers are
   /// as MemberList::Export() gives them.
   std::optional<SharePlan> Propose(const std::vector<Member>& aMembers,
-                                   TimePoint aNow) const;
+                                   TimePoint aNow);
 
   const SharePlan& Current() const { return mCurrent; }
 
 private:
   std::vector<std::string> Wanted(const std::vector<Member>& aMembers) const;
+  bool AwaitsFirst(const std::vector<Member>& aMembers, TimePoint aNow);
 
   Settings mSettings;
-  SharePlan mCurrent;                ///< Its epoch never decreases.
+  SharePlan mCurrent;                   ///< Its epoch never decreases.
+  std::optional<TimePoint> mFirstAsked; ///< First Propose() without a plan.
   std::optional<TimePoint> mChanged; ///< When mCurrent's epoch was first seen.
 };
 
--- a/Peridothoist/Entry/UpstreamCaller.cpp
+++ b/Peridothoist/Entry/UpstreamCaller.cpp
@@ -13,6 +13,9 @@
 
 using Json = nlohmann::json;
 
+constexpr int kServerError = 500;
+constexpr int kNotImplemented = 501;
+
 /// Headers of a plain service's answer that are not the caller's business.
 constexpr std::array<const char*, 8> kHopByHopHeaders = {
   "connection", "keep-alive", "transfer-encoding", "content-length", "trailer",
@@ -518,10 +521,12 @@
                           const CallOutcome& aOutcome,
                           const std::string&)
 {
-  // A plain service need not know the call; it then holds nothing by id.
-  const bool unknownCall = aOutcome.mEnd == CallEnd::Whole &&
-                           (aOutcome.mStatus == 404 || aOutcome.mStatus == 405);
-  mListener->OnCancelAnswer(aCommand, aOutcome.Ok() || unknownCall);
+  // Whoever answers whole holds nothing of it any more, or never knew the
+  // call; only an upstream in trouble is asked again.
+  const bool inTrouble =
+    aOutcome.mStatus >= kServerError && aOutcome.mStatus != kNotImplemented;
+  const bool whole = aOutcome.mEnd == CallEnd::Whole;
+  mListener->OnCancelAnswer(aCommand, whole && !inTrouble);
 }
 
 } // namespace peridothoist
--- a/UnitTests/Membership/MembershipTest.cpp
+++ b/UnitTests/Membership/MembershipTest.cpp
@@ -271,15 +271,32 @@
   BOOST_TEST(keeper.Current().mEntryInstances.size() == 2u);
 
   members[1].mAge = 10s;
-  BOOST_TEST(!keeper.Propose(members, kStart + 5s).has_value());
-  const auto second = keeper.Propose(members, kStart + 6s);
+  BOOST_TEST(!keeper.Propose(members, kStart + 2s).has_value());
+  const auto second = keeper.Propose(members, kStart + 3s);
   BOOST_REQUIRE(second.has_value());
   BOOST_TEST(second->mEpoch == 2u);
   BOOST_TEST((second->mEntryInstances == std::vector<std::string>{ "a#1" }));
-  keeper.OnPlan(*second, kStart + 6s);
+  keeper.OnPlan(*second, kStart + 3s);
   BOOST_TEST(!keeper.Propose(members, kStart + 1min).has_value());
   BOOST_TEST(keeper.Propose(members, kStart + 6min).has_value());
   // Nobody alive: the old plan stays.
   members[0].mAge = 10s;
   BOOST_TEST(!keeper.Propose(members, kStart + 6min).has_value());
 }
+
+BOOST_AUTO_TEST_CASE(FirstPlanWaitsForEntriesThatAreNotHeardYet)
+{
+  PlanKeeper keeper({});
+  std::vector<Member> members = { Vm("a", "uno"), Vm("b", "dos") };
+  members[1].mEntryInstance.clear();
+  BOOST_TEST(!keeper.Propose(members, kStart).has_value());
+  BOOST_TEST(!keeper.Propose(members, kStart + 1s).has_value());
+  // One that never comes holds nobody up.
+  const auto late = keeper.Propose(members, kStart + 2s);
+  BOOST_REQUIRE(late.has_value());
+  BOOST_TEST(late->mEntryInstances.size() == 1u);
+  members[1].mEntryInstance = "b#1";
+  const auto all = keeper.Propose(members, kStart + 1s);
+  BOOST_REQUIRE(all.has_value());
+  BOOST_TEST(all->mEntryInstances.size() == 2u);
+}
