Queue a retried request anew after a change of the queue strategy

It kept its place of the old queue, which another request could have in the new one; the queues' books then broke. Found by the fault test once it also changed strategies; the queues now assert that a place is free.

--- a/Peridothoist/Queueing/FairQueue.cpp
+++ b/Peridothoist/Queueing/FairQueue.cpp
@@ -27,7 +27,8 @@
   const Place place{ aItem.mClass, aItem.mSequence };
   Account(flow, aItem.mClass, aItem.mCost);
   mPlaces.emplace(aItem.mId, Location{ workspace, place });
-  flow.mItems.emplace(place, std::move(aItem));
+  const bool added = flow.mItems.emplace(place, std::move(aItem)).second;
+  PH_ASSERT(added);
 }
 
 const QueueItem*
--- a/Peridothoist/Queueing/FifoQueue.cpp
+++ b/Peridothoist/Queueing/FifoQueue.cpp
@@ -20,7 +20,8 @@
   mTotalCost += aItem.mCost;
   ++mLengths[aItem.mWorkspace];
   const std::uint64_t sequence = aItem.mSequence;
-  mItems.emplace(sequence, std::move(aItem));
+  const bool added = mItems.emplace(sequence, std::move(aItem)).second;
+  PH_ASSERT(added);
 }
 
 const QueueItem*
--- a/Peridothoist/Request/Dispatcher.cpp
+++ b/Peridothoist/Request/Dispatcher.cpp
@@ -39,6 +39,10 @@
     return;
   }
   mQueueStrategy = defaults.mQueueStrategy;
+  // Places taken in the old queues mean nothing in the new ones.
+  for (auto& [id, request] : mContext.mRequests) {
+    request->mItem.mSequence = 0;
+  }
   for (auto& [key, pool] : mPools) {
     std::vector<QueueItem> items = pool.mQueue->Items();
     std::sort(items.begin(),
--- a/UnitTests/Request/ChaosTest.cpp
+++ b/UnitTests/Request/ChaosTest.cpp
@@ -26,7 +26,8 @@
   Revive,
   Report,
   CallerGone,
-  Leaving
+  Leaving,
+  Strategies
 };
 
 /// The model is empty: what must hold is checked by the world itself.
@@ -48,7 +49,8 @@
                                               { 2, Move::Revive },
                                               { 3, Move::Report },
                                               { 1, Move::CallerGone },
-                                              { 1, Move::Leaving } }))
+                                              { 1, Move::Leaving },
+                                              { 1, Move::Strategies } }))
     , mFault(*rc::gen::weightedElement<Fault>({ { 30, Fault::None },
                                                 { 1, Fault::NotConnected },
                                                 { 2, Fault::Lose },
@@ -105,9 +107,26 @@
       case Move::Leaving:
         aWorld.SetLeaving(upstream, mNumber / 9 % 2 == 0);
         break;
+      case Move::Strategies:
+        aWorld.Change([this](Configuration& aConfig) {
+          ChangeStrategies(aConfig.mDefaults);
+        });
+        break;
     }
   }
 
+  void ChangeStrategies(Defaults& aDefaults) const
+  {
+    static const std::array<const char*, 3> kChoosers = { "cost",
+                                                          "round_robin",
+                                                          "least_loaded" };
+    aDefaults.mQueueStrategy = mNumber % 2 == 0 ? "fair" : "fifo";
+    aDefaults.mReserveStrategy = mNumber / 2 % 2 == 0 ? "before" : "after";
+    aDefaults.mChooseStrategy = kChoosers[mNumber / 4 % 3];
+    aDefaults.mAdmitStrategy = mNumber / 12 % 2 == 0 ? "early" : "deadline";
+    aDefaults.mHedgeLookups = mNumber / 24 % 2 == 0;
+  }
+
   /// Few bodies and keys, so that resends meet each other.
   FakeWorld::Ask MakeAsk() const
   {
--- a/UnitTests/Request/EntryCoreTest.cpp
+++ b/UnitTests/Request/EntryCoreTest.cpp
@@ -216,6 +216,29 @@
   fixture.Finish();
 }
 
+BOOST_AUTO_TEST_CASE(RetryAfterAChangeOfQueues)
+{
+  Fixture fixture;
+  const auto send = [&](int aNumber) {
+    fixture.Send({ "chat", "x" + std::to_string(aNumber), "", true, "a" });
+  };
+  for (int n = 0; n < 12; ++n) { // All the memory there is.
+    send(n);
+  }
+  fixture.mWorld.Change(
+    [](Configuration& aConfig) { aConfig.mDefaults.mQueueStrategy = "fifo"; });
+  for (int n = 12; n < 15; ++n) {
+    send(n);
+  }
+  BOOST_TEST(fixture.mRouter->Core().QueueLength() == 3u);
+  fixture.mWorld.Step(0, Fault::NotConnected);
+  BOOST_TEST(fixture.mRouter->Core().QueueLength() == 4u);
+  fixture.Finish();
+  for (const auto& [id, caller] : fixture.mWorld.Callers()) {
+    BOOST_TEST(caller.mComplete);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ForeignPoolIsRefused)
 {
   Fixture fixture;
--- a/UnitTests/Request/FakeWorld.h
+++ b/UnitTests/Request/FakeWorld.h
@@ -170,9 +170,17 @@
   }
 
   void SetLeaving(const std::string& aUpstream, bool aLeaving)
+  {
+    Change([&](Configuration& aConfig) {
+      aConfig.mUpstreams[aUpstream].mLeaving = aLeaving;
+    });
+  }
+
+  /// Puts an edited configuration in force at all routers.
+  void Change(const std::function<void(Configuration&)>& aEdit)
   {
     auto config = std::make_shared<Configuration>(*mConfig);
-    config->mUpstreams[aUpstream].mLeaving = aLeaving;
+    aEdit(*config);
     ++config->mVersion;
     mConfig = config;
     for (std::size_t n = 0; n < mRouters.size(); ++n) {
