--- a/Peridothoist/Allowance/AllowanceBook.cpp
+++ b/Peridothoist/Allowance/AllowanceBook.cpp
@@ -89,6 +89,18 @@
   mReceived.clear();
 }
 
+bool
+AllowanceBook::HasShares(TimePoint aNow) const
+{
+  const Duration now = mClock.Read(aNow);
+  return std::any_of(mPlans.begin(), mPlans.end(), [&](const Plan& aPlan) {
+    const auto& entries = aPlan.mEntries;
+    const bool included =
+      std::find(entries.begin(), entries.end(), mSelf) != entries.end();
+    return included && aPlan.mHeardAt + mSettings.mRaiseWait <= now;
+  });
+}
+
 SpendResult
 AllowanceBook::Spend(const std::string& aWorkspace,
                      double aTokens,
@@ -196,8 +208,7 @@
   }
   account->Add(
     { aTransfer.mTokens, aTransfer.mBurstShare, aTransfer.mRateShare },
-    aTransfer.mFromInstance,
-    mClock.Read(aNow));
+    aTransfer.mFromInstance);
   return true;
 }
 
@@ -207,8 +218,7 @@
   std::vector<ShareTransfer> transfers;
   for (auto& [workspace, account] : mAccounts) {
     Touch(workspace, aNow);
-    const Duration at = mClock.Read(aNow);
-    for (const auto& it : account.Returns(at, mSettings.mReturnAfter)) {
+    for (const auto& it : account.Returns(mClock.Read(aNow))) {
       transfers.push_back(Subtract(workspace, account, it.mPart, it.mTo));
     }
   }
@@ -244,6 +254,22 @@
     aWorkspace, mPlans.back().mEntries, mSettings.mHomesPerWorkspace);
 }
 
+std::vector<std::string>
+AllowanceBook::Lenders(const std::string& aWorkspace) const
+{
+  std::vector<std::string> lenders = Homes(aWorkspace);
+  const auto account = mAccounts.find(aWorkspace);
+  if (account == mAccounts.end()) {
+    return lenders;
+  }
+  for (std::string& borrower : account->second.Borrowers()) {
+    if (std::find(lenders.begin(), lenders.end(), borrower) == lenders.end()) {
+      lenders.push_back(std::move(borrower));
+    }
+  }
+  return lenders;
+}
+
 ShareStatus
 AllowanceBook::Account(const std::string& aWorkspace, TimePoint aNow)
 {
@@ -309,16 +335,16 @@
                         const SharePart& aPart,
                         const std::string& aTo)
 {
-  aAccount.Subtract(aPart, aTo);
+  const SharePart taken = aAccount.Subtract(aPart, aTo);
   ShareTransfer transfer;
   transfer.mTransferId = mSelf + "/" + std::to_string(mNextTransfer++);
   transfer.mFromInstance = mSelf;
   transfer.mToInstance = aTo;
   transfer.mEpoch = Epoch();
   transfer.mWorkspace = aWorkspace;
-  transfer.mTokens = aPart.mTokens;
-  transfer.mBurstShare = aPart.mBurstShare;
-  transfer.mRateShare = aPart.mRateShare;
+  transfer.mTokens = taken.mTokens;
+  transfer.mBurstShare = taken.mBurstShare;
+  transfer.mRateShare = taken.mRateShare;
   return transfer;
 }
 
--- a/Peridothoist/Allowance/BorrowPlanner.cpp
+++ b/Peridothoist/Allowance/BorrowPlanner.cpp
@@ -9,13 +9,13 @@
                              const std::string& aSelf,
                              std::uint64_t aEpoch,
                              std::string aWorkspace,
-                             const std::vector<std::string>& aHomes,
+                             const std::vector<std::string>& aLenders,
                              double aRate)
   : mSettings(aSettings)
   , mSelf(aSelf)
   , mEpoch(aEpoch)
   , mWorkspace(std::move(aWorkspace))
-  , mLeft(aHomes.rbegin(), aHomes.rend())
+  , mLeft(aLenders.rbegin(), aLenders.rend())
   , mRate(aRate)
 {
   mLeft.erase(std::remove(mLeft.begin(), mLeft.end(), mSelf), mLeft.end());
@@ -24,7 +24,8 @@
 std::optional<BorrowAsk>
 BorrowPlanner::Next(double aMissing,
                     double aWholeBurst,
-                    std::string aTransferId)
+                    std::string aTransferId,
+                    double aHeldRate)
 {
   if (mLeft.empty() || mAsked == mSettings.mMaxAsks || aMissing <= 0) {
     return std::nullopt;
@@ -38,7 +39,7 @@
   ask.mEpoch = mEpoch;
   ask.mWorkspace = mWorkspace;
   ask.mTokens = std::min(aMissing * mSettings.mAhead, aWholeBurst);
-  ask.mRate = mRate;
+  ask.mRate = std::max(mRate * mSettings.mRateHeadroom - aHeldRate, 0.0);
   return ask;
 }
 
--- a/Peridothoist/Allowance/ShareAccount.h
+++ b/Peridothoist/Allowance/ShareAccount.h
@@ -60,10 +60,12 @@
   /// Puts tokens back, up to the account's part of the burst.
   void Refund(double aTokens);
 
-  /// Adds what came from another entry, or subtracts what goes to one; what is
-  /// subtracted must be held.
-  void Add(const SharePart& aPart, const std::string& aFrom, Duration aAt);
-  void Subtract(const SharePart& aPart, const std::string& aTo);
+  /// Adds what came from another entry.
+  void Add(const SharePart& aPart, const std::string& aFrom);
+
+  /// Subtracts what goes to another entry, as far as it is held, and returns
+  /// what was subtracted.
+  SharePart Subtract(const SharePart& aPart, const std::string& aTo);
 
   /// What can be given of a wish: tokens as far as the balance goes, rate as
   /// far as the account's own demand leaves it.
@@ -79,9 +81,13 @@
     SharePart mPart;
   };
 
-  /// What was borrowed and isn't used: rate that demand doesn't reach, and
-  /// burst when nothing was spent since aAt - aUnusedFor.
-  std::vector<Return> Returns(Duration aAt, Duration aUnusedFor) const;
+  /// What was borrowed and isn't needed: rate and balance far above the
+  /// demand here, and burst that neither holds balance nor will soon. Burst
+  /// that lies empty here is room that the lender's rate lacks.
+  std::vector<Return> Returns(Duration aAt) const;
+
+  /// Whom this entry lent to in this epoch, the largest part first.
+  std::vector<std::string> Borrowers() const;
 
   /// A leaving entry gets no more.
   void DropRaise();
@@ -118,7 +124,6 @@
   // Use, and what came from whom (below 0: was lent to it), in this epoch.
   double mDemand = 0; ///< Tokens a second, as of mDemandAt.
   Duration mDemandAt{ 0 };
-  Duration mUsedAt{ 0 };
   struct Net
   {
     double mBurstShare = 0;
--- a/Peridothoist/Control/ControlSettings.h
+++ b/Peridothoist/Control/ControlSettings.h
@@ -12,6 +12,7 @@
 #include <Peridothoist/Shell/HttpServer.h>
 #include <Peridothoist/View/FreshView.h>
 #include <Peridothoist/View/InForceTracker.h>
+#include <Peridothoist/View/OutageAgreement.h>
 
 namespace peridothoist {
 
@@ -48,7 +49,8 @@
 
   // Where it serves and what it calls.
   HttpServerSettings mAdmin;
-  std::string mPeerListen; ///< gRPC, "ip:port".
+  std::string mPeerListen;  ///< gRPC, "ip:port".
+  std::string mPeerAddress; ///< Where peers reach it, "ip:port".
   PeerCredentials mPeerCredentials;
   PlatformClientSettings mPlatform;
   std::vector<OperatorKey> mOperators;
@@ -58,6 +60,7 @@
   ChangeCommitterSettings mCommitter;
   SnapshotKeeperSettings mSnapshots;
   FreshViewSettings mFresh;
+  OutageAgreementSettings mOutage;
   MemberListSettings mMembers;
   InForceTrackerSettings mInForce;
   ChangeGateSettings mGate;
--- a/Peridothoist/Control/ControlState.cpp
+++ b/Peridothoist/Control/ControlState.cpp
@@ -19,19 +19,12 @@
   self.mZone = aSettings.mZone;
   self.mEntryAddress = aSettings.mEntryAddress;
   self.mEntryPeer = aSettings.mEntryPeer;
-  self.mControlPeer = aSettings.mPeerListen;
+  self.mControlPeer = aSettings.mPeerAddress.empty() ? aSettings.mPeerListen
+                                                     : aSettings.mPeerAddress;
   self.mControlInstance = aSettings.mInstance;
   return self;
 }
 
-OutageAgreementSettings
-OutageSettings(const ControlSettings& aSettings)
-{
-  OutageAgreementSettings settings;
-  settings.mStalenessLimit = aSettings.mFresh.mStalenessLimit;
-  return settings;
-}
-
 } // namespace
 
 ControlState::ControlState(const ControlSettings& aSettings,
@@ -41,7 +34,7 @@
   , mView(aSettings.mFresh, aListener)
   , mMembers(aSettings.mMembers, IdentityOf(aSettings), aNow)
   , mQuarantine(QuarantineBookSettings())
-  , mOutage(OutageSettings(aSettings))
+  , mOutage(aSettings.mOutage)
   , mStartedAt(aNow)
 {
 }
@@ -52,8 +45,6 @@
   Member self = IdentityOf(mSettings);
   if (HasEntry(aNow)) {
     self.mEntryInstance = mEntry.mInstance;
-    self.mEntryAddress = mEntry.mAddress;
-    self.mEntryPeer = mEntry.mPeer;
   }
   const bool entryLeaves = HasEntry(aNow) && mEntry.mLeaving;
   self.mState =
--- a/SystemTests/cluster.py
+++ b/SystemTests/cluster.py
@@ -18,6 +18,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 
 from harness import items
@@ -27,6 +28,7 @@
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 READY_SECONDS = 20
+SETTLED_SECONDS = 3.5
 OPERATOR_KEY = "operator-test-key"
 PEER_SECRET = "peer-test-secret"
 BUILD = os.path.abspath(os.environ.get("PERIDOTHOIST_BUILD", "build"))
@@ -108,6 +110,7 @@
         self.plain_flags = list(plain_flags)
         self.upstream_fields = upstream_fields or {}
         self.extra_edits = list(edits)
+        self.runs_before = {}  # What ran to find out that the system serves.
 
         self.platform_address = free_address(self.host)
         self.manage_address = free_address(self.host)
@@ -146,6 +149,8 @@
             self.start_vm(vm)
         for vm in self.vms:
             self.wait_ready(vm)
+        self.wait_settled()
+        self.runs_before = self.plain_ran()
 
     def stop(self, keep_logs=False):
         """Ends every process that this cluster started."""
@@ -217,6 +222,7 @@
                 f"--zone={vm.zone}",
                 f"--admin_listen={vm.admin}",
                 f"--peer_listen={vm.control_peer_own}",
+                f"--peer_address={vm.control_peer}",
                 f"--entry_address={vm.listen}",
                 f"--entry_peer={vm.entry_peer}",
                 f"--platform=http://{vm.platform}",
@@ -276,6 +282,23 @@
     def wait_ready(self, vm, seconds=READY_SECONDS):
         self.wait_answer(vm.listen, "/readyz", seconds)
 
+    def wait_settled(self, seconds=60):
+        """Waits until every VM has served every workspace without a refusal
+        for longer than a change of the allowance's split takes."""
+        deadline = time.monotonic() + seconds
+        since = time.monotonic()
+        while time.monotonic() - since < SETTLED_SECONDS:
+            answers = [
+                self.caller(workspace, vm).call("POST", "/lookups", "warm up")
+                for vm in self.vms
+                for workspace in self.workspace_names
+            ]
+            if any(it.status not in (200, 403) for it in answers):
+                since = time.monotonic()
+            if time.monotonic() > deadline:
+                raise TimeoutError(f"not settled: {answers}")
+            time.sleep(0.1)
+
     # Configuration
 
     def first_edits(self):
@@ -386,11 +409,14 @@
         call_json(self.plain_addresses[number], "POST", "/faults", faults)
 
     def plain_ran(self):
-        """How often each "idempotency-key path" ran, over all services."""
+        """How often each "idempotency-key path" ran since the start, over all
+        services."""
         runs = {}
         for it in self.plain_addresses:
             for key, count in call_json(it, "GET", "/ran").items():
                 runs[key] = runs.get(key, 0) + count
+        for key, count in self.runs_before.items():
+            runs[key] = runs.get(key, 0) - count
         return runs
 
     def plain_log(self, number=0):
