Measure what a control process costs at rest and with changes

Cause: the budgets for control (2.7% of a core, 128 MB, 7 KB/s) had no figure. Ruled out: counting bytes per process from the system's tables, which know hosts only; the test relays count what passes.

--- a/SystemTests/harness/relay.py
+++ b/SystemTests/harness/relay.py
@@ -69,6 +69,7 @@
         self.delay_seconds = 0.0
         self.server = None
         self.writers = set()
+        self.bytes_passed = 0  # In both directions.
 
     def start(self):
         host, port = self.listen.rsplit(":", 1)
@@ -154,6 +155,7 @@
                 if not data:
                     writer.write_eof()
                     return
+                self.bytes_passed += len(data)
                 writer.write(data)
                 await writer.drain()
         except (OSError, RuntimeError):
