Give out no address twice in one test run

The system hands a freed port out again: an engine process failed to start with two engines at one port (policy.sh, 17 addresses on one host).

--- a/SystemTests/cluster.py
+++ b/SystemTests/cluster.py
@@ -36,11 +36,18 @@
 _networks = itertools.count()
 
 
+_given_addresses = set()
+
+
 def free_address(host):
-    """An "ip:port" that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return f"{host}:{probe.getsockname()[1]}"
+    """An "ip:port" that nobody listens on and that wasn't given out before."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((host, 0))
+            address = f"{host}:{probe.getsockname()[1]}"
+        if address not in _given_addresses:
+            _given_addresses.add(address)
+            return address
 
 
 def own_network():
