Let the first share plan wait for VMs that aren't listed yet

Cause: at the very start a control process knows only itself, so the first plan still left the other VMs out.

--- a/Peridothoist/Allowance/PlanKeeper.cpp
+++ b/Peridothoist/Allowance/PlanKeeper.cpp
@@ -49,7 +49,8 @@
       return !aMember.mEntryInstance.empty() ||
              aMember.mState == MemberState::Leaving;
     });
-  return !allHeard && aNow - *mFirstAsked < mSettings.mFirstWait;
+  const Duration waited = aNow - *mFirstAsked;
+  return waited < (allHeard ? mSettings.mFirstLeastWait : mSettings.mFirstWait);
 }
 
 std::vector<std::string>
--- a/Peridothoist/Allowance/PlanKeeper.h
+++ b/Peridothoist/Allowance/PlanKeeper.h
@@ -26,6 +26,8 @@
   /// The first plan of a fleet waits this long for entries that are not yet
   /// heard of: each one that comes later costs an epoch.
   Duration mFirstWait = std::chrono::seconds(2);
+  /// It waits at least this long: other VMs may not even be listed yet.
+  Duration mFirstLeastWait = std::chrono::seconds(1);
   /// A plan is renewed after this time, which brings lost transfers back.
   Duration mRenewAfter = std::chrono::minutes(5);
 };
--- a/UnitTests/Membership/MembershipTest.cpp
+++ b/UnitTests/Membership/MembershipTest.cpp
@@ -263,6 +263,7 @@
 {
   PlanKeeper keeper({});
   std::vector<Member> members = { Vm("a", "uno"), Vm("b", "dos") };
+  BOOST_TEST(!keeper.Propose(members, kStart - 1s).has_value());
   const auto first = keeper.Propose(members, kStart);
   BOOST_REQUIRE(first.has_value());
   BOOST_TEST(first->mEpoch == 1u);
