Stop a crash-causing request sooner, and wait out a change of the share plan

Cause: three faults that the system tests showed. (1) A crash-causing request that its caller sent again to other VMs killed five engines: suspects spread through the control processes' exchange, and a death was noticed by the next load reports only. Entries now look at an upstream as soon as a call to it breaks, and warn each other directly. (2) While entries hear of a new plan one after the other, shares can't move, and requests within the rate were refused; they now ask again for up to 1.5 s. (3) A control process that knew nobody yet read the platform's list only every 5 s. Also: the last check before bytes leave reads the clock anew; the control process takes its own entry's instance by OwnEntry, so that a late follow request of a dead instance doesn't replace a live one. Ruled out: a longer retry in the caller's answer, as a request that is given up gets its answer at once.

--- a/Peridothoist/Control/ControlProcess.cpp
+++ b/Peridothoist/Control/ControlProcess.cpp
@@ -28,6 +28,8 @@
 
 namespace {
 
+constexpr Duration kLonelyListInterval = 250ms;
+
 std::uint64_t
 MakeSeed()
 {
@@ -223,8 +225,11 @@
     if (aResult.mReached) {
       mState.mMembers.MergePlatform(aResult.mVms, sent, mReactor.Now());
     }
-    mListTimer =
-      mReactor.Schedule(mSettings.mVmListInterval, [this] { ListVms(); });
+    // A process that knows nobody yet looks again soon.
+    const bool isAlone = mState.mMembers.Size() <= 1;
+    mListTimer = mReactor.Schedule(isAlone ? kLonelyListInterval
+                                           : mSettings.mVmListInterval,
+                                   [this] { ListVms(); });
   });
 }
 
--- a/Peridothoist/Control/ControlState.cpp
+++ b/Peridothoist/Control/ControlState.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// An entry that didn't follow for this long is taken for stopped.
-constexpr Duration kEntrySilence = std::chrono::seconds(2);
-
 Member
 IdentityOf(const ControlSettings& aSettings)
 {
@@ -34,6 +31,7 @@
   , mView(aSettings.mFresh, aListener)
   , mMembers(aSettings.mMembers, IdentityOf(aSettings), aNow)
   , mQuarantine(QuarantineBookSettings())
+  , mEntry(OwnEntrySettings())
   , mOutage(aSettings.mOutage)
   , mStartedAt(aNow)
 {
@@ -43,10 +41,8 @@
 ControlState::MakeSelf(TimePoint aNow) const
 {
   Member self = IdentityOf(mSettings);
-  if (HasEntry(aNow)) {
-    self.mEntryInstance = mEntry.mInstance;
-  }
-  const bool entryLeaves = HasEntry(aNow) && mEntry.mLeaving;
+  self.mEntryInstance = mEntry.Instance(aNow);
+  const bool entryLeaves = !self.mEntryInstance.empty() && mEntry.IsLeaving();
   self.mState =
     mLeaving || entryLeaves ? MemberState::Leaving : MemberState::Live;
   self.mStamp = mView.Fresh().Stamp();
@@ -101,12 +97,6 @@
   return state;
 }
 
-bool
-ControlState::HasEntry(TimePoint aNow) const
-{
-  return !mEntry.mInstance.empty() && aNow - mEntry.mSeen < kEntrySilence;
-}
-
 bool
 ControlState::IsInDoubt() const
 {
--- a/Peridothoist/Control/ControlState.h
+++ b/Peridothoist/Control/ControlState.h
@@ -6,21 +6,11 @@
 #include <Peridothoist/Control/ControlSettings.h>
 #include <Peridothoist/Control/QuarantineBook.h>
 #include <Peridothoist/Control/ViewKeeper.h>
+#include <Peridothoist/Membership/OwnEntry.h>
 #include <Peridothoist/View/OutageAgreement.h>
 
 namespace peridothoist {
 
-/// The entry process on this VM, as it last followed.
-struct FollowingEntry
-{
-  std::string mInstance;
-  std::string mAddress;
-  std::string mPeer;
-  bool mLeaving = false;
-  std::uint64_t mVersion = 0; ///< Of its view.
-  TimePoint mSeen{};
-};
-
 /// One process's state; the clock is passed in.
 class ControlState
 {
@@ -42,9 +32,6 @@
   /// The view's state as peers and entries are told.
   peer::ViewState MakeState(TimePoint aNow) const;
 
-  /// Whether the entry on this VM followed lately.
-  bool HasEntry(TimePoint aNow) const;
-
   /// Whether a commit of any kind may have taken effect without our knowing.
   bool IsInDoubt() const;
 
@@ -52,7 +39,7 @@
   ViewKeeper mView;
   MemberList mMembers;
   QuarantineBook mQuarantine;
-  FollowingEntry mEntry;
+  OwnEntry mEntry;
   bool mPlatformSilent = false;
   bool mChangeInDoubt = false; ///< From before it is sent until it is known.
   bool mPlanInDoubt = false;   ///< The same for the share plan.
--- a/Peridothoist/Control/FollowDesk.cpp
+++ b/Peridothoist/Control/FollowDesk.cpp
@@ -18,13 +18,7 @@
   if (aRequest.vm() != mState.mSettings.mVm) {
     return;
   }
-  FollowingEntry& entry = mState.mEntry;
-  entry.mInstance = aRequest.entry_instance();
-  entry.mAddress = aRequest.entry_address();
-  entry.mPeer = aRequest.entry_peer();
-  entry.mLeaving = aRequest.leaving();
-  entry.mVersion = aRequest.version();
-  entry.mSeen = aNow;
+  mState.mEntry.OnFollow(aRequest.entry_instance(), aRequest.leaving(), aNow);
 }
 
 peer::ViewUpdate
--- a/Peridothoist/Control/UpstreamKeeper.cpp
+++ b/Peridothoist/Control/UpstreamKeeper.cpp
@@ -37,7 +37,7 @@
   // See: HttpCallListener
   bool OnBeforeSend() override
   {
-    return mRunner->Machine().MayOrder(mCheck, mReadBack, mReactor.Now());
+    return mRunner->Machine().MayOrder(mCheck, mReadBack, Reactor::ReadClock());
   }
   void OnData(std::string_view aData) override
   {
--- a/Peridothoist/Entry/AllowanceDesk.cpp
+++ b/Peridothoist/Entry/AllowanceDesk.cpp
@@ -36,8 +36,10 @@
   const TimePoint now = mReactor->Now();
   const std::string& name = aWorkspace.mName;
   mDemand.Add(name, aTokens, now);
+  NotePlan(now);
   Waiting waiting;
   waiting.mTokens = aTokens;
+  waiting.mSince = now;
   waiting.mDone = std::move(aDone);
   if (mBorrowing.count(name) != 0) {
     // Those that came first are served first.
@@ -78,14 +80,40 @@
   }
   borrowing.mWholeBurst = aWorkspace.mBurstTokens;
   borrowing.mWholeRate = aWorkspace.mTokensPerSecond;
+  StartRound(name);
+}
+
+void
+AllowanceDesk::StartRound(const std::string& aWorkspace)
+{
+  Borrowing& borrowing = mBorrowing[aWorkspace];
   borrowing.mPlanner =
     std::make_unique<BorrowPlanner>(mSettings.mPlanner,
                                     mBook->Self(),
                                     mBook->Epoch(),
-                                    name,
-                                    mBook->Lenders(name),
-                                    mDemand.Rate(name, mReactor->Now()));
-  AskNext(name);
+                                    aWorkspace,
+                                    mBook->Lenders(aWorkspace),
+                                    mDemand.Rate(aWorkspace, mReactor->Now()));
+  AskNext(aWorkspace);
+}
+
+void
+AllowanceDesk::NotePlan(TimePoint aNow)
+{
+  if (mBook->Epoch() != mEpoch) {
+    mEpoch = mBook->Epoch();
+    mEpochSeen = aNow;
+  }
+}
+
+bool
+AllowanceDesk::MayWaitOn(const std::string& aWorkspace) const
+{
+  const TimePoint now = mReactor->Now();
+  const bool settles = mEpochSeen && now - *mEpochSeen < mSettings.mPlanSettles;
+  const auto it = mBorrowing.find(aWorkspace);
+  return settles && it != mBorrowing.end() && !it->second.mQueue.empty() &&
+         now - it->second.mQueue.front().mSince < mSettings.mPlanSettles;
 }
 
 void
@@ -164,6 +192,16 @@
 AllowanceDesk::RefuseWaiting(const std::string& aWorkspace)
 {
   const TimePoint now = mReactor->Now();
+  NotePlan(now);
+  if (MayWaitOn(aWorkspace)) {
+    mReactor->Schedule(mSettings.mAskAgain, [this, aWorkspace] {
+      ServeWaiting(aWorkspace);
+      if (mBorrowing.count(aWorkspace) != 0) {
+        StartRound(aWorkspace);
+      }
+    });
+    return;
+  }
   mDryUntil[aWorkspace] = now + mSettings.mDryFor;
   std::deque<Waiting> refused = std::move(mBorrowing[aWorkspace].mQueue);
   mBorrowing.erase(aWorkspace);
--- a/Peridothoist/Entry/AllowanceDesk.h
+++ b/Peridothoist/Entry/AllowanceDesk.h
@@ -53,6 +53,10 @@
   Duration mDryFor = 100ms;          ///< After peers had nothing to lend.
   std::size_t mMaxWaiting = 1024;    ///< Requests that wait for one borrow.
   Duration mLeastRetryAfter = 100ms; ///< Told with a refusal.
+  /// While entries hear of a new plan one after the other, shares can't move:
+  /// a request may wait this long for that, and asks again each mAskAgain.
+  Duration mPlanSettles = 1500ms;
+  Duration mAskAgain = 100ms;
   BorrowPlannerSettings mPlanner;
 };
 
@@ -90,6 +94,7 @@
   struct Waiting
   {
     double mTokens = 0;
+    TimePoint mSince;
     Done mDone;
   };
 
@@ -108,6 +113,9 @@
                   std::optional<ShareTransfer> aTransfer);
   void ServeWaiting(const std::string& aWorkspace);
   void RefuseWaiting(const std::string& aWorkspace);
+  bool MayWaitOn(const std::string& aWorkspace) const;
+  void StartRound(const std::string& aWorkspace);
+  void NotePlan(TimePoint aNow);
   void Answer(const Waiting& aWaiting, const SpendResult& aResult);
   void ReturnUnused();
   bool IsDry(const std::string& aWorkspace, TimePoint aNow) const;
@@ -120,6 +128,8 @@
   std::map<std::string, Borrowing> mBorrowing; ///< By workspace.
   std::map<std::string, TimePoint> mDryUntil;  ///< By workspace.
   std::uint64_t mNextAsk = 1;
+  std::uint64_t mEpoch = 0;            ///< Of the plan as last seen.
+  std::optional<TimePoint> mEpochSeen; ///< When mEpoch changed.
   Reactor::TimerId mReturnTimer = 0;
   AllowanceDeskCounters mCounters;
 };
--- a/Peridothoist/Entry/EntryPeers.cpp
+++ b/Peridothoist/Entry/EntryPeers.cpp
@@ -74,4 +74,33 @@
   aAnswer(std::move(reply));
 }
 
+void
+EntryPeers::OnWarn(const peer::Warning& aRequest,
+                   PeerAnswer<peer::WarningReply> aAnswer)
+{
+  if (mOnWarning) {
+    mOnWarning(aRequest);
+  }
+  aAnswer(peer::WarningReply());
+}
+
+void
+EntryPeers::WarnOthers(const peer::Warning& aWarning)
+{
+  std::size_t warned = 0;
+  for (const Member& member : mView->Members()) {
+    const bool other = !member.mEntryInstance.empty() &&
+                       member.mEntryInstance != mView->Book().Self();
+    if (!other || warned == kMaxWarned) {
+      continue;
+    }
+    ++warned;
+    mClient->Warn(
+      member.mEntryPeer,
+      aWarning,
+      kTransferDeadline,
+      [](const std::optional<peer::WarningReply>&, const Reason&) {});
+  }
+}
+
 } // namespace peridothoist
--- a/Peridothoist/Entry/EntryPeers.h
+++ b/Peridothoist/Entry/EntryPeers.h
@@ -36,6 +36,21 @@
   void OnTransfer(const peer::ShareTransfer& aRequest,
                   PeerAnswer<peer::TransferReply> aAnswer) override;
 
+  void OnWarn(const peer::Warning& aRequest,
+              PeerAnswer<peer::WarningReply> aAnswer) override;
+
+  /// Sets who takes warnings; not owned.
+  void SetWarningListener(std::function<void(const peer::Warning&)> aListener)
+  {
+    mOnWarning = std::move(aListener);
+  }
+
+  /// Warns other live entries, at most kMaxWarned of them; the rest hear of
+  /// it through their control processes.
+  void WarnOthers(const peer::Warning& aWarning);
+
+  static constexpr std::size_t kMaxWarned = 16;
+
   /// Transfers on their way.
   std::size_t OpenTransfers() const { return mOpenTransfers; }
 
@@ -43,6 +58,7 @@
   Reactor* mReactor;
   PeerClient* mClient;
   EntryView* mView;
+  std::function<void(const peer::Warning&)> mOnWarning;
   std::size_t mOpenTransfers = 0;
 };
 
--- a/Peridothoist/Entry/EntryProcess.cpp
+++ b/Peridothoist/Entry/EntryProcess.cpp
@@ -181,6 +181,9 @@
   mFollower = std::make_unique<ViewFollower>(
     follower, mReactor, mPeerClient.get(), mView.get(), this);
   mView->SetListener(this);
+  mPeers->SetWarningListener([this](const peer::Warning& aWarning) {
+    TakeQuarantine(aWarning.quarantine());
+  });
 }
 
 bool
@@ -251,16 +254,36 @@
 void
 EntryProcess::FillQuestion(peer::FollowRequest& aRequest)
 {
-  const TimePoint now = mReactor->Now();
   aRequest.set_vm(mSettings.mVm);
   aRequest.set_zone(mSettings.mZone);
   aRequest.set_entry_address(mSettings.mListen);
   aRequest.set_entry_peer(mSettings.mPeerListen);
   aRequest.set_entry_instance(mInstance);
   aRequest.set_leaving(mLeaving);
-  const auto add = [&aRequest](const QuarantinedDigest& aDigest,
+  FillQuarantine(*aRequest.mutable_quarantine());
+}
+
+void
+EntryProcess::OnFollowed(const peer::ViewUpdate& aUpdate)
+{
+  const auto& members = mView->Members();
+  const auto live =
+    std::count_if(members.begin(), members.end(), [](const Member& aMember) {
+      return aMember.mState == MemberState::Live &&
+             !aMember.mEntryInstance.empty();
+    });
+  mCore->SetEntryCount(
+    static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(1, live)));
+  TakeQuarantine(aUpdate.quarantine());
+}
+
+void
+EntryProcess::FillQuarantine(QuarantineEntries& aEntries) const
+{
+  const TimePoint now = mReactor->Now();
+  const auto add = [&aEntries](const QuarantinedDigest& aDigest,
                                bool aSuspect) {
-    peer::QuarantineEntry* entry = aRequest.add_quarantine();
+    peer::QuarantineEntry* entry = aEntries.Add();
     entry->set_digest(aDigest.mDigest);
     entry->set_lasts_us(static_cast<std::uint64_t>(aDigest.mLasts.count()));
     entry->set_suspect(aSuspect);
@@ -274,24 +297,26 @@
 }
 
 void
-EntryProcess::OnFollowed(const peer::ViewUpdate& aUpdate)
+EntryProcess::WarnIfNew()
 {
-  const auto& members = mView->Members();
-  const auto live =
-    std::count_if(members.begin(), members.end(), [](const Member& aMember) {
-      return aMember.mState == MemberState::Live &&
-             !aMember.mEntryInstance.empty();
-    });
-  mCore->SetEntryCount(
-    static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(1, live)));
-  TakeQuarantine(aUpdate);
+  const EntryCounters& counters = mCore->Counters();
+  const std::uint64_t seen = counters.mUpstreamDeaths + counters.mQuarantined;
+  if (seen == mWarnedOf) {
+    return;
+  }
+  mWarnedOf = seen;
+  peer::Warning warning;
+  FillQuarantine(*warning.mutable_quarantine());
+  if (warning.quarantine_size() > 0) {
+    mPeers->WarnOthers(warning);
+  }
 }
 
 void
-EntryProcess::TakeQuarantine(const peer::ViewUpdate& aUpdate)
+EntryProcess::TakeQuarantine(const QuarantineEntries& aEntries)
 {
   const TimePoint now = mReactor->Now();
-  for (const peer::QuarantineEntry& entry : aUpdate.quarantine()) {
+  for (const peer::QuarantineEntry& entry : aEntries) {
     if (entry.lasts_us() <= entry.age_us()) {
       continue;
     }
@@ -336,6 +361,7 @@
     [&](EntryCore& aCore, TimePoint aNow, RequestCommands& aOut) {
       aCore.OnUpstreamDead(aUpstream, aKind, aNow, aOut);
     });
+  WarnIfNew();
 }
 
 void
@@ -358,6 +384,12 @@
   return mMetrics.Render();
 }
 
+void
+EntryProcess::OnUpstreamTrouble(const std::string& aUpstream)
+{
+  mPoller->CheckNow(aUpstream);
+}
+
 void
 EntryProcess::OnRequestOver(const CallerRequestFacts& aFacts,
                             int aStatus,
--- a/Peridothoist/Entry/EntryProcess.h
+++ b/Peridothoist/Entry/EntryProcess.h
@@ -77,11 +77,16 @@
   std::string RenderMetrics() override;
 
   // See: RequestRunnerListener
+  void OnUpstreamTrouble(const std::string& aUpstream) override;
   void OnRequestOver(const CallerRequestFacts& aFacts,
                      int aStatus,
                      std::uint32_t aTokens) override;
 
-  void TakeQuarantine(const peer::ViewUpdate& aUpdate);
+  using QuarantineEntries =
+    google::protobuf::RepeatedPtrField<peer::QuarantineEntry>;
+  void FillQuarantine(QuarantineEntries& aEntries) const;
+  void TakeQuarantine(const QuarantineEntries& aEntries);
+  void WarnIfNew();
   void CheckDrained();
   void FinishLeaving();
 
@@ -109,6 +114,8 @@
   std::unique_ptr<PeerServer> mPeerServer;
   std::unique_ptr<HttpServer> mServer;
 
+  std::uint64_t mWarnedOf = 0; ///< Deaths and quarantines told to peers.
+
   // Leaving
   bool mLeaving = false;
   TimePoint mRequestsDoneAt; ///< When no request was open any more.
--- a/Peridothoist/Entry/LoadPoller.cpp
+++ b/Peridothoist/Entry/LoadPoller.cpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace peridothoist {
@@ -90,6 +91,20 @@
   }
 }
 
+void
+LoadPoller::CheckNow(const std::string& aUpstream)
+{
+  const auto it = mPolled.find(aUpstream);
+  if (it == mPolled.end() || it->second.mDead) {
+    return;
+  }
+  Polled& polled = it->second;
+  polled.mFailures = std::max(polled.mFailures, mSettings.mDeadAfter - 1);
+  if (!polled.mAsking) {
+    Ask(aUpstream, polled);
+  }
+}
+
 void
 LoadPoller::PollAll()
 {
--- a/Peridothoist/Entry/LoadPoller.h
+++ b/Peridothoist/Entry/LoadPoller.h
@@ -50,6 +50,10 @@
   /// Polls the upstreams of aConfiguration from now on.
   void SetConfiguration(const Configuration& aConfiguration);
 
+  /// A call to the upstream failed: looks at once whether it is gone, and
+  /// takes one more failure for its death.
+  void CheckNow(const std::string& aUpstream);
+
 private:
   struct Polled
   {
--- a/Peridothoist/Entry/RequestRunner.cpp
+++ b/Peridothoist/Entry/RequestRunner.cpp
@@ -190,7 +190,10 @@
 bool
 RequestRunner::MayStillSend(const RequestCommand& aCommand)
 {
-  return mCore->MayStillSend(aCommand.mId, aCommand.mAttempt, mReactor->Now());
+  // The event that led here may be old by now; only the clock as it is proves
+  // anything about the bytes that leave next.
+  return mCore->MayStillSend(
+    aCommand.mId, aCommand.mAttempt, Reactor::ReadClock());
 }
 
 void
@@ -250,6 +253,14 @@
   });
 }
 
+void
+RequestRunner::OnUpstreamTrouble(const std::string& aUpstream)
+{
+  if (mListener != nullptr) {
+    mListener->OnUpstreamTrouble(aUpstream);
+  }
+}
+
 void
 RequestRunner::OnCancelAnswer(const RequestCommand& aCommand, bool aOk)
 {
--- a/Peridothoist/Entry/RequestRunner.h
+++ b/Peridothoist/Entry/RequestRunner.h
@@ -21,6 +21,9 @@
 public:
   virtual ~RequestRunnerListener() = default;
 
+  /// A call found no connection to an upstream or lost it.
+  virtual void OnUpstreamTrouble(const std::string& aUpstream) = 0;
+
   /// A request is over. aStatus is 0 when its caller got no answer.
   virtual void OnRequestOver(const CallerRequestFacts& aFacts,
                              int aStatus,
@@ -76,6 +79,7 @@
                    const DecodeEnd& aEnd) override;
   void OnPlainAnswer(const RequestCommand& aCommand,
                      PlainAnswer aAnswer) override;
+  void OnUpstreamTrouble(const std::string& aUpstream) override;
   void OnCancelAnswer(const RequestCommand& aCommand, bool aOk) override;
 
   // See: CallerRequestListener
--- a/Peridothoist/Entry/UpstreamCaller.cpp
+++ b/Peridothoist/Entry/UpstreamCaller.cpp
@@ -121,6 +121,11 @@
   void OnEnd(const HttpCallOutcome& aOutcome) override
   {
     mCaller->Finished(Key(), mId);
+    const bool trouble = aOutcome.mFailure == CallFailure::Broken ||
+                         aOutcome.mFailure == CallFailure::NotConnected;
+    if (trouble) {
+      mCaller->mListener->OnUpstreamTrouble(mCommand.mUpstream);
+    }
     Conclude(ToCallOutcome(aOutcome));
   }
 
--- a/Peridothoist/Entry/UpstreamCaller.h
+++ b/Peridothoist/Entry/UpstreamCaller.h
@@ -51,6 +51,9 @@
                            const DecodeEnd& aEnd) = 0;
   virtual void OnPlainAnswer(const RequestCommand& aCommand,
                              PlainAnswer aAnswer) = 0;
+  /// A call found no connection or lost it: the upstream may be gone.
+  virtual void OnUpstreamTrouble(const std::string& aUpstream) = 0;
+
   virtual void OnCancelAnswer(const RequestCommand& aCommand, bool aOk) = 0;
 };
 
--- a/Peridothoist/Peers/PeerClient.cpp
+++ b/Peridothoist/Peers/PeerClient.cpp
@@ -399,4 +399,22 @@
                });
 }
 
+void
+PeerClient::Warn(const std::string& aAddress,
+                 peer::Warning aRequest,
+                 Duration aDeadline,
+                 Done<peer::WarningReply> aDone)
+{
+  mImpl->Begin(aAddress,
+               std::move(aRequest),
+               aDeadline,
+               std::move(aDone),
+               [](auto& aCall, auto aOnEnd) {
+                 aCall.mPeer->mEntry->async()->Warn(&aCall.mContext,
+                                                    &aCall.mRequest,
+                                                    &aCall.mReply,
+                                                    std::move(aOnEnd));
+               });
+}
+
 } // namespace peridothoist
--- a/Peridothoist/Peers/PeerClient.h
+++ b/Peridothoist/Peers/PeerClient.h
@@ -66,6 +66,12 @@
                 Duration aDeadline,
                 Done<peer::TransferReply> aDone);
 
+  /// Warns another entry of suspects and quarantined requests.
+  void Warn(const std::string& aAddress,
+            peer::Warning aRequest,
+            Duration aDeadline,
+            Done<peer::WarningReply> aDone);
+
 private:
   struct Impl;
   explicit PeerClient(std::shared_ptr<Impl> aImpl);
--- a/Peridothoist/Peers/PeerServer.cpp
+++ b/Peridothoist/Peers/PeerServer.cpp
@@ -171,6 +171,18 @@
                   &EntryPeerHandler::OnTransfer);
   }
 
+  grpc::ServerUnaryReactor* Warn(grpc::CallbackServerContext* aContext,
+                                 const peer::Warning* aRequest,
+                                 peer::WarningReply* aReply) override
+  {
+    return TakeIn(mShared,
+                  aContext,
+                  aRequest,
+                  aReply,
+                  &Shared::mEntry,
+                  &EntryPeerHandler::OnWarn);
+  }
+
 private:
   std::shared_ptr<Shared> mShared;
 };
--- a/Peridothoist/Peers/PeerServer.h
+++ b/Peridothoist/Peers/PeerServer.h
@@ -45,6 +45,10 @@
   /// Another entry hands over a part of its share.
   virtual void OnTransfer(const peer::ShareTransfer& aRequest,
                           PeerAnswer<peer::TransferReply> aAnswer) = 0;
+
+  /// Another entry saw requests that may have crashed an upstream.
+  virtual void OnWarn(const peer::Warning& aRequest,
+                      PeerAnswer<peer::WarningReply> aAnswer) = 0;
 };
 
 /// Limits and address of a peer server.
--- a/Peridothoist/Shell/Reactor.cpp
+++ b/Peridothoist/Shell/Reactor.cpp
@@ -43,13 +43,6 @@
 /// Highest signal number that can be handled, plus one.
 constexpr std::size_t kMaxSignals = 64;
 
-TimePoint
-ReadClock()
-{
-  return std::chrono::time_point_cast<Duration>(
-    std::chrono::steady_clock::now());
-}
-
 ACE_Time_Value
 ToTimeValue(Duration aDelay)
 {
@@ -134,7 +127,7 @@
 int
 Reactor::Impl::handle_input(ACE_HANDLE aDescriptor)
 {
-  mNow = ReadClock();
+  mNow = Reactor::ReadClock();
   if (aDescriptor == mWakeUp) {
     RunSignals();
     RunPosted();
@@ -156,7 +149,7 @@
   PH_ASSERT(it != mTimers.end());
   const Task task = std::move(it->second.mTask);
   mTimers.erase(it);
-  mNow = ReadClock();
+  mNow = Reactor::ReadClock();
   task();
   mNow.reset();
   return 0;
@@ -296,6 +289,13 @@
   mImpl->WakeUp();
 }
 
+TimePoint
+Reactor::ReadClock()
+{
+  return std::chrono::time_point_cast<Duration>(
+    std::chrono::steady_clock::now());
+}
+
 TimePoint
 Reactor::Now() const
 {
--- a/Peridothoist/Shell/Reactor.h
+++ b/Peridothoist/Shell/Reactor.h
@@ -37,6 +37,10 @@
   /// The monotonic clock, read once for each event.
   TimePoint Now() const;
 
+  /// The monotonic clock as it is, read anew: for the last check before bytes
+  /// leave.
+  static TimePoint ReadClock();
+
   /// Runs aTask once, aDelay from now.
   TimerId Schedule(Duration aDelay, Task aTask);
 
