--- a/test.sh
+++ b/test.sh
@@ -10,7 +10,7 @@
 if [ -n "$red" ]; then
   echo "known red, run apart (KNOWN-RED.txt):"
   (cd build && ctest -R "^($red)\$" --output-on-failure) || true
-  (cd build && ctest -j 4 -E "^($red)\$" --output-on-failure)
+  (cd build && ctest -j 8 -E "^($red)\$" --output-on-failure)
 else
-  (cd build && ctest -j 4 --output-on-failure)
+  (cd build && ctest -j 8 --output-on-failure)
 fi
