--- a/Peridothoist/Allowance/AllowanceBook.h
+++ b/Peridothoist/Allowance/AllowanceBook.h
@@ -90,6 +90,12 @@
   void SetWorkspaces(const std::map<std::string, Workspace>& aWorkspaces,
                      TimePoint aNow);
 
+  /// Whether shares move to demand ("demand") or stay ("equal").
+  void SetShareStrategy(std::string aStrategy)
+  {
+    mSettings.mShareStrategy = std::move(aStrategy);
+  }
+
   /// A share plan was heard of. Older or equal epochs are ignored.
   void SetPlan(std::uint64_t aEpoch,
                std::vector<std::string> aEntryInstances,
--- a/Peridothoist/Entry/EntryView.cpp
+++ b/Peridothoist/Entry/EntryView.cpp
@@ -139,6 +139,7 @@
   const Configuration& configuration = Config();
   mKeys.SetKeys(configuration.mVersion, configuration.mKeys);
   mBook.SetWorkspaces(configuration.mWorkspaces, aNow);
+  mBook.SetShareStrategy(configuration.mDefaults.mShareStrategy);
   if (mListener != nullptr) {
     mListener->OnConfiguration(SharedConfig());
   }
--- a/Peridothoist/Entry/UpstreamCaller.cpp
+++ b/Peridothoist/Entry/UpstreamCaller.cpp
@@ -191,9 +191,7 @@
 private:
   void ConcludePlain(const CallOutcome& aOutcome)
   {
-    PlainAnswer answer;
-    answer.mCall = aOutcome;
-    answer.mBody = std::move(mBody);
+    PlainAnswer answer{ aOutcome, std::move(mBody), {} };
     for (const auto& it : mHeaders) {
       if (!IsHopByHop(it.first)) {
         answer.mHeaders.insert(it);
