--- a/Peridothoist/Config/Configuration.h
+++ b/Peridothoist/Config/Configuration.h
@@ -66,7 +66,7 @@
   std::string mName; ///< Public key id, the part of the key before '.'.
   std::string mWorkspace;
   std::string mSalt;   ///< Hex.
-  std::string mDigest; ///< Hex SHA-256 of salt and secret.
+  std::string mDigest; ///< Hex SHA-256 of the text `SALTHEX.SECRET`.
 };
 
 /// A named set of upstreams of one role.
--- a/Peridothoist/Entry/CompletionWriter.cpp
+++ b/Peridothoist/Entry/CompletionWriter.cpp
@@ -1,20 +1,14 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Entry/CompletionWriter.h>
 
-#include <nlohmann/json.hpp>
+#include <Peridothoist/Entry/JsonFields.h>
 
 namespace peridothoist {
 
 namespace {
 
 using Json = nlohmann::json;
-
-/// Upstream text may not be valid UTF-8; such bytes are replaced.
-std::string
-Dump(const Json& aDocument)
-{
-  return aDocument.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
+using detail::DumpJson;
 
 Json
 UsageJson(const CompletionUsage& aUsage)
@@ -57,7 +51,7 @@
                           { "model", mModel },
                           { "choices", Json::array({ choice }) },
                           { "usage", UsageJson(aUsage) } };
-  return Dump(document);
+  return DumpJson(document);
 }
 
 std::string
@@ -87,7 +81,7 @@
   if (aUsage != nullptr) {
     document["usage"] = UsageJson(*aUsage);
   }
-  return "data: " + Dump(document) + "\n\n";
+  return "data: " + DumpJson(document) + "\n\n";
 }
 
 std::string
--- a/Peridothoist/Entry/ErrorAnswer.cpp
+++ b/Peridothoist/Entry/ErrorAnswer.cpp
@@ -1,7 +1,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Entry/ErrorAnswer.h>
 
-#include <nlohmann/json.hpp>
+#include <Peridothoist/Entry/JsonFields.h>
 
 #include <array>
 
@@ -88,8 +88,7 @@
         { "run", ToName(mVerdict) },
         { "retry_after_ms", retryAfter.count() } } }
   };
-  return document.dump(
-    -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return detail::DumpJson(document);
 }
 
 HttpHeaders
--- a/Peridothoist/Entry/LoadPoller.cpp
+++ b/Peridothoist/Entry/LoadPoller.cpp
@@ -1,7 +1,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Entry/LoadPoller.h>
 
-#include <nlohmann/json.hpp>
+#include <Peridothoist/Entry/JsonFields.h>
 
 #include <algorithm>
 #include <charconv>
@@ -11,14 +11,7 @@
 namespace {
 
 using Json = nlohmann::json;
-
-std::uint64_t
-UnsignedOf(const Json& aDocument, const char* aField)
-{
-  const auto it = aDocument.find(aField);
-  const bool usable = it != aDocument.end() && it->is_number_unsigned();
-  return usable ? it->get<std::uint64_t>() : 0;
-}
+using detail::UnsignedOf;
 
 LoadReport
 ReadReport(const Json& aDocument)
--- a/Peridothoist/Entry/UpstreamCaller.cpp
+++ b/Peridothoist/Entry/UpstreamCaller.cpp
@@ -2,8 +2,7 @@
 #include <Peridothoist/Entry/UpstreamCaller.h>
 
 #include <Peridothoist/Entry/EventStreamReader.h>
-
-#include <nlohmann/json.hpp>
+#include <Peridothoist/Entry/JsonFields.h>
 
 #include <array>
 
@@ -12,6 +11,9 @@
 namespace {
 
 using Json = nlohmann::json;
+using detail::DumpJson;
+using detail::StringOf;
+using detail::UnsignedOf;
 
 constexpr int kServerError = 500;
 constexpr int kNotImplemented = 501;
@@ -52,35 +54,6 @@
   return outcome;
 }
 
-/// Reads an unsigned field; 0 when it is missing or of another type.
-std::uint64_t
-UnsignedOf(const Json& aDocument, const char* aField)
-{
-  if (!aDocument.is_object()) {
-    return 0;
-  }
-  const auto it = aDocument.find(aField);
-  const bool usable = it != aDocument.end() && it->is_number_unsigned();
-  return usable ? it->get<std::uint64_t>() : 0;
-}
-
-std::string
-StringOf(const Json& aDocument, const char* aField)
-{
-  if (!aDocument.is_object()) {
-    return {};
-  }
-  const auto it = aDocument.find(aField);
-  const bool usable = it != aDocument.end() && it->is_string();
-  return usable ? it->get<std::string>() : std::string();
-}
-
-std::string
-Dump(const Json& aDocument)
-{
-  return aDocument.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 bool
 IsHopByHop(const std::string& aName)
 {
@@ -370,9 +343,9 @@
 {
   HttpCall call =
     MakeCall(aCommand, "/v1/reservations", mSettings.mControlTimeout);
-  call.mBody = Dump({ { "request", RequestId(aCommand) },
-                      { "pieces", aCommand.mPieces },
-                      { "priority", aCommand.mPriority } });
+  call.mBody = DumpJson({ { "request", RequestId(aCommand) },
+                          { "pieces", aCommand.mPieces },
+                          { "priority", aCommand.mPriority } });
   Start(std::move(call),
         std::make_shared<WholeCall>(
           this, aCommand, false, &UpstreamCaller::EndReserve));
@@ -399,11 +372,11 @@
 {
   PH_ASSERT(aContent != nullptr);
   HttpCall call = MakeCall(aCommand, "/v1/prefill", mSettings.mPrefillTimeout);
-  call.mBody = Dump({ { "request", RequestId(aCommand) },
-                      { "model", aCommand.mModel },
-                      { "prompt", aContent->mPrompt },
-                      { "resume_text", aCommand.mResumeText },
-                      { "priority", aCommand.mPriority } });
+  call.mBody = DumpJson({ { "request", RequestId(aCommand) },
+                          { "model", aCommand.mModel },
+                          { "prompt", aContent->mPrompt },
+                          { "resume_text", aCommand.mResumeText },
+                          { "priority", aCommand.mPriority } });
   if (!aContent->mTraceParent.empty()) {
     call.mHeaders["traceparent"] = aContent->mTraceParent;
   }
@@ -437,9 +410,9 @@
                             const CallerContent*)
 {
   HttpCall call = MakeCall(aCommand, "/v1/import", mSettings.mControlTimeout);
-  call.mBody = Dump({ { "request", RequestId(aCommand) },
-                      { "source", aCommand.mSourceAddress },
-                      { "kv", aCommand.mKv } });
+  call.mBody = DumpJson({ { "request", RequestId(aCommand) },
+                          { "source", aCommand.mSourceAddress },
+                          { "kv", aCommand.mKv } });
   Start(std::move(call),
         std::make_shared<WholeCall>(
           this, aCommand, false, &UpstreamCaller::EndImport));
@@ -462,10 +435,10 @@
 {
   PH_ASSERT(aContent != nullptr);
   HttpCall call = MakeCall(aCommand, "/v1/decode", mSettings.mDecodeTimeout);
-  call.mBody = Dump({ { "request", RequestId(aCommand) },
-                      { "max_tokens", aCommand.mMaxTokens },
-                      { "resume_from", aCommand.mResumeFrom },
-                      { "priority", aCommand.mPriority } });
+  call.mBody = DumpJson({ { "request", RequestId(aCommand) },
+                          { "max_tokens", aCommand.mMaxTokens },
+                          { "resume_from", aCommand.mResumeFrom },
+                          { "priority", aCommand.mPriority } });
   if (!aContent->mTraceParent.empty()) {
     call.mHeaders["traceparent"] = aContent->mTraceParent;
   }
@@ -512,7 +485,7 @@
     }
   }
   HttpCall call = MakeCall(aCommand, "/v1/cancel", mSettings.mControlTimeout);
-  call.mBody = Dump({ { "request", RequestId(aCommand) } });
+  call.mBody = DumpJson({ { "request", RequestId(aCommand) } });
   // Kept out of mOpen: a repeated cancel must not end this one.
   mClient->Start(std::move(call),
                  std::make_shared<WholeCall>(
