Measure how late the entry's event loop runs

Cause: some calls take over 100 ms and nothing shows whether the entry's own loop was held up or the machine was. Ruled out: watching by another thread, which measures that thread.

--- a/Peridothoist/Entry/EntryMetrics.cpp
+++ b/Peridothoist/Entry/EntryMetrics.cpp
@@ -10,6 +10,8 @@
   mMetrics.Describe("peridothoist_requests_total", "Requests that are over.");
   mMetrics.Describe("peridothoist_refused_total",
                     "Requests refused, by type of refusal.");
+  mMetrics.Describe("peridothoist_loop_lag_seconds",
+                    "How late the event loop ran its timers.");
   mMetrics.Describe("peridothoist_view_version", "Configuration version held.");
   mMetrics.Describe("peridothoist_view_age_seconds",
                     "Age of the view's last confirmation; -1: none yet.");
--- a/Peridothoist/Entry/EntryMetrics.h
+++ b/Peridothoist/Entry/EntryMetrics.h
@@ -19,6 +19,12 @@
   /// A request is over.
   void ObserveRequest(const std::string& aRoute, int aStatus, Duration aTook);
 
+  /// The event loop ran late by aLag.
+  void ObserveLoopLag(Duration aLag)
+  {
+    mMetrics.GetSummary("peridothoist_loop_lag_seconds").Observe(aLag);
+  }
+
   void TakeCore(const EntryCore& aCore);
   void TakeIntake(const IntakeCounters& aCounters);
   void TakeAllowance(const AllowanceDeskCounters& aCounters);
--- a/Peridothoist/Entry/EntryProcess.cpp
+++ b/Peridothoist/Entry/EntryProcess.cpp
@@ -16,6 +16,8 @@
 /// How long a leaving entry waits for the platform to take outcomes.
 constexpr Duration kRecordLimit = 60s;
 constexpr Duration kHandOverTime = 600ms;
+/// A loop that runs this late is worth a line in the log.
+constexpr Duration kLoopLagWarned = 100ms;
 
 std::uint64_t
 RandomSeed()
@@ -93,6 +95,8 @@
     return nullptr;
   }
   process->mFollower->Start();
+  process->mLoopMonitor = std::make_unique<LoopMonitor>(
+    LoopMonitorSettings{}, aReactor, process.get());
   Log::Info("entry_started")
     .Field("instance", process->mInstance)
     .Field("zone", aSettings.mZone)
@@ -390,6 +394,16 @@
   mPoller->CheckNow(aUpstream);
 }
 
+void
+EntryProcess::OnLoopLag(Duration aLag)
+{
+  mMetrics.ObserveLoopLag(aLag);
+  if (aLag >= kLoopLagWarned) {
+    Log::Warning("loop_lag")
+      .Field("ms", std::chrono::duration<double, std::milli>(aLag).count());
+  }
+}
+
 void
 EntryProcess::OnRequestOver(const CallerRequestFacts& aFacts,
                             int aStatus,
--- a/Peridothoist/Entry/EntryProcess.h
+++ b/Peridothoist/Entry/EntryProcess.h
@@ -18,6 +18,7 @@
 #include <Peridothoist/Platform/PlatformClient.h>
 #include <Peridothoist/Shell/HttpClient.h>
 #include <Peridothoist/Shell/HttpServer.h>
+#include <Peridothoist/Shell/LoopMonitor.h>
 #include <Peridothoist/Shell/Reactor.h>
 
 namespace peridothoist {
@@ -30,6 +31,7 @@
   , public LoadPollerListener
   , public EntryPagesListener
   , public RequestRunnerListener
+  , public LoopMonitorListener
 {
 public:
   using Settings = EntrySettings;
@@ -82,6 +84,9 @@
                      int aStatus,
                      std::uint32_t aTokens) override;
 
+  // See: LoopMonitorListener
+  void OnLoopLag(Duration aLag) override;
+
   using QuarantineEntries =
     google::protobuf::RepeatedPtrField<peer::QuarantineEntry>;
   void FillQuarantine(QuarantineEntries& aEntries) const;
@@ -113,6 +118,7 @@
   std::unique_ptr<ViewFollower> mFollower;
   std::unique_ptr<PeerServer> mPeerServer;
   std::unique_ptr<HttpServer> mServer;
+  std::unique_ptr<LoopMonitor> mLoopMonitor;
 
   std::uint64_t mWarnedOf = 0; ///< Deaths and quarantines told to peers.
 
