Count the entry process in what is in force

Cause: a change was reported in force everywhere as soon as the control processes had it; an entry follows up to 200 ms later. Ruled out: the entry's version in the view's stamp, as the freshness rule reasons about control processes.

--- a/Peridothoist/Control/ControlState.cpp
+++ b/Peridothoist/Control/ControlState.cpp
@@ -42,6 +42,7 @@
 {
   Member self = IdentityOf(mSettings);
   self.mEntryInstance = mEntry.Instance(aNow);
+  self.mEntryVersion = mEntryVersion;
   const bool entryLeaves = !self.mEntryInstance.empty() && mEntry.IsLeaving();
   self.mState =
     mLeaving || entryLeaves ? MemberState::Leaving : MemberState::Live;
--- a/Peridothoist/Control/ControlState.h
+++ b/Peridothoist/Control/ControlState.h
@@ -40,6 +40,7 @@
   MemberList mMembers;
   QuarantineBook mQuarantine;
   OwnEntry mEntry;
+  std::uint64_t mEntryVersion = 0; ///< Of the view that mEntry last named.
   bool mPlatformSilent = false;
   bool mChangeInDoubt = false; ///< From before it is sent until it is known.
   bool mPlanInDoubt = false;   ///< The same for the share plan.
--- a/Peridothoist/Control/FollowDesk.cpp
+++ b/Peridothoist/Control/FollowDesk.cpp
@@ -18,6 +18,7 @@
   if (aRequest.vm() != mState.mSettings.mVm) {
     return;
   }
+  mState.mEntryVersion = aRequest.version();
   mState.mEntry.OnFollow(aRequest.entry_instance(), aRequest.leaving(), aNow);
 }
 
--- a/Peridothoist/Membership/Member.h
+++ b/Peridothoist/Membership/Member.h
@@ -39,6 +39,7 @@
 
   // What the VM said of itself when last heard.
   ViewStamp mStamp;
+  std::uint64_t mEntryVersion = 0; ///< View version of its entry process.
   bool mPlatformUnreachable = false;
   bool mCommitInDoubt = false;
 };
--- a/Peridothoist/Membership/MemberList.cpp
+++ b/Peridothoist/Membership/MemberList.cpp
@@ -205,8 +205,13 @@
 {
   std::vector<InForceMember> members;
   for (const auto& [vm, record] : mRecords) {
-    members.push_back(
-      { vm, record.mMember.mStamp.mVersion, record.mHeardUntil });
+    const Member& member = record.mMember;
+    // A VM without an entry process serves nobody by an older version.
+    const bool serves = !member.mEntryInstance.empty();
+    const std::uint64_t version =
+      serves ? std::min(member.mStamp.mVersion, member.mEntryVersion)
+             : member.mStamp.mVersion;
+    members.push_back({ vm, version, record.mHeardUntil });
   }
   return members;
 }
--- a/Peridothoist/Peers/PeerCodec.cpp
+++ b/Peridothoist/Peers/PeerCodec.cpp
@@ -110,6 +110,7 @@
   message.set_never_heard(!aMember.mAge.has_value());
   message.set_age_us(ToMicroseconds(aMember.mAge.value_or(Duration::zero())));
   message.set_known_us(ToMicroseconds(aMember.mKnownFor));
+  message.set_entry_version(aMember.mEntryVersion);
   message.set_running_us(ToMicroseconds(aMember.mRunningFor));
   message.set_view_version(aMember.mStamp.mVersion);
   message.set_plan_epoch(aMember.mStamp.mPlanEpoch);
@@ -135,6 +136,7 @@
     member.mAge = FromMicroseconds(aMessage.age_us());
   }
   member.mKnownFor = FromMicroseconds(aMessage.known_us());
+  member.mEntryVersion = aMessage.entry_version();
   member.mRunningFor = FromMicroseconds(aMessage.running_us());
   member.mStamp.mVersion = aMessage.view_version();
   member.mStamp.mPlanEpoch = aMessage.plan_epoch();
--- a/UnitTests/Membership/MembershipTest.cpp
+++ b/UnitTests/Membership/MembershipTest.cpp
@@ -301,3 +301,25 @@
   BOOST_REQUIRE(all.has_value());
   BOOST_TEST(all->mEntryInstances.size() == 2u);
 }
+
+BOOST_AUTO_TEST_CASE(InForceCountsTheEntryProcessToo)
+{
+  Member self = Vm("a", "uno");
+  self.mStamp.mVersion = 7;
+  self.mEntryVersion = 6;
+  MemberList list({}, self, kStart);
+  list.SetSelf(self, kStart);
+  const std::vector<InForceMember> behind = list.InForceMembers();
+  BOOST_REQUIRE(behind.size() == 1u);
+  BOOST_TEST(behind[0].mVersion == 6u);
+
+  self.mEntryVersion = 7;
+  list.SetSelf(self, kStart + 1s);
+  BOOST_TEST(list.InForceMembers()[0].mVersion == 7u);
+
+  // Without an entry process there is nobody who could be behind.
+  self.mEntryInstance.clear();
+  self.mEntryVersion = 0;
+  list.SetSelf(self, kStart + 2s);
+  BOOST_TEST(list.InForceMembers()[0].mVersion == 7u);
+}
