--- a/Peridothoist/Control/ControlSettings.h
+++ b/Peridothoist/Control/ControlSettings.h
@@ -31,8 +31,8 @@
   /// While the platform is silent, a change isn't in force yet, or a commit
   /// is in doubt.
   Duration mUrgentInterval = std::chrono::milliseconds(250);
-  std::size_t mUrgentPeers = 3;
-  std::size_t mPushPeers = 4; ///< Asked at once when the view changed.
+  std::size_t mUrgentPeers = 2;
+  std::size_t mPushPeers = 2; ///< Asked at once when the view changed.
   Duration mDeadline = std::chrono::milliseconds(800);
   std::size_t mMaxMembersSent = 64;
 };
