--- a/SystemTests/test_crashing_requests.py
+++ b/SystemTests/test_crashing_requests.py
@@ -33,7 +33,7 @@
         for answer in crashing:
             self.assertGreaterEqual(answer.status, 400)
         deaths = sum(it["deaths"] for it in cluster.engine_stats().values())
-        self.assertLessEqual(deaths, 3)
+        self.assertLessEqual(deaths, 2)
         for number, stream in enumerate(bystanders):
             self.assertEqual(
                 stream.text, expected_text(f"bystander {number}", TOKENS), stream.error_event
