--- a/Peridothoist/Entry/BodyDigest.cpp
+++ b/Peridothoist/Core/BodyDigest.cpp
@@ -1,5 +1,5 @@
 #include <Peridothoist/Peridothoist.h>
-#include <Peridothoist/Entry/BodyDigest.h>
+#include <Peridothoist/Core/BodyDigest.h>
 
 #include <openssl/sha.h>
 
--- /dev/null
+++ b/Peridothoist/Core/EventSplitter.cpp
@@ -0,0 +1,80 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Core/EventSplitter.h>
+
+#include <charconv>
+
+namespace peridothoist {
+
+namespace {
+
+/// The end of the first event in aText: past its blank line. npos: none.
+std::size_t
+EndOfEvent(std::string_view aText, std::size_t aFrom)
+{
+  const std::size_t plain = aText.find("\n\n", aFrom);
+  const std::size_t carriage = aText.find("\r\n\r\n", aFrom);
+  if (carriage < plain) {
+    return carriage + 4;
+  }
+  return plain == std::string_view::npos ? plain : plain + 2;
+}
+
+} // namespace
+
+bool
+EventSplitter::Feed(
+  std::string_view aBytes,
+  const std::function<void(std::string_view aEvent)>& aOnEvent)
+{
+  mPartial.append(aBytes);
+  std::size_t start = 0;
+  for (;;) {
+    const std::size_t end = EndOfEvent(mPartial, start);
+    if (end == std::string::npos) {
+      break;
+    }
+    aOnEvent(std::string_view(mPartial).substr(start, end - start));
+    start = end;
+  }
+  mPartial.erase(0, start);
+  return mPartial.size() <= kMaxEventBytes;
+}
+
+std::string_view
+EventSplitter::FieldOf(std::string_view aEvent, std::string_view aName)
+{
+  while (!aEvent.empty()) {
+    const std::size_t end = std::min(aEvent.find('\n'), aEvent.size());
+    std::string_view line = aEvent.substr(0, end);
+    aEvent.remove_prefix(std::min(end + 1, aEvent.size()));
+    const bool named = line.size() > aName.size() &&
+                       line.substr(0, aName.size()) == aName &&
+                       line[aName.size()] == ':';
+    if (!named) {
+      continue;
+    }
+    line.remove_prefix(aName.size() + 1);
+    if (!line.empty() && line.front() == ' ') {
+      line.remove_prefix(1);
+    }
+    if (!line.empty() && line.back() == '\r') {
+      line.remove_suffix(1);
+    }
+    return line;
+  }
+  return {};
+}
+
+std::optional<std::uint64_t>
+EventSplitter::IdOf(std::string_view aEvent)
+{
+  const std::string_view text = FieldOf(aEvent, "id");
+  std::uint64_t id = 0;
+  const auto [end, ec] =
+    std::from_chars(text.data(), text.data() + text.size(), id);
+  const bool whole =
+    !text.empty() && ec == std::errc() && end == text.data() + text.size();
+  return whole ? std::optional<std::uint64_t>(id) : std::nullopt;
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Entry/EventStreamReader.h
+++ b/Peridothoist/Entry/EventStreamReader.h
@@ -1,17 +1,18 @@
-/// Splits a server-sent event stream, as engines send it, into its events.
-/// Pure: bytes in, "data" texts out.
+/// Reads the data of a server-sent event stream, as engines send it. Pure:
+/// bytes in, "data" texts out.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Core/EventSplitter.h>
 
 namespace peridothoist {
 
-/// Collects bytes and gives out whole events.
+/// Collects bytes and gives out the data of whole events.
 class EventStreamReader
 {
 public:
   /// An event longer than this breaks the stream.
-  static constexpr std::size_t kMaxEventBytes = 64 * 1024;
+  static constexpr std::size_t kMaxEventBytes = EventSplitter::kMaxEventBytes;
 
   /// Adds received bytes and hands each whole event's data to aOnData.
   /// Returns false when an event grew over the limit.
@@ -19,7 +20,7 @@
             const std::function<void(std::string_view aData)>& aOnData);
 
 private:
-  std::string mPartial; ///< Bytes after the last whole event.
+  EventSplitter mSplitter;
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Entry/RequestIntake.cpp
+++ b/Peridothoist/Entry/RequestIntake.cpp
@@ -2,7 +2,7 @@
 #include <Peridothoist/Entry/RequestIntake.h>
 
 #include <Peridothoist/Config/ConfigurationReader.h>
-#include <Peridothoist/Entry/BodyDigest.h>
+#include <Peridothoist/Core/BodyDigest.h>
 
 #include <algorithm>
 #include <ctime>
--- /dev/null
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -0,0 +1,93 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Node/NodeMetrics.h>
+
+namespace peridothoist {
+
+namespace {
+
+double
+ToSeconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace
+
+void
+NodeMetrics::ObserveRequest(const RelayFacts& aFacts, Duration aTook)
+{
+  const MetricLabels kind = { { "kind", ToName(aFacts.mKind) } };
+  const MetricLabels outcome = { { "kind", ToName(aFacts.mKind) },
+                                 { "outcome", aFacts.mOutcome } };
+  mMetrics.GetCounter("peridothoist_requests_total", outcome).Add();
+  mMetrics.GetHistogram("peridothoist_request_seconds", kind).Observe(aTook);
+  if (aFacts.mFirstByteAfter > Duration(0)) {
+    mMetrics.GetHistogram("peridothoist_first_event_seconds", kind)
+      .Observe(aFacts.mFirstByteAfter);
+  }
+}
+
+void
+NodeMetrics::ObserveRefusal(RefusalKind aKind)
+{
+  mMetrics
+    .GetCounter("peridothoist_refused_on_arrival_total",
+                { { "type", ToName(aKind) } })
+    .Add();
+}
+
+void
+NodeMetrics::ObserveLoopLag(Duration aLag)
+{
+  mMetrics.GetHistogram("peridothoist_loop_lag_seconds").Observe(aLag);
+}
+
+void
+NodeMetrics::SetCounter(const std::string& aName,
+                        std::uint64_t aValue,
+                        const MetricLabels& aLabels)
+{
+  Counter& counter = mMetrics.GetCounter(aName, aLabels);
+  counter.Add(static_cast<double>(aValue) - counter.Value());
+}
+
+void
+NodeMetrics::TakeCounters(const RelayCounters& aCounters)
+{
+  SetCounter("peridothoist_arrivals_total", aCounters.mArrived);
+  SetCounter("peridothoist_sends_total", aCounters.mSent);
+  SetCounter("peridothoist_prefills_total", aCounters.mPrefills);
+  SetCounter("peridothoist_repeats_total", aCounters.mRepeats);
+  SetCounter("peridothoist_repeats_denied_total", aCounters.mRepeatsDenied);
+  SetCounter("peridothoist_resumed_total", aCounters.mResumed);
+  SetCounter("peridothoist_rejected_total", aCounters.mRejected);
+  SetCounter("peridothoist_broken_total", aCounters.mBroken);
+  SetCounter("peridothoist_unsent_total", aCounters.mUnsent);
+  SetCounter("peridothoist_callers_gone_total", aCounters.mCallersGone);
+  SetCounter("peridothoist_quarantined_total", aCounters.mQuarantined);
+  for (std::size_t n = 0; n < kRefusalKinds; ++n) {
+    if (aCounters.mRefused[n] > 0) {
+      SetCounter("peridothoist_refused_total",
+                 aCounters.mRefused[n],
+                 { { "type", ToName(static_cast<RefusalKind>(n)) } });
+    }
+  }
+}
+
+void
+NodeMetrics::TakeGauges(const NodeGauges& aGauges)
+{
+  const auto set = [this](const char* aName, double aValue) {
+    mMetrics.GetGauge(aName).Set(aValue);
+  };
+  set("peridothoist_view_age_seconds", ToSeconds(aGauges.mViewAge));
+  set("peridothoist_view_version", static_cast<double>(aGauges.mVersion));
+  set("peridothoist_list_age_seconds", ToSeconds(aGauges.mListAge));
+  set("peridothoist_upstreams", static_cast<double>(aGauges.mUpstreams));
+  set("peridothoist_vms", static_cast<double>(aGauges.mVms));
+  set("peridothoist_vms_heard_part", aGauges.mHeardPart);
+  set("peridothoist_open_requests", static_cast<double>(aGauges.mOpen));
+  set("peridothoist_waiting_requests", static_cast<double>(aGauges.mWaiting));
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Node/NodePeers.cpp
@@ -0,0 +1,202 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Node/NodePeers.h>
+
+#include <Peridothoist/Node/VmNewsCodec.h>
+#include <Peridothoist/Shell/FlagsFromEnvironment.h>
+#include <Peridothoist/Shell/Log.h>
+
+#include <algorithm>
+
+namespace peridothoist {
+
+namespace {
+
+/// Addresses of VMs that were never heard are kept up to this count.
+constexpr std::size_t kMostKnown = 256;
+
+} // namespace
+
+std::unique_ptr<NodePeers>
+NodePeers::Create(const NodeSettings& aSettings,
+                  const std::string& aInstance,
+                  Reactor* aReactor,
+                  RelayMachine* aMachine,
+                  UsageLedger* aLedger,
+                  Random* aRandom,
+                  NodePeersListener* aListener,
+                  Reason* aReason)
+{
+  std::unique_ptr<NodePeers> peers(new NodePeers(
+    aSettings, aInstance, aReactor, aMachine, aLedger, aRandom, aListener));
+  peers->mMessenger =
+    PeerMessenger::Create(aSettings.mPeerListen, aReactor, peers.get());
+  if (peers->mMessenger == nullptr) {
+    Reason::Set(aReason,
+                ReasonCode::Refused,
+                "peer_listen: can't listen on " + aSettings.mPeerListen);
+    return nullptr;
+  }
+  peers->Tick();
+  return peers;
+}
+
+NodePeers::NodePeers(const NodeSettings& aSettings,
+                     const std::string& aInstance,
+                     Reactor* aReactor,
+                     RelayMachine* aMachine,
+                     UsageLedger* aLedger,
+                     Random* aRandom,
+                     NodePeersListener* aListener)
+  : mSettings(aSettings)
+  , mInstance(aInstance)
+  , mReactor(aReactor)
+  , mMachine(aMachine)
+  , mLedger(aLedger)
+  , mRandom(aRandom)
+  , mListener(aListener)
+  , mMembers(aSettings.mMembers, aSettings.mVm)
+{
+  // All VMs hear on the same port; seeds are given with another one.
+  const auto own = ParseSocketAddress(aSettings.mPeerListen);
+  PH_ASSERT(own.has_value());
+  for (const std::string& seed : aSettings.mSeeds) {
+    const auto address = ParseSocketAddress(seed);
+    PH_ASSERT(address.has_value());
+    mKnown.insert(address->mNumber + ":" + std::to_string(own->mPort));
+  }
+}
+
+NodePeers::~NodePeers()
+{
+  mReactor->CancelTimer(mTimer);
+}
+
+void
+NodePeers::Tick()
+{
+  DropSilent();
+  Tell(mSettings.mPeerFanOut);
+  mListener->OnMembersChanged();
+  mTimer = mReactor->Schedule(mSettings.mPeerInterval, [this] { Tick(); });
+}
+
+void
+NodePeers::TellAll()
+{
+  Tell(mKnown.size() + mMembers.Members().size());
+}
+
+std::vector<std::string>
+NodePeers::Addresses() const
+{
+  std::set<std::string> addresses = mMembers.PeerAddresses();
+  addresses.insert(mKnown.begin(), mKnown.end());
+  addresses.erase(mSettings.mPeerListen);
+  return { addresses.begin(), addresses.end() };
+}
+
+/// Sends the news to aMost peers, chosen anew each time.
+void
+NodePeers::Tell(std::size_t aMost)
+{
+  std::vector<std::string> addresses = Addresses();
+  const std::string bytes = EncodeVmNews(MakeNews());
+  for (std::size_t n = 0; n < std::min(aMost, addresses.size()); ++n) {
+    const std::size_t pick = n + mRandom->Below(addresses.size() - n);
+    std::swap(addresses[n], addresses[pick]);
+    mMessenger->Send(addresses[n], bytes);
+  }
+}
+
+VmNews
+NodePeers::MakeNews()
+{
+  const TimePoint now = mReactor->Now();
+  VmNews news;
+  news.mVm = mSettings.mVm;
+  news.mInstance = mInstance;
+  news.mSequence = ++mSequence;
+  news.mCallerAddress = mSettings.mListen;
+  news.mPeerAddress = mSettings.mPeerListen;
+  news.mGranted = mLedger->Granted();
+  news.mWork = mMachine->Loads().Own();
+  for (const ListedDigest& it : mMachine->Suspects().Quarantined(now)) {
+    news.mCrashes.push_back({ it.mDigest, it.mCrashes, true, it.mUntil - now });
+  }
+  for (const ListedDigest& it : mMachine->Suspects().Suspects(now)) {
+    news.mCrashes.push_back(
+      { it.mDigest, it.mCrashes, false, it.mUntil - now });
+  }
+  // One address a message, so that all are heard of in time.
+  const std::set<std::string> peers = mMembers.PeerAddresses();
+  if (!peers.empty()) {
+    auto it = peers.begin();
+    std::advance(it, mRandom->Below(peers.size()));
+    news.mPeers.push_back(*it);
+  }
+  mListener->FillState(news);
+  return news;
+}
+
+void
+NodePeers::OnMessage(std::string_view aBytes)
+{
+  auto news = DecodeVmNews(aBytes);
+  if (!news) {
+    Log::Warning("peer_message_unreadable").Field("bytes", aBytes.size());
+    return;
+  }
+  for (const std::string& address : news->mPeers) {
+    if (mKnown.size() < kMostKnown && ParseSocketAddress(address)) {
+      mKnown.insert(address);
+    }
+  }
+  const TimePoint now = mReactor->Now();
+  const bool heard = mMembers.IsHeard(news->mVm, now);
+  const VmNews copy = *news;
+  if (!mMembers.OnNews(std::move(*news), now)) {
+    return;
+  }
+  if (!heard) {
+    Log::Info("peer_heard")
+      .Field("vm", copy.mVm)
+      .Field("instance", copy.mInstance)
+      .Field("leaving", copy.mLeaving);
+  }
+  mLedger->OnPeerGranted(copy.mInstance, copy.mGranted, now);
+  mMachine->Loads().OnPeerWork(copy.mVm, copy.mWork);
+  TakeCrashes(copy.mCrashes);
+  mListener->OnMembersChanged();
+}
+
+void
+NodePeers::TakeCrashes(const std::vector<CrashNews>& aCrashes)
+{
+  const TimePoint now = mReactor->Now();
+  SuspectTable& suspects = mMachine->Suspects();
+  for (const CrashNews& it : aCrashes) {
+    if (it.mQuarantined) {
+      suspects.Quarantine(it.mDigest, now + it.mLasts, now);
+    } else {
+      suspects.Suspect(it.mDigest, now + it.mLasts, now, it.mCrashes);
+    }
+  }
+}
+
+void
+NodePeers::DropSilent()
+{
+  const TimePoint now = mReactor->Now();
+  for (const auto& [name, member] : mMembers.Members()) {
+    if (!mMembers.IsHeard(name, now)) {
+      mMachine->Loads().ForgetPeer(name);
+    }
+  }
+  for (const std::string& instance :
+       mMembers.DropSilent(mSettings.mForgetPeers, now)) {
+    Log::Info("peer_forgotten").Field("instance", instance);
+    mLedger->ForgetPeer(instance);
+  }
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -0,0 +1,453 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Node/NodeProcess.h>
+
+#include <Peridothoist/Shell/FlagsFromEnvironment.h>
+#include <Peridothoist/Shell/Log.h>
+
+#include <fmt/format.h>
+
+#include <random>
+
+namespace peridothoist {
+
+namespace {
+
+constexpr Duration kLeaveCheckInterval = 50ms;
+
+/// A loop that runs this late is worth a line in the log.
+constexpr Duration kLoopLagWarned = 100ms;
+
+/// Callers of pages only, which are few.
+constexpr std::uint32_t kPageConnections = 256;
+
+double
+ToMillis(Duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+std::uint64_t
+RandomSeed()
+{
+  std::random_device device;
+  return (std::uint64_t(device()) << 32) | device();
+}
+
+std::unique_ptr<HttpServer>
+Serve(Reactor& aReactor,
+      const std::string& aAddress,
+      HttpServerSettings aSettings,
+      HttpRequestHandler* aHandler,
+      Reason* aReason)
+{
+  const auto address = ParseSocketAddress(aAddress);
+  PH_ASSERT(address.has_value());
+  aSettings.mAddress = address->mNumber;
+  aSettings.mPort = address->mPort;
+  std::string fault;
+  auto server = HttpServer::Create(aReactor, aSettings, aHandler, &fault);
+  if (server == nullptr) {
+    Reason::Set(aReason, ReasonCode::Refused, "listen: " + fault);
+  }
+  return server;
+}
+
+} // namespace
+
+/// Answers the pages of one listening address.
+class NodeProcess::PageServer : public HttpRequestHandler
+{
+public:
+  using Page = std::function<std::optional<PageAnswer>(const HttpRequest&)>;
+
+  PageServer(Reactor& aReactor,
+             const std::string& aAddress,
+             Page aPage,
+             Reason* aReason)
+    : mPage(std::move(aPage))
+  {
+    HttpServerSettings settings;
+    settings.mMaxConnections = kPageConnections;
+    mServer = Serve(aReactor, aAddress, settings, this, aReason);
+  }
+
+  bool IsUp() const { return mServer != nullptr; }
+
+  // See: HttpRequestHandler
+  void OnRequest(std::shared_ptr<HttpExchange> aExchange) override
+  {
+    const auto answer = mPage(aExchange->Request());
+    if (!answer) {
+      aExchange->Respond(
+        404, { { "content-type", "text/plain" } }, "no page\n");
+      return;
+    }
+    aExchange->Respond(answer->mStatus, answer->mHeaders, answer->mBody);
+  }
+
+private:
+  Page mPage;
+  std::unique_ptr<HttpServer> mServer;
+};
+
+std::unique_ptr<NodeProcess>
+NodeProcess::Create(const Settings& aSettings,
+                    const NodeProtocols& aProtocols,
+                    Reactor* aReactor,
+                    HttpClient* aClient,
+                    Reason* aReason)
+{
+  if (const auto fault = aSettings.Check()) {
+    Reason::Set(aReason, fault->mCode, fault->mText);
+    return nullptr;
+  }
+  std::unique_ptr<NodeProcess> process(
+    new NodeProcess(aSettings, aProtocols, aReactor, aClient));
+  return process->Start(aReason) ? std::move(process) : nullptr;
+}
+
+NodeProcess::NodeProcess(const Settings& aSettings,
+                         const NodeProtocols& aProtocols,
+                         Reactor* aReactor,
+                         HttpClient* aClient)
+  : mSettings(aSettings)
+  , mProtocols(aProtocols)
+  , mReactor(aReactor)
+  , mClient(aClient)
+  , mInstance(fmt::format("{}-{:012x}",
+                          aSettings.mVm,
+                          RandomSeed() & 0xffffffffffffULL))
+  , mRandom(RandomSeed())
+  , mView(aSettings.mView)
+  , mIntake(&mView, &mLedger, &mRandom)
+  , mMachine(aSettings.mMachine, &mIntake, &mRandom)
+  , mRunner(aReactor,
+            aClient,
+            &mMachine,
+            aProtocols.mCallers,
+            aProtocols.mUpstreams,
+            this)
+  , mReader(aSettings.mReader,
+            aReactor,
+            aProtocols.mStore,
+            aProtocols.mDecoder,
+            this)
+  , mRegistry(aSettings.mReader.mVmTable,
+              aSettings.mVm,
+              aReactor,
+              aProtocols.mStore)
+{
+}
+
+NodeProcess::~NodeProcess()
+{
+  mReactor->CancelTimer(mLeaveTimer);
+}
+
+bool
+NodeProcess::Start(Reason* aReason)
+{
+  mReader.Start();
+  if (!StartCallers(aReason) || !StartPages(aReason)) {
+    return false;
+  }
+  mPeers = NodePeers::Create(mSettings,
+                             mInstance,
+                             mReactor,
+                             &mMachine,
+                             &mLedger,
+                             &mRandom,
+                             this,
+                             aReason);
+  if (mPeers == nullptr) {
+    return false;
+  }
+  mLoopMonitor =
+    std::make_unique<LoopMonitor>(LoopMonitorSettings{ 250ms }, mReactor, this);
+  Log::Info("node_started")
+    .Field("vm", mSettings.mVm)
+    .Field("instance", mInstance)
+    .Field("zone", mSettings.mZone)
+    .Field("listen", mSettings.mListen);
+  return true;
+}
+
+bool
+NodeProcess::StartCallers(Reason* aReason)
+{
+  HttpServerSettings settings;
+  settings.mMaxHeaderBytes = mSettings.mMaxHeaderBytes;
+  settings.mMaxBodyBytes = mSettings.mMaxBodyBytes;
+  settings.mMaxConnections = mSettings.mMaxConnections;
+  settings.mMaxConnectionsPerAddress = mSettings.mMaxConnections;
+  settings.mIdleTimeout = mSettings.mIdleTimeout;
+  mCallerServer = Serve(*mReactor, mSettings.mListen, settings, this, aReason);
+  return mCallerServer != nullptr;
+}
+
+bool
+NodeProcess::StartPages(Reason* aReason)
+{
+  struct Row
+  {
+    const std::string& mAddress;
+    PageServer::Page mPage;
+  };
+  const Row rows[] = {
+    { mSettings.mReadyListen,
+      [this](const HttpRequest& aRequest) {
+        return mProtocols.mCallers->ReadyPage(aRequest, Status());
+      } },
+    { mSettings.mDirectoryListen,
+      [this](const HttpRequest& aRequest) {
+        return mProtocols.mCallers->AddressPage(aRequest, Status());
+      } },
+    { mSettings.mMetricsListen,
+      [this](const HttpRequest&) -> std::optional<PageAnswer> {
+        return PageAnswer{ 200,
+                           { { "content-type", "text/plain; version=0.0.4" } },
+                           RenderMetrics() };
+      } },
+  };
+  for (const Row& row : rows) {
+    if (row.mAddress.empty()) {
+      continue;
+    }
+    auto server =
+      std::make_unique<PageServer>(*mReactor, row.mAddress, row.mPage, aReason);
+    if (!server->IsUp()) {
+      return false;
+    }
+    mPageServers.push_back(std::move(server));
+  }
+  return true;
+}
+
+NodeStatus
+NodeProcess::Status() const
+{
+  const TimePoint now = mReactor->Now();
+  NodeStatus status;
+  status.mReady = !mLeaving && mIntake.IsServing(now);
+  status.mAddressesHold = mSettings.mAddressesHold;
+  status.mCallerAddresses = mPeers->Members().CallerAddresses(now);
+  // Where nobody else is known to serve, this VM is still worth a try.
+  if (status.mReady || status.mCallerAddresses.empty()) {
+    status.mCallerAddresses.insert(status.mCallerAddresses.begin(),
+                                   mSettings.mListen);
+  }
+  return status;
+}
+
+void
+NodeProcess::OnRequest(std::shared_ptr<HttpExchange> aExchange)
+{
+  const TimePoint now = mReactor->Now();
+  Reason reason;
+  const auto question =
+    mProtocols.mCallers->Read(aExchange->Request(), &reason);
+  Refusal refusal;
+  std::optional<RelayArrival> arrival;
+  if (question) {
+    arrival = mIntake.Admit(mRunner.NextId(), *question, now, &refusal);
+  } else {
+    refusal =
+      Refusal::Make(RefusalKind::BadRequest, RunVerdictTracker(), Duration(0));
+  }
+  if (arrival) {
+    mRunner.Admit(std::move(aExchange), std::move(*arrival), question->mName);
+    return;
+  }
+  mMetrics.ObserveRefusal(refusal.mKind);
+  Log::Info("refused_on_arrival")
+    .Field("id", question ? question->mName : "")
+    .Field("type", ToName(refusal.mKind))
+    .Field("status", refusal.Status())
+    .Field("version", mView.Version())
+    .Field("view_age_ms", ToMillis(mView.Age(now)))
+    .Field("retry_after_ms", ToMillis(refusal.mRetryAfter))
+    .Field("reason", reason.mText);
+  mRunner.Refuse(*aExchange, refusal);
+}
+
+void
+NodeProcess::OnConfigurationRead(
+  std::shared_ptr<const RelayConfiguration> aConfiguration,
+  TimePoint aBegan)
+{
+  const std::uint64_t before = mView.Version();
+  if (mView.OnRead(aConfiguration, aBegan)) {
+    mMachine.SetConfiguration(aConfiguration);
+    mLedger.SetWorkspaces(aConfiguration->Workspaces(), mReactor->Now());
+    Log::Info("configuration_in_force")
+      .Field("version", aConfiguration->mVersion)
+      .Field("before", before)
+      .Field("routes", aConfiguration->Routes().size())
+      .Field("workspaces", aConfiguration->Workspaces().size())
+      .Field("read_ms", ToMillis(mReactor->Now() - aBegan));
+  }
+  OnMembersChanged();
+}
+
+void
+NodeProcess::OnUpstreamsRead(std::vector<RelayUpstream> aUpstreams)
+{
+  const auto before = mMachine.Roster().All();
+  mRunner.Deliver(
+    [&](RelayMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
+      aMachine.OnListed(std::move(aUpstreams), aNow, aOut);
+    });
+  const auto& after = mMachine.Roster().All();
+  for (const auto& [id, entry] : after) {
+    const auto known = before.find(id);
+    const bool fresh = known == before.end();
+    if (fresh || known->second.mUpstream.mLeaving != entry.mUpstream.mLeaving ||
+        known->second.mLapsed != entry.mLapsed ||
+        known->second.mUpstream.mStage != entry.mUpstream.mStage) {
+      Log::Info("upstream_listed")
+        .Field("upstream", id)
+        .Field("service", entry.mUpstream.mService)
+        .Field("address", entry.mUpstream.mAddress)
+        .Field("zone", entry.mUpstream.mZone)
+        .Field("stage", ToName(entry.mUpstream.mStage))
+        .Field("leaving", entry.mUpstream.mLeaving)
+        .Field("lapsed", entry.mLapsed);
+    }
+  }
+  for (const auto& [id, entry] : before) {
+    if (after.count(id) == 0) {
+      Log::Info("upstream_gone")
+        .Field("upstream", id)
+        .Field("was_leaving", entry.mUpstream.mLeaving);
+    }
+  }
+}
+
+void
+NodeProcess::OnUpstreamsUnreachable()
+{
+  mMachine.OnListUnreachable();
+}
+
+void
+NodeProcess::OnVmsRead(std::set<std::string> aNames)
+{
+  const TimePoint now = mReactor->Now();
+  mRegistry.OnRead(aNames);
+  mPeers->Members().SetRegistered(std::move(aNames), now);
+  mRegistry.Remove(mPeers->Members().Vanished(mSettings.mForgetPeers, now));
+  OnMembersChanged();
+}
+
+void
+NodeProcess::FillState(VmNews& aNews)
+{
+  aNews.mServing = !mLeaving && mIntake.IsServing(mReactor->Now());
+  aNews.mLeaving = mLeaving;
+}
+
+void
+NodeProcess::OnMembersChanged()
+{
+  if (mPeers == nullptr) {
+    return;
+  }
+  const TimePoint now = mReactor->Now();
+  mMachine.SetVmCount(mPeers->Members().Count(now));
+  mLedger.SetHeardPart(mPeers->Members().HeardPart(now), now);
+  const bool serving = mIntake.IsServing(now);
+  if (serving != mWasServing) {
+    mWasServing = serving;
+    Log::Info(serving ? "serving" : "not_serving")
+      .Field("version", mView.Version())
+      .Field("view_age_ms", ToMillis(mView.Age(now)))
+      .Field("vms", mPeers->Members().Count(now))
+      .Field("heard_part", mPeers->Members().HeardPart(now));
+  }
+}
+
+void
+NodeProcess::OnRelayOver(const RelayFacts& aFacts)
+{
+  const Duration took = mReactor->Now() - aFacts.mArrivedAt;
+  mMetrics.ObserveRequest(aFacts, took);
+  Log::Info("request_done")
+    .Field("id", aFacts.mName)
+    .Field("request", aFacts.mId)
+    .Field("route", aFacts.mRoute)
+    .Field("workspace", aFacts.mWorkspace)
+    .Field("kind", ToName(aFacts.mKind))
+    .Field("outcome", aFacts.mOutcome)
+    .Field("status", aFacts.mStatus)
+    .Field("calls", aFacts.mCalls)
+    .Field("upstream", aFacts.mUpstream)
+    .Field("version", mView.Version())
+    .Field("first_ms", ToMillis(aFacts.mFirstByteAfter))
+    .Field("ms", ToMillis(took));
+}
+
+void
+NodeProcess::OnLoopLag(Duration aLag)
+{
+  mMetrics.ObserveLoopLag(aLag);
+  if (aLag >= kLoopLagWarned) {
+    Log::Warning("loop_lag").Field("ms", ToMillis(aLag));
+  }
+}
+
+std::string
+NodeProcess::RenderMetrics()
+{
+  const TimePoint now = mReactor->Now();
+  NodeGauges gauges;
+  gauges.mViewAge = mView.Age(now);
+  gauges.mVersion = mView.Version();
+  gauges.mListAge = now - mMachine.Roster().ListedAt().value_or(now);
+  gauges.mUpstreams = mMachine.Roster().All().size();
+  gauges.mVms = mPeers->Members().Count(now);
+  gauges.mHeardPart = mPeers->Members().HeardPart(now);
+  gauges.mOpen = mMachine.Open();
+  gauges.mWaiting = mMachine.Waiting();
+  mMetrics.TakeCounters(mMachine.Counters());
+  mMetrics.TakeGauges(gauges);
+  return mMetrics.Render();
+}
+
+void
+NodeProcess::StartLeaving()
+{
+  if (mLeaving) {
+    Log::Info("already_leaving").Field("open", mRunner.Open());
+    return;
+  }
+  mLeaving = true;
+  mLeavingSince = mReactor->Now();
+  Log::Info("leaving").Field("open", mRunner.Open());
+  mCallerServer->CloseAfterAnswers();
+  mPeers->TellAll();
+  CheckLeft();
+}
+
+void
+NodeProcess::CheckLeft()
+{
+  const Duration since = mReactor->Now() - mLeavingSince;
+  if (since >= mSettings.mLateCallers && !mDraining) {
+    mDraining = true;
+    mCallerServer->StartDrain();
+  }
+  const bool done =
+    mDraining && mRunner.Open() == 0 && mCallerServer->OpenExchanges() == 0;
+  const bool late = since >= mSettings.mGrace - mSettings.mGraceMargin;
+  if (done || late) {
+    Log::Info("left")
+      .Field("open", mRunner.Open())
+      .Field("ms", ToMillis(since));
+    mReactor->Stop();
+    return;
+  }
+  mLeaveTimer =
+    mReactor->Schedule(kLeaveCheckInterval, [this] { CheckLeft(); });
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Node/NodeSettings.cpp
@@ -0,0 +1,51 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Node/NodeSettings.h>
+
+#include <Peridothoist/Shell/FlagsFromEnvironment.h>
+
+namespace peridothoist {
+
+std::optional<Reason>
+NodeSettings::Check() const
+{
+  struct Row
+  {
+    const char* mSetting;
+    const std::string& mValue;
+    bool mNeeded;
+  };
+  const Row rows[] = {
+    { "listen", mListen, true },
+    { "ready_listen", mReadyListen, true },
+    { "directory_listen", mDirectoryListen, false },
+    { "metrics_listen", mMetricsListen, false },
+    { "peer_listen", mPeerListen, true },
+  };
+  for (const Row& row : rows) {
+    if (row.mValue.empty() && !row.mNeeded) {
+      continue;
+    }
+    if (const auto fault = CheckSocketAddress(row.mSetting, row.mValue)) {
+      return Reason{ ReasonCode::Invalid, *fault };
+    }
+  }
+  if (const auto fault = CheckName("vm", mVm)) {
+    return Reason{ ReasonCode::Invalid, *fault };
+  }
+  if (const auto fault = CheckName("zone", mZone)) {
+    return Reason{ ReasonCode::Invalid, *fault };
+  }
+  for (const std::string& seed : mSeeds) {
+    if (const auto fault = CheckSocketAddress("seeds", seed)) {
+      return Reason{ ReasonCode::Invalid, *fault };
+    }
+  }
+  if (mView.mMargin >= mView.mRevokeLimit) {
+    return Reason{ ReasonCode::Invalid,
+                   "setting revoke_limit_ms is too short; allowed: more than " +
+                     std::to_string(mView.mMargin.count() / 1000) };
+  }
+  return std::nullopt;
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Node/NodeSettings.h
@@ -0,0 +1,52 @@
+/// Settings of one node process.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Core/Reason.h>
+#include <Peridothoist/Node/ViewReader.h>
+#include <Peridothoist/Relay/ConfirmedView.h>
+#include <Peridothoist/Relay/MemberBook.h>
+#include <Peridothoist/Relay/RelayMachine.h>
+
+namespace peridothoist {
+
+/// Settings of NodeProcess, with their defaults.
+struct NodeSettings
+{
+  std::string mVm;              ///< Name of this VM.
+  std::string mZone;            ///< Its availability zone.
+  std::string mListen;          ///< "ip:port" for callers.
+  std::string mReadyListen;     ///< "ip:port" that tells readiness.
+  std::string mDirectoryListen; ///< "ip:port" that tells addresses; may be "".
+  std::string mMetricsListen;   ///< "ip:port" for metrics; may be empty.
+  std::string mPeerListen;      ///< "ip:port" for datagrams of other VMs.
+  std::vector<std::string> mSeeds; ///< "ip:port" of some VMs; ports ignored.
+
+  // Callers
+  std::uint32_t mMaxHeaderBytes = 32 * 1024;
+  std::uint32_t mMaxBodyBytes = 8u << 20;
+  std::uint32_t mMaxConnections = 3000;
+  Duration mIdleTimeout = 30s;  ///< A connection without a request.
+  Duration mAddressesHold = 1s; ///< How long callers may keep addresses.
+
+  // Leaving
+  Duration mGrace = 8s;          ///< From the signal to the forced end.
+  Duration mGraceMargin = 500ms; ///< The process is gone so long before.
+  /// Callers with old addresses come until this long after the signal.
+  Duration mLateCallers = 3500ms;
+
+  // Peers
+  Duration mPeerInterval = 200ms; ///< Between messages to each peer.
+  std::size_t mPeerFanOut = 12;   ///< Peers told in one interval.
+  Duration mForgetPeers = 30s;    ///< VMs silent for so long are gone.
+
+  ConfirmedViewSettings mView;
+  MemberBookSettings mMembers;
+  ViewReaderSettings mReader;
+  RelayMachineSettings mMachine;
+
+  /// Nothing when the settings are good; else the first fault.
+  std::optional<Reason> Check() const;
+};
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Node/PeerMessenger.cpp
@@ -0,0 +1,71 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Node/PeerMessenger.h>
+
+#include <ace/INET_Addr.h>
+
+namespace peridothoist {
+
+namespace {
+
+/// The largest datagram that UDP carries, in bytes.
+constexpr std::size_t kMaxDatagramBytes = 65536;
+
+/// Messages taken from the socket in one event.
+constexpr int kMessageBatch = 64;
+
+} // namespace
+
+std::unique_ptr<PeerMessenger>
+PeerMessenger::Create(const std::string& aAddress,
+                      Reactor* aReactor,
+                      PeerMessengerListener* aListener)
+{
+  std::unique_ptr<PeerMessenger> messenger(
+    new PeerMessenger(aReactor, aListener));
+  const ACE_INET_Addr address(aAddress.c_str());
+  const bool open = messenger->mSocket.open(address, AF_INET) == 0 &&
+                    messenger->mSocket.enable(ACE_NONBLOCK) == 0;
+  if (!open ||
+      !aReactor->Watch(messenger->mSocket.get_handle(), messenger.get())) {
+    return nullptr;
+  }
+  return messenger;
+}
+
+PeerMessenger::PeerMessenger(Reactor* aReactor,
+                             PeerMessengerListener* aListener)
+  : mReactor(aReactor)
+  , mListener(aListener)
+  , mBuffer(kMaxDatagramBytes)
+{
+}
+
+PeerMessenger::~PeerMessenger()
+{
+  if (mSocket.get_handle() != ACE_INVALID_HANDLE) {
+    mReactor->Unwatch(mSocket.get_handle());
+    mSocket.close();
+  }
+}
+
+void
+PeerMessenger::Send(const std::string& aAddress, const std::string& aBytes)
+{
+  const ACE_INET_Addr address(aAddress.c_str());
+  mSocket.send(aBytes.data(), aBytes.size(), address);
+}
+
+void
+PeerMessenger::OnReadable(int /*aDescriptor*/)
+{
+  for (int i = 0; i < kMessageBatch; ++i) {
+    ACE_INET_Addr from;
+    const ssize_t n = mSocket.recv(mBuffer.data(), mBuffer.size(), from);
+    if (n < 0) {
+      return;
+    }
+    mListener->OnMessage({ mBuffer.data(), static_cast<std::size_t>(n) });
+  }
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Node/ViewReader.cpp
@@ -0,0 +1,155 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Node/ViewReader.h>
+
+#include <Peridothoist/Shell/Log.h>
+
+namespace peridothoist {
+
+ViewReader::ViewReader(const Settings& aSettings,
+                       Reactor* aReactor,
+                       RowStore* aStore,
+                       const ViewDecoder* aDecoder,
+                       ViewReaderListener* aListener)
+  : mSettings(aSettings)
+  , mReactor(aReactor)
+  , mStore(aStore)
+  , mDecoder(aDecoder)
+  , mListener(aListener)
+  , mConfigurationLoop{ "configuration",
+                        aSettings.mConfigurationInterval,
+                        &ViewReader::ReadConfiguration }
+  , mUpstreamLoop{ "upstreams",
+                   aSettings.mUpstreamInterval,
+                   &ViewReader::ReadUpstreams }
+  , mVmLoop{ "vms", aSettings.mVmInterval, &ViewReader::ReadVms }
+{
+}
+
+ViewReader::~ViewReader()
+{
+  *mAlive = false;
+  for (const Loop* it : { &mConfigurationLoop, &mUpstreamLoop, &mVmLoop }) {
+    mReactor->CancelTimer(it->mTimer);
+  }
+}
+
+void
+ViewReader::Start()
+{
+  for (Loop* it : { &mConfigurationLoop, &mUpstreamLoop, &mVmLoop }) {
+    Begin(*it);
+  }
+}
+
+void
+ViewReader::Begin(Loop& aLoop)
+{
+  aLoop.mTimer = 0;
+  aLoop.mBegan = Reactor::ReadClock();
+  (this->*aLoop.mRead)();
+}
+
+/// Schedules the next read: an interval after the beginning of this one, or
+/// soon when it failed.
+void
+ViewReader::Next(Loop& aLoop, bool aOk, const Reason& aReason)
+{
+  if (aOk == aLoop.mFailed) {
+    aLoop.mFailed = !aOk;
+    if (aOk) {
+      Log::Info("store_regained").Field("table", aLoop.mName);
+    } else {
+      Log::Warning("store_lost")
+        .Field("table", aLoop.mName)
+        .Field("code", ToName(aReason.mCode))
+        .Field("reason", aReason.mText);
+    }
+  }
+  const Duration passed = mReactor->Now() - aLoop.mBegan;
+  const Duration wait =
+    aOk ? std::max(mSettings.mRetryInterval, aLoop.mInterval - passed)
+        : mSettings.mRetryInterval;
+  aLoop.mTimer = mReactor->Schedule(wait, [this, &aLoop] { Begin(aLoop); });
+}
+
+void
+ViewReader::ReadConfiguration()
+{
+  const auto alive = mAlive;
+  mStore->ReadTable(
+    mDecoder->ConfigurationTable(),
+    [this, alive](std::optional<std::vector<StoredRow>> aRows,
+                  const Reason& aReason) {
+      if (!*alive) {
+        return;
+      }
+      Reason reason = aReason;
+      std::shared_ptr<const RelayConfiguration> configuration;
+      if (aRows) {
+        configuration = mDecoder->DecodeConfiguration(*aRows, &reason);
+      }
+      if (configuration != nullptr) {
+        mListener->OnConfigurationRead(configuration,
+                                       mConfigurationLoop.mBegan);
+      }
+      Next(mConfigurationLoop, configuration != nullptr, reason);
+    });
+}
+
+void
+ViewReader::ReadUpstreams()
+{
+  const auto alive = mAlive;
+  mStore->ReadTable(
+    mDecoder->UpstreamTable(),
+    [this, alive](std::optional<std::vector<StoredRow>> aRows,
+                  const Reason& aReason) {
+      if (!*alive) {
+        return;
+      }
+      if (!aRows) {
+        mListener->OnUpstreamsUnreachable();
+        Next(mUpstreamLoop, false, aReason);
+        return;
+      }
+      std::vector<RelayUpstream> upstreams;
+      for (const StoredRow& row : *aRows) {
+        Reason reason;
+        auto upstream = mDecoder->DecodeUpstream(row, &reason);
+        if (upstream) {
+          upstreams.push_back(std::move(*upstream));
+        } else if (std::exchange(mPassedOver[row.mKey], row.mVersion) !=
+                   row.mVersion) {
+          Log::Warning("upstream_row_passed_over")
+            .Field("key", row.mKey)
+            .Field("version", row.mVersion)
+            .Field("reason", reason.mText);
+        }
+      }
+      mListener->OnUpstreamsRead(std::move(upstreams));
+      Next(mUpstreamLoop, true, aReason);
+    });
+}
+
+void
+ViewReader::ReadVms()
+{
+  const auto alive = mAlive;
+  mStore->ReadTable(mSettings.mVmTable,
+                    [this, alive](std::optional<std::vector<StoredRow>> aRows,
+                                  const Reason& aReason) {
+                      if (!*alive) {
+                        return;
+                      }
+                      if (aRows) {
+                        std::set<std::string> names;
+                        for (const StoredRow& row : *aRows) {
+                          names.insert(row.mKey);
+                        }
+                        mListener->OnVmsRead(std::move(names));
+                      }
+                      Next(mVmLoop, aRows.has_value(), aReason);
+                    });
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Node/VmNewsCodec.cpp
@@ -0,0 +1,106 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Node/VmNewsCodec.h>
+
+#include <nlohmann/json.hpp>
+
+namespace peridothoist {
+
+namespace {
+
+using nlohmann::json;
+
+// Keys are short: the messages are many.
+constexpr const char* kVm = "v";
+constexpr const char* kInstance = "i";
+constexpr const char* kSequence = "n";
+constexpr const char* kCallers = "a";
+constexpr const char* kPeer = "p";
+constexpr const char* kServing = "s";
+constexpr const char* kLeaving = "l";
+constexpr const char* kGranted = "g";
+constexpr const char* kWork = "w";
+constexpr const char* kCrashes = "c";
+constexpr const char* kKnownPeers = "k";
+
+json
+EncodeWork(const WorkByUpstream& aWork)
+{
+  json work = json::object();
+  for (const auto& [id, it] : aWork) {
+    work[id] = { it.mRequests, it.mTokens };
+  }
+  return work;
+}
+
+json
+EncodeCrashes(const std::vector<CrashNews>& aCrashes)
+{
+  json crashes = json::array();
+  for (const CrashNews& it : aCrashes) {
+    crashes.push_back(
+      { it.mDigest, it.mCrashes, it.mQuarantined, it.mLasts.count() });
+  }
+  return crashes;
+}
+
+VmNews
+Decode(const json& aValue)
+{
+  VmNews news;
+  news.mVm = aValue.at(kVm).get<std::string>();
+  news.mInstance = aValue.at(kInstance).get<std::string>();
+  news.mSequence = aValue.at(kSequence).get<std::uint64_t>();
+  news.mCallerAddress = aValue.at(kCallers).get<std::string>();
+  news.mPeerAddress = aValue.at(kPeer).get<std::string>();
+  news.mServing = aValue.at(kServing).get<bool>();
+  news.mLeaving = aValue.at(kLeaving).get<bool>();
+  news.mGranted = aValue.at(kGranted).get<GrantedTokens>();
+  for (const auto& [id, work] : aValue.at(kWork).items()) {
+    news.mWork[id] = { work.at(0).get<std::uint32_t>(),
+                       work.at(1).get<std::uint64_t>() };
+  }
+  for (const json& it : aValue.at(kCrashes)) {
+    news.mCrashes.push_back({ it.at(0).get<std::string>(),
+                              it.at(1).get<std::uint32_t>(),
+                              it.at(2).get<bool>(),
+                              Duration(it.at(3).get<std::int64_t>()) });
+  }
+  news.mPeers = aValue.at(kKnownPeers).get<std::vector<std::string>>();
+  return news;
+}
+
+} // namespace
+
+std::string
+EncodeVmNews(const VmNews& aNews)
+{
+  const json value = { { kVm, aNews.mVm },
+                       { kInstance, aNews.mInstance },
+                       { kSequence, aNews.mSequence },
+                       { kCallers, aNews.mCallerAddress },
+                       { kPeer, aNews.mPeerAddress },
+                       { kServing, aNews.mServing },
+                       { kLeaving, aNews.mLeaving },
+                       { kGranted, aNews.mGranted },
+                       { kWork, EncodeWork(aNews.mWork) },
+                       { kCrashes, EncodeCrashes(aNews.mCrashes) },
+                       { kKnownPeers, aNews.mPeers } };
+  const std::vector<std::uint8_t> bytes = json::to_cbor(value);
+  return { bytes.begin(), bytes.end() };
+}
+
+std::optional<VmNews>
+DecodeVmNews(std::string_view aBytes)
+{
+  const json value = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    return Decode(value);
+  } catch (const json::exception&) {
+    return std::nullopt; // The library throws on missing and odd fields.
+  }
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Node/VmRegistry.cpp
@@ -0,0 +1,78 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Node/VmRegistry.h>
+
+#include <Peridothoist/Shell/Log.h>
+
+namespace peridothoist {
+
+namespace {
+
+constexpr Duration kRegisterAgain = 1s;
+
+} // namespace
+
+VmRegistry::VmRegistry(const std::string& aTable,
+                       const std::string& aVm,
+                       Reactor* aReactor,
+                       RowStore* aStore)
+  : mTable(aTable)
+  , mVm(aVm)
+  , mReactor(aReactor)
+  , mStore(aStore)
+{
+}
+
+VmRegistry::~VmRegistry()
+{
+  *mAlive = false;
+  mReactor->CancelTimer(mTimer);
+}
+
+void
+VmRegistry::Register()
+{
+  if (mRegistering) {
+    return;
+  }
+  mRegistering = true;
+  const auto alive = mAlive;
+  mStore->Change(
+    { mTable, mVm, "{}", std::nullopt }, [this, alive](const Reason& aReason) {
+      if (!*alive) {
+        return;
+      }
+      mRegistering = false;
+      if (aReason.mCode == ReasonCode::None) {
+        Log::Info("registered").Field("vm", mVm);
+        return;
+      }
+      Log::Info("not_registered")
+        .Field("vm", mVm)
+        .Field("code", ToName(aReason.mCode))
+        .Field("reason", aReason.mText);
+      mTimer = mReactor->Schedule(kRegisterAgain, [this] { Register(); });
+    });
+}
+
+void
+VmRegistry::OnRead(const std::set<std::string>& aNames)
+{
+  if (aNames.count(mVm) == 0) {
+    Register();
+  }
+}
+
+void
+VmRegistry::Remove(const std::vector<std::string>& aVms)
+{
+  for (const std::string& vm : aVms) {
+    mStore->Change({ mTable, vm, std::nullopt, std::nullopt },
+                   [vm](const Reason& aReason) {
+                     Log::Info("vm_removed")
+                       .Field("vm", vm)
+                       .Field("code", ToName(aReason.mCode));
+                   });
+  }
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Peridothoist.h
+++ b/Peridothoist/Peridothoist.h
@@ -34,7 +34,8 @@
 /// A span of time, in microseconds.
 using Duration = std::chrono::microseconds;
 
-/// A point on one process's monotonic clock. Never compared between processes.
+/// A point on one process's monotonic clock, which goes on while the VM is
+/// suspended (Reactor::ReadClock()). Never compared between processes.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
 using namespace std::chrono_literals;
--- /dev/null
+++ b/Peridothoist/Relay/LoadBoard.h
@@ -0,0 +1,106 @@
+/// What is known of upstreams' load: requests that this VM has there, those
+/// that other VMs say they have, what the upstream itself said last, and which
+/// upstreams failed a moment ago.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+
+namespace peridothoist {
+
+/// Work at one upstream.
+struct UpstreamWork
+{
+  std::uint32_t mRequests = 0;
+  std::uint64_t mTokens = 0; ///< KV memory that the requests need, in tokens.
+
+  UpstreamWork& operator+=(const UpstreamWork& aOther)
+  {
+    mRequests += aOther.mRequests;
+    mTokens += aOther.mTokens;
+    return *this;
+  }
+};
+
+/// Work by upstream id, as VMs tell each other. Upstreams without work are
+/// left out.
+using WorkByUpstream = std::map<std::string, UpstreamWork>;
+
+/// An upstream's own word on its load.
+struct StatedLoad
+{
+  std::uint32_t mRunning = 0;
+  std::uint32_t mWaiting = 0;
+  std::uint32_t mSlots = 0; ///< 0: not stated.
+};
+
+/// Settings of a LoadBoard.
+struct LoadBoardSettings
+{
+  Duration mStatedHolds = 300ms;    ///< A stated load means something so long.
+  Duration mFirstAvoidance = 500ms; ///< After one failure; doubles with each.
+  Duration mLongestAvoidance = 4s;
+};
+
+/// Keeps the load of all upstreams.
+class LoadBoard
+{
+public:
+  using Settings = LoadBoardSettings;
+
+  explicit LoadBoard(const Settings& aSettings)
+    : mSettings(aSettings)
+  {
+  }
+
+  // This VM's requests.
+  void OnSent(const std::string& aUpstream, std::uint64_t aTokens);
+  void OnDone(const std::string& aUpstream, std::uint64_t aTokens);
+
+  /// The upstream stated its load in an answer.
+  void OnStated(const std::string& aUpstream,
+                const StatedLoad& aLoad,
+                TimePoint aNow);
+
+  /// Another VM's work, in place of what it said before.
+  void OnPeerWork(const std::string& aPeer, WorkByUpstream aWork);
+  void ForgetPeer(const std::string& aPeer) { mPeers.erase(aPeer); }
+
+  /// The upstream could not be reached, or broke a call.
+  void OnFailure(const std::string& aUpstream, TimePoint aNow);
+  /// It answered.
+  void OnSuccess(const std::string& aUpstream);
+  /// It is gone or was started anew: what was known means nothing any more.
+  void Forget(const std::string& aUpstream);
+
+  bool IsAvoided(const std::string& aUpstream, TimePoint aNow) const;
+
+  /// Work there of all VMs.
+  UpstreamWork Work(const std::string& aUpstream) const;
+
+  /// Requests that the upstream stated beyond those that are known of.
+  std::uint32_t StatedBeyond(const std::string& aUpstream,
+                             TimePoint aNow) const;
+
+  /// This VM's work, for the others.
+  const WorkByUpstream& Own() const { return mOwn; }
+
+private:
+  struct Failures
+  {
+    std::uint32_t mInRow = 0;
+    TimePoint mAvoidUntil;
+  };
+  struct Stated
+  {
+    StatedLoad mLoad;
+    TimePoint mAt;
+  };
+
+  Settings mSettings;
+  WorkByUpstream mOwn;
+  std::map<std::string, WorkByUpstream> mPeers; ///< By peer.
+  std::map<std::string, Stated> mStated;
+  std::map<std::string, Failures> mFailures;
+};
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Relay/MemberBook.cpp
@@ -0,0 +1,127 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/MemberBook.h>
+
+#include <algorithm>
+
+namespace peridothoist {
+
+MemberBook::MemberBook(const Settings& aSettings, std::string aSelf)
+  : mSettings(aSettings)
+  , mSelf(std::move(aSelf))
+{
+}
+
+bool
+MemberBook::OnNews(VmNews aNews, TimePoint aNow)
+{
+  if (aNews.mVm == mSelf) {
+    return false;
+  }
+  const auto known = mMembers.find(aNews.mVm);
+  if (known != mMembers.end() &&
+      known->second.mNews.mInstance == aNews.mInstance &&
+      known->second.mNews.mSequence >= aNews.mSequence) {
+    return false;
+  }
+  const std::string vm = aNews.mVm;
+  mMembers[vm] = { std::move(aNews), aNow };
+  return true;
+}
+
+void
+MemberBook::SetRegistered(std::set<std::string> aNames, TimePoint aNow)
+{
+  std::map<std::string, TimePoint> since;
+  for (const std::string& name : aNames) {
+    const auto known = mRegisteredSince.find(name);
+    since[name] = known == mRegisteredSince.end() ? aNow : known->second;
+  }
+  mRegisteredSince = std::move(since);
+}
+
+bool
+MemberBook::IsHeard(const std::string& aVm, TimePoint aNow) const
+{
+  const auto it = mMembers.find(aVm);
+  return it != mMembers.end() &&
+         aNow - it->second.mHeardAt <= mSettings.mSilence;
+}
+
+std::size_t
+MemberBook::Count(TimePoint aNow) const
+{
+  std::size_t count = 1;
+  for (const auto& [name, since] : mRegisteredSince) {
+    count += name != mSelf ? 1 : 0;
+  }
+  for (const auto& [name, member] : mMembers) {
+    const bool counted = mRegisteredSince.count(name) > 0;
+    count += !counted && IsHeard(name, aNow) ? 1 : 0;
+  }
+  return count;
+}
+
+double
+MemberBook::HeardPart(TimePoint aNow) const
+{
+  std::size_t heard = 1;
+  for (const auto& [name, member] : mMembers) {
+    heard += IsHeard(name, aNow) ? 1 : 0;
+  }
+  return static_cast<double>(heard) / static_cast<double>(Count(aNow));
+}
+
+std::vector<std::string>
+MemberBook::CallerAddresses(TimePoint aNow) const
+{
+  std::vector<std::string> addresses;
+  for (const auto& [name, member] : mMembers) {
+    if (IsHeard(name, aNow) && member.mNews.mServing &&
+        !member.mNews.mLeaving) {
+      addresses.push_back(member.mNews.mCallerAddress);
+    }
+  }
+  return addresses;
+}
+
+std::vector<std::string>
+MemberBook::Vanished(Duration aSilentFor, TimePoint aNow) const
+{
+  std::vector<std::string> vanished;
+  for (const auto& [name, since] : mRegisteredSince) {
+    const auto member = mMembers.find(name);
+    const TimePoint last =
+      member == mMembers.end() ? since : member->second.mHeardAt;
+    if (name != mSelf && aNow - std::max(last, since) > aSilentFor) {
+      vanished.push_back(name);
+    }
+  }
+  return vanished;
+}
+
+std::set<std::string>
+MemberBook::PeerAddresses() const
+{
+  std::set<std::string> addresses;
+  for (const auto& [name, member] : mMembers) {
+    addresses.insert(member.mNews.mPeerAddress);
+  }
+  return addresses;
+}
+
+std::vector<std::string>
+MemberBook::DropSilent(Duration aSilentFor, TimePoint aNow)
+{
+  std::vector<std::string> instances;
+  for (auto it = mMembers.begin(); it != mMembers.end();) {
+    if (aNow - it->second.mHeardAt > aSilentFor) {
+      instances.push_back(it->second.mNews.mInstance);
+      it = mMembers.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return instances;
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Relay/RelayConfiguration.cpp
@@ -0,0 +1,111 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/RelayConfiguration.h>
+
+#include <algorithm>
+#include <array>
+
+namespace peridothoist {
+
+const char*
+ToName(RelayKind aKind)
+{
+  static constexpr std::array<const char*, 3> kNames = { "idempotent",
+                                                         "non_idempotent",
+                                                         "stream" };
+  return kNames[static_cast<std::size_t>(aKind)];
+}
+
+bool
+RelayRoute::LeadsTo(const std::string& aService) const
+{
+  return std::any_of(
+    mTargets.begin(), mTargets.end(), [&](const RelayTarget& aTarget) {
+      return aTarget.mService == aService;
+    });
+}
+
+const std::string*
+RelayRoute::ServiceFor(std::uint64_t aHash) const
+{
+  std::uint64_t sum = 0;
+  for (const RelayTarget& it : mTargets) {
+    sum += it.mWeight;
+  }
+  if (sum == 0) {
+    return nullptr;
+  }
+  std::uint64_t place = aHash % sum;
+  for (const RelayTarget& it : mTargets) {
+    if (place < it.mWeight) {
+      return &it.mService;
+    }
+    place -= it.mWeight;
+  }
+  return nullptr;
+}
+
+std::shared_ptr<const RelayRoute>
+RelayConfiguration::FindRoute(std::string_view aHost,
+                              std::string_view aPath) const
+{
+  std::shared_ptr<const RelayRoute> best;
+  for (const auto& it : mRoutes) {
+    const bool matches =
+      it->mHost == aHost &&
+      aPath.substr(0, it->mPathPrefix.size()) == it->mPathPrefix;
+    const bool longer =
+      best == nullptr || it->mPathPrefix.size() > best->mPathPrefix.size();
+    if (matches && longer) {
+      best = it;
+    }
+  }
+  return best;
+}
+
+const RelayWorkspace*
+RelayConfiguration::FindByKey(const std::string& aKey) const
+{
+  const auto it = mWorkspaceByKey.find(aKey);
+  return it == mWorkspaceByKey.end() ? nullptr : FindWorkspace(it->second);
+}
+
+const RelayWorkspace*
+RelayConfiguration::FindWorkspace(const std::string& aName) const
+{
+  const auto it = mWorkspaces.find(aName);
+  return it == mWorkspaces.end() ? nullptr : &it->second;
+}
+
+const RelayService*
+RelayConfiguration::FindService(const std::string& aName) const
+{
+  const auto it = mServices.find(aName);
+  return it == mServices.end() ? nullptr : &it->second;
+}
+
+bool
+RelayConfiguration::HasOpenRoutes() const
+{
+  return !NeedsKeys() ||
+         std::any_of(mRoutes.begin(), mRoutes.end(), [](const auto& aRoute) {
+           return aRoute->mOpenToAll;
+         });
+}
+
+void
+RelayConfiguration::AddRoute(RelayRoute aRoute)
+{
+  mRoutes.push_back(std::make_shared<const RelayRoute>(std::move(aRoute)));
+}
+
+void
+RelayConfiguration::AddWorkspace(RelayWorkspace aWorkspace)
+{
+  for (const std::string& key : aWorkspace.mKeys) {
+    mWorkspaceByKey[key] = aWorkspace.mName;
+  }
+  const std::string name = aWorkspace.mName;
+  mWorkspaces[name] = std::move(aWorkspace);
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Relay/RelayPlan.h
@@ -0,0 +1,56 @@
+/// Decides whether a decode engine reads a prompt itself or takes the result
+/// of a prefill engine. Reading it itself moves no memory and can't lose a
+/// handle, but is slower and delays the engine's other streams; so it is done
+/// while the engine has little to read.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/LoadBoard.h>
+
+namespace peridothoist {
+
+/// Settings of a RelayPlanner.
+struct RelayPlanSettings
+{
+  /// Requests at the decode engine from which on a prefill engine reads.
+  std::uint32_t mSplitFrom = 4;
+  /// Prefills at a prefill engine from which on it is no help.
+  std::uint32_t mMostPrefills = 6;
+  /// Shorter prompts are always read by the decode engine, in tokens.
+  std::uint64_t mLeastPrompt = 256;
+};
+
+/// What the decision looks at.
+struct PlanQuestion
+{
+  std::uint64_t mPromptTokens = 0;
+  UpstreamWork mAtDecode;
+  std::optional<UpstreamWork> mAtPrefill; ///< Empty: no prefill engine.
+  bool mOnlyOneSend = false; ///< A lost handle could not be made good.
+};
+
+/// Makes the decision.
+class RelayPlanner
+{
+public:
+  using Settings = RelayPlanSettings;
+
+  explicit RelayPlanner(const Settings& aSettings)
+    : mSettings(aSettings)
+  {
+  }
+
+  /// Whether a prefill engine is to read the prompt.
+  bool IsSplit(const PlanQuestion& aQuestion) const
+  {
+    return aQuestion.mAtPrefill &&
+           aQuestion.mPromptTokens >= mSettings.mLeastPrompt &&
+           aQuestion.mAtDecode.mRequests >= mSettings.mSplitFrom &&
+           aQuestion.mAtPrefill->mRequests < mSettings.mMostPrefills;
+  }
+
+private:
+  Settings mSettings;
+};
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Relay/UpstreamChoice.cpp
@@ -0,0 +1,102 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/UpstreamChoice.h>
+
+#include <array>
+
+namespace peridothoist {
+
+const char*
+ToName(NoChoice aReason)
+{
+  static constexpr std::array<const char*, 3> kNames = { "none",
+                                                         "no_upstream",
+                                                         "full" };
+  return kNames[static_cast<std::size_t>(aReason)];
+}
+
+UpstreamChooser::UpstreamChooser(const Settings& aSettings,
+                                 const UpstreamRoster* aRoster,
+                                 const LoadBoard* aLoads,
+                                 Random* aRandom)
+  : mSettings(aSettings)
+  , mRoster(aRoster)
+  , mLoads(aLoads)
+  , mRandom(aRandom)
+{
+}
+
+Choice
+UpstreamChooser::Choose(const ChoiceQuestion& aQuestion, TimePoint aNow)
+{
+  Choice best;
+  Choice bestAvoided;
+  bool anyFull = false;
+  std::uint64_t ties = 0;
+  for (const auto& [id, entry] : mRoster->All()) {
+    const RelayUpstream& upstream = entry.mUpstream;
+    const bool fits = upstream.mService == aQuestion.mService &&
+                      upstream.mStage == aQuestion.mStage &&
+                      !upstream.mLeaving && aQuestion.mExcluded.count(id) == 0;
+    if (!fits) {
+      continue;
+    }
+    if (IsFull(upstream, aQuestion)) {
+      anyFull = true;
+      continue;
+    }
+    const double score = Score(upstream, aQuestion, aNow);
+    Choice& place = mLoads->IsAvoided(id, aNow) ? bestAvoided : best;
+    if (place.mUpstream == nullptr || score < place.mScore) {
+      place = { &upstream, NoChoice::None, score };
+      ties = 1;
+    } else if (score == place.mScore && mRandom->Below(++ties) == 0) {
+      place.mUpstream = &upstream;
+    }
+  }
+  if (best.mUpstream != nullptr) {
+    return best;
+  }
+  if (bestAvoided.mUpstream != nullptr) {
+    return bestAvoided; // It may have recovered; a refusal serves nobody.
+  }
+  return { nullptr, anyFull ? NoChoice::Full : NoChoice::NoUpstream, 0 };
+}
+
+bool
+UpstreamChooser::IsFull(const RelayUpstream& aUpstream,
+                        const ChoiceQuestion& aQuestion) const
+{
+  const UpstreamWork work = mLoads->Work(aUpstream.mId);
+  if (aUpstream.mStage == RelayStage::Plain) {
+    return work.mRequests >= mSettings.mPlainFullness * aUpstream.mSlots;
+  }
+  if (work.mRequests >= aUpstream.mSlots) {
+    return true;
+  }
+  const double limit =
+    mSettings.mEngineFullness * static_cast<double>(aQuestion.mMemoryTokens);
+  const bool counted =
+    aQuestion.mMemoryTokens > 0 && aUpstream.mStage == RelayStage::Decode;
+  // An empty engine takes a request of any size that it can hold at all.
+  return counted && work.mRequests > 0 &&
+         static_cast<double>(work.mTokens + aQuestion.mTokens) > limit;
+}
+
+double
+UpstreamChooser::Score(const RelayUpstream& aUpstream,
+                       const ChoiceQuestion& aQuestion,
+                       TimePoint aNow) const
+{
+  double score = mLoads->Work(aUpstream.mId).mRequests +
+                 mLoads->StatedBeyond(aUpstream.mId, aNow);
+  if (aUpstream.mZone != aQuestion.mZone) {
+    score += aUpstream.mStage == RelayStage::Plain ? mSettings.mPlainZoneWorth
+                                                   : mSettings.mEngineZoneWorth;
+  }
+  if (mRoster->IsLapsed(aUpstream.mId)) {
+    score += mSettings.mLapsedPenalty;
+  }
+  return score;
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Request/Refusal.cpp
+++ b/Peridothoist/Request/Refusal.cpp
@@ -43,6 +43,9 @@
     503,
     502,
     "This request was present at upstream failures and is held back." },
+  { "no_route", 404, 502, "No route of this host has the path." },
+  { "over_allowance", 429, 502, "The workspace's allowance is used up." },
+  { "bad_request", 400, 400, "The request can't be read." },
 } };
 
 const RefusalText&
--- a/Peridothoist/Request/Refusal.h
+++ b/Peridothoist/Request/Refusal.h
@@ -23,14 +23,17 @@
   NoUpstream,             ///< No upstream of the pool can take work.
   TooLarge,               ///< No upstream of the pool could ever hold it.
   UpstreamFailed,         ///< Failed, and no further try is allowed.
-  Quarantined             ///< Was present at upstream crashes.
+  Quarantined,            ///< Was present at upstream crashes.
+  NoRoute,                ///< No route of the host has the path.
+  OverAllowance,          ///< The workspace's allowance is used up.
+  BadRequest              ///< Something in the request can't be read.
 };
 
 /// The name of a kind, as JSON bodies and metrics carry it.
 const char*
 ToName(RefusalKind aKind);
 
-constexpr std::size_t kRefusalKinds = 14; ///< Count of RefusalKind.
+constexpr std::size_t kRefusalKinds = 17; ///< Count of RefusalKind.
 
 /// A refusal as it goes to the caller.
 struct Refusal
--- a/Peridothoist/Routing/SuspectTable.cpp
+++ b/Peridothoist/Routing/SuspectTable.cpp
@@ -7,7 +7,10 @@
 
 namespace {
 
+/// When it was alone at one of them.
 constexpr std::uint32_t kCrashesToQuarantine = 2;
+/// When it never was.
+constexpr std::uint32_t kCrashesWithOthers = 3;
 
 } // namespace
 
@@ -102,8 +105,9 @@
     Entry& entry = Touch(digest, aNow + mSettings.mSuspicionLasts, aNow);
     ++entry.mCrashes;
     entry.mAlone = entry.mAlone || alone;
-    if (entry.mAlone && entry.mCrashes >= kCrashesToQuarantine &&
-        !entry.mQuarantined) {
+    const std::uint32_t limit =
+      entry.mAlone ? kCrashesToQuarantine : kCrashesWithOthers;
+    if (entry.mCrashes >= limit && !entry.mQuarantined) {
       entry.mQuarantined = true;
       entry.mUntil = aNow + mSettings.mQuarantineLasts;
       quarantined.push_back(digest);
@@ -124,10 +128,11 @@
 void
 SuspectTable::Suspect(const std::string& aDigest,
                       TimePoint aUntil,
-                      TimePoint aNow)
+                      TimePoint aNow,
+                      std::uint32_t aCrashes)
 {
   Entry& entry = Touch(aDigest, aUntil, aNow);
-  entry.mCrashes = std::max<std::uint32_t>(1, entry.mCrashes);
+  entry.mCrashes = std::max(aCrashes, entry.mCrashes);
 }
 
 void
@@ -158,7 +163,7 @@
     const bool told = aQuarantined ? entry.mQuarantined
                                    : !entry.mQuarantined && entry.mCrashes > 0;
     if (told && aNow < entry.mUntil) {
-      listed.push_back({ digest, entry.mUntil });
+      listed.push_back({ digest, entry.mUntil, entry.mCrashes });
     }
   }
   return listed;
--- a/Peridothoist/Routing/SuspectTable.h
+++ b/Peridothoist/Routing/SuspectTable.h
@@ -5,7 +5,8 @@
 /// crashes, and at one of them alone, is quarantined: no bystander can explain
 /// that crash. One that finishes is cleared. So a crash-causing request takes
 /// down two upstreams at most, and of the requests that shared the first with
-/// it, none is blamed.
+/// it, none is blamed. Where requests aren't run apart, one that was present at
+/// three crashes without finishing in between is quarantined all the same.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
@@ -27,6 +28,7 @@
 {
   std::string mDigest;
   TimePoint mUntil;
+  std::uint32_t mCrashes = 0; ///< At which it was present.
 };
 
 /// Suspects and quarantined requests by digest of workspace, route and body.
@@ -65,7 +67,11 @@
   void OnFinished(const std::string& aDigest);
 
   // From peers
-  void Suspect(const std::string& aDigest, TimePoint aUntil, TimePoint aNow);
+  /// It was present at aCrashes crashes, as far as a peer knows.
+  void Suspect(const std::string& aDigest,
+               TimePoint aUntil,
+               TimePoint aNow,
+               std::uint32_t aCrashes = 1);
   void Quarantine(const std::string& aDigest, TimePoint aUntil, TimePoint aNow);
 
   // For peers
--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -53,7 +53,7 @@
 
   // See: ServerExchangeOwner
   void RunSoon() override { RunWithin(Duration::zero()); }
-  bool Draining() const override { return mDraining; }
+  bool Draining() const override { return mDraining || mClosing; }
 
   // libmicrohttpd's callbacks.
   static void* OnRequestLine(void* aSelf,
@@ -98,6 +98,7 @@
   int mEpoll = -1;
   std::uint16_t mPort = 0;
   bool mDraining = false;
+  bool mClosing = false; ///< See CloseAfterAnswers().
   std::size_t mOpenExchanges = 0;
   std::unordered_set<detail::ServerConnection*> mConnections;
 
@@ -418,6 +419,12 @@
   return mImpl->mPort;
 }
 
+void
+HttpServer::CloseAfterAnswers()
+{
+  mImpl->mClosing = true;
+}
+
 void
 HttpServer::StartDrain()
 {
--- a/Peridothoist/Shell/HttpServer.h
+++ b/Peridothoist/Shell/HttpServer.h
@@ -116,6 +116,10 @@
   /// The port that it listens on.
   std::uint16_t Port() const;
 
+  /// Answers carry "Connection: close" from now on; connections are accepted
+  /// and served as before.
+  void CloseAfterAnswers();
+
   /// Stops to accept connections and closes idle ones; running exchanges go
   /// on, and their answers carry "Connection: close".
   void StartDrain();
--- a/Peridothoist/Shell/Log.cpp
+++ b/Peridothoist/Shell/Log.cpp
@@ -158,9 +158,14 @@
   Sink sink;
   sink.mPool =
     std::make_shared<spdlog::details::thread_pool>(aSettings.mQueuedLines, 1);
+  std::shared_ptr<spdlog::sinks::sink> stream =
+    std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  if (aSettings.mToStandardOutput) {
+    stream = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  }
   sink.mLogger = WithPattern(std::make_shared<spdlog::async_logger>(
     "queued",
-    std::make_shared<spdlog::sinks::stderr_sink_mt>(),
+    std::move(stream),
     sink.mPool,
     spdlog::async_overflow_policy::overrun_oldest));
   CurrentSink() = std::move(sink);
--- a/Peridothoist/Shell/Log.h
+++ b/Peridothoist/Shell/Log.h
@@ -4,8 +4,8 @@
 ///
 /// writes "ts=... level=info event=request_done id=... ms=...". Values with
 /// spaces, quotes or control bytes are quoted and escaped, so that one event
-/// is always one line. Lines go to standard error through a bounded queue: a
-/// slow sink loses the oldest lines, and never holds up the reactor.
+/// is always one line. Lines go to standard error, or output, through a bounded
+/// queue: a slow sink loses the oldest lines, and never holds up the reactor.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
@@ -80,6 +80,7 @@
   {
     LogLevel mLevel = LogLevel::Info; ///< Events below it are dropped.
     std::size_t mQueuedLines = 8192;  ///< Lines held for a slow sink.
+    bool mToStandardOutput = false;   ///< Else to standard error.
   };
 
   /// Sets level and sink, before other threads log. Until then, lines go
--- a/Peridothoist/Shell/Metrics.cpp
+++ b/Peridothoist/Shell/Metrics.cpp
@@ -84,6 +84,28 @@
     aOut, aName + "_count", aLabels, static_cast<double>(aSummary.Count()));
 }
 
+void
+RenderSeries(std::string& aOut,
+             const std::string& aName,
+             const std::string& aLabels,
+             const Histogram& aHistogram)
+{
+  const std::string comma = aLabels.empty() ? "" : ",";
+  const auto bucket = [&](const std::string& aBound, std::uint64_t aCount) {
+    RenderLine(aOut,
+               aName + "_bucket",
+               fmt::format("{}{}le=\"{}\"", aLabels, comma, aBound),
+               static_cast<double>(aCount));
+  };
+  for (std::size_t i = 0; i < Histogram::kBounds.size(); ++i) {
+    bucket(fmt::format("{}", Histogram::kBounds[i]), aHistogram.CountUpTo(i));
+  }
+  bucket("+Inf", aHistogram.Count());
+  RenderLine(aOut, aName + "_sum", aLabels, aHistogram.Sum());
+  RenderLine(
+    aOut, aName + "_count", aLabels, static_cast<double>(aHistogram.Count()));
+}
+
 /// The maxima of summaries, as a gauge family of their own: a summary family
 /// has no place for them.
 template<typename Family>
@@ -144,6 +166,30 @@
   return Count() == 0 ? 0 : accumulators::p_square_quantile(mQuantiles[aIndex]);
 }
 
+void
+Histogram::Observe(Duration aValue)
+{
+  const double seconds = std::chrono::duration<double>(aValue).count();
+  ++mCount;
+  mSum(seconds);
+  for (std::size_t i = 0; i < kBounds.size(); ++i) {
+    if (seconds <= kBounds[i]) {
+      ++mBuckets[i];
+      return;
+    }
+  }
+}
+
+std::uint64_t
+Histogram::CountUpTo(std::size_t aIndex) const
+{
+  std::uint64_t count = 0;
+  for (std::size_t i = 0; i <= aIndex; ++i) {
+    count += mBuckets[i];
+  }
+  return count;
+}
+
 /// Series by name, then by rendered labels.
 struct Metrics::Impl
 {
@@ -184,6 +230,7 @@
   Families<Counter> mCounters;
   Families<Gauge> mGauges;
   Families<Summary> mSummaries;
+  Families<Histogram> mHistograms;
 };
 
 Metrics::Metrics()
@@ -217,6 +264,12 @@
   return Impl::Get(mImpl->mSummaries, aName, aLabels);
 }
 
+Histogram&
+Metrics::GetHistogram(const std::string& aName, const MetricLabels& aLabels)
+{
+  return Impl::Get(mImpl->mHistograms, aName, aLabels);
+}
+
 std::string
 Metrics::Render() const
 {
@@ -231,6 +284,9 @@
     mImpl->RenderFamily(out, name, "summary", family);
     RenderMaxima(out, name, family);
   }
+  for (const auto& [name, family] : mImpl->mHistograms) {
+    mImpl->RenderFamily(out, name, "histogram", family);
+  }
   return out;
 }
 
--- a/Peridothoist/Shell/Metrics.h
+++ b/Peridothoist/Shell/Metrics.h
@@ -83,6 +83,33 @@
   std::vector<QuantileEstimate> mQuantiles;
 };
 
+/// Counts of observed latencies by upper bound, which can be added up over
+/// processes.
+class Histogram
+{
+public:
+  /// Upper bounds of the buckets, in seconds; they cover the objectives of
+  /// lookups (0.1 s) as well as whole streams (14 s).
+  static constexpr std::array<double, 14> kBounds = {
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3, 5, 10, 15
+  };
+
+  void Observe(Duration aValue);
+
+  /// Observations up to and including kBounds[aIndex].
+  std::uint64_t CountUpTo(std::size_t aIndex) const;
+  std::uint64_t Count() const { return mCount; }
+  double Sum() const { return boost::accumulators::sum(mSum); }
+
+private:
+  std::array<std::uint64_t, kBounds.size()> mBuckets{};
+  std::uint64_t mCount = 0;
+  boost::accumulators::accumulator_set<
+    double,
+    boost::accumulators::stats<boost::accumulators::tag::sum>>
+    mSum;
+};
+
 /// All series of one process. References that it gives stay good as long as
 /// it lives; labels must come from a bounded set.
 class Metrics
@@ -104,6 +131,9 @@
   Summary& GetSummary(const std::string& aName,
                       const MetricLabels& aLabels = {});
 
+  Histogram& GetHistogram(const std::string& aName,
+                          const MetricLabels& aLabels = {});
+
   /// Everything in the Prometheus text format.
   std::string Render() const;
 
--- a/Peridothoist/Shell/Reactor.cpp
+++ b/Peridothoist/Shell/Reactor.cpp
@@ -23,6 +23,7 @@
 #include <array>
 #include <atomic>
 #include <csignal>
+#include <ctime>
 #include <mutex>
 #include <unordered_map>
 
@@ -292,8 +293,12 @@
 TimePoint
 Reactor::ReadClock()
 {
-  return std::chrono::time_point_cast<Duration>(
-    std::chrono::steady_clock::now());
+  // CLOCK_MONOTONIC stands still while a VM is suspended, and what was believed
+  // before would look younger than it is.
+  timespec now = {};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+    std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 TimePoint
--- a/Peridothoist/Shell/Reactor.h
+++ b/Peridothoist/Shell/Reactor.h
@@ -34,7 +34,8 @@
   /// Makes Run() return. May be called from any thread.
   void Stop();
 
-  /// The monotonic clock, read once for each event.
+  /// The monotonic clock, which counts the time that a VM was suspended as
+  /// well. Read once for each event.
   TimePoint Now() const;
 
   /// The monotonic clock as it is, read anew: for the last check before bytes
