--- a/Peridothoist/Node/NodePeers.cpp
+++ b/Peridothoist/Node/NodePeers.cpp
@@ -69,6 +69,7 @@
 NodePeers::~NodePeers()
 {
   mReactor->CancelTimer(mTimer);
+  mReactor->CancelTimer(mSoonTimer);
 }
 
 void
@@ -86,6 +87,20 @@
   Tell(mKnown.size() + mMembers.Members().size());
 }
 
+void
+NodePeers::TellSoon()
+{
+  if (mSoonTimer != 0) {
+    return;
+  }
+  const Duration wait = std::max(
+    Duration(0), mToldAt + mSettings.mLeastPeerInterval - mReactor->Now());
+  mSoonTimer = mReactor->Schedule(wait, [this] {
+    mSoonTimer = 0;
+    Tell(mSettings.mPeerFanOut);
+  });
+}
+
 std::vector<std::string>
 NodePeers::Addresses() const
 {
@@ -99,6 +114,7 @@
 void
 NodePeers::Tell(std::size_t aMost)
 {
+  mToldAt = mReactor->Now();
   std::vector<std::string> addresses = Addresses();
   const std::string bytes = EncodeVmNews(MakeNews());
   for (std::size_t n = 0; n < std::min(aMost, addresses.size()); ++n) {
@@ -164,9 +180,9 @@
       .Field("leaving", copy.mLeaving);
   }
   mLedger->OnPeerGranted(copy.mInstance, copy.mGranted, now);
-  mMachine->Loads().OnPeerWork(copy.mVm, copy.mWork);
   TakeCrashes(copy.mCrashes);
   mListener->OnMembersChanged();
+  mListener->OnPeerWork(copy.mVm, copy.mWork);
 }
 
 void
--- a/Peridothoist/Node/NodePeers.h
+++ b/Peridothoist/Node/NodePeers.h
@@ -22,6 +22,10 @@
 
   /// The members or who of them is heard may have changed.
   virtual void OnMembersChanged() = 0;
+
+  /// Another VM told its work at upstreams.
+  virtual void OnPeerWork(const std::string& aVm,
+                          const WorkByUpstream& aWork) = 0;
 };
 
 /// The exchange of one VM.
@@ -44,6 +48,9 @@
   /// Tells all peers now, not at the next interval.
   void TellAll();
 
+  /// Tells peers soon: this VM's work has changed.
+  void TellSoon();
+
   // See: PeerMessengerListener
   void OnMessage(std::string_view aBytes) override;
 
@@ -75,6 +82,8 @@
   std::set<std::string> mKnown; ///< Peer addresses heard of, and seeds'.
   std::uint64_t mSequence = 0;
   Reactor::TimerId mTimer = 0;
+  Reactor::TimerId mSoonTimer = 0;
+  TimePoint mToldAt;
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -119,6 +119,7 @@
                           RandomSeed() & 0xffffffffffffULL))
   , mRandom(RandomSeed())
   , mView(aSettings.mView)
+  , mLedger(aSettings.mLedger, Reactor::ReadClock())
   , mIntake(&mView, &mLedger, &mRandom)
   , mMachine(aSettings.mMachine, &mIntake, &mRandom)
   , mRunner(aReactor,
@@ -278,7 +279,7 @@
   const std::uint64_t before = mView.Version();
   if (mView.OnRead(aConfiguration, aBegan)) {
     mMachine.SetConfiguration(aConfiguration);
-    mLedger.SetWorkspaces(aConfiguration->Workspaces(), mReactor->Now());
+    mLedger.SetWorkspaces(aConfiguration->Workspaces());
     Log::Info("configuration_in_force")
       .Field("version", aConfiguration->mVersion)
       .Field("before", before)
@@ -354,7 +355,7 @@
   }
   const TimePoint now = mReactor->Now();
   mMachine.SetVmCount(mPeers->Members().Count(now));
-  mLedger.SetHeardPart(mPeers->Members().HeardPart(now), now);
+  mLedger.SetHeardPart(mPeers->Members().HeardPart(now));
   const bool serving = mIntake.IsServing(now);
   if (serving != mWasServing) {
     mWasServing = serving;
@@ -379,6 +380,9 @@
     .Field("kind", ToName(aFacts.mKind))
     .Field("outcome", aFacts.mOutcome)
     .Field("status", aFacts.mStatus)
+    .Field("prompt", aFacts.mPromptTokens)
+    .Field("tokens", aFacts.mTokens)
+    .Field("events", aFacts.mEvents)
     .Field("calls", aFacts.mCalls)
     .Field("upstream", aFacts.mUpstream)
     .Field("version", mView.Version())
@@ -386,6 +390,23 @@
     .Field("ms", ToMillis(took));
 }
 
+void
+NodeProcess::OnWorkChanged()
+{
+  if (mPeers != nullptr) {
+    mPeers->TellSoon();
+  }
+}
+
+void
+NodeProcess::OnPeerWork(const std::string& aVm, const WorkByUpstream& aWork)
+{
+  mRunner.Deliver(
+    [&](RelayMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
+      aMachine.OnPeerWork(aVm, aWork, aNow, aOut);
+    });
+}
+
 void
 NodeProcess::OnLoopLag(Duration aLag)
 {
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -78,8 +78,10 @@
   // See: NodePeersListener
   void FillState(VmNews& aNews) override;
   void OnMembersChanged() override;
+  void OnPeerWork(const std::string& aVm, const WorkByUpstream& aWork) override;
   // See: RelayRunnerListener
   void OnRelayOver(const RelayFacts& aFacts) override;
+  void OnWorkChanged() override;
   // See: LoopMonitorListener
   void OnLoopLag(Duration aLag) override;
 
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -36,12 +36,15 @@
   Duration mLateCallers = 3500ms;
 
   // Peers
-  Duration mPeerInterval = 200ms; ///< Between messages to each peer.
-  std::size_t mPeerFanOut = 12;   ///< Peers told in one interval.
-  Duration mForgetPeers = 30s;    ///< VMs silent for so long are gone.
+  Duration mPeerInterval = 250ms; ///< Between messages to each peer.
+  /// Work at engines that changed is told no more often than this.
+  Duration mLeastPeerInterval = 40ms;
+  std::size_t mPeerFanOut = 12; ///< Peers told in one interval.
+  Duration mForgetPeers = 30s;  ///< VMs silent for so long are gone.
 
   ConfirmedViewSettings mView;
   MemberBookSettings mMembers;
+  UsageLedgerSettings mLedger;
   ViewReaderSettings mReader;
   RelayMachineSettings mMachine;
 
--- a/Peridothoist/Node/RelayRunner.cpp
+++ b/Peridothoist/Node/RelayRunner.cpp
@@ -231,6 +231,8 @@
   request.mFacts.mWorkspace = aArrival.mWorkspace;
   request.mFacts.mKind = aArrival.mRoute->mKind;
   request.mFacts.mArrivedAt = aArrival.mArrivedAt;
+  request.mFacts.mPromptTokens = aArrival.mPromptTokens;
+  request.mFacts.mTokens = aArrival.mTokens;
   Deliver([&](RelayMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
     aMachine.OnArrival(std::move(aArrival), aNow, aOut);
   });
@@ -254,6 +256,10 @@
     Perform(command);
   }
   mPerforming = false;
+  if (mToldRevision != mMachine->Loads().Revision()) {
+    mToldRevision = mMachine->Loads().Revision();
+    mListener->OnWorkChanged();
+  }
   ArmTick();
 }
 
@@ -352,6 +358,7 @@
 void
 RelayRunner::SendEvent(const RelayCommand& aCommand, Request& aRequest)
 {
+  ++aRequest.mFacts.mEvents;
   aRequest.mExchange->Write(aCommand.mEvent);
 }
 
--- a/Peridothoist/Node/RelayRunner.h
+++ b/Peridothoist/Node/RelayRunner.h
@@ -21,6 +21,9 @@
   TimePoint mArrivedAt;
   int mStatus = 0;               ///< 0: the caller left before an answer.
   const char* mOutcome = "left"; ///< What the caller got.
+  std::uint64_t mPromptTokens = 0;
+  std::uint64_t mTokens = 0;     ///< Prompt and most output.
+  std::uint32_t mEvents = 0;     ///< Streams: events sent.
   std::uint32_t mCalls = 0;      ///< Calls to upstreams.
   std::string mUpstream;         ///< Of the last call.
   Duration mFirstByteAfter{ 0 }; ///< Streams: until the first event was sent.
@@ -33,6 +36,9 @@
   virtual ~RelayRunnerListener() = default;
 
   virtual void OnRelayOver(const RelayFacts& aFacts) = 0;
+
+  /// This VM's work at engines has changed.
+  virtual void OnWorkChanged() = 0;
 };
 
 /// Runs one node's relayed requests.
@@ -106,6 +112,7 @@
   // Commands that wait while others are carried out.
   std::deque<RelayCommand> mPending;
   bool mPerforming = false;
+  std::uint64_t mToldRevision = 0; ///< Of the load board.
   std::optional<TimePoint> mTickAt;
   Reactor::TimerId mTickTimer = 0;
 };
--- a/Peridothoist/Node/ViewReader.h
+++ b/Peridothoist/Node/ViewReader.h
@@ -35,9 +35,9 @@
 /// Settings of a ViewReader.
 struct ViewReaderSettings
 {
-  Duration mConfigurationInterval = 500ms; ///< Well under the bound in which a
+  Duration mConfigurationInterval = 650ms; ///< Well under the bound in which a
                                            ///< change must be in force.
-  Duration mUpstreamInterval = 600ms;      ///< As above, for leaving upstreams.
+  Duration mUpstreamInterval = 800ms;      ///< As above, for leaving upstreams.
   Duration mVmInterval = 5s;
   Duration mRetryInterval = 100ms; ///< After a failed read.
   std::string mVmTable = "vms";    ///< One row for each registered VM.
@@ -70,7 +70,7 @@
     Reader mRead;
     Reactor::TimerId mTimer = 0;
     TimePoint mBegan = {}; ///< Of the read in hand or the last one.
-    bool mFailed = false; ///< The last read failed; for the log.
+    bool mFailed = false;  ///< The last read failed; for the log.
   };
 
   void ReadConfiguration();
--- a/Peridothoist/Relay/LoadBoard.cpp
+++ b/Peridothoist/Relay/LoadBoard.cpp
@@ -15,6 +15,7 @@
 LoadBoard::OnSent(const std::string& aUpstream, std::uint64_t aTokens)
 {
   mOwn[aUpstream] += { 1, aTokens };
+  mRevision += aTokens > 0 ? 1 : 0;
 }
 
 void
@@ -25,6 +26,7 @@
   PH_ASSERT(it->second.mRequests > 0 && it->second.mTokens >= aTokens);
   --it->second.mRequests;
   it->second.mTokens -= aTokens;
+  mRevision += aTokens > 0 ? 1 : 0;
   if (it->second.mRequests == 0) {
     mOwn.erase(it);
   }
--- a/Peridothoist/Relay/LoadBoard.h
+++ b/Peridothoist/Relay/LoadBoard.h
@@ -81,6 +81,9 @@
   std::uint32_t StatedBeyond(const std::string& aUpstream,
                              TimePoint aNow) const;
 
+  /// Goes up when this VM's work at engines changes.
+  std::uint64_t Revision() const { return mRevision; }
+
   /// This VM's work, for the others.
   const WorkByUpstream& Own() const { return mOwn; }
 
@@ -98,6 +101,7 @@
 
   Settings mSettings;
   WorkByUpstream mOwn;
+  std::uint64_t mRevision = 0;
   std::map<std::string, WorkByUpstream> mPeers; ///< By peer.
   std::map<std::string, Stated> mStated;
   std::map<std::string, Failures> mFailures;
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -22,6 +22,7 @@
   std::string mDigest;             ///< Of method, target, workspace and body.
   double mCost = 0;                ///< Taken off the workspace's allowance.
   std::uint64_t mTokens = 0;       ///< Prompt and most output.
+  std::uint64_t mMemoryTokens = 0; ///< KV memory that it is likely to need.
   std::uint64_t mPromptTokens = 0; ///< 0: not stated.
   std::uint32_t mPriority = 5;     ///< 0 goes first.
   std::uint64_t mLastEventId = 0;  ///< The caller has events up to this one.
--- a/Peridothoist/Relay/RelayIntake.cpp
+++ b/Peridothoist/Relay/RelayIntake.cpp
@@ -10,6 +10,13 @@
 /// A caller that states no patience waits so long for a refusal's purposes.
 constexpr Duration kUsualPatience = 10s;
 
+/// Requests that state no expected output generate this part of the most.
+constexpr double kUsualOutputPart = 0.4;
+
+/// An engine's streams are at different places of their outputs, so that not
+/// all of them need their whole memory at the same time.
+constexpr double kHeldOutputPart = 0.75;
+
 /// A caller comes back after at most this part of its patience.
 constexpr double kMostRetryPart = 0.3;
 
@@ -17,6 +24,22 @@
 /// longest wait.
 constexpr double kElsewherePart = 0.15;
 
+/// The KV memory that a request is likely to need.
+std::uint64_t
+MemoryOf(const RelayQuestion& aQuestion)
+{
+  if (!aQuestion.mPromptTokens) {
+    return 0;
+  }
+  const double most = static_cast<double>(aQuestion.mOutputTokens);
+  const double expected =
+    aQuestion.mExpectedTokens
+      ? std::min(most, static_cast<double>(*aQuestion.mExpectedTokens))
+      : most * kUsualOutputPart;
+  return *aQuestion.mPromptTokens +
+         static_cast<std::uint64_t>(expected * kHeldOutputPart);
+}
+
 /// What a request takes off its workspace's allowance.
 double
 CostOf(const RelayWorkspace& aWorkspace, const RelayQuestion& aQuestion)
@@ -95,6 +118,7 @@
   arrival.mPriority = route->mPriority;
   arrival.mPromptTokens = aQuestion.mPromptTokens.value_or(0);
   arrival.mTokens = arrival.mPromptTokens + aQuestion.mOutputTokens;
+  arrival.mMemoryTokens = MemoryOf(aQuestion);
   if (workspace != nullptr) {
     arrival.mWorkspace = workspace->mName;
     arrival.mKey = aQuestion.mKey;
--- a/Peridothoist/Relay/RelayIntake.h
+++ b/Peridothoist/Relay/RelayIntake.h
@@ -18,7 +18,9 @@
   std::string mKey;    ///< Empty: none.
   std::string mDigest; ///< Of method, target and body.
   std::optional<std::uint64_t> mPromptTokens;
-  std::uint64_t mOutputTokens = 0;   ///< The most that it may generate.
+  std::uint64_t mOutputTokens = 0; ///< The most that it may generate.
+  /// What the caller expects it to generate.
+  std::optional<std::uint64_t> mExpectedTokens;
   std::optional<Duration> mPatience; ///< How long the caller waits.
   std::uint64_t mLastEventId = 0;    ///< The caller has events up to this one.
 };
--- a/Peridothoist/Relay/RelayMachine.cpp
+++ b/Peridothoist/Relay/RelayMachine.cpp
@@ -133,7 +133,7 @@
   question.mService = aState.mArrival.mService;
   question.mStage = aStage;
   question.mZone = mSettings.mZone;
-  question.mTokens = aState.mArrival.mTokens;
+  question.mTokens = aState.mArrival.mMemoryTokens;
   question.mExcluded = aState.mExcluded;
   const RelayService* service =
     mConfiguration->FindService(aState.mArrival.mService);
@@ -181,7 +181,7 @@
   }
   plan.mOnlyOneSend = aState.mArrival.mRoute->mMaxAttempts < 2;
   if (!aState.mDirectOnly && mPlanner.IsSplit(plan)) {
-    aState.mDecodeUpstream = decode.mUpstream->mId;
+    KeepRoom(aState, decode.mUpstream->mId);
     return StartOn(aState, *prefill.mUpstream, RelayCallKind::Prefill);
   }
   return StartOn(aState, *decode.mUpstream, RelayCallKind::Stream);
@@ -219,7 +219,7 @@
   call.mUpstream = aUpstream.mId;
   call.mAddress = aUpstream.mAddress;
   call.mKind = aKind;
-  call.mTokens = arrival.mTokens;
+  call.mTokens = arrival.mMemoryTokens;
   call.mLastSign = mNow;
   call.mTakesHandle = aKind == RelayCallKind::Stream && !aState.mHandle.empty();
 
@@ -264,8 +264,8 @@
     return;
   }
   if (!aState.mWaitUntil) {
-    const auto wait = std::chrono::duration_cast<Duration>(
-      arrival.mRoute->mTargetLatency * mSettings.mWaitFactor);
+    const auto wait = std::chrono::duration_cast<Duration>(arrival.mPatience *
+                                                           mSettings.mWaitPart);
     aState.mWaitUntil = std::min(arrival.mArrivedAt + wait, arrival.mDeadline);
     mTimers.Add(*aState.mWaitUntil, { TimerKind::Pump, arrival.mId, 0 });
   }
@@ -276,19 +276,33 @@
   mWaiting.insert({ arrival.mPriority, arrival.mId });
 }
 
+/// Gives room to waiting requests: to those that can still be in time before
+/// those that are late already, and by priority and arrival among each.
 void
 RelayMachine::Pump()
 {
+  if (mWaiting.empty()) {
+    return;
+  }
   const auto waiting = mWaiting;
-  for (const auto& place : waiting) {
-    State* state = Find(place.second);
-    mWaiting.erase(place);
-    if (state != nullptr && !state->mCall) {
+  for (const bool late : { false, true }) {
+    for (const auto& place : waiting) {
+      State* state = Find(place.second);
+      if (state == nullptr || state->mCall || IsLate(*state) != late) {
+        continue;
+      }
       Begin(*state);
     }
   }
 }
 
+bool
+RelayMachine::IsLate(const State& aState) const
+{
+  const RelayArrival& arrival = aState.mArrival;
+  return mNow - arrival.mArrivedAt >= arrival.mRoute->mTargetLatency;
+}
+
 bool
 RelayMachine::MayStillSend(std::uint64_t aId,
                            std::uint32_t aAttempt,
@@ -394,6 +408,24 @@
   return call;
 }
 
+/// Counts memory at the decode engine while a prefill engine reads the prompt.
+void
+RelayMachine::KeepRoom(State& aState, const std::string& aUpstream)
+{
+  ReleaseRoom(aState);
+  aState.mDecodeUpstream = aUpstream;
+  mLoads.OnSent(aUpstream, aState.mArrival.mMemoryTokens);
+}
+
+void
+RelayMachine::ReleaseRoom(State& aState)
+{
+  if (!aState.mDecodeUpstream.empty()) {
+    mLoads.OnDone(aState.mDecodeUpstream, aState.mArrival.mMemoryTokens);
+    aState.mDecodeUpstream.clear();
+  }
+}
+
 void
 RelayMachine::OnUnsent(State& aState,
                        const Call& aCall,
@@ -410,6 +442,7 @@
     aState.mDirectOnly = true;
   }
   if (aCall.mKind == RelayCallKind::Prefill) {
+    ReleaseRoom(aState);
     aState.mDirectOnly = true;
   }
   if (++aState.mUnsent > mSettings.mMaxUnsent) {
@@ -427,6 +460,7 @@
   if (aCall.mKind == RelayCallKind::Prefill) {
     // A refused prefill counts as a send beyond the first.
     BudgetOf(aState.mArrival.mService).Take(mVmCount, mNow);
+    ReleaseRoom(aState);
     mLoads.OnFailure(aCall.mUpstream, mNow);
     Begin(aState);
     return;
@@ -459,12 +493,14 @@
     aState.mHandle = aEnd.mHandle;
     aState.mHandleAddress = aCall.mAddress;
     const RelayUpstream* decode = mRoster.Find(aState.mDecodeUpstream);
+    ReleaseRoom(aState);
     if (decode != nullptr && !decode->mLeaving) {
       StartOn(aState, *decode, RelayCallKind::Stream);
       return;
     }
     DropHandle(aState);
   } else {
+    ReleaseRoom(aState);
     mLoads.OnFailure(aCall.mUpstream, mNow);
     if (aEnd.mOutcome.mEnd == CallEnd::Broken) {
       ++mCounters.mBroken;
@@ -660,6 +696,7 @@
   const std::uint64_t id = aState.mArrival.mId;
   PH_ASSERT(!aState.mCall);
   DropHandle(aState);
+  ReleaseRoom(aState);
   if (aState.mVerdict.Get() == RunVerdict::NotRun) {
     mGate->Refund(aState.mArrival, mNow);
   }
@@ -720,6 +757,18 @@
   Pump();
 }
 
+void
+RelayMachine::OnPeerWork(const std::string& aVm,
+                         const WorkByUpstream& aWork,
+                         TimePoint aNow,
+                         RelayCommands& aOut)
+{
+  mNow = aNow;
+  mOut = &aOut;
+  mLoads.OnPeerWork(aVm, aWork);
+  Pump();
+}
+
 // Timers.
 
 void
--- a/Peridothoist/Relay/RelayMachine.h
+++ b/Peridothoist/Relay/RelayMachine.h
@@ -51,8 +51,9 @@
   double mPatienceFactor = 3.0;
   Duration mFirstEventPatience = 2s; ///< Resumable streams: to the first event.
   Duration mEventGapPatience = 900ms; ///< Resumable streams: between events.
-  /// Room is waited for until this part of the target latency has passed.
-  double mWaitFactor = 0.6;
+  /// Room is waited for so long, as a part of the caller's patience. Callers
+  /// of streams leave after about a quarter of it without an event.
+  double mWaitPart = 0.22;
   Duration mLeastTimeLeft = 20ms;     ///< With less, nothing is sent any more.
   Duration mPrefillPatience = 1500ms; ///< For a prefill's answer.
   Duration mCrashWindow = 6s; ///< A call that broke this long before its
@@ -123,6 +124,11 @@
   void OnListed(std::vector<RelayUpstream> aUpstreams,
                 TimePoint aNow,
                 RelayCommands& aOut);
+  /// Another VM's work, in place of what it said before.
+  void OnPeerWork(const std::string& aVm,
+                  const WorkByUpstream& aWork,
+                  TimePoint aNow,
+                  RelayCommands& aOut);
   void OnListUnreachable() { mRoster.OnUnreachable(); }
   const UpstreamRoster& Roster() const { return mRoster; }
   LoadBoard& Loads() { return mLoads; }
@@ -172,7 +178,7 @@
     // A prefill result that waits to be taken.
     std::string mHandle;
     std::string mHandleAddress;
-    std::string mDecodeUpstream;         ///< Chosen for it.
+    std::string mDecodeUpstream;         ///< Memory is kept for it there.
     std::optional<TimePoint> mWaitUntil; ///< Set while it waits for room.
   };
 
@@ -190,6 +196,7 @@
   void OnNoChoice(State& aState, NoChoice aWhy);
   ChoiceQuestion QuestionFor(const State& aState, RelayStage aStage) const;
   void Pump();
+  bool IsLate(const State& aState) const;
 
   // Ends of calls
   using EndHandler = void (RelayMachine::*)(State&, const Call&, RelayCallEnd&);
@@ -204,6 +211,8 @@
   Call TakeCall(State& aState);
   void CancelCall(State& aState);
   void DropHandle(State& aState);
+  void KeepRoom(State& aState, const std::string& aUpstream);
+  void ReleaseRoom(State& aState);
 
   // Answers
   void Answer(State& aState, RelayAnswer aAnswer);
--- a/Peridothoist/Relay/UpstreamChoice.h
+++ b/Peridothoist/Relay/UpstreamChoice.h
@@ -50,7 +50,7 @@
   double mEngineZoneWorth = 1.5;
   double mLapsedPenalty = 50;    ///< In requests: its entry is missing.
   double mPlainFullness = 3.0;   ///< Requests for each slot when it is full.
-  double mEngineFullness = 0.92; ///< Part of the KV memory that is used.
+  double mEngineFullness = 0.95; ///< Part of the KV memory that is used.
 };
 
 /// Chooses upstreams.
--- a/Peridothoist/Relay/UsageLedger.cpp
+++ b/Peridothoist/Relay/UsageLedger.cpp
@@ -5,59 +5,87 @@
 
 namespace peridothoist {
 
+namespace {
+
+double
+ToSeconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace
+
+UsageLedger::UsageLedger(const Settings& aSettings, TimePoint aNow)
+  : mSettings(aSettings)
+  , mStart(aNow)
+{
+}
+
 void
 UsageLedger::SetWorkspaces(
-  const std::map<std::string, RelayWorkspace>& aWorkspaces,
-  TimePoint aNow)
+  const std::map<std::string, RelayWorkspace>& aWorkspaces)
 {
-  std::map<std::string, Bucket> buckets;
+  std::map<std::string, Account> accounts;
   for (const auto& [name, workspace] : aWorkspaces) {
-    const auto known = mBuckets.find(name);
-    Bucket bucket;
-    bucket.mAt = aNow;
-    if (known != mBuckets.end()) {
-      bucket = known->second;
-      Accrue(bucket, aNow);
+    Account& account = accounts[name];
+    const auto known = mAccounts.find(name);
+    if (known != mAccounts.end()) {
+      account = std::move(known->second);
     }
-    bucket.mRate = workspace.mTokensPerSecond;
-    bucket.mBurst = workspace.mBurstTokens;
-    bucket.mLevel = std::min(bucket.mLevel, bucket.mBurst * mPart);
-    buckets[name] = bucket;
+    account.mRate = workspace.mTokensPerSecond;
+    account.mBurst = workspace.mBurstTokens;
   }
-  mBuckets = std::move(buckets);
+  mAccounts = std::move(accounts);
+}
+
+UsageLedger::Account*
+UsageLedger::Limited(const std::string& aWorkspace)
+{
+  const auto it = mAccounts.find(aWorkspace);
+  return it == mAccounts.end() || it->second.mRate <= 0 ? nullptr : &it->second;
 }
 
 void
-UsageLedger::SetHeardPart(double aPart, TimePoint aNow)
+UsageLedger::Add(Account& aAccount, double aTokens, TimePoint aNow) const
 {
-  if (aPart == mPart) {
-    return;
-  }
-  for (auto& [name, bucket] : mBuckets) {
-    Accrue(bucket, aNow);
-  }
-  mPart = aPart;
-  for (auto& [name, bucket] : mBuckets) {
-    bucket.mLevel = std::min(bucket.mLevel, bucket.mBurst * mPart);
-  }
+  aAccount.mGrants.push_back({ aNow, aTokens });
+  aAccount.mSum += aTokens;
 }
 
 void
-UsageLedger::Accrue(Bucket& aBucket, TimePoint aNow) const
+UsageLedger::Drop(Account& aAccount, TimePoint aNow) const
 {
-  const double seconds =
-    std::chrono::duration<double>(std::max(Duration(0), aNow - aBucket.mAt))
-      .count();
-  aBucket.mLevel = std::min(aBucket.mBurst * mPart,
-                            aBucket.mLevel + aBucket.mRate * mPart * seconds);
-  aBucket.mAt = aNow;
+  while (!aAccount.mGrants.empty() &&
+         aAccount.mGrants.front().mAt <= aNow - mSettings.mWindow) {
+    aAccount.mSum -= aAccount.mGrants.front().mTokens;
+    aAccount.mGrants.pop_front();
+  }
 }
 
-UsageLedger::Bucket*
-UsageLedger::Limited(const std::string& aWorkspace)
+double
+UsageLedger::LimitOf(const Account& aAccount, TimePoint aNow) const
 {
-  const auto it = mBuckets.find(aWorkspace);
-  return it == mBuckets.end() || it->second.mRate <= 0 ? nullptr : &it->second;
+  const double window = ToSeconds(mSettings.mWindow);
+  const double known =
+    std::min(window, ToSeconds(std::max(Duration(0), aNow - mStart)));
+  const double whole = (aAccount.mRate + aAccount.mBurst / window) * known;
+  return whole * mPart;
+}
+
+/// How long until aExcess tokens have left the window.
+Duration
+UsageLedger::WaitFor(const Account& aAccount,
+                     double aExcess,
+                     TimePoint aNow) const
+{
+  double freed = 0;
+  for (const Grant& it : aAccount.mGrants) {
+    freed += it.mTokens;
+    if (freed >= aExcess) {
+      return it.mAt + mSettings.mWindow - aNow;
+    }
+  }
+  return mSettings.mWindow;
 }
 
 std::optional<Duration>
@@ -65,21 +93,19 @@
                    double aTokens,
                    TimePoint aNow)
 {
-  Bucket* bucket = Limited(aWorkspace);
-  if (bucket == nullptr) {
+  Account* account = Limited(aWorkspace);
+  if (account == nullptr) {
     return std::nullopt;
   }
-  Accrue(*bucket, aNow);
-  // A request above the whole burst is let in on a full bucket and leaves a
-  // debt: else it could never run.
-  const double needed = std::min(aTokens, bucket->mBurst * mPart);
-  if (bucket->mLevel < needed) {
-    const double seconds =
-      (needed - bucket->mLevel) / std::max(1.0, bucket->mRate * mPart);
-    return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
+  Drop(*account, aNow);
+  const double limit = LimitOf(*account, aNow);
+  // A request above the whole limit is let in while nothing else was: else it
+  // could never run.
+  const bool alone = account->mSum <= 0 && limit > 0;
+  if (account->mSum + aTokens > limit && !alone) {
+    return WaitFor(*account, account->mSum + aTokens - limit, aNow);
   }
-  bucket->mLevel -= aTokens;
+  Add(*account, aTokens, aNow);
   mGranted[aWorkspace] += static_cast<std::int64_t>(aTokens);
   return std::nullopt;
 }
@@ -89,12 +115,11 @@
                     double aTokens,
                     TimePoint aNow)
 {
-  Bucket* bucket = Limited(aWorkspace);
-  if (bucket == nullptr) {
+  Account* account = Limited(aWorkspace);
+  if (account == nullptr) {
     return;
   }
-  Accrue(*bucket, aNow);
-  bucket->mLevel = std::min(bucket->mBurst * mPart, bucket->mLevel + aTokens);
+  Add(*account, -aTokens, aNow);
   mGranted[aWorkspace] -= static_cast<std::int64_t>(aTokens);
 }
 
@@ -112,11 +137,10 @@
     const auto before = known->second.find(workspace);
     const std::int64_t delta =
       granted - (before == known->second.end() ? 0 : before->second);
-    Bucket* bucket = Limited(workspace);
-    if (bucket != nullptr && delta != 0) {
-      Accrue(*bucket, aNow);
-      bucket->mLevel = std::min(bucket->mBurst * mPart,
-                                bucket->mLevel - static_cast<double>(delta));
+    Account* account = Limited(workspace);
+    if (account != nullptr && delta != 0) {
+      Drop(*account, aNow);
+      Add(*account, static_cast<double>(delta), aNow);
     }
   }
   known->second = aGranted;
--- a/Peridothoist/Relay/UsageLedger.h
+++ b/Peridothoist/Relay/UsageLedger.h
@@ -1,36 +1,49 @@
-/// Spends workspaces' allowances over all VMs together. Every VM keeps one
-/// bucket for each workspace's whole allowance, takes its own grants off at
-/// once and those of other VMs as it hears of them. For a VM that it doesn't
-/// hear, it sets that VM's equal part aside, since that VM may be spending.
+/// Spends workspaces' allowances over all VMs together. Every VM counts what
+/// it and the others granted in the last window, its own grants at once and
+/// the others' as it hears of them. For a VM that it doesn't hear, it sets
+/// that VM's equal part aside, since that VM may be spending.
 ///
 /// Over any window all VMs together grant at most rate x window + burst and
 /// what they granted unheard of each other, which is bounded by the interval
-/// between their messages. Buckets start empty, so a restart of all VMs gives
-/// nobody a second burst.
+/// between their messages. A VM that started a moment ago doesn't know what
+/// was granted before and lets the allowance grow from nothing, so a restart
+/// of all VMs gives nobody a second burst.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/RelayConfiguration.h>
 
+#include <deque>
+
 namespace peridothoist {
 
 /// Net tokens that one VM granted since its start, by workspace.
 using GrantedTokens = std::map<std::string, std::int64_t>;
 
+/// Settings of a UsageLedger.
+struct UsageLedgerSettings
+{
+  Duration mWindow = 8s; ///< Any span of this length counts.
+};
+
 /// One VM's view of all workspaces' allowances.
 class UsageLedger
 {
 public:
+  using Settings = UsageLedgerSettings;
+
+  /// aNow: the start of this VM's knowledge.
+  UsageLedger(const Settings& aSettings, TimePoint aNow);
+
   /// Takes limits from a configuration. A lower one holds at once.
-  void SetWorkspaces(const std::map<std::string, RelayWorkspace>& aWorkspaces,
-                     TimePoint aNow);
+  void SetWorkspaces(const std::map<std::string, RelayWorkspace>& aWorkspaces);
 
   /// The part of the whole that VMs which hear each other may spend, this one
   /// among them: 1 when all are heard.
-  void SetHeardPart(double aPart, TimePoint aNow);
+  void SetHeardPart(double aPart) { mPart = aPart; }
 
-  /// Takes aTokens; else how long until they could be had here. A workspace
-  /// without a limit always gets them.
+  /// Takes aTokens and gives nothing; else how long until they could be had. A
+  /// workspace without a limit always gets them.
   std::optional<Duration> Spend(const std::string& aWorkspace,
                                 double aTokens,
                                 TimePoint aNow);
@@ -51,18 +64,30 @@
   const GrantedTokens& Granted() const { return mGranted; }
 
 private:
-  struct Bucket
+  struct Grant
+  {
+    TimePoint mAt;
+    double mTokens = 0; ///< Below 0: given back.
+  };
+  struct Account
   {
-    double mRate = 0;  ///< Tokens a second, of the whole.
-    double mBurst = 0; ///< Tokens, of the whole.
-    double mLevel = 0; ///< Tokens; below 0 when others' grants came late.
-    TimePoint mAt;     ///< When mLevel was brought up to date.
+    double mRate = 0;          ///< Tokens a second, of the whole.
+    double mBurst = 0;         ///< Tokens, of the whole.
+    std::deque<Grant> mGrants; ///< Of the window, in order.
+    double mSum = 0;           ///< Over mGrants.
   };
 
-  void Accrue(Bucket& aBucket, TimePoint aNow) const;
-  Bucket* Limited(const std::string& aWorkspace);
+  Account* Limited(const std::string& aWorkspace);
+  void Add(Account& aAccount, double aTokens, TimePoint aNow) const;
+  void Drop(Account& aAccount, TimePoint aNow) const;
+  double LimitOf(const Account& aAccount, TimePoint aNow) const;
+  Duration WaitFor(const Account& aAccount,
+                   double aExcess,
+                   TimePoint aNow) const;
 
-  std::map<std::string, Bucket> mBuckets;
+  Settings mSettings;
+  TimePoint mStart;
+  std::map<std::string, Account> mAccounts;
   std::map<std::string, GrantedTokens> mPeers; ///< By instance, as last heard.
   GrantedTokens mGranted;
   double mPart = 1;
