Keep a handle whose decode engine is gone, and wait rather than go to dead engines

While the sound engines were full, the choice fell back on avoided ones, and each VM learned of each dead engine by itself.

Now engines that failed are taken only when there is no sound one, full or not; engines found gone are avoided for 3 s and peers are told; a handle that was not taken is used at another engine while it lasts.

--- a/Peridothoist/Node/NodePeers.cpp
+++ b/Peridothoist/Node/NodePeers.cpp
@@ -136,6 +136,7 @@
   news.mPeerAddress = mSettings.mPeerListen;
   news.mGranted = mLedger->Granted();
   news.mWork = mMachine->Loads().Own();
+  news.mGone = mMachine->Loads().FoundGone(now);
   for (const ListedDigest& it : mMachine->Suspects().Quarantined(now)) {
     news.mCrashes.push_back({ it.mDigest, it.mCrashes, true, it.mUntil - now });
   }
@@ -180,6 +181,7 @@
       .Field("leaving", copy.mLeaving);
   }
   mLedger->OnPeerGranted(copy.mInstance, copy.mGranted, now);
+  mMachine->Loads().OnPeerFoundGone(copy.mGone, now);
   TakeCrashes(copy.mCrashes);
   mListener->OnMembersChanged();
   mListener->OnPeerWork(copy.mVm, copy.mWork);
--- a/Peridothoist/Node/RelayRunner.cpp
+++ b/Peridothoist/Node/RelayRunner.cpp
@@ -135,6 +135,7 @@
     end.mOutcome.mMayHaveBeenSent = aOutcome.mMayHaveBeenSent;
     end.mOutcome.mStatus = aOutcome.mStatus;
     end.mNotRun = mHead.mNotRun;
+    end.mOther = mHead.mOther;
     // A stream that ends within an event is not whole.
     end.mSound = mHead.mSound && mSplitter.Partial() == 0;
     end.mAnswer = std::move(mHead.mAnswer);
--- a/Peridothoist/Node/UpstreamProtocol.h
+++ b/Peridothoist/Node/UpstreamProtocol.h
@@ -12,6 +12,7 @@
 struct UpstreamHead
 {
   bool mNotRun = false;  ///< The request has not run there and never will.
+  bool mOther = false;   ///< Another upstream has the address.
   bool mForeign = false; ///< It names another request.
   bool mSound = false;   ///< It may go to the caller, see RelayCallEnd::mSound.
   RelayAnswer mAnswer;   ///< Without its body.
--- a/Peridothoist/Relay/LoadBoard.cpp
+++ b/Peridothoist/Relay/LoadBoard.cpp
@@ -57,6 +57,39 @@
   failures.mAvoidUntil = aNow + avoidance;
 }
 
+void
+LoadBoard::OnGone(const std::string& aUpstream, TimePoint aNow)
+{
+  Failures& failures = mFailures[aUpstream];
+  ++failures.mInRow;
+  failures.mGoneUntil = aNow + mSettings.mGoneAvoidance;
+  failures.mAvoidUntil = failures.mGoneUntil;
+  ++mRevision; // Others are to hear of it soon.
+}
+
+void
+LoadBoard::OnPeerFoundGone(const std::vector<std::string>& aUpstreams,
+                           TimePoint aNow)
+{
+  for (const std::string& id : aUpstreams) {
+    Failures& failures = mFailures[id];
+    failures.mAvoidUntil =
+      std::max(failures.mAvoidUntil, aNow + mSettings.mPeerAvoidance);
+  }
+}
+
+std::vector<std::string>
+LoadBoard::FoundGone(TimePoint aNow) const
+{
+  std::vector<std::string> gone;
+  for (const auto& [id, failures] : mFailures) {
+    if (aNow < failures.mGoneUntil) {
+      gone.push_back(id);
+    }
+  }
+  return gone;
+}
+
 void
 LoadBoard::OnSuccess(const std::string& aUpstream)
 {
--- a/Peridothoist/Relay/LoadBoard.h
+++ b/Peridothoist/Relay/LoadBoard.h
@@ -39,6 +39,10 @@
   Duration mStatedHolds = 300ms;    ///< A stated load means something so long.
   Duration mFirstAvoidance = 500ms; ///< After one failure; doubles with each.
   Duration mLongestAvoidance = 4s;
+  /// After one whose process was found gone; it mostly comes back under
+  /// another id.
+  Duration mGoneAvoidance = 3s;
+  Duration mPeerAvoidance = 1s; ///< After a peer's word of such a one.
 };
 
 /// Keeps the load of all upstreams.
@@ -67,6 +71,13 @@
 
   /// The upstream could not be reached, or broke a call.
   void OnFailure(const std::string& aUpstream, TimePoint aNow);
+  /// Nothing listens there, or another process does.
+  void OnGone(const std::string& aUpstream, TimePoint aNow);
+  /// Upstreams that another VM found gone.
+  void OnPeerFoundGone(const std::vector<std::string>& aUpstreams,
+                       TimePoint aNow);
+  /// Upstreams that this VM found gone, for the others.
+  std::vector<std::string> FoundGone(TimePoint aNow) const;
   /// It answered.
   void OnSuccess(const std::string& aUpstream);
   /// It is gone or was started anew: what was known means nothing any more.
@@ -92,6 +103,7 @@
   {
     std::uint32_t mInRow = 0;
     TimePoint mAvoidUntil;
+    TimePoint mGoneUntil; ///< This VM found it gone.
   };
   struct Stated
   {
--- a/Peridothoist/Relay/MemberBook.h
+++ b/Peridothoist/Relay/MemberBook.h
@@ -22,15 +22,16 @@
 /// What a VM tells the others about itself.
 struct VmNews
 {
-  std::string mVm;             ///< Its name.
-  std::string mInstance;       ///< New with each start of its process.
-  std::uint64_t mSequence = 0; ///< Goes up with each message of an instance.
-  std::string mCallerAddress;  ///< Where callers connect, "ip:port".
-  std::string mPeerAddress;    ///< Where it hears the others, "ip:port".
-  bool mServing = false;       ///< New callers are welcome.
-  bool mLeaving = false;       ///< It stops soon.
-  GrantedTokens mGranted;      ///< Net, since the instance started.
-  WorkByUpstream mWork;        ///< Its open requests.
+  std::string mVm;                ///< Its name.
+  std::string mInstance;          ///< New with each start of its process.
+  std::uint64_t mSequence = 0;    ///< Goes up with each message of an instance.
+  std::string mCallerAddress;     ///< Where callers connect, "ip:port".
+  std::string mPeerAddress;       ///< Where it hears the others, "ip:port".
+  bool mServing = false;          ///< New callers are welcome.
+  bool mLeaving = false;          ///< It stops soon.
+  GrantedTokens mGranted;         ///< Net, since the instance started.
+  WorkByUpstream mWork;           ///< Its open requests.
+  std::vector<std::string> mGone; ///< Upstreams that it found gone.
   std::vector<CrashNews> mCrashes;
   std::vector<std::string> mPeers; ///< Peer addresses that it knows.
 };
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -102,6 +102,8 @@
   CallOutcome mOutcome;
   /// The upstream said that it has not run the request and never will.
   bool mNotRun = false;
+  /// Another process answered at the upstream's address.
+  bool mOther = false;
   /// The answer is one that may go to the caller: it names this request, and
   /// a success bears the upstream's seal.
   bool mSound = false;
--- a/Peridothoist/Relay/RelayMachine.cpp
+++ b/Peridothoist/Relay/RelayMachine.cpp
@@ -170,6 +170,9 @@
     OnNoChoice(aState, decode.mWhyNot);
     return false;
   }
+  if (!aState.mHandle.empty()) {
+    return StartOn(aState, *decode.mUpstream, RelayCallKind::Stream);
+  }
   ChoiceQuestion question = QuestionFor(aState, RelayStage::Prefill);
   question.mZone = decode.mUpstream->mZone;
   const Choice prefill = mChooser.Choose(question, mNow);
@@ -391,7 +394,7 @@
   if (!outcome.mMayHaveBeenSent) {
     OnUnsent(state, call, aEnd);
   } else if (outcome.mEnd == CallEnd::Whole && aEnd.mNotRun) {
-    OnRejected(state, call);
+    OnRejected(state, call, aEnd.mOther);
   } else {
     (this->*kHandlers[static_cast<std::size_t>(call.mKind)])(state, call, aEnd);
   }
@@ -408,6 +411,35 @@
   return call;
 }
 
+/// Takes back a handle that a call was to use and hasn't. False when there is
+/// none, or it lapses too soon for another try.
+bool
+RelayMachine::KeepHandle(State& aState, const Call& aCall)
+{
+  if (!aCall.mTakesHandle) {
+    return false;
+  }
+  aState.mHandle = aCall.mHandle;
+  aState.mHandleAddress = aCall.mHandleAddress;
+  if (mNow + mSettings.mHandleMargin < aState.mHandleUntil) {
+    return true;
+  }
+  aState.mDirectOnly = true;
+  DropHandle(aState);
+  return false;
+}
+
+/// How long an engine of the request's service keeps a prefill result.
+Duration
+RelayMachine::HandleTime(const State& aState) const
+{
+  const RelayService* service =
+    mConfiguration->FindService(aState.mArrival.mService);
+  return service != nullptr && service->mEngines
+           ? service->mEngines->mHandleLasts
+           : Duration(0);
+}
+
 /// Counts memory at the decode engine while a prefill engine reads the prompt.
 void
 RelayMachine::KeepRoom(State& aState, const std::string& aUpstream)
@@ -433,14 +465,12 @@
 {
   ++mCounters.mUnsent;
   if (aEnd.mOutcome.mEnd != CallEnd::Withheld) {
-    mLoads.OnFailure(aCall.mUpstream, mNow);
+    mLoads.OnGone(aCall.mUpstream, mNow);
     OnUpstreamLost(aCall.mUpstream);
   }
   aState.mTried.erase(aCall.mUpstream);
   aState.mExcluded.insert(aCall.mUpstream);
-  if (aCall.mTakesHandle) {
-    aState.mDirectOnly = true;
-  }
+  KeepHandle(aState, aCall);
   if (aCall.mKind == RelayCallKind::Prefill) {
     ReleaseRoom(aState);
     aState.mDirectOnly = true;
@@ -453,10 +483,26 @@
 }
 
 void
-RelayMachine::OnRejected(State& aState, const Call& aCall)
+RelayMachine::OnRejected(State& aState, const Call& aCall, bool aOther)
 {
   ++mCounters.mRejected;
   aState.mDirectOnly = true;
+  if (aOther) {
+    mLoads.OnGone(aCall.mUpstream, mNow);
+    OnUpstreamLost(aCall.mUpstream);
+    aState.mExcluded.insert(aCall.mUpstream);
+    KeepHandle(aState, aCall);
+    if (aCall.mKind != RelayCallKind::Prefill) {
+      // The upstream that was meant never got it.
+      if (!PayRepeat(aState)) {
+        Refuse(aState, RefusalKind::NoUpstream);
+        return;
+      }
+      aState.mTried.erase(aCall.mUpstream);
+      Begin(aState);
+      return;
+    }
+  }
   if (aCall.mKind == RelayCallKind::Prefill) {
     // A refused prefill counts as a send beyond the first.
     BudgetOf(aState.mArrival.mService).Take(mVmCount, mNow);
@@ -465,12 +511,17 @@
     Begin(aState);
     return;
   }
-  if (aCall.mTakesHandle) {
+  if (aCall.mTakesHandle && !aOther) {
     // The engine may be fine and the memory gone: the same engine may read the
     // prompt itself.
     aState.mHandle = aCall.mHandle;
     aState.mHandleAddress = aCall.mHandleAddress;
     DropHandle(aState);
+    mLoads.OnFailure(aState.mHandleUpstream, mNow); // It may have lapsed.
+    const bool another = aState.mArrival.mRoute->mMaxAttempts > 1;
+    if (another) {
+      aState.mExcluded.insert(aCall.mUpstream);
+    }
     if (!PayRepeat(aState)) {
       Refuse(aState, RefusalKind::NoUpstream);
       return;
@@ -492,6 +543,8 @@
     mLoads.OnSuccess(aCall.mUpstream);
     aState.mHandle = aEnd.mHandle;
     aState.mHandleAddress = aCall.mAddress;
+    aState.mHandleUpstream = aCall.mUpstream;
+    aState.mHandleUntil = mNow + HandleTime(aState);
     const RelayUpstream* decode = mRoster.Find(aState.mDecodeUpstream);
     ReleaseRoom(aState);
     if (decode != nullptr && !decode->mLeaving) {
--- a/Peridothoist/Relay/RelayMachine.h
+++ b/Peridothoist/Relay/RelayMachine.h
@@ -56,6 +56,8 @@
   double mWaitPart = 0.22;
   Duration mLeastTimeLeft = 20ms;     ///< With less, nothing is sent any more.
   Duration mPrefillPatience = 1500ms; ///< For a prefill's answer.
+  Duration mHandleMargin = 100ms;     ///< A handle isn't used so shortly before
+                                      ///< it lapses.
   Duration mCrashWindow = 6s; ///< A call that broke this long before its
                               ///< upstream was found gone was present.
   SuspectTableSettings mSuspects;
@@ -178,6 +180,8 @@
     // A prefill result that waits to be taken.
     std::string mHandle;
     std::string mHandleAddress;
+    std::string mHandleUpstream;         ///< The engine that holds it.
+    TimePoint mHandleUntil;              ///< It has lapsed by then.
     std::string mDecodeUpstream;         ///< Memory is kept for it there.
     std::optional<TimePoint> mWaitUntil; ///< Set while it waits for room.
   };
@@ -203,7 +207,8 @@
   void OnWhole(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnPrefill(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnStream(State& aState, const Call& aCall, RelayCallEnd& aEnd);
-  void OnRejected(State& aState, const Call& aCall);
+  void OnRejected(State& aState, const Call& aCall, bool aOther);
+  bool KeepHandle(State& aState, const Call& aCall);
   void OnUnsent(State& aState, const Call& aCall, const RelayCallEnd& aEnd);
   void OnFailed(State& aState, const Call& aCall, bool aBroken);
   void TryAgain(State& aState, RefusalKind aElse);
@@ -211,6 +216,7 @@
   Call TakeCall(State& aState);
   void CancelCall(State& aState);
   void DropHandle(State& aState);
+  Duration HandleTime(const State& aState) const;
   void KeepRoom(State& aState, const std::string& aUpstream);
   void ReleaseRoom(State& aState);
 
--- a/Peridothoist/Relay/UpstreamChoice.cpp
+++ b/Peridothoist/Relay/UpstreamChoice.cpp
@@ -31,6 +31,7 @@
   Choice best;
   Choice bestAvoided;
   bool anyFull = false;
+  bool anySound = false;
   std::uint64_t ties = 0;
   for (const auto& [id, entry] : mRoster->All()) {
     const RelayUpstream& upstream = entry.mUpstream;
@@ -40,12 +41,14 @@
     if (!fits) {
       continue;
     }
+    const bool avoided = mLoads->IsAvoided(id, aNow);
+    anySound = anySound || !avoided;
     if (IsFull(upstream, aQuestion)) {
       anyFull = true;
       continue;
     }
     const double score = Score(upstream, aQuestion, aNow);
-    Choice& place = mLoads->IsAvoided(id, aNow) ? bestAvoided : best;
+    Choice& place = avoided ? bestAvoided : best;
     if (place.mUpstream == nullptr || score < place.mScore) {
       place = { &upstream, NoChoice::None, score };
       ties = 1;
@@ -56,8 +59,10 @@
   if (best.mUpstream != nullptr) {
     return best;
   }
-  if (bestAvoided.mUpstream != nullptr) {
-    return bestAvoided; // It may have recovered; a refusal serves nobody.
+  // One that failed may have recovered; but while sound ones are only full,
+  // waiting for them is better than work lost at a dead one.
+  if (bestAvoided.mUpstream != nullptr && !anySound) {
+    return bestAvoided;
   }
   return { nullptr, anyFull ? NoChoice::Full : NoChoice::NoUpstream, 0 };
 }
