Send callers to nodes that serve everything, and keep allowance for small requests

The directory now names nodes that serve everything, and those that serve open routes only where there are no others; a node that hears nobody names nobody. The last 5% of an allowance is kept for small requests.

--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -224,19 +224,21 @@
   return true;
 }
 
+ServingState
+NodeProcess::Serving() const
+{
+  return mLeaving ? ServingState::Nothing : mIntake.Serving(mReactor->Now());
+}
+
 NodeStatus
 NodeProcess::Status() const
 {
-  const TimePoint now = mReactor->Now();
+  const ServingState serving = Serving();
   NodeStatus status;
-  status.mReady = !mLeaving && mIntake.IsServing(now);
+  status.mReady = serving != ServingState::Nothing;
   status.mAddressesHold = mSettings.mAddressesHold;
-  status.mCallerAddresses = mPeers->Members().CallerAddresses(now);
-  // Where nobody else is known to serve, this VM is still worth a try.
-  if (status.mReady || status.mCallerAddresses.empty()) {
-    status.mCallerAddresses.insert(status.mCallerAddresses.begin(),
-                                   mSettings.mListen);
-  }
+  status.mCallerAddresses = mPeers->Members().CallerAddresses(
+    serving, mSettings.mListen, mReactor->Now());
   return status;
 }
 
@@ -343,7 +345,7 @@
 void
 NodeProcess::FillState(VmNews& aNews)
 {
-  aNews.mServing = !mLeaving && mIntake.IsServing(mReactor->Now());
+  aNews.mServing = Serving();
   aNews.mLeaving = mLeaving;
 }
 
@@ -356,10 +358,11 @@
   const TimePoint now = mReactor->Now();
   mMachine.SetVmCount(mPeers->Members().Count(now));
   mLedger.SetHeardPart(mPeers->Members().HeardPart(now));
-  const bool serving = mIntake.IsServing(now);
+  const ServingState serving = Serving();
   if (serving != mWasServing) {
-    mWasServing = serving;
-    Log::Info(serving ? "serving" : "not_serving")
+    Log::Info("serving")
+      .Field("what", ToName(serving))
+      .Field("before", ToName(std::exchange(mWasServing, serving)))
       .Field("version", mView.Version())
       .Field("view_age_ms", ToMillis(mView.Age(now)))
       .Field("vms", mPeers->Members().Count(now))
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -62,6 +62,8 @@
   bool Start(Reason* aReason);
   bool StartCallers(Reason* aReason);
   bool StartPages(Reason* aReason);
+  /// What new callers get here.
+  ServingState Serving() const;
   NodeStatus Status() const;
   std::string RenderMetrics();
   void CheckLeft();
@@ -103,7 +105,7 @@
   std::unique_ptr<HttpServer> mCallerServer;
   std::vector<std::unique_ptr<PageServer>> mPageServers;
   std::unique_ptr<LoopMonitor> mLoopMonitor;
-  bool mWasServing = false; ///< For the log.
+  ServingState mWasServing = ServingState::Nothing; ///< For the log.
 
   // Leaving
   bool mLeaving = false;
--- a/Peridothoist/Node/VmNewsCodec.cpp
+++ b/Peridothoist/Node/VmNewsCodec.cpp
@@ -44,6 +44,14 @@
   return crashes;
 }
 
+ServingState
+ServingStateOf(int aNumber)
+{
+  const bool known =
+    aNumber >= 0 && aNumber <= static_cast<int>(ServingState::Everything);
+  return known ? static_cast<ServingState>(aNumber) : ServingState::Nothing;
+}
+
 VmNews
 Decode(const json& aValue)
 {
@@ -53,7 +61,7 @@
   news.mSequence = aValue.at(kSequence).get<std::uint64_t>();
   news.mCallerAddress = aValue.at(kCallers).get<std::string>();
   news.mPeerAddress = aValue.at(kPeer).get<std::string>();
-  news.mServing = aValue.at(kServing).get<bool>();
+  news.mServing = ServingStateOf(aValue.at(kServing).get<int>());
   news.mLeaving = aValue.at(kLeaving).get<bool>();
   news.mGranted = aValue.at(kGranted).get<GrantedTokens>();
   for (const auto& [id, work] : aValue.at(kWork).items()) {
@@ -81,7 +89,7 @@
                        { kSequence, aNews.mSequence },
                        { kCallers, aNews.mCallerAddress },
                        { kPeer, aNews.mPeerAddress },
-                       { kServing, aNews.mServing },
+                       { kServing, static_cast<int>(aNews.mServing) },
                        { kLeaving, aNews.mLeaving },
                        { kGranted, aNews.mGranted },
                        { kWork, EncodeWork(aNews.mWork) },
--- a/Peridothoist/Relay/ConfirmedView.h
+++ b/Peridothoist/Relay/ConfirmedView.h
@@ -16,6 +16,9 @@
   Duration mRevokeLimit = 5s;
   /// Part of mRevokeLimit that is left for bytes on their way and clocks.
   Duration mMargin = 700ms;
+  /// Without a confirmation for this part of mRevokeLimit, callers are sent
+  /// to other VMs, before this one has to refuse them.
+  double mWelcomePart = 0.5;
 };
 
 /// Holds the newest configuration and when it was last confirmed.
@@ -72,6 +75,14 @@
            Age(aNow) < mSettings.mRevokeLimit - mSettings.mMargin;
   }
 
+  /// Whether callers with keys are to come to this VM.
+  bool WelcomesKeys(TimePoint aNow) const
+  {
+    return mConfiguration != nullptr &&
+           Age(aNow) < std::chrono::duration_cast<Duration>(
+                         mSettings.mRevokeLimit * mSettings.mWelcomePart);
+  }
+
 private:
   Settings mSettings;
   std::shared_ptr<const RelayConfiguration> mConfiguration;
--- a/Peridothoist/Relay/MemberBook.cpp
+++ b/Peridothoist/Relay/MemberBook.cpp
@@ -2,9 +2,19 @@
 #include <Peridothoist/Relay/MemberBook.h>
 
 #include <algorithm>
+#include <array>
 
 namespace peridothoist {
 
+const char*
+ToName(ServingState aState)
+{
+  static constexpr std::array<const char*, 3> kNames = { "nothing",
+                                                         "open_routes",
+                                                         "everything" };
+  return kNames[static_cast<std::size_t>(aState)];
+}
+
 MemberBook::MemberBook(const Settings& aSettings, std::string aSelf)
   : mSettings(aSettings)
   , mSelf(std::move(aSelf))
@@ -72,16 +82,29 @@
 }
 
 std::vector<std::string>
-MemberBook::CallerAddresses(TimePoint aNow) const
+MemberBook::CallerAddresses(ServingState aOwnState,
+                            const std::string& aOwnAddress,
+                            TimePoint aNow) const
 {
-  std::vector<std::string> addresses;
-  for (const auto& [name, member] : mMembers) {
-    if (IsHeard(name, aNow) && member.mNews.mServing &&
-        !member.mNews.mLeaving) {
-      addresses.push_back(member.mNews.mCallerAddress);
+  const auto addressesOf = [&](ServingState aState) {
+    std::vector<std::string> addresses;
+    if (aOwnState == aState) {
+      addresses.push_back(aOwnAddress);
+    }
+    for (const auto& [name, member] : mMembers) {
+      if (IsHeard(name, aNow) && member.mNews.mServing == aState) {
+        addresses.push_back(member.mNews.mCallerAddress);
+      }
     }
+    return addresses;
+  };
+  std::vector<std::string> addresses = addressesOf(ServingState::Everything);
+  if (!addresses.empty()) {
+    return addresses;
   }
-  return addresses;
+  addresses = addressesOf(ServingState::OpenRoutes);
+  const bool alone = addresses.size() == 1 && Count(aNow) > 1;
+  return alone ? std::vector<std::string>() : addresses;
 }
 
 std::vector<std::string>
--- a/Peridothoist/Relay/MemberBook.h
+++ b/Peridothoist/Relay/MemberBook.h
@@ -19,15 +19,26 @@
   Duration mLasts{ 0 }; ///< From now on.
 };
 
+/// What a VM can serve to new callers.
+enum class ServingState
+{
+  Nothing,    ///< It starts or leaves, or knows no configuration.
+  OpenRoutes, ///< Only routes that need no key: its view is too old.
+  Everything
+};
+
+const char*
+ToName(ServingState aState);
+
 /// What a VM tells the others about itself.
 struct VmNews
 {
-  std::string mVm;                ///< Its name.
-  std::string mInstance;          ///< New with each start of its process.
-  std::uint64_t mSequence = 0;    ///< Goes up with each message of an instance.
-  std::string mCallerAddress;     ///< Where callers connect, "ip:port".
-  std::string mPeerAddress;       ///< Where it hears the others, "ip:port".
-  bool mServing = false;          ///< New callers are welcome.
+  std::string mVm;             ///< Its name.
+  std::string mInstance;       ///< New with each start of its process.
+  std::uint64_t mSequence = 0; ///< Goes up with each message of an instance.
+  std::string mCallerAddress;  ///< Where callers connect, "ip:port".
+  std::string mPeerAddress;    ///< Where it hears the others, "ip:port".
+  ServingState mServing = ServingState::Nothing;
   bool mLeaving = false;          ///< It stops soon.
   GrantedTokens mGranted;         ///< Net, since the instance started.
   WorkByUpstream mWork;           ///< Its open requests.
@@ -65,8 +76,13 @@
   /// The part of all VMs that this one hears, itself included.
   double HeardPart(TimePoint aNow) const;
 
-  /// Addresses for callers: VMs that are heard and serving.
-  std::vector<std::string> CallerAddresses(TimePoint aNow) const;
+  /// Addresses for callers, this VM's own among them if it serves: VMs that are
+  /// heard and serve everything; where there is none, those that serve open
+  /// routes. Empty when this VM can't serve everything and hears none of the
+  /// others, since these may.
+  std::vector<std::string> CallerAddresses(ServingState aOwnState,
+                                           const std::string& aOwnAddress,
+                                           TimePoint aNow) const;
 
   /// VMs that were registered for longer than aSilentFor without being heard.
   std::vector<std::string> Vanished(Duration aSilentFor, TimePoint aNow) const;
--- a/Peridothoist/Relay/RelayIntake.cpp
+++ b/Peridothoist/Relay/RelayIntake.cpp
@@ -143,12 +143,18 @@
   return arrival;
 }
 
-bool
-RelayIntake::IsServing(TimePoint aNow) const
+ServingState
+RelayIntake::Serving(TimePoint aNow) const
 {
   const auto& configuration = mView->Configuration();
-  return configuration != nullptr &&
-         (mView->MayServeKeys(aNow) || configuration->HasOpenRoutes());
+  if (configuration == nullptr) {
+    return ServingState::Nothing;
+  }
+  if (mView->WelcomesKeys(aNow) || !configuration->NeedsKeys()) {
+    return ServingState::Everything;
+  }
+  return configuration->HasOpenRoutes() ? ServingState::OpenRoutes
+                                        : ServingState::Nothing;
 }
 
 std::optional<RefusalKind>
--- a/Peridothoist/Relay/RelayIntake.h
+++ b/Peridothoist/Relay/RelayIntake.h
@@ -4,6 +4,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/ConfirmedView.h>
+#include <Peridothoist/Relay/MemberBook.h>
 #include <Peridothoist/Relay/RelayMachine.h>
 #include <Peridothoist/Relay/UsageLedger.h>
 
@@ -40,8 +41,8 @@
                                     TimePoint aNow,
                                     Refusal* aRefusal);
 
-  /// Whether this VM can serve new callers now.
-  bool IsServing(TimePoint aNow) const;
+  /// What this VM can serve to new callers now.
+  ServingState Serving(TimePoint aNow) const;
 
   // See: RelayGate
   std::optional<RefusalKind> MayRelay(const RelayArrival& aArrival,
--- a/Peridothoist/Relay/UsageLedger.cpp
+++ b/Peridothoist/Relay/UsageLedger.cpp
@@ -72,6 +72,17 @@
   return whole * mPart;
 }
 
+/// The limit for a request of aTokens.
+double
+UsageLedger::RoomFor(const Account& aAccount,
+                     double aTokens,
+                     TimePoint aNow) const
+{
+  const double limit = LimitOf(aAccount, aNow);
+  const bool small = aTokens <= limit * mSettings.mSmallPart;
+  return small ? limit : limit * (1 - mSettings.mKeptForSmall);
+}
+
 /// How long until aExcess tokens have left the window.
 Duration
 UsageLedger::WaitFor(const Account& aAccount,
@@ -98,7 +109,7 @@
     return std::nullopt;
   }
   Drop(*account, aNow);
-  const double limit = LimitOf(*account, aNow);
+  const double limit = RoomFor(*account, aTokens, aNow);
   // A request above the whole limit is let in while nothing else was: else it
   // could never run.
   const bool alone = account->mSum <= 0 && limit > 0;
--- a/Peridothoist/Relay/UsageLedger.h
+++ b/Peridothoist/Relay/UsageLedger.h
@@ -24,6 +24,11 @@
 struct UsageLedgerSettings
 {
   Duration mWindow = 8s; ///< Any span of this length counts.
+  /// This part of an allowance is kept for small requests: a few large ones
+  /// less leave room for many of them.
+  double mKeptForSmall = 0.05;
+  /// A small request takes at most this part of an allowance.
+  double mSmallPart = 0.002;
 };
 
 /// One VM's view of all workspaces' allowances.
@@ -81,6 +86,7 @@
   void Add(Account& aAccount, double aTokens, TimePoint aNow) const;
   void Drop(Account& aAccount, TimePoint aNow) const;
   double LimitOf(const Account& aAccount, TimePoint aNow) const;
+  double RoomFor(const Account& aAccount, double aTokens, TimePoint aNow) const;
   Duration WaitFor(const Account& aAccount,
                    double aExcess,
                    TimePoint aNow) const;
