Count memory as streams grow, share free room by who waits, and serve first who can be in time

Streams are counted by what they hold; an engine's own word covers runs that are not known of; each VM takes a part of the room by its part of all waiting requests; requests with less than 0.25 s left wait behind the others; prompts are read by prefill engines while there are any.

--- a/Peridothoist/Node/NodePeers.cpp
+++ b/Peridothoist/Node/NodePeers.cpp
@@ -136,6 +136,7 @@
   news.mPeerAddress = mSettings.mPeerListen;
   news.mGranted = mLedger->Granted();
   news.mWork = mMachine->Loads().Own();
+  news.mWaiting = mMachine->Waiting();
   news.mGone = mMachine->Loads().FoundGone(now);
   for (const ListedDigest& it : mMachine->Suspects().Quarantined(now)) {
     news.mCrashes.push_back({ it.mDigest, it.mCrashes, true, it.mUntil - now });
@@ -184,6 +185,7 @@
   mMachine->Loads().OnPeerFoundGone(copy.mGone, now);
   TakeCrashes(copy.mCrashes);
   mListener->OnMembersChanged();
+  mMachine->Loads().OnPeerWaiting(copy.mVm, copy.mWaiting);
   mListener->OnPeerWork(copy.mVm, copy.mWork);
 }
 
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -389,6 +389,7 @@
     .Field("calls", aFacts.mCalls)
     .Field("upstream", aFacts.mUpstream)
     .Field("version", mView.Version())
+    .Field("gap_ms", ToMillis(aFacts.mLongestGap))
     .Field("first_ms", ToMillis(aFacts.mFirstByteAfter))
     .Field("ms", ToMillis(took));
 }
--- a/Peridothoist/Node/RelayRunner.cpp
+++ b/Peridothoist/Node/RelayRunner.cpp
@@ -359,7 +359,14 @@
 void
 RelayRunner::SendEvent(const RelayCommand& aCommand, Request& aRequest)
 {
-  ++aRequest.mFacts.mEvents;
+  RelayFacts& facts = aRequest.mFacts;
+  const TimePoint now = mReactor->Now();
+  if (facts.mEvents > 0) {
+    facts.mLongestGap =
+      std::max(facts.mLongestGap, Duration(now - facts.mLastEventAt));
+  }
+  facts.mLastEventAt = now;
+  ++facts.mEvents;
   aRequest.mExchange->Write(aCommand.mEvent);
 }
 
--- a/Peridothoist/Node/RelayRunner.h
+++ b/Peridothoist/Node/RelayRunner.h
@@ -24,6 +24,8 @@
   std::uint64_t mPromptTokens = 0;
   std::uint64_t mTokens = 0;     ///< Prompt and most output.
   std::uint32_t mEvents = 0;     ///< Streams: events sent.
+  TimePoint mLastEventAt;        ///< Streams: when the last one was sent.
+  Duration mLongestGap{ 0 };     ///< Streams: between two events.
   std::uint32_t mCalls = 0;      ///< Calls to upstreams.
   std::string mUpstream;         ///< Of the last call.
   Duration mFirstByteAfter{ 0 }; ///< Streams: until the first event was sent.
--- a/Peridothoist/Node/VmNewsCodec.cpp
+++ b/Peridothoist/Node/VmNewsCodec.cpp
@@ -19,6 +19,7 @@
 constexpr const char* kLeaving = "l";
 constexpr const char* kGranted = "g";
 constexpr const char* kWork = "w";
+constexpr const char* kWaiting = "q";
 constexpr const char* kGone = "x";
 constexpr const char* kCrashes = "c";
 constexpr const char* kKnownPeers = "k";
@@ -68,6 +69,7 @@
     news.mWork[id] = { work.at(0).get<std::uint32_t>(),
                        work.at(1).get<std::uint64_t>() };
   }
+  news.mWaiting = aValue.at(kWaiting).get<std::uint64_t>();
   news.mGone = aValue.at(kGone).get<std::vector<std::string>>();
   for (const json& it : aValue.at(kCrashes)) {
     news.mCrashes.push_back({ it.at(0).get<std::string>(),
@@ -93,6 +95,7 @@
                        { kLeaving, aNews.mLeaving },
                        { kGranted, aNews.mGranted },
                        { kWork, EncodeWork(aNews.mWork) },
+                       { kWaiting, aNews.mWaiting },
                        { kGone, aNews.mGone },
                        { kCrashes, EncodeCrashes(aNews.mCrashes) },
                        { kKnownPeers, aNews.mPeers } };
--- a/Peridothoist/Relay/LoadBoard.cpp
+++ b/Peridothoist/Relay/LoadBoard.cpp
@@ -18,6 +18,24 @@
   mRevision += aTokens > 0 ? 1 : 0;
 }
 
+void
+LoadBoard::OnGrown(const std::string& aUpstream, std::uint64_t aTokens)
+{
+  const auto it = mOwn.find(aUpstream);
+  PH_ASSERT(it != mOwn.end());
+  it->second.mTokens += aTokens; // Told with the next regular message.
+}
+
+std::size_t
+LoadBoard::PeersWaiting() const
+{
+  std::size_t waiting = 0;
+  for (const auto& [peer, count] : mPeersWaiting) {
+    waiting += count;
+  }
+  return waiting;
+}
+
 void
 LoadBoard::OnDone(const std::string& aUpstream, std::uint64_t aTokens)
 {
--- a/Peridothoist/Relay/LoadBoard.h
+++ b/Peridothoist/Relay/LoadBoard.h
@@ -36,7 +36,7 @@
 /// Settings of a LoadBoard.
 struct LoadBoardSettings
 {
-  Duration mStatedHolds = 300ms;    ///< A stated load means something so long.
+  Duration mStatedHolds = 600ms;    ///< A stated load means something so long.
   Duration mFirstAvoidance = 500ms; ///< After one failure; doubles with each.
   Duration mLongestAvoidance = 4s;
   /// After one whose process was found gone; it mostly comes back under
@@ -58,6 +58,9 @@
 
   // This VM's requests.
   void OnSent(const std::string& aUpstream, std::uint64_t aTokens);
+  /// A request there took more memory.
+  void OnGrown(const std::string& aUpstream, std::uint64_t aTokens);
+  /// A request is over; aTokens: all that it had taken.
   void OnDone(const std::string& aUpstream, std::uint64_t aTokens);
 
   /// The upstream stated its load in an answer.
@@ -67,7 +70,17 @@
 
   /// Another VM's work, in place of what it said before.
   void OnPeerWork(const std::string& aPeer, WorkByUpstream aWork);
-  void ForgetPeer(const std::string& aPeer) { mPeers.erase(aPeer); }
+  /// How many requests another VM keeps waiting for room.
+  void OnPeerWaiting(const std::string& aPeer, std::size_t aWaiting)
+  {
+    mPeersWaiting[aPeer] = aWaiting;
+  }
+  std::size_t PeersWaiting() const;
+  void ForgetPeer(const std::string& aPeer)
+  {
+    mPeers.erase(aPeer);
+    mPeersWaiting.erase(aPeer);
+  }
 
   /// The upstream could not be reached, or broke a call.
   void OnFailure(const std::string& aUpstream, TimePoint aNow);
@@ -114,7 +127,8 @@
   Settings mSettings;
   WorkByUpstream mOwn;
   std::uint64_t mRevision = 0;
-  std::map<std::string, WorkByUpstream> mPeers; ///< By peer.
+  std::map<std::string, WorkByUpstream> mPeers;     ///< By peer.
+  std::map<std::string, std::size_t> mPeersWaiting; ///< By peer.
   std::map<std::string, Stated> mStated;
   std::map<std::string, Failures> mFailures;
 };
--- a/Peridothoist/Relay/MemberBook.h
+++ b/Peridothoist/Relay/MemberBook.h
@@ -41,6 +41,7 @@
   ServingState mServing = ServingState::Nothing;
   bool mLeaving = false;          ///< It stops soon.
   GrantedTokens mGranted;         ///< Net, since the instance started.
+  std::uint64_t mWaiting = 0;     ///< Requests that wait for room.
   WorkByUpstream mWork;           ///< Its open requests.
   std::vector<std::string> mGone; ///< Upstreams that it found gone.
   std::vector<CrashNews> mCrashes;
--- a/Peridothoist/Relay/RelayConfiguration.h
+++ b/Peridothoist/Relay/RelayConfiguration.h
@@ -60,9 +60,10 @@
 /// Limits of the model engines of a service.
 struct RelayEngines
 {
-  std::uint32_t mSlots = 1;        ///< Requests that one engine runs at once.
-  std::uint64_t mMemoryTokens = 0; ///< KV memory of one engine, in tokens.
-  Duration mHandleLasts = 500ms;   ///< How long a prefill result is kept.
+  std::uint32_t mSlots = 1;          ///< Requests that one engine runs at once.
+  std::uint64_t mMemoryTokens = 0;   ///< KV memory of one engine, in tokens.
+  std::uint32_t mTokensPerEvent = 1; ///< Of a stream's events.
+  Duration mHandleLasts = 500ms;     ///< How long a prefill result is kept.
 };
 
 /// One service.
--- a/Peridothoist/Relay/RelayIntake.cpp
+++ b/Peridothoist/Relay/RelayIntake.cpp
@@ -13,9 +13,9 @@
 /// Requests that state no expected output generate this part of the most.
 constexpr double kUsualOutputPart = 0.4;
 
-/// An engine's streams are at different places of their outputs, so that not
-/// all of them need their whole memory at the same time.
-constexpr double kHeldOutputPart = 0.75;
+/// The memory of a stream is counted as it grows; this part of its output is
+/// counted from the beginning.
+constexpr double kHeldOutputPart = 0.25;
 
 /// A caller comes back after at most this part of its patience.
 constexpr double kMostRetryPart = 0.3;
--- a/Peridothoist/Relay/RelayMachine.cpp
+++ b/Peridothoist/Relay/RelayMachine.cpp
@@ -2,6 +2,7 @@
 #include <Peridothoist/Relay/RelayMachine.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace peridothoist {
 
@@ -135,11 +136,8 @@
   question.mZone = mSettings.mZone;
   question.mTokens = aState.mArrival.mMemoryTokens;
   question.mExcluded = aState.mExcluded;
-  const RelayService* service =
-    mConfiguration->FindService(aState.mArrival.mService);
-  if (service != nullptr && service->mEngines) {
-    question.mMemoryTokens = service->mEngines->mMemoryTokens;
-  }
+  const RelayEngines* engines = EnginesOf(aState);
+  question.mMemoryTokens = engines == nullptr ? 0 : engines->mMemoryTokens;
   return question;
 }
 
@@ -288,22 +286,49 @@
     return;
   }
   const auto waiting = mWaiting;
+  double starts = -1;
   for (const bool late : { false, true }) {
     for (const auto& place : waiting) {
       State* state = Find(place.second);
       if (state == nullptr || state->mCall || IsLate(*state) != late) {
         continue;
       }
+      if (starts < 0) {
+        starts = OwnPartOfRoom(*state, waiting.size());
+      }
+      if (starts < 1) {
+        return;
+      }
+      starts -= 1;
       Begin(*state);
     }
   }
 }
 
+/// This VM's part of the room that is free, by how many requests wait here and
+/// at the others: all VMs see the same room at the same time. A fraction is
+/// rounded by chance.
+double
+RelayMachine::OwnPartOfRoom(const State& aState, std::size_t aWaiting)
+{
+  const RelayStage stage = aState.mArrival.mRoute->mKind == RelayKind::Stream
+                             ? RelayStage::Decode
+                             : RelayStage::Plain;
+  const double room = mChooser.RoomFor(QuestionFor(aState, stage), mNow);
+  const double own = static_cast<double>(aWaiting);
+  const double all = own + static_cast<double>(mLoads.PeersWaiting());
+  const double part = std::max(room, 0.0) * own / all;
+  const double whole = std::floor(part);
+  return whole + (mRandom->Unit() < part - whole ? 1 : 0);
+}
+
 bool
 RelayMachine::IsLate(const State& aState) const
 {
   const RelayArrival& arrival = aState.mArrival;
-  return mNow - arrival.mArrivedAt >= arrival.mRoute->mTargetLatency;
+  const bool stream = arrival.mRoute->mKind == RelayKind::Stream;
+  const Duration start = stream ? mSettings.mUsualStart : Duration(0);
+  return mNow + start - arrival.mArrivedAt >= arrival.mRoute->mTargetLatency;
 }
 
 bool
@@ -367,6 +392,11 @@
   if (aEvent.mEventId) {
     state.mLastEventId = *aEvent.mEventId;
   }
+  const RelayEngines* engines = EnginesOf(state);
+  if (engines != nullptr) {
+    call->mTokens += engines->mTokensPerEvent;
+    mLoads.OnGrown(call->mUpstream, engines->mTokensPerEvent);
+  }
   Command(RelayCommandKind::SendEvent, state).mEvent = std::move(aEvent.mText);
 }
 
@@ -411,6 +441,38 @@
   return call;
 }
 
+/// A decode engine didn't take a prefill result: its memory is full, or the
+/// result has lapsed.
+void
+RelayMachine::OnHandleRefused(State& aState, const Call& aCall)
+{
+  const RelayEngines* engines = EnginesOf(aState);
+  const double used = static_cast<double>(mLoads.Work(aCall.mUpstream).mTokens);
+  const bool full = engines != nullptr &&
+                    (used > mSettings.mLikelyFull *
+                              static_cast<double>(engines->mMemoryTokens) ||
+                     mLoads.StatedBeyond(aCall.mUpstream, mNow) > 1);
+  if (!PayRepeat(aState)) {
+    Refuse(aState, RefusalKind::NoUpstream);
+    return;
+  }
+  if (full) {
+    mLoads.OnFailure(aCall.mUpstream, mNow);
+  } else {
+    mLoads.OnFailure(aState.mHandleUpstream, mNow);
+  }
+  if (aState.mArrival.mRoute->mMaxAttempts > 1) {
+    aState.mExcluded.insert(aCall.mUpstream);
+  }
+  // The same engine may be asked again: it has not run the request.
+  aState.mTried.erase(aCall.mUpstream);
+  if (!full || !KeepHandle(aState, aCall)) {
+    aState.mHandle = aCall.mHandle;
+    DropHandle(aState);
+  }
+  Begin(aState);
+}
+
 /// Takes back a handle that a call was to use and hasn't. False when there is
 /// none, or it lapses too soon for another try.
 bool
@@ -429,15 +491,14 @@
   return false;
 }
 
-/// How long an engine of the request's service keeps a prefill result.
-Duration
-RelayMachine::HandleTime(const State& aState) const
+/// The engines of a request's service; null when it has none.
+const RelayEngines*
+RelayMachine::EnginesOf(const State& aState) const
 {
   const RelayService* service =
     mConfiguration->FindService(aState.mArrival.mService);
-  return service != nullptr && service->mEngines
-           ? service->mEngines->mHandleLasts
-           : Duration(0);
+  return service != nullptr && service->mEngines ? &*service->mEngines
+                                                 : nullptr;
 }
 
 /// Counts memory at the decode engine while a prefill engine reads the prompt.
@@ -512,22 +573,7 @@
     return;
   }
   if (aCall.mTakesHandle && !aOther) {
-    // The engine may be fine and the memory gone: the same engine may read the
-    // prompt itself.
-    aState.mHandle = aCall.mHandle;
-    aState.mHandleAddress = aCall.mHandleAddress;
-    DropHandle(aState);
-    mLoads.OnFailure(aState.mHandleUpstream, mNow); // It may have lapsed.
-    const bool another = aState.mArrival.mRoute->mMaxAttempts > 1;
-    if (another) {
-      aState.mExcluded.insert(aCall.mUpstream);
-    }
-    if (!PayRepeat(aState)) {
-      Refuse(aState, RefusalKind::NoUpstream);
-      return;
-    }
-    aState.mTried.erase(aCall.mUpstream);
-    Begin(aState);
+    OnHandleRefused(aState, aCall);
     return;
   }
   mLoads.OnFailure(aCall.mUpstream, mNow);
@@ -544,7 +590,9 @@
     aState.mHandle = aEnd.mHandle;
     aState.mHandleAddress = aCall.mAddress;
     aState.mHandleUpstream = aCall.mUpstream;
-    aState.mHandleUntil = mNow + HandleTime(aState);
+    const RelayEngines* engines = EnginesOf(aState);
+    aState.mHandleUntil =
+      mNow + (engines == nullptr ? Duration(0) : engines->mHandleLasts);
     const RelayUpstream* decode = mRoster.Find(aState.mDecodeUpstream);
     ReleaseRoom(aState);
     if (decode != nullptr && !decode->mLeaving) {
--- a/Peridothoist/Relay/RelayMachine.h
+++ b/Peridothoist/Relay/RelayMachine.h
@@ -51,15 +51,21 @@
   double mPatienceFactor = 3.0;
   Duration mFirstEventPatience = 2s; ///< Resumable streams: to the first event.
   Duration mEventGapPatience = 900ms; ///< Resumable streams: between events.
+  /// From the choice of an engine to a stream's first event, when nothing is
+  /// in its way: who has less time left is late already.
+  Duration mUsualStart = 250ms;
   /// Room is waited for so long, as a part of the caller's patience. Callers
   /// of streams leave after about a quarter of it without an event.
   double mWaitPart = 0.22;
   Duration mLeastTimeLeft = 20ms;     ///< With less, nothing is sent any more.
   Duration mPrefillPatience = 1500ms; ///< For a prefill's answer.
-  Duration mHandleMargin = 100ms;     ///< A handle isn't used so shortly before
-                                      ///< it lapses.
-  Duration mCrashWindow = 6s; ///< A call that broke this long before its
-                              ///< upstream was found gone was present.
+  /// An engine that is used to this part refuses for its memory rather than
+  /// for a handle that lapsed.
+  double mLikelyFull = 0.7;
+  Duration mHandleMargin = 100ms; ///< A handle isn't used so shortly before
+                                  ///< it lapses.
+  Duration mCrashWindow = 6s;     ///< A call that broke this long before its
+                                  ///< upstream was found gone was present.
   SuspectTableSettings mSuspects;
   RepeatBudgetSettings mBudget;
   RelayPlanSettings mPlan;
@@ -200,7 +206,9 @@
   void OnNoChoice(State& aState, NoChoice aWhy);
   ChoiceQuestion QuestionFor(const State& aState, RelayStage aStage) const;
   void Pump();
+  double OwnPartOfRoom(const State& aState, std::size_t aWaiting);
   bool IsLate(const State& aState) const;
+  const RelayEngines* EnginesOf(const State& aState) const;
 
   // Ends of calls
   using EndHandler = void (RelayMachine::*)(State&, const Call&, RelayCallEnd&);
@@ -208,6 +216,7 @@
   void OnPrefill(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnStream(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnRejected(State& aState, const Call& aCall, bool aOther);
+  void OnHandleRefused(State& aState, const Call& aCall);
   bool KeepHandle(State& aState, const Call& aCall);
   void OnUnsent(State& aState, const Call& aCall, const RelayCallEnd& aEnd);
   void OnFailed(State& aState, const Call& aCall, bool aBroken);
@@ -216,7 +225,6 @@
   Call TakeCall(State& aState);
   void CancelCall(State& aState);
   void DropHandle(State& aState);
-  Duration HandleTime(const State& aState) const;
   void KeepRoom(State& aState, const std::string& aUpstream);
   void ReleaseRoom(State& aState);
 
--- a/Peridothoist/Relay/RelayPlan.h
+++ b/Peridothoist/Relay/RelayPlan.h
@@ -13,7 +13,7 @@
 struct RelayPlanSettings
 {
   /// Requests at the decode engine from which on a prefill engine reads.
-  std::uint32_t mSplitFrom = 1;
+  std::uint32_t mSplitFrom = 0;
   /// Prefills at a prefill engine from which on it is no help.
   std::uint32_t mMostPrefills = 6;
   /// Shorter prompts are always read by the decode engine, in tokens.
--- a/Peridothoist/Relay/UpstreamChoice.cpp
+++ b/Peridothoist/Relay/UpstreamChoice.cpp
@@ -1,7 +1,9 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/UpstreamChoice.h>
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace peridothoist {
 
@@ -43,7 +45,7 @@
     }
     const bool avoided = mLoads->IsAvoided(id, aNow);
     anySound = anySound || !avoided;
-    if (IsFull(upstream, aQuestion)) {
+    if (IsFull(upstream, aQuestion, aNow)) {
       anyFull = true;
       continue;
     }
@@ -67,24 +69,56 @@
   return { nullptr, anyFull ? NoChoice::Full : NoChoice::NoUpstream, 0 };
 }
 
-bool
-UpstreamChooser::IsFull(const RelayUpstream& aUpstream,
-                        const ChoiceQuestion& aQuestion) const
+/// How many such requests one upstream has room for.
+double
+UpstreamChooser::RoomAt(const RelayUpstream& aUpstream,
+                        const ChoiceQuestion& aQuestion,
+                        TimePoint aNow) const
 {
-  const UpstreamWork work = mLoads->Work(aUpstream.mId);
-  if (aUpstream.mStage == RelayStage::Plain) {
-    return work.mRequests >= mSettings.mPlainFullness * aUpstream.mSlots;
-  }
-  if (work.mRequests >= aUpstream.mSlots) {
-    return true;
+  UpstreamWork work = mLoads->Work(aUpstream.mId);
+  // What it runs beyond all that is known, as after VMs or links were lost.
+  const std::uint32_t beyond = mLoads->StatedBeyond(aUpstream.mId, aNow);
+  work += { beyond, beyond * aQuestion.mTokens };
+  const double slots = aUpstream.mStage == RelayStage::Plain
+                         ? mSettings.mPlainFullness * aUpstream.mSlots
+                         : aUpstream.mSlots;
+  const double bySlots = slots - work.mRequests;
+  const bool counted = aQuestion.mMemoryTokens > 0 && aQuestion.mTokens > 0 &&
+                       aUpstream.mStage == RelayStage::Decode;
+  if (!counted || bySlots < 1) {
+    return bySlots;
   }
   const double limit =
     mSettings.mEngineFullness * static_cast<double>(aQuestion.mMemoryTokens);
-  const bool counted =
-    aQuestion.mMemoryTokens > 0 && aUpstream.mStage == RelayStage::Decode;
+  const double byMemory = (limit - static_cast<double>(work.mTokens)) /
+                          static_cast<double>(aQuestion.mTokens);
   // An empty engine takes a request of any size that it can hold at all.
-  return counted && work.mRequests > 0 &&
-         static_cast<double>(work.mTokens + aQuestion.mTokens) > limit;
+  return work.mRequests == 0 ? std::max(1.0, byMemory)
+                             : std::min(bySlots, byMemory);
+}
+
+bool
+UpstreamChooser::IsFull(const RelayUpstream& aUpstream,
+                        const ChoiceQuestion& aQuestion,
+                        TimePoint aNow) const
+{
+  return RoomAt(aUpstream, aQuestion, aNow) < 1;
+}
+
+double
+UpstreamChooser::RoomFor(const ChoiceQuestion& aQuestion, TimePoint aNow) const
+{
+  double room = 0;
+  for (const auto& [id, entry] : mRoster->All()) {
+    const RelayUpstream& upstream = entry.mUpstream;
+    const bool fits = upstream.mService == aQuestion.mService &&
+                      upstream.mStage == aQuestion.mStage &&
+                      !upstream.mLeaving && !mLoads->IsAvoided(id, aNow);
+    if (fits) {
+      room += std::max(0.0, std::floor(RoomAt(upstream, aQuestion, aNow)));
+    }
+  }
+  return room;
 }
 
 double
--- a/Peridothoist/Relay/UpstreamChoice.h
+++ b/Peridothoist/Relay/UpstreamChoice.h
@@ -50,7 +50,7 @@
   double mEngineZoneWorth = 1.5;
   double mLapsedPenalty = 50;    ///< In requests: its entry is missing.
   double mPlainFullness = 3.0;   ///< Requests for each slot when it is full.
-  double mEngineFullness = 0.95; ///< Part of the KV memory that is used.
+  double mEngineFullness = 0.94; ///< Part of the KV memory that is used.
 };
 
 /// Chooses upstreams.
@@ -67,9 +67,16 @@
 
   Choice Choose(const ChoiceQuestion& aQuestion, TimePoint aNow);
 
+  /// How many such requests all upstreams together have room for.
+  double RoomFor(const ChoiceQuestion& aQuestion, TimePoint aNow) const;
+
 private:
+  double RoomAt(const RelayUpstream& aUpstream,
+                const ChoiceQuestion& aQuestion,
+                TimePoint aNow) const;
   bool IsFull(const RelayUpstream& aUpstream,
-              const ChoiceQuestion& aQuestion) const;
+              const ChoiceQuestion& aQuestion,
+              TimePoint aNow) const;
   double Score(const RelayUpstream& aUpstream,
                const ChoiceQuestion& aQuestion,
                TimePoint aNow) const;
