--- /dev/null
+++ b/UnitTests/Relay/RelayFixture.h
@@ -0,0 +1,222 @@
+/// A relay machine with a configuration, engines and a gate that tests set.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/RelayMachine.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace peridothoist::test {
+
+/// Lets everything pass until told otherwise, and counts refunds.
+class FakeGate : public RelayGate
+{
+public:
+  // See: RelayGate
+  std::optional<RefusalKind> MayRelay(const RelayArrival&, TimePoint) override
+  {
+    return mRefusal;
+  }
+  void Refund(const RelayArrival&, TimePoint) override { ++mRefunds; }
+
+  std::optional<RefusalKind> mRefusal;
+  int mRefunds = 0;
+};
+
+/// Drives one machine.
+class RelayFixture
+{
+public:
+  RelayFixture()
+    : mRandom(7)
+    , mMachine(MakeSettings(), &mGate, &mRandom)
+  {
+    auto configuration = std::make_shared<RelayConfiguration>();
+    configuration->mVersion = 1;
+    RelayService engines;
+    engines.mName = "engines";
+    engines.mEngines = RelayEngines();
+    engines.mEngines->mSlots = 64;
+    engines.mEngines->mMemoryTokens = 40000;
+    engines.mEngines->mTokensPerEvent = 15;
+    configuration->mServices["engines"] = engines;
+    RelayService registry;
+    registry.mName = "registry";
+    configuration->mServices["registry"] = registry;
+    mMachine.SetConfiguration(configuration);
+  }
+
+  static RelayMachineSettings MakeSettings()
+  {
+    RelayMachineSettings settings;
+    settings.mZone = "a";
+    return settings;
+  }
+
+  static RelayUpstream Upstream(const std::string& aId,
+                                RelayStage aStage,
+                                const std::string& aZone = "a")
+  {
+    RelayUpstream upstream;
+    upstream.mId = aId;
+    upstream.mService = aStage == RelayStage::Plain ? "registry" : "engines";
+    upstream.mAddress = "10.0.0.1:80";
+    upstream.mZone = aZone;
+    upstream.mStage = aStage;
+    upstream.mSlots = aStage == RelayStage::Plain ? 6 : 64;
+    return upstream;
+  }
+
+  void List(std::vector<RelayUpstream> aUpstreams)
+  {
+    RelayCommands out;
+    mMachine.OnListed(std::move(aUpstreams), mNow, out);
+    Keep(std::move(out));
+  }
+
+  static std::shared_ptr<const RelayRoute> Route(RelayKind aKind,
+                                                 std::uint32_t aMaxAttempts,
+                                                 bool aResumable = false)
+  {
+    RelayRoute route;
+    route.mName = "r";
+    route.mKind = aKind;
+    route.mMaxAttempts = aMaxAttempts;
+    route.mResumable = aResumable;
+    route.mTimeout = 14s;
+    route.mTargetLatency = 900ms;
+    return std::make_shared<const RelayRoute>(route);
+  }
+
+  /// A request arrives; returns its id.
+  std::uint64_t Arrive(const std::shared_ptr<const RelayRoute>& aRoute,
+                       const std::string& aDigest = "d")
+  {
+    RelayArrival arrival;
+    arrival.mId = ++mLastId;
+    arrival.mRoute = aRoute;
+    const bool stream = aRoute->mKind == RelayKind::Stream;
+    arrival.mService = stream ? "engines" : "registry";
+    arrival.mDigest = aDigest;
+    arrival.mPromptTokens = stream ? 3000 : 0;
+    arrival.mMemoryTokens = stream ? 3200 : 0;
+    arrival.mArrivedAt = mNow;
+    arrival.mPatience = 14s;
+    arrival.mDeadline = mNow + aRoute->mTimeout;
+    RelayCommands out;
+    mMachine.OnArrival(std::move(arrival), mNow, out);
+    Keep(std::move(out));
+    return mLastId;
+  }
+
+  /// The newest call of a request; its bytes are taken to have left.
+  RelayCommand Call(std::uint64_t aId, bool aSent = true)
+  {
+    const auto it = std::find_if(
+      mCommands.rbegin(), mCommands.rend(), [&](const RelayCommand& aCommand) {
+        return aCommand.mId == aId &&
+               aCommand.mKind == RelayCommandKind::StartCall;
+      });
+    BOOST_REQUIRE(it != mCommands.rend());
+    if (aSent) {
+      BOOST_REQUIRE(mMachine.MayStillSend(aId, it->mAttempt, mNow));
+    }
+    return *it;
+  }
+
+  void End(const RelayCommand& aCall, RelayCallEnd aEnd)
+  {
+    RelayCommands out;
+    mMachine.OnCallEnd(aCall.mId, aCall.mAttempt, std::move(aEnd), mNow, out);
+    Keep(std::move(out));
+  }
+
+  void Event(const RelayCommand& aCall, std::uint64_t aEventId)
+  {
+    RelayCommands out;
+    RelayEvent event{ aEventId, "id: " + std::to_string(aEventId) + "\n\n" };
+    mMachine.OnEvent(aCall.mId, aCall.mAttempt, event, mNow, out);
+    Keep(std::move(out));
+  }
+
+  void Pass(Duration aTime)
+  {
+    mNow += aTime;
+    RelayCommands out;
+    mMachine.OnTick(mNow, out);
+    Keep(std::move(out));
+  }
+
+  void Keep(RelayCommands aCommands)
+  {
+    for (RelayCommand& it : aCommands) {
+      mCommands.push_back(std::move(it));
+    }
+  }
+
+  std::size_t Count(RelayCommandKind aKind) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(mCommands.begin(), mCommands.end(), [&](const auto& aIt) {
+        return aIt.mKind == aKind;
+      }));
+  }
+
+  /// The only refusal that was sent.
+  Refusal TheRefusal() const
+  {
+    const auto it = std::find_if(
+      mCommands.begin(), mCommands.end(), [](const RelayCommand& aCommand) {
+        return aCommand.mKind == RelayCommandKind::SendRefusal;
+      });
+    BOOST_REQUIRE(it != mCommands.end());
+    BOOST_TEST(Count(RelayCommandKind::SendRefusal) == 1U);
+    return *it->mRefusal;
+  }
+
+  // Ends of calls.
+  static RelayCallEnd Answered(int aStatus)
+  {
+    RelayCallEnd end;
+    end.mOutcome = { CallEnd::Whole, true, aStatus };
+    end.mSound = true;
+    end.mAnswer.mStatus = aStatus;
+    return end;
+  }
+  static RelayCallEnd NotRun(int aStatus = 503)
+  {
+    RelayCallEnd end = Answered(aStatus);
+    end.mNotRun = true;
+    end.mOther = aStatus == 421;
+    return end;
+  }
+  static RelayCallEnd Broken()
+  {
+    RelayCallEnd end;
+    end.mOutcome = { CallEnd::Broken, true, 0 };
+    return end;
+  }
+  static RelayCallEnd NotConnected()
+  {
+    RelayCallEnd end;
+    end.mOutcome = { CallEnd::NotConnected, false, 0 };
+    return end;
+  }
+  static RelayCallEnd Prefilled(const std::string& aHandle)
+  {
+    RelayCallEnd end = Answered(200);
+    end.mHandle = aHandle;
+    return end;
+  }
+
+  TimePoint mNow{ 1h };
+  FakeGate mGate;
+  Random mRandom;
+  RelayMachine mMachine;
+  RelayCommands mCommands;
+  std::uint64_t mLastId = 0;
+};
+
+} // namespace peridothoist::test
--- /dev/null
+++ b/UnitTests/Relay/RelayMachineTest.cpp
@@ -0,0 +1,483 @@
+/// What becomes of relayed requests when upstreams refuse, break, fall silent
+/// or are gone: at most one run where that is asked for, truthful refusals, and
+/// one final answer.
+#define BOOST_TEST_MODULE RelayMachine
+#include <Peridothoist/Peridothoist.h>
+#include <Relay/RelayFixture.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace peridothoist;
+using namespace peridothoist::test;
+
+BOOST_FIXTURE_TEST_SUITE(Whole, RelayFixture)
+
+BOOST_AUTO_TEST_CASE(AnswersUnchanged)
+{
+  List({ Upstream("p1", RelayStage::Plain) });
+  const auto id = Arrive(Route(RelayKind::NonIdempotent, 1));
+  End(Call(id), Answered(200));
+  BOOST_TEST(Count(RelayCommandKind::SendAnswer) == 1U);
+  BOOST_TEST(Count(RelayCommandKind::Forget) == 1U);
+  BOOST_TEST(mMachine.Open() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ABrokenCallOfANonIdempotentRequestIsNotSentAgain)
+{
+  List(
+    { Upstream("p1", RelayStage::Plain), Upstream("p2", RelayStage::Plain) });
+  const auto id = Arrive(Route(RelayKind::NonIdempotent, 3));
+  End(Call(id), Broken());
+  BOOST_TEST(Count(RelayCommandKind::StartCall) == 1U);
+  const Refusal refusal = TheRefusal();
+  BOOST_TEST((refusal.mVerdict == RunVerdict::MayHaveRun));
+  BOOST_TEST(refusal.Status() == 502);
+  BOOST_TEST(mGate.mRefunds == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ANonIdempotentRequestThatWasNotRunGoesOn)
+{
+  List(
+    { Upstream("p1", RelayStage::Plain), Upstream("p2", RelayStage::Plain) });
+  const auto id = Arrive(Route(RelayKind::NonIdempotent, 2));
+  const RelayCommand first = Call(id);
+  End(first, NotRun());
+  const RelayCommand second = Call(id);
+  BOOST_TEST(first.mUpstream != second.mUpstream);
+  End(second, NotRun());
+  BOOST_TEST(TheRefusal().Status() == 503);
+  BOOST_TEST(mGate.mRefunds == 1);
+}
+
+BOOST_AUTO_TEST_CASE(MostAttemptsHold)
+{
+  List({ Upstream("p1", RelayStage::Plain),
+         Upstream("p2", RelayStage::Plain),
+         Upstream("p3", RelayStage::Plain) });
+  const auto id = Arrive(Route(RelayKind::Idempotent, 2));
+  End(Call(id), Broken());
+  End(Call(id), Broken());
+  BOOST_TEST(Count(RelayCommandKind::StartCall) == 2U);
+  BOOST_TEST(TheRefusal().Status() == 502);
+}
+
+BOOST_AUTO_TEST_CASE(AServersErrorIsTriedElsewhereAndThenPassedOn)
+{
+  List(
+    { Upstream("p1", RelayStage::Plain), Upstream("p2", RelayStage::Plain) });
+  const auto id = Arrive(Route(RelayKind::Idempotent, 2));
+  End(Call(id), Answered(500));
+  End(Call(id), Answered(500));
+  BOOST_TEST(Count(RelayCommandKind::SendAnswer) == 1U);
+  BOOST_TEST(Count(RelayCommandKind::SendRefusal) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamsOwn503AfterARunIsNotPassedOnAsNotRun)
+{
+  List({ Upstream("p1", RelayStage::Plain) });
+  const auto id = Arrive(Route(RelayKind::NonIdempotent, 1));
+  End(Call(id), Answered(503));
+  BOOST_TEST(TheRefusal().Status() == 502);
+}
+
+BOOST_AUTO_TEST_CASE(NobodyListeningCostsNoAttempt)
+{
+  List(
+    { Upstream("p1", RelayStage::Plain), Upstream("p2", RelayStage::Plain) });
+  const auto id = Arrive(Route(RelayKind::NonIdempotent, 1));
+  End(Call(id, false), NotConnected());
+  End(Call(id), Answered(200));
+  BOOST_TEST(Count(RelayCommandKind::SendAnswer) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AWrongUpstreamCostsNoAttempt)
+{
+  List(
+    { Upstream("p1", RelayStage::Plain), Upstream("p2", RelayStage::Plain) });
+  const auto id = Arrive(Route(RelayKind::NonIdempotent, 1));
+  End(Call(id), NotRun(421));
+  End(Call(id), Answered(200));
+  BOOST_TEST(Count(RelayCommandKind::SendAnswer) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TheDeadlineOfASentRequestSaysThatItMayHaveRun)
+{
+  List({ Upstream("p1", RelayStage::Plain) });
+  const auto id = Arrive(Route(RelayKind::NonIdempotent, 1));
+  Call(id);
+  Pass(15s);
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 1U);
+  BOOST_TEST(TheRefusal().Status() == 504);
+}
+
+BOOST_AUTO_TEST_CASE(ASilentLookupIsTriedElsewhere)
+{
+  List(
+    { Upstream("p1", RelayStage::Plain), Upstream("p2", RelayStage::Plain) });
+  const auto id = Arrive(Route(RelayKind::Idempotent, 2));
+  const RelayCommand first = Call(id);
+  Pass(3s);
+  const RelayCommand second = Call(id);
+  BOOST_TEST(first.mUpstream != second.mUpstream);
+  End(first, Answered(200)); // It was cancelled: nobody hears it.
+  BOOST_TEST(Count(RelayCommandKind::SendAnswer) == 0U);
+  End(second, Answered(200));
+  BOOST_TEST(Count(RelayCommandKind::SendAnswer) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AWithdrawnKeyStopsARequestBeforeItsBytesLeave)
+{
+  List({ Upstream("p1", RelayStage::Plain) });
+  const auto id = Arrive(Route(RelayKind::NonIdempotent, 1));
+  const RelayCommand call = Call(id, false);
+  mGate.mRefusal = RefusalKind::KeyWithdrawn;
+  BOOST_TEST(!mMachine.MayStillSend(id, call.mAttempt, mNow));
+  RelayCallEnd end = NotConnected();
+  end.mOutcome.mEnd = CallEnd::Withheld;
+  End(call, end);
+  BOOST_TEST(TheRefusal().Status() == 401);
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamThatBeganToLeaveGetsNoBytes)
+{
+  List({ Upstream("p1", RelayStage::Plain) });
+  const auto id = Arrive(Route(RelayKind::NonIdempotent, 1));
+  const RelayCommand call = Call(id, false);
+  RelayUpstream leaving = Upstream("p1", RelayStage::Plain);
+  leaving.mLeaving = true;
+  List({ leaving });
+  BOOST_TEST(!mMachine.MayStillSend(id, call.mAttempt, mNow));
+}
+
+BOOST_AUTO_TEST_CASE(NoUpstreamIsRefusedAtOnce)
+{
+  List({});
+  Arrive(Route(RelayKind::NonIdempotent, 1));
+  const Refusal refusal = TheRefusal();
+  BOOST_TEST(refusal.Status() == 503);
+  BOOST_TEST((refusal.mRetryAfter > Duration(0)));
+  BOOST_TEST((refusal.mRetryAfter <= Duration(14s) / 3));
+}
+
+BOOST_AUTO_TEST_CASE(ARequestThatCrashesWhatRunsItIsHeldBack)
+{
+  // Three crashes, each while others ran there too.
+  for (int n = 0; n < 3; ++n) {
+    const std::string name = "p" + std::to_string(n);
+    List({ Upstream(name, RelayStage::Plain) });
+    const auto other = Arrive(Route(RelayKind::NonIdempotent, 1), "other");
+    const auto id = Arrive(Route(RelayKind::NonIdempotent, 1), "crasher");
+    const RelayCommand call = Call(id);
+    End(Call(other), Broken());
+    End(call, Broken());
+    List({}); // The upstream is gone, and hadn't said that it leaves.
+    mMachine.Suspects().OnFinished("other");
+  }
+  mCommands.clear();
+  List({ Upstream("p9", RelayStage::Plain) });
+  Arrive(Route(RelayKind::NonIdempotent, 1), "crasher");
+  BOOST_TEST(Count(RelayCommandKind::StartCall) == 0U);
+  BOOST_TEST((TheRefusal().mKind == RefusalKind::Quarantined));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(Streams, RelayFixture)
+
+BOOST_AUTO_TEST_CASE(APromptIsReadApartAndTheStreamPassedOn)
+{
+  List({ Upstream("d1", RelayStage::Decode),
+         Upstream("f1", RelayStage::Prefill) });
+  const auto id = Arrive(Route(RelayKind::Stream, 1));
+  const RelayCommand prefill = Call(id);
+  BOOST_TEST((prefill.mCall == RelayCallKind::Prefill));
+  BOOST_TEST(mMachine.Loads().Work("d1").mTokens == 3200U);
+  End(prefill, Prefilled("h"));
+  const RelayCommand stream = Call(id);
+  BOOST_TEST(stream.mHandle == "h");
+  Event(stream, 1);
+  Event(stream, 2);
+  End(stream, Answered(200));
+  BOOST_TEST(Count(RelayCommandKind::SendHead) == 1U);
+  BOOST_TEST(Count(RelayCommandKind::SendEvent) == 2U);
+  BOOST_TEST(Count(RelayCommandKind::EndStream) == 1U);
+  BOOST_TEST(mMachine.Loads().Work("d1").mRequests == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ABrokenStreamThatMayNotResumeIsNotEndedAsWhole)
+{
+  List(
+    { Upstream("d1", RelayStage::Decode), Upstream("d2", RelayStage::Decode) });
+  const auto id = Arrive(Route(RelayKind::Stream, 2));
+  const RelayCommand stream = Call(id);
+  Event(stream, 1);
+  End(stream, Broken());
+  BOOST_TEST(Count(RelayCommandKind::StartCall) == 1U);
+  BOOST_TEST(Count(RelayCommandKind::EndStream) == 0U);
+  BOOST_TEST(Count(RelayCommandKind::AbortStream) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ABrokenStreamResumesElsewhereAfterTheLastEvent)
+{
+  List(
+    { Upstream("d1", RelayStage::Decode), Upstream("d2", RelayStage::Decode) });
+  const auto id = Arrive(Route(RelayKind::Stream, 2, true));
+  const RelayCommand first = Call(id);
+  Event(first, 1);
+  Event(first, 2);
+  End(first, Broken());
+  const RelayCommand second = Call(id);
+  BOOST_TEST(second.mUpstream != first.mUpstream);
+  BOOST_TEST(second.mLastEventId == 2U);
+  Event(second, 2); // Sent again by the engine: the caller has it.
+  Event(second, 3);
+  End(second, Answered(200));
+  BOOST_TEST(Count(RelayCommandKind::SendHead) == 1U);
+  BOOST_TEST(Count(RelayCommandKind::SendEvent) == 3U);
+  BOOST_TEST(Count(RelayCommandKind::EndStream) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AHandleOutlivesADeadDecodeEngine)
+{
+  // Pattern: engines crash while prompts are read for them.
+  List({ Upstream("d1", RelayStage::Decode),
+         Upstream("d2", RelayStage::Decode),
+         Upstream("f1", RelayStage::Prefill) });
+  const auto id = Arrive(Route(RelayKind::Stream, 1));
+  End(Call(id), Prefilled("h"));
+  const RelayCommand first = Call(id, false);
+  End(first, NotConnected());
+  const RelayCommand second = Call(id);
+  BOOST_TEST(second.mUpstream != first.mUpstream);
+  BOOST_TEST(second.mHandle == "h");
+  BOOST_TEST(mMachine.Counters().mPrefills == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ALapsedHandleIsReadAnewByTheSameEngine)
+{
+  List({ Upstream("d1", RelayStage::Decode),
+         Upstream("f1", RelayStage::Prefill) });
+  const auto id = Arrive(Route(RelayKind::Stream, 1));
+  End(Call(id), Prefilled("h"));
+  End(Call(id), NotRun());
+  const RelayCommand again = Call(id);
+  BOOST_TEST(again.mUpstream == "d1");
+  BOOST_TEST(again.mHandle.empty());
+  BOOST_TEST(Count(RelayCommandKind::ReleaseHandle) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AFullFleetKeepsRequestsWaitingNotDeadEnginesBusy)
+{
+  // Pattern: a third of the engines is gone in a burst.
+  List(
+    { Upstream("d1", RelayStage::Decode), Upstream("d2", RelayStage::Decode) });
+  mMachine.Loads().OnGone("d2", mNow);
+  for (int n = 0; n < 20; ++n) {
+    Arrive(Route(RelayKind::Stream, 1));
+  }
+  BOOST_TEST(mMachine.Loads().Work("d2").mRequests == 0U);
+  BOOST_TEST(mMachine.Loads().Work("d1").mTokens <= 40000U);
+  BOOST_TEST(mMachine.Waiting() > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(WhoCanBeInTimeGoesBeforeWhoCant)
+{
+  // Pattern: a burst of twice what the engines hold.
+  List({ Upstream("d1", RelayStage::Decode) });
+  const auto first = Arrive(Route(RelayKind::Stream, 1));
+  while (mMachine.Waiting() == 0) {
+    Arrive(Route(RelayKind::Stream, 1));
+  }
+  const std::uint64_t late = mLastId;
+  Pass(800ms);
+  const auto fresh = Arrive(Route(RelayKind::Stream, 1));
+  BOOST_TEST(mMachine.Waiting() == 2U);
+  const RelayCommand call = Call(first);
+  End(call, Answered(200));
+  BOOST_TEST(Call(fresh).mId == fresh);
+  BOOST_TEST(mMachine.Waiting() == 1U);
+  BOOST_TEST(late != fresh);
+}
+
+BOOST_AUTO_TEST_CASE(VmsShareTheRoomThatAllOfThemSee)
+{
+  // Pattern: an engine comes back while requests wait at six VMs.
+  List({ Upstream("d1", RelayStage::Decode) });
+  RelayCommands out;
+  mMachine.OnPeerWork("vm2", { { "d1", { 10, 40000 } } }, mNow, out);
+  for (int n = 0; n < 10; ++n) {
+    Arrive(Route(RelayKind::Stream, 1));
+  }
+  BOOST_TEST(mMachine.Waiting() == 10U);
+  mMachine.Loads().OnPeerWaiting("vm2", 50);
+  mMachine.OnPeerWork("vm2", {}, mNow, out);
+  Keep(std::move(out));
+  BOOST_TEST(mMachine.Loads().Own().at("d1").mRequests <= 3U);
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesFreesWhatItHeld)
+{
+  List({ Upstream("d1", RelayStage::Decode),
+         Upstream("f1", RelayStage::Prefill) });
+  const auto id = Arrive(Route(RelayKind::Stream, 1));
+  Call(id);
+  RelayCommands out;
+  mMachine.OnCallerGone(id, mNow, out);
+  Keep(std::move(out));
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 1U);
+  BOOST_TEST(Count(RelayCommandKind::SendRefusal) == 0U);
+  BOOST_TEST(mMachine.Loads().Own().empty());
+  BOOST_TEST(mMachine.Open() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// Plays a random life of requests and checks the invariants of the machine's
+/// head comment.
+class RandomLife : public RelayFixture
+{
+public:
+  void Step()
+  {
+    const int move = *rc::gen::inRange(0, 10);
+    if (move < 3) {
+      ArriveSome();
+    } else if (move < 9 && !mOpen.empty()) {
+      EndSome();
+    } else if (move == 9) {
+      Pass(std::chrono::milliseconds(*rc::gen::inRange(1, 3000)));
+    }
+    Note();
+  }
+
+  /// Answers everything that is open, and checks that nothing is left.
+  void Finish()
+  {
+    Pass(20s);
+    Note();
+    RC_ASSERT(mMachine.Open() == 0U);
+    RC_ASSERT(mMachine.Loads().Own().empty());
+    for (const auto& [id, finals] : mFinals) {
+      RC_ASSERT(finals == 1);
+    }
+  }
+
+private:
+  struct Life
+  {
+    std::shared_ptr<const RelayRoute> mRoute;
+    int mRuns = 0; ///< Sends that weren't said not to have run.
+  };
+
+  void ArriveSome()
+  {
+    const auto kind = static_cast<RelayKind>(*rc::gen::inRange(0, 3));
+    const auto route =
+      Route(kind, *rc::gen::inRange(1, 4), *rc::gen::inRange(0, 2) == 1);
+    const auto id = mLastId + 1;
+    mLives[id].mRoute = route;
+    Arrive(route, "d" + std::to_string(id));
+  }
+
+  void EndSome()
+  {
+    const auto n = *rc::gen::inRange<std::size_t>(0, mOpen.size());
+    const RelayCommand call = mOpen[n];
+    Life& life = mLives[call.mId];
+    const int how = *rc::gen::inRange(0, 6);
+    if (how == 0) {
+      End(call, NotConnected());
+      return;
+    }
+    if (!mMachine.MayStillSend(call.mId, call.mAttempt, mNow)) {
+      return;
+    }
+    const bool run = call.mCall != RelayCallKind::Prefill;
+    if (how == 1) {
+      End(call, NotRun(*rc::gen::inRange(0, 2) == 0 ? 503 : 421));
+      return;
+    }
+    life.mRuns += run ? 1 : 0;
+    if (run && !life.mRoute->MayRepeat()) {
+      RC_ASSERT(life.mRuns <= 1);
+    }
+    if (how == 2) {
+      End(call, Broken());
+    } else if (how == 3) {
+      End(call, Answered(500));
+    } else if (run) {
+      End(call, Answered(200));
+    } else {
+      End(call, Prefilled("h"));
+    }
+  }
+
+  /// Looks at the commands of the last step.
+  void Note()
+  {
+    for (const RelayCommand& it : mCommands) {
+      Note(it);
+    }
+    mCommands.clear();
+  }
+
+  void Note(const RelayCommand& aCommand)
+  {
+    const auto drop = [&] {
+      mOpen.erase(std::remove_if(mOpen.begin(),
+                                 mOpen.end(),
+                                 [&](const RelayCommand& aIt) {
+                                   return aIt.mId == aCommand.mId;
+                                 }),
+                  mOpen.end());
+    };
+    const Life& life = mLives[aCommand.mId];
+    switch (aCommand.mKind) {
+      case RelayCommandKind::StartCall:
+        drop(); // One call at a time.
+        mOpen.push_back(aCommand);
+        break;
+      case RelayCommandKind::CancelCall:
+      case RelayCommandKind::Forget:
+        drop();
+        break;
+      case RelayCommandKind::SendRefusal:
+        if (aCommand.mRefusal->mVerdict == RunVerdict::NotRun) {
+          RC_ASSERT(life.mRuns == 0);
+        }
+        ++mFinals[aCommand.mId];
+        break;
+      case RelayCommandKind::SendAnswer:
+      case RelayCommandKind::EndStream:
+      case RelayCommandKind::AbortStream:
+        ++mFinals[aCommand.mId];
+        break;
+      default:
+        break;
+    }
+  }
+
+  std::map<std::uint64_t, Life> mLives;
+  std::map<std::uint64_t, int> mFinals;
+  std::vector<RelayCommand> mOpen;
+};
+
+} // namespace
+
+RC_BOOST_PROP(InvariantsHoldWhateverUpstreamsDo, ())
+{
+  RandomLife life;
+  life.List({ RelayFixture::Upstream("p1", RelayStage::Plain),
+              RelayFixture::Upstream("p2", RelayStage::Plain, "b"),
+              RelayFixture::Upstream("d1", RelayStage::Decode),
+              RelayFixture::Upstream("d2", RelayStage::Decode, "b"),
+              RelayFixture::Upstream("f1", RelayStage::Prefill) });
+  const int steps = *rc::gen::inRange(1, 120);
+  for (int n = 0; n < steps; ++n) {
+    life.Step();
+  }
+  life.Finish();
+}
