--- a/Peridothoist/Node/VmNewsCodec.cpp
+++ b/Peridothoist/Node/VmNewsCodec.cpp
@@ -106,14 +106,15 @@
 std::optional<VmNews>
 DecodeVmNews(std::string_view aBytes)
 {
-  const json value = json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
-  if (!value.is_object()) {
-    return std::nullopt;
-  }
+  // The library throws on missing and odd fields, and on sizes that no message
+  // has even where it is told not to throw.
   try {
-    return Decode(value);
+    const json value =
+      json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
+    return value.is_object() ? std::optional<VmNews>(Decode(value))
+                             : std::nullopt;
   } catch (const json::exception&) {
-    return std::nullopt; // The library throws on missing and odd fields.
+    return std::nullopt;
   }
 }
 
--- /dev/null
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -0,0 +1,389 @@
+/// What a VM believes: the configuration and its age, the list of upstreams
+/// over outages, the other VMs, and the choice made from them.
+#define BOOST_TEST_MODULE RelayView
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/ConfirmedView.h>
+#include <Peridothoist/Relay/MemberBook.h>
+#include <Peridothoist/Relay/RelayIntake.h>
+#include <Peridothoist/Relay/RepeatBudget.h>
+#include <Peridothoist/Relay/UpstreamChoice.h>
+#include <Peridothoist/Relay/UpstreamRoster.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <cmath>
+
+using namespace peridothoist;
+
+namespace {
+
+const TimePoint kNow{ 1h };
+
+RelayRoute
+MakeRoute(const std::string& aPrefix, bool aOpen = false)
+{
+  RelayRoute route;
+  route.mName = aPrefix;
+  route.mHost = "h";
+  route.mPathPrefix = aPrefix;
+  route.mTargets = { { "s", 1 } };
+  route.mOpenToAll = aOpen;
+  return route;
+}
+
+std::shared_ptr<const RelayConfiguration>
+MakeConfiguration(std::uint64_t aVersion, bool aOpenRoute = false)
+{
+  auto configuration = std::make_shared<RelayConfiguration>();
+  configuration->mVersion = aVersion;
+  configuration->AddRoute(MakeRoute("/a/"));
+  configuration->AddRoute(MakeRoute("/a/b/"));
+  if (aOpenRoute) {
+    configuration->AddRoute(MakeRoute("/open/", true));
+  }
+  RelayWorkspace workspace;
+  workspace.mName = "w";
+  workspace.mKeys = { "k" };
+  configuration->AddWorkspace(workspace);
+  return configuration;
+}
+
+RelayUpstream
+MakeUpstream(const std::string& aId, bool aLeaving = false)
+{
+  RelayUpstream upstream;
+  upstream.mId = aId;
+  upstream.mService = "s";
+  upstream.mZone = "a";
+  upstream.mSlots = 6;
+  upstream.mLeaving = aLeaving;
+  return upstream;
+}
+
+VmNews
+MakeNews(const std::string& aVm,
+         std::uint64_t aSequence,
+         ServingState aServing = ServingState::Everything)
+{
+  VmNews news;
+  news.mVm = aVm;
+  news.mInstance = aVm + "-1";
+  news.mSequence = aSequence;
+  news.mCallerAddress = aVm + ":80";
+  news.mServing = aServing;
+  return news;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Configuration)
+
+BOOST_AUTO_TEST_CASE(TheLongestPrefixWins)
+{
+  const auto configuration = MakeConfiguration(1);
+  BOOST_TEST(configuration->FindRoute("h", "/a/b/c")->mName == "/a/b/");
+  BOOST_TEST(configuration->FindRoute("h", "/a/bc")->mName == "/a/");
+  BOOST_TEST((configuration->FindRoute("h", "/x") == nullptr));
+  BOOST_TEST((configuration->FindRoute("other", "/a/b/") == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(WeightsDivideTheTraffic)
+{
+  RelayRoute route = MakeRoute("/a/");
+  route.mTargets = { { "one", 90 }, { "two", 10 } };
+  int two = 0;
+  for (std::uint64_t hash = 0; hash < 1000; ++hash) {
+    two += *route.ServiceFor(hash) == "two" ? 1 : 0;
+  }
+  BOOST_TEST(two == 100);
+}
+
+BOOST_AUTO_TEST_CASE(VersionsOnlyGoUp)
+{
+  ConfirmedView view({ 5s, 700ms });
+  BOOST_TEST(view.OnRead(MakeConfiguration(4), kNow));
+  BOOST_TEST(!view.OnRead(MakeConfiguration(3), kNow + 4s));
+  BOOST_TEST(view.Version() == 4U);
+  // An older version confirms nothing either.
+  BOOST_TEST(!view.MayServeKeys(kNow + 4500ms));
+}
+
+BOOST_AUTO_TEST_CASE(KeysNeedAViewThatWasConfirmedInTime)
+{
+  ConfirmedView view({ 5s, 700ms });
+  BOOST_TEST(!view.MayServeKeys(kNow));
+  view.OnRead(MakeConfiguration(1), kNow);
+  BOOST_TEST(view.MayServeKeys(kNow + 4200ms));
+  BOOST_TEST(!view.MayServeKeys(kNow + 4300ms));
+  BOOST_TEST(!view.WelcomesKeys(kNow + 2600ms));
+  view.OnRead(MakeConfiguration(1), kNow + 4s);
+  BOOST_TEST(view.MayServeKeys(kNow + 8s));
+}
+
+BOOST_AUTO_TEST_CASE(ARequestIsLetInByTheViewTheKeyAndTheRoute)
+{
+  ConfirmedView view({ 5s, 700ms });
+  UsageLedger ledger({ 8s }, kNow);
+  Random random(1);
+  RelayIntake intake(&view, &ledger, &random);
+  RelayQuestion question;
+  question.mHost = "h";
+  question.mPath = "/a/x";
+  question.mKey = "k";
+  const auto kindAt = [&](TimePoint aNow) {
+    Refusal refusal;
+    const bool in = intake.Admit(1, question, aNow, &refusal).has_value();
+    return in ? std::string("in") : std::string(ToName(refusal.mKind));
+  };
+  BOOST_TEST(kindAt(kNow) == "view_stale");
+  view.OnRead(MakeConfiguration(1, true), kNow);
+  BOOST_TEST(kindAt(kNow) == "in");
+  BOOST_TEST(kindAt(kNow + 5s) == "view_stale");
+  question.mKey = "gone";
+  BOOST_TEST(kindAt(kNow) == "key_withdrawn");
+  question.mPath = "/none/";
+  BOOST_TEST(kindAt(kNow) == "no_route");
+  question.mPath = "/open/x";
+  BOOST_TEST(kindAt(kNow + 1h) == "in");
+  BOOST_TEST((intake.Serving(kNow + 1h) == ServingState::OpenRoutes));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Roster)
+
+BOOST_AUTO_TEST_CASE(AMissingEntryIsGone)
+{
+  UpstreamRoster roster({ 2s });
+  roster.OnListed({ MakeUpstream("u") }, kNow);
+  BOOST_TEST(roster.TakesWork("u"));
+  BOOST_TEST(roster.OnListed({}, kNow + 1s).size() == 1U);
+  BOOST_TEST(!roster.TakesWork("u"));
+}
+
+BOOST_AUTO_TEST_CASE(EntriesThatLapsedInAnOutageHaveTimeToComeBack)
+{
+  UpstreamRoster roster({ 2s });
+  roster.OnListed({ MakeUpstream("back"), MakeUpstream("gone") }, kNow);
+  roster.OnUnreachable();
+  BOOST_TEST(roster.TakesWork("gone"));
+  roster.OnListed({}, kNow + 10s);
+  BOOST_TEST(roster.TakesWork("back"));
+  BOOST_TEST(roster.IsLapsed("back"));
+  roster.OnListed({ MakeUpstream("back") }, kNow + 11s);
+  BOOST_TEST(!roster.IsLapsed("back"));
+  BOOST_TEST(roster.TakesWork("gone"));
+  const auto lost = roster.OnListed({ MakeUpstream("back") }, kNow + 12s);
+  BOOST_TEST(lost.size() == 1U);
+  BOOST_TEST(!roster.TakesWork("gone"));
+}
+
+BOOST_AUTO_TEST_CASE(ANewStartUnderAnOldIdIsALoss)
+{
+  UpstreamRoster roster({ 2s });
+  RelayUpstream upstream = MakeUpstream("u");
+  upstream.mBorn = 1;
+  roster.OnListed({ upstream }, kNow);
+  upstream.mBorn = 2;
+  const auto lost = roster.OnListed({ upstream }, kNow + 1s);
+  BOOST_REQUIRE(lost.size() == 1U);
+  BOOST_TEST(!lost[0].mExpected);
+  BOOST_TEST(roster.TakesWork("u"));
+}
+
+BOOST_AUTO_TEST_CASE(LeavingOnesGetNothingNew)
+{
+  UpstreamRoster roster({ 2s });
+  roster.OnListed({ MakeUpstream("u", true) }, kNow);
+  BOOST_TEST(!roster.TakesWork("u"));
+  const auto lost = roster.OnListed({}, kNow + 1s);
+  BOOST_TEST(lost[0].mExpected);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Members)
+
+BOOST_AUTO_TEST_CASE(OldMessagesChangeNothing)
+{
+  MemberBook book({ 1s }, "me");
+  BOOST_TEST(book.OnNews(MakeNews("a", 2), kNow));
+  BOOST_TEST(!book.OnNews(MakeNews("a", 1), kNow));
+  BOOST_TEST(!book.OnNews(MakeNews("me", 9), kNow));
+}
+
+BOOST_AUTO_TEST_CASE(SilentVmsCountInTheWhole)
+{
+  MemberBook book({ 1s }, "me");
+  book.SetRegistered({ "me", "a", "b", "c" }, kNow);
+  BOOST_TEST(book.HeardPart(kNow) == 0.25);
+  book.OnNews(MakeNews("a", 1), kNow);
+  BOOST_TEST(book.HeardPart(kNow) == 0.5);
+  BOOST_TEST(book.HeardPart(kNow + 2s) == 0.25);
+}
+
+BOOST_AUTO_TEST_CASE(CallersAreSentToVmsThatServeEverything)
+{
+  MemberBook book({ 1s }, "me");
+  book.SetRegistered({ "me", "a", "b" }, kNow);
+  book.OnNews(MakeNews("a", 1), kNow);
+  book.OnNews(MakeNews("b", 1, ServingState::OpenRoutes), kNow);
+  const auto list = [&](ServingState aOwn, TimePoint aNow) {
+    return book.CallerAddresses(aOwn, "me:80", aNow);
+  };
+  BOOST_TEST(list(ServingState::Everything, kNow).size() == 2U);
+  BOOST_TEST(list(ServingState::OpenRoutes, kNow).size() == 1U);
+  // Cut off: others may serve everything, so it names nobody.
+  BOOST_TEST(list(ServingState::OpenRoutes, kNow + 2s).empty());
+  BOOST_TEST(list(ServingState::Everything, kNow + 2s).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(VmsThatVanishedAreNoticed)
+{
+  MemberBook book({ 1s }, "me");
+  book.SetRegistered({ "me", "a" }, kNow);
+  BOOST_TEST(book.Vanished(30s, kNow + 29s).empty());
+  BOOST_TEST(book.Vanished(30s, kNow + 31s).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Choosing)
+
+struct ChoiceFixture
+{
+  ChoiceFixture()
+    : mRoster({ 2s })
+    , mLoads(LoadBoardSettings())
+    , mRandom(3)
+    , mChooser(UpstreamChooserSettings(), &mRoster, &mLoads, &mRandom)
+  {
+    mQuestion.mService = "s";
+    mQuestion.mZone = "a";
+  }
+
+  std::string Choose(TimePoint aNow = kNow)
+  {
+    const Choice choice = mChooser.Choose(mQuestion, aNow);
+    return choice.mUpstream == nullptr ? ToName(choice.mWhyNot)
+                                       : choice.mUpstream->mId;
+  }
+
+  void List(std::vector<RelayUpstream> aUpstreams)
+  {
+    mRoster.OnListed(std::move(aUpstreams), kNow);
+  }
+
+  UpstreamRoster mRoster;
+  LoadBoard mLoads;
+  Random mRandom;
+  UpstreamChooser mChooser;
+  ChoiceQuestion mQuestion;
+};
+
+BOOST_FIXTURE_TEST_CASE(TheOwnZoneWhileItIsNotBusier, ChoiceFixture)
+{
+  RelayUpstream far = MakeUpstream("far");
+  far.mZone = "b";
+  List({ MakeUpstream("near"), far });
+  BOOST_TEST(Choose() == "near");
+  for (int n = 0; n < 4; ++n) {
+    mLoads.OnSent("near", 0);
+  }
+  BOOST_TEST(Choose() == "far");
+}
+
+BOOST_FIXTURE_TEST_CASE(OthersWorkCounts, ChoiceFixture)
+{
+  List({ MakeUpstream("one"), MakeUpstream("two") });
+  mLoads.OnPeerWork("vm", { { "one", { 5, 0 } } });
+  BOOST_TEST(Choose() == "two");
+  mLoads.ForgetPeer("vm");
+  mLoads.OnSent("two", 0);
+  BOOST_TEST(Choose() == "one");
+}
+
+BOOST_FIXTURE_TEST_CASE(FullIsNotTheSameAsNone, ChoiceFixture)
+{
+  BOOST_TEST(Choose() == "no_upstream");
+  List({ MakeUpstream("one") });
+  for (int n = 0; n < 18; ++n) {
+    mLoads.OnSent("one", 0);
+  }
+  BOOST_TEST(Choose() == "full");
+}
+
+BOOST_FIXTURE_TEST_CASE(AvoidedOnesAreTheLastResort, ChoiceFixture)
+{
+  List({ MakeUpstream("one"), MakeUpstream("two") });
+  mLoads.OnGone("one", kNow);
+  BOOST_TEST(Choose() == "two");
+  mLoads.OnGone("two", kNow);
+  BOOST_TEST((Choose() == "one" || Choose() == "two"));
+  BOOST_TEST(mLoads.FoundGone(kNow).size() == 2U);
+  mLoads.OnSuccess("one");
+  BOOST_TEST(Choose() == "one");
+}
+
+BOOST_FIXTURE_TEST_CASE(MemoryLimitsAnEngine, ChoiceFixture)
+{
+  RelayUpstream engine = MakeUpstream("e");
+  engine.mStage = RelayStage::Decode;
+  engine.mSlots = 64;
+  List({ engine });
+  mQuestion.mStage = RelayStage::Decode;
+  mQuestion.mMemoryTokens = 10000;
+  mQuestion.mTokens = 3000;
+  BOOST_TEST(mChooser.RoomFor(mQuestion, kNow) == 3);
+  mLoads.OnSent("e", 7000);
+  BOOST_TEST(Choose() == "full");
+  mLoads.OnDone("e", 7000);
+  mQuestion.mTokens = 20000; // Larger than all: the engine will say so.
+  BOOST_TEST(Choose() == "e");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEnginesWordCoversWhatIsNotKnown, ChoiceFixture)
+{
+  RelayUpstream engine = MakeUpstream("e");
+  engine.mStage = RelayStage::Decode;
+  engine.mSlots = 64;
+  List({ engine });
+  mQuestion.mStage = RelayStage::Decode;
+  mQuestion.mMemoryTokens = 10000;
+  mQuestion.mTokens = 3000;
+  mLoads.OnStated("e", { 3, 0, 64 }, kNow);
+  BOOST_TEST(Choose() == "full");
+  BOOST_TEST(Choose(kNow + 2s) == "e");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+RC_BOOST_PROP(VmsTogetherKeepToTheRepeatBudget, ())
+{
+  const auto vms = *rc::gen::inRange<std::size_t>(1, 8);
+  const RepeatBudgetSettings settings;
+  std::vector<RepeatBudget> budgets(vms, RepeatBudget(settings));
+  std::vector<std::pair<TimePoint, bool>> events; // True: a repeat.
+  TimePoint now = kNow;
+  for (int n = 0; n < 400; ++n) {
+    now += std::chrono::milliseconds(*rc::gen::inRange(0, 100));
+    RepeatBudget& budget = budgets[*rc::gen::inRange<std::size_t>(0, vms)];
+    if (*rc::gen::inRange(0, 2) == 0) {
+      budget.OnRequest(now);
+      events.push_back({ now, false });
+    } else if (budget.Take(vms, now)) {
+      events.push_back({ now, true });
+    }
+  }
+  for (const auto& [end, repeat] : events) {
+    double requests = 0;
+    double repeats = 0;
+    for (const auto& it : events) {
+      const bool in = it.first <= end && it.first > end - settings.mWindow;
+      requests += in && !it.second ? 1 : 0;
+      repeats += in && it.second ? 1 : 0;
+    }
+    RC_ASSERT(repeats <= settings.mRatio * requests + settings.mFixed + vms);
+  }
+}
