Let two VMs read the store for all

Two VMs, the first by name of those that are heard, read at intervals; the others ask them three times a second. An answer confirms a view as of the asker's own stamp less the stated age, so a frozen VM or a late datagram can't make a view look younger; whoever holds something older, or gets no answers, reads by itself. Peers are told in turn, each at least twice a second.

--- a/Peridothoist/Node/NodePeers.cpp
+++ b/Peridothoist/Node/NodePeers.cpp
@@ -76,7 +76,8 @@
 NodePeers::Tick()
 {
   DropSilent();
-  Tell(mSettings.mPeerFanOut);
+  const std::size_t peers = Addresses().size();
+  Tell(std::max(mSettings.mPeerFanOut, (peers + 1) / 2));
   mListener->OnMembersChanged();
   mTimer = mReactor->Schedule(mSettings.mPeerInterval, [this] { Tick(); });
 }
@@ -110,17 +111,33 @@
   return { addresses.begin(), addresses.end() };
 }
 
-/// Sends the news to aMost peers, chosen anew each time.
+/// Sends the news to aMost peers, in turn, so that each hears of this VM
+/// within a known time.
 void
 NodePeers::Tell(std::size_t aMost)
 {
   mToldAt = mReactor->Now();
-  std::vector<std::string> addresses = Addresses();
+  const std::vector<std::string> addresses = Addresses();
   const std::string bytes = EncodeVmNews(MakeNews());
+  auto next = std::upper_bound(addresses.begin(), addresses.end(), mLastTold);
   for (std::size_t n = 0; n < std::min(aMost, addresses.size()); ++n) {
-    const std::size_t pick = n + mRandom->Below(addresses.size() - n);
-    std::swap(addresses[n], addresses[pick]);
-    mMessenger->Send(addresses[n], bytes);
+    if (next == addresses.end()) {
+      next = addresses.begin();
+    }
+    mMessenger->Send(*next, bytes);
+    mLastTold = *next;
+    ++next;
+  }
+}
+
+void
+NodePeers::AskView(const std::string& aVm)
+{
+  const auto it = mMembers.Members().find(aVm);
+  if (it != mMembers.Members().end()) {
+    const ViewAsk ask{ ViewShare::StampOf(Reactor::ReadClock()),
+                       mSettings.mPeerListen };
+    mMessenger->Send(it->second.mNews.mPeerAddress, EncodeViewAsk(ask));
   }
 }
 
@@ -159,20 +176,32 @@
 void
 NodePeers::OnMessage(std::string_view aBytes)
 {
-  auto news = DecodeVmNews(aBytes);
-  if (!news) {
+  if (auto news = DecodeVmNews(aBytes)) {
+    TakeNews(std::move(*news));
+  } else if (const auto ask = DecodeViewAsk(aBytes)) {
+    const auto tell = mListener->OnViewAsk(*ask);
+    if (tell && ParseSocketAddress(ask->mAnswerTo)) {
+      mMessenger->Send(ask->mAnswerTo, EncodeViewTell(*tell));
+    }
+  } else if (const auto tell = DecodeViewTell(aBytes)) {
+    mListener->OnViewTell(*tell);
+  } else {
     Log::Warning("peer_message_unreadable").Field("bytes", aBytes.size());
-    return;
   }
-  for (const std::string& address : news->mPeers) {
+}
+
+void
+NodePeers::TakeNews(VmNews aNews)
+{
+  for (const std::string& address : aNews.mPeers) {
     if (mKnown.size() < kMostKnown && ParseSocketAddress(address)) {
       mKnown.insert(address);
     }
   }
   const TimePoint now = mReactor->Now();
-  const bool heard = mMembers.IsHeard(news->mVm, now);
-  const VmNews copy = *news;
-  if (!mMembers.OnNews(std::move(*news), now)) {
+  const bool heard = mMembers.IsHeard(aNews.mVm, now);
+  const VmNews copy = aNews;
+  if (!mMembers.OnNews(std::move(aNews), now)) {
     return;
   }
   if (!heard) {
--- a/Peridothoist/Node/NodePeers.h
+++ b/Peridothoist/Node/NodePeers.h
@@ -8,6 +8,7 @@
 #include <Peridothoist/Relay/MemberBook.h>
 #include <Peridothoist/Relay/RelayMachine.h>
 #include <Peridothoist/Relay/UsageLedger.h>
+#include <Peridothoist/Relay/ViewShare.h>
 
 namespace peridothoist {
 
@@ -23,6 +24,10 @@
   /// The members or who of them is heard may have changed.
   virtual void OnMembersChanged() = 0;
 
+  /// A peer's question for this VM's view, and a peer's answer.
+  virtual std::optional<ViewTell> OnViewAsk(const ViewAsk& aAsk) = 0;
+  virtual void OnViewTell(const ViewTell& aTell) = 0;
+
   /// Another VM told its work at upstreams.
   virtual void OnPeerWork(const std::string& aVm,
                           const WorkByUpstream& aWork) = 0;
@@ -48,6 +53,9 @@
   /// Tells all peers now, not at the next interval.
   void TellAll();
 
+  /// Asks a VM for its view.
+  void AskView(const std::string& aVm);
+
   /// Tells peers soon: this VM's work has changed.
   void TellSoon();
 
@@ -67,6 +75,7 @@
   void Tell(std::size_t aMost);
   VmNews MakeNews();
   std::vector<std::string> Addresses() const;
+  void TakeNews(VmNews aNews);
   void TakeCrashes(const std::vector<CrashNews>& aCrashes);
   void DropSilent();
 
@@ -84,6 +93,7 @@
   Reactor::TimerId mTimer = 0;
   Reactor::TimerId mSoonTimer = 0;
   TimePoint mToldAt;
+  std::string mLastTold; ///< Peers are told in turn, by address.
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <random>
 
 namespace peridothoist {
@@ -122,6 +123,7 @@
   , mLedger(aSettings.mLedger, Reactor::ReadClock())
   , mIntake(&mView, &mLedger, &mRandom)
   , mMachine(aSettings.mMachine, &mIntake, &mRandom)
+  , mShare(&mView, &mMachine.Roster())
   , mRunner(aReactor,
             aClient,
             &mMachine,
@@ -143,6 +145,7 @@
 NodeProcess::~NodeProcess()
 {
   mReactor->CancelTimer(mLeaveTimer);
+  mReactor->CancelTimer(mShareTimer);
 }
 
 bool
@@ -163,6 +166,7 @@
   if (mPeers == nullptr) {
     return false;
   }
+  ShareReads();
   mLoopMonitor =
     std::make_unique<LoopMonitor>(LoopMonitorSettings{ 250ms }, mReactor, this);
   Log::Info("node_started")
@@ -411,6 +415,66 @@
     });
 }
 
+std::optional<ViewTell>
+NodeProcess::OnViewAsk(const ViewAsk& aAsk)
+{
+  return mShare.Answer(aAsk, Reactor::ReadClock());
+}
+
+void
+NodeProcess::OnViewTell(const ViewTell& aTell)
+{
+  const ViewShareOutcome outcome = mShare.OnTell(aTell, Reactor::ReadClock());
+  if (outcome.mReadConfiguration) {
+    mReader.ReadConfigurationNow();
+  }
+  if (outcome.mReadUpstreams) {
+    mReader.ReadUpstreamsNow();
+  }
+}
+
+/// The VMs that read the store for all: the first of those that are heard, this
+/// one among them, by name.
+std::vector<std::string>
+NodeProcess::Readers() const
+{
+  const TimePoint now = mReactor->Now();
+  std::vector<std::string> names = { mSettings.mVm };
+  for (const auto& [name, member] : mPeers->Members().Members()) {
+    if (mPeers->Members().IsHeard(name, now) && !member.mNews.mLeaving) {
+      names.push_back(name);
+    }
+  }
+  std::sort(names.begin(), names.end());
+  names.resize(std::min(names.size(), mSettings.mReaders));
+  return names;
+}
+
+/// Whether peers' answers keep this VM's view as young as own reads would.
+bool
+NodeProcess::IsViewYoung() const
+{
+  const TimePoint now = mReactor->Now();
+  const auto listedAt = mMachine.Roster().ListedAt();
+  return listedAt && now - *listedAt < mSettings.mOldestShared &&
+         mView.Age(now) < mSettings.mOldestShared;
+}
+
+/// Follows the readers while their answers are good; else reads the store.
+void
+NodeProcess::ShareReads()
+{
+  const std::vector<std::string> readers = Readers();
+  const bool reads =
+    std::find(readers.begin(), readers.end(), mSettings.mVm) != readers.end();
+  mReader.SetFollowing(!reads && IsViewYoung());
+  if (!reads) {
+    mPeers->AskView(readers[mAsked++ % readers.size()]);
+  }
+  mShareTimer =
+    mReactor->Schedule(mSettings.mShareInterval, [this] { ShareReads(); });
+}
+
 void
 NodeProcess::OnLoopLag(Duration aLag)
 {
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -67,6 +67,9 @@
   NodeStatus Status() const;
   std::string RenderMetrics();
   void CheckLeft();
+  void ShareReads();
+  bool IsViewYoung() const;
+  std::vector<std::string> Readers() const;
 
   // See: HttpRequestHandler
   void OnRequest(std::shared_ptr<HttpExchange> aExchange) override;
@@ -80,6 +83,8 @@
   // See: NodePeersListener
   void FillState(VmNews& aNews) override;
   void OnMembersChanged() override;
+  std::optional<ViewTell> OnViewAsk(const ViewAsk& aAsk) override;
+  void OnViewTell(const ViewTell& aTell) override;
   void OnPeerWork(const std::string& aVm, const WorkByUpstream& aWork) override;
   // See: RelayRunnerListener
   void OnRelayOver(const RelayFacts& aFacts) override;
@@ -97,6 +102,7 @@
   UsageLedger mLedger;
   RelayIntake mIntake;
   RelayMachine mMachine;
+  ViewShare mShare;
   NodeMetrics mMetrics;
   RelayRunner mRunner;
   ViewReader mReader;
@@ -112,6 +118,10 @@
   bool mDraining = false; ///< No connection is accepted any more.
   TimePoint mLeavingSince;
   Reactor::TimerId mLeaveTimer = 0;
+
+  // Sharing reads
+  Reactor::TimerId mShareTimer = 0;
+  std::size_t mAsked = 0; ///< Questions to readers so far.
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -40,7 +40,14 @@
   /// Work at engines that changed is told no more often than this.
   Duration mLeastPeerInterval = 40ms;
   std::size_t mPeerFanOut = 12; ///< Peers told in one interval.
-  Duration mForgetPeers = 30s;  ///< VMs silent for so long are gone.
+  // Sharing reads of the store
+  std::size_t mReaders = 2;        ///< VMs that read for all.
+  Duration mShareInterval = 350ms; ///< Between questions to them.
+  /// A VM whose view is older reads by itself. Above the readers' interval and
+  /// mShareInterval, and well under the bounds of changes.
+  Duration mOldestShared = 1500ms;
+
+  Duration mForgetPeers = 30s; ///< VMs silent for so long are gone.
 
   ConfirmedViewSettings mView;
   MemberBookSettings mMembers;
--- a/Peridothoist/Node/ViewReader.cpp
+++ b/Peridothoist/Node/ViewReader.cpp
@@ -45,6 +45,21 @@
 ViewReader::Begin(Loop& aLoop)
 {
   aLoop.mTimer = 0;
+  if (mFollowing && !aLoop.mFailed && &aLoop != &mVmLoop) {
+    return; // SetFollowing(false) or a peer's word begins the next one.
+  }
+  BeginNow(aLoop);
+}
+
+void
+ViewReader::BeginNow(Loop& aLoop)
+{
+  if (aLoop.mInHand) {
+    return;
+  }
+  mReactor->CancelTimer(aLoop.mTimer);
+  aLoop.mTimer = 0;
+  aLoop.mInHand = true;
   aLoop.mBegan = Reactor::ReadClock();
   (this->*aLoop.mRead)();
 }
@@ -65,13 +80,35 @@
         .Field("reason", aReason.mText);
     }
   }
+  aLoop.mInHand = false;
   const Duration passed = mReactor->Now() - aLoop.mBegan;
   const Duration wait =
-    aOk ? std::max(mSettings.mRetryInterval, aLoop.mInterval - passed)
+    aOk ? std::max(mSettings.mRetryInterval, IntervalOf(aLoop) - passed)
         : mSettings.mRetryInterval;
   aLoop.mTimer = mReactor->Schedule(wait, [this, &aLoop] { Begin(aLoop); });
 }
 
+void
+ViewReader::SetFollowing(bool aFollowing)
+{
+  if (aFollowing == mFollowing) {
+    return;
+  }
+  mFollowing = aFollowing;
+  Log::Info(aFollowing ? "following_peers" : "reading_store");
+  if (!aFollowing) {
+    BeginNow(mConfigurationLoop);
+    BeginNow(mUpstreamLoop);
+  }
+}
+
+Duration
+ViewReader::IntervalOf(const Loop& aLoop) const
+{
+  const bool rare = mFollowing && &aLoop == &mVmLoop;
+  return rare ? mSettings.mFollowerVmInterval : aLoop.mInterval;
+}
+
 void
 ViewReader::ReadConfiguration()
 {
--- a/Peridothoist/Node/ViewReader.h
+++ b/Peridothoist/Node/ViewReader.h
@@ -39,6 +39,7 @@
                                            ///< change must be in force.
   Duration mUpstreamInterval = 800ms;      ///< As above, for leaving upstreams.
   Duration mVmInterval = 5s;
+  Duration mFollowerVmInterval = 20s;
   Duration mRetryInterval = 100ms; ///< After a failed read.
   std::string mVmTable = "vms";    ///< One row for each registered VM.
 };
@@ -59,6 +60,14 @@
 
   void Start();
 
+  /// While it follows, peers confirm the view and only the registered VMs are
+  /// read at intervals.
+  void SetFollowing(bool aFollowing);
+
+  /// Reads now: a peer has something newer.
+  void ReadConfigurationNow() { BeginNow(mConfigurationLoop); }
+  void ReadUpstreamsNow() { BeginNow(mUpstreamLoop); }
+
 private:
   using Reader = void (ViewReader::*)();
 
@@ -70,6 +79,7 @@
     Reader mRead;
     Reactor::TimerId mTimer = 0;
     TimePoint mBegan = {}; ///< Of the read in hand or the last one.
+    bool mInHand = false;  ///< A read has no answer yet.
     bool mFailed = false;  ///< The last read failed; for the log.
   };
 
@@ -78,6 +88,8 @@
   void ReadVms();
   void Next(Loop& aLoop, bool aOk, const Reason& aReason);
   void Begin(Loop& aLoop);
+  void BeginNow(Loop& aLoop);
+  Duration IntervalOf(const Loop& aLoop) const;
 
   Settings mSettings;
   Reactor* mReactor;
@@ -89,6 +101,7 @@
   Loop mVmLoop;
   /// Versions of rows that couldn't be read, so that each is logged once.
   std::map<std::string, std::uint64_t> mPassedOver;
+  bool mFollowing = false;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
--- a/Peridothoist/Node/VmNewsCodec.cpp
+++ b/Peridothoist/Node/VmNewsCodec.cpp
@@ -81,41 +81,111 @@
   return news;
 }
 
-} // namespace
+/// Questions and answers are arrays that begin with these.
+constexpr const char* kAskTag = "ask";
+constexpr const char* kTellTag = "tell";
 
 std::string
-EncodeVmNews(const VmNews& aNews)
+ToBytes(const json& aValue)
 {
-  const json value = { { kVm, aNews.mVm },
-                       { kInstance, aNews.mInstance },
-                       { kSequence, aNews.mSequence },
-                       { kCallers, aNews.mCallerAddress },
-                       { kPeer, aNews.mPeerAddress },
-                       { kServing, static_cast<int>(aNews.mServing) },
-                       { kLeaving, aNews.mLeaving },
-                       { kGranted, aNews.mGranted },
-                       { kWork, EncodeWork(aNews.mWork) },
-                       { kWaiting, aNews.mWaiting },
-                       { kGone, aNews.mGone },
-                       { kCrashes, EncodeCrashes(aNews.mCrashes) },
-                       { kKnownPeers, aNews.mPeers } };
-  const std::vector<std::uint8_t> bytes = json::to_cbor(value);
+  const std::vector<std::uint8_t> bytes = json::to_cbor(aValue);
   return { bytes.begin(), bytes.end() };
 }
 
-std::optional<VmNews>
-DecodeVmNews(std::string_view aBytes)
+/// Decodes bytes by aDecode; nothing when they don't fit. The library throws
+/// on missing and odd fields, and on sizes that no message has even where it
+/// is told not to throw.
+template<typename Message>
+std::optional<Message>
+FromBytes(std::string_view aBytes, Message (*aDecode)(const json& aValue))
 {
-  // The library throws on missing and odd fields, and on sizes that no message
-  // has even where it is told not to throw.
   try {
-    const json value =
-      json::from_cbor(aBytes.begin(), aBytes.end(), true, false);
-    return value.is_object() ? std::optional<VmNews>(Decode(value))
-                             : std::nullopt;
+    return aDecode(json::from_cbor(aBytes.begin(), aBytes.end()));
   } catch (const json::exception&) {
     return std::nullopt;
   }
 }
 
+/// Checks an array's tag; throws as the library does.
+void
+CheckTag(const json& aValue, const char* aTag)
+{
+  if (aValue.at(0).get<std::string>() != aTag) {
+    throw json::type_error::create(0, "another message", nullptr);
+  }
+}
+
+ViewAsk
+DecodeAsk(const json& aValue)
+{
+  CheckTag(aValue, kAskTag);
+  return { aValue.at(1).get<std::uint64_t>(), aValue.at(2).get<std::string>() };
+}
+
+ViewTell
+DecodeTell(const json& aValue)
+{
+  CheckTag(aValue, kTellTag);
+  return { aValue.at(1).get<std::uint64_t>(),
+           aValue.at(2).get<std::uint64_t>(),
+           Duration(aValue.at(3).get<std::int64_t>()),
+           aValue.at(4).get<std::uint64_t>(),
+           Duration(aValue.at(5).get<std::int64_t>()) };
+}
+
+} // namespace
+
+std::string
+EncodeVmNews(const VmNews& aNews)
+{
+  return ToBytes({ { kVm, aNews.mVm },
+                   { kInstance, aNews.mInstance },
+                   { kSequence, aNews.mSequence },
+                   { kCallers, aNews.mCallerAddress },
+                   { kPeer, aNews.mPeerAddress },
+                   { kServing, static_cast<int>(aNews.mServing) },
+                   { kLeaving, aNews.mLeaving },
+                   { kGranted, aNews.mGranted },
+                   { kWork, EncodeWork(aNews.mWork) },
+                   { kWaiting, aNews.mWaiting },
+                   { kGone, aNews.mGone },
+                   { kCrashes, EncodeCrashes(aNews.mCrashes) },
+                   { kKnownPeers, aNews.mPeers } });
+}
+
+std::optional<VmNews>
+DecodeVmNews(std::string_view aBytes)
+{
+  return FromBytes(aBytes, &Decode);
+}
+
+std::string
+EncodeViewAsk(const ViewAsk& aAsk)
+{
+  return ToBytes(json::array({ kAskTag, aAsk.mStamp, aAsk.mAnswerTo }));
+}
+
+std::optional<ViewAsk>
+DecodeViewAsk(std::string_view aBytes)
+{
+  return FromBytes(aBytes, &DecodeAsk);
+}
+
+std::string
+EncodeViewTell(const ViewTell& aTell)
+{
+  return ToBytes(json::array({ kTellTag,
+                               aTell.mStamp,
+                               aTell.mVersion,
+                               aTell.mConfigurationAge.count(),
+                               aTell.mListDigest,
+                               aTell.mListAge.count() }));
+}
+
+std::optional<ViewTell>
+DecodeViewTell(std::string_view aBytes)
+{
+  return FromBytes(aBytes, &DecodeTell);
+}
+
 } // namespace peridothoist
--- a/Peridothoist/Node/VmNewsCodec.h
+++ b/Peridothoist/Node/VmNewsCodec.h
@@ -1,8 +1,9 @@
-/// Encodes what VMs tell each other, as CBOR.
+/// Encodes what VMs tell and ask each other, as CBOR.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/MemberBook.h>
+#include <Peridothoist/Relay/ViewShare.h>
 
 namespace peridothoist {
 
@@ -14,4 +15,14 @@
 std::optional<VmNews>
 DecodeVmNews(std::string_view aBytes);
 
+std::string
+EncodeViewAsk(const ViewAsk& aAsk);
+std::optional<ViewAsk>
+DecodeViewAsk(std::string_view aBytes);
+
+std::string
+EncodeViewTell(const ViewTell& aTell);
+std::optional<ViewTell>
+DecodeViewTell(std::string_view aBytes);
+
 } // namespace peridothoist
--- a/Peridothoist/Relay/ConfirmedView.h
+++ b/Peridothoist/Relay/ConfirmedView.h
@@ -53,6 +53,9 @@
     return newer;
   }
 
+  /// A peer confirmed this version as of aAt.
+  void Confirm(TimePoint aAt) { mConfirmedAt = std::max(mConfirmedAt, aAt); }
+
   /// Null until the first read.
   const std::shared_ptr<const RelayConfiguration>& Configuration() const
   {
--- a/Peridothoist/Relay/MemberBook.h
+++ b/Peridothoist/Relay/MemberBook.h
@@ -51,7 +51,7 @@
 /// Settings of a MemberBook.
 struct MemberBookSettings
 {
-  Duration mSilence = 1s; ///< A VM that is silent for longer isn't heard.
+  Duration mSilence = 1200ms; ///< A VM that is silent for longer isn't heard.
 };
 
 /// Keeps the members.
--- a/Peridothoist/Relay/RelayMachine.h
+++ b/Peridothoist/Relay/RelayMachine.h
@@ -139,6 +139,7 @@
                   RelayCommands& aOut);
   void OnListUnreachable() { mRoster.OnUnreachable(); }
   const UpstreamRoster& Roster() const { return mRoster; }
+  UpstreamRoster& Roster() { return mRoster; }
   LoadBoard& Loads() { return mLoads; }
   SuspectTable& Suspects() { return mSuspects; }
 
--- a/Peridothoist/Relay/UpstreamRoster.cpp
+++ b/Peridothoist/Relay/UpstreamRoster.cpp
@@ -1,6 +1,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/UpstreamRoster.h>
 
+#include <xxhash.h>
+
 #include <array>
 
 namespace peridothoist {
@@ -14,6 +16,28 @@
   return kNames[static_cast<std::size_t>(aStage)];
 }
 
+namespace {
+
+std::uint64_t
+DigestOf(const std::map<std::string, UpstreamRoster::Entry>& aEntries)
+{
+  std::string text;
+  for (const auto& [id, entry] : aEntries) {
+    const RelayUpstream& upstream = entry.mUpstream;
+    for (const std::string& part :
+         { id, upstream.mService, upstream.mAddress, upstream.mZone }) {
+      text += part + '\n';
+    }
+    text += std::to_string(static_cast<int>(upstream.mStage)) + ' ' +
+            std::to_string(upstream.mSlots) + ' ' +
+            std::to_string(upstream.mLeaving ? 1 : 0) + ' ' +
+            std::to_string(upstream.mBorn) + '\n';
+  }
+  return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace
+
 std::vector<UpstreamLoss>
 UpstreamRoster::OnListed(std::vector<RelayUpstream> aUpstreams, TimePoint aNow)
 {
@@ -44,6 +68,7 @@
     lost.push_back({ id, entry.mUpstream.mLeaving });
   }
   mEntries = std::move(entries);
+  mDigest = DigestOf(mEntries);
   return lost;
 }
 
--- a/Peridothoist/Relay/UpstreamRoster.h
+++ b/Peridothoist/Relay/UpstreamRoster.h
@@ -84,13 +84,25 @@
   };
   const std::map<std::string, Entry>& All() const { return mEntries; }
 
-  /// When the last whole list was read; nothing before the first one.
+  /// A peer confirmed this list as of aAt.
+  void Confirm(TimePoint aAt)
+  {
+    if (mListedAt) {
+      mListedAt = std::max(*mListedAt, aAt);
+    }
+  }
+
+  /// Of all that matters in the list; equal lists have equal ones.
+  std::uint64_t Digest() const { return mDigest; }
+
+  /// As of when the list is known; nothing before the first read.
   std::optional<TimePoint> ListedAt() const { return mListedAt; }
 
 private:
   Settings mSettings;
   std::map<std::string, Entry> mEntries;
   std::optional<TimePoint> mListedAt;
+  std::uint64_t mDigest = 0;
   bool mUnreachable = false;   ///< The last read failed.
   TimePoint mKeepMissingUntil; ///< End of mReturnTime after an outage.
 };
