Give fewer calls to upstreams that fail many, and test shared reads

Cause: an upstream that fails half of its calls is avoided for half a second and then gets its whole part again. A decaying failure rate now counts as up to eight requests in the choice.

Shared reads have a property test: whatever is held up, no view looks younger than it is.

--- a/Peridothoist/Relay/LoadBoard.cpp
+++ b/Peridothoist/Relay/LoadBoard.cpp
@@ -2,6 +2,7 @@
 #include <Peridothoist/Relay/LoadBoard.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace peridothoist {
 
@@ -119,6 +120,29 @@
 {
   mFailures.erase(aUpstream);
   mStated.erase(aUpstream);
+  mOutcomes.erase(aUpstream);
+}
+
+void
+LoadBoard::OnOutcome(const std::string& aUpstream, bool aFailed, TimePoint aNow)
+{
+  const double before = FailureRate(aUpstream, aNow);
+  const double weight = mSettings.mOutcomeWeight;
+  mOutcomes[aUpstream] = { before * (1 - weight) + (aFailed ? weight : 0),
+                           aNow };
+}
+
+double
+LoadBoard::FailureRate(const std::string& aUpstream, TimePoint aNow) const
+{
+  const auto it = mOutcomes.find(aUpstream);
+  if (it == mOutcomes.end()) {
+    return 0;
+  }
+  const double halves =
+    std::chrono::duration<double>(aNow - it->second.mAt).count() /
+    std::chrono::duration<double>(mSettings.mOutcomeHalfLife).count();
+  return it->second.mRate * std::exp2(-halves);
 }
 
 bool
--- a/Peridothoist/Relay/LoadBoard.h
+++ b/Peridothoist/Relay/LoadBoard.h
@@ -42,7 +42,9 @@
   /// After one whose process was found gone; it mostly comes back under
   /// another id.
   Duration mGoneAvoidance = 3s;
-  Duration mPeerAvoidance = 1s; ///< After a peer's word of such a one.
+  double mOutcomeWeight = 0.25;   ///< Of one outcome in the failure rate.
+  Duration mOutcomeHalfLife = 3s; ///< A failure rate without news halves.
+  Duration mPeerAvoidance = 1s;   ///< After a peer's word of such a one.
 };
 
 /// Keeps the load of all upstreams.
@@ -96,6 +98,11 @@
   /// It is gone or was started anew: what was known means nothing any more.
   void Forget(const std::string& aUpstream);
 
+  /// A call there ended; aFailed: without an answer, or with an error.
+  void OnOutcome(const std::string& aUpstream, bool aFailed, TimePoint aNow);
+  /// The part of calls that failed lately, 0 to 1.
+  double FailureRate(const std::string& aUpstream, TimePoint aNow) const;
+
   bool IsAvoided(const std::string& aUpstream, TimePoint aNow) const;
 
   /// Work there of all VMs.
@@ -118,6 +125,12 @@
     TimePoint mAvoidUntil;
     TimePoint mGoneUntil; ///< This VM found it gone.
   };
+  /// A moving average of outcomes.
+  struct Outcomes
+  {
+    double mRate = 0;
+    TimePoint mAt;
+  };
   struct Stated
   {
     StatedLoad mLoad;
@@ -131,6 +144,7 @@
   std::map<std::string, std::size_t> mPeersWaiting; ///< By peer.
   std::map<std::string, Stated> mStated;
   std::map<std::string, Failures> mFailures;
+  std::map<std::string, Outcomes> mOutcomes;
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Relay/RelayMachine.cpp
+++ b/Peridothoist/Relay/RelayMachine.cpp
@@ -421,6 +421,11 @@
     mLoads.OnStated(call.mUpstream, *aEnd.mLoad, aNow);
   }
   const CallOutcome& outcome = aEnd.mOutcome;
+  if (outcome.mMayHaveBeenSent && !aEnd.mNotRun) {
+    const bool prefill = call.mKind == RelayCallKind::Prefill;
+    const bool good = outcome.Ok() && (aEnd.mSound || prefill);
+    mLoads.OnOutcome(call.mUpstream, !good, aNow);
+  }
   if (!outcome.mMayHaveBeenSent) {
     OnUnsent(state, call, aEnd);
   } else if (outcome.mEnd == CallEnd::Whole && aEnd.mNotRun) {
--- a/Peridothoist/Relay/UpstreamChoice.cpp
+++ b/Peridothoist/Relay/UpstreamChoice.cpp
@@ -132,6 +132,7 @@
     score += aUpstream.mStage == RelayStage::Plain ? mSettings.mPlainZoneWorth
                                                    : mSettings.mEngineZoneWorth;
   }
+  score += mSettings.mFailureWeight * mLoads->FailureRate(aUpstream.mId, aNow);
   if (mRoster->IsLapsed(aUpstream.mId)) {
     score += mSettings.mLapsedPenalty;
   }
--- a/Peridothoist/Relay/UpstreamChoice.h
+++ b/Peridothoist/Relay/UpstreamChoice.h
@@ -48,6 +48,8 @@
   /// another zone and still be preferred.
   double mPlainZoneWorth = 3.0;
   double mEngineZoneWorth = 1.5;
+  /// Requests that one which fails all its calls seems to have more.
+  double mFailureWeight = 8;
   double mLapsedPenalty = 50;    ///< In requests: its entry is missing.
   double mPlainFullness = 3.0;   ///< Requests for each slot when it is full.
   double mEngineFullness = 0.94; ///< Part of the KV memory that is used.
--- a/UnitTests/Platform/PlatformWordsTest.cpp
+++ b/UnitTests/Platform/PlatformWordsTest.cpp
@@ -408,4 +408,13 @@
   RC_ASSERT(back.has_value());
   RC_ASSERT(EncodeVmNews(*back) == bytes);
   DecodeVmNews(Damage(bytes));
+  const std::string ask = EncodeViewAsk({ 5, "10.0.0.1:7600" });
+  RC_ASSERT(DecodeViewAsk(ask)->mStamp == 5U);
+  RC_ASSERT(!DecodeViewTell(ask).has_value());
+  RC_ASSERT(!DecodeVmNews(ask).has_value());
+  DecodeViewAsk(Damage(ask));
+  const std::string tell =
+    EncodeViewTell({ 5, 6, Duration(7), 8, Duration(9) });
+  RC_ASSERT(DecodeViewTell(tell)->mListDigest == 8U);
+  DecodeViewTell(Damage(tell));
 }
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -8,10 +8,12 @@
 #include <Peridothoist/Relay/RepeatBudget.h>
 #include <Peridothoist/Relay/UpstreamChoice.h>
 #include <Peridothoist/Relay/UpstreamRoster.h>
+#include <Peridothoist/Relay/ViewShare.h>
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
+#include <array>
 #include <cmath>
 
 using namespace peridothoist;
@@ -249,6 +251,179 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+/// One VM's view and its sharing.
+struct Vm
+{
+  Vm()
+    : mView({ 5s, 700ms })
+    , mRoster({ 2s })
+    , mShare(&mView, &mRoster)
+  {
+  }
+
+  void Read(std::uint64_t aVersion, TimePoint aNow)
+  {
+    mView.OnRead(MakeConfiguration(aVersion), aNow);
+    mRoster.OnListed({ MakeUpstream("u") }, aNow);
+  }
+
+  ConfirmedView mView;
+  UpstreamRoster mRoster;
+  ViewShare mShare;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Sharing)
+
+BOOST_AUTO_TEST_CASE(AnAnswerConfirmsAsOfItsQuestion)
+{
+  Vm reader;
+  Vm follower;
+  reader.Read(1, kNow);
+  follower.Read(1, kNow);
+  const ViewAsk ask{ ViewShare::StampOf(kNow + 2s), "" };
+  const auto tell = reader.mShare.Answer(ask, kNow + 2s);
+  BOOST_REQUIRE(tell.has_value());
+  // The answer comes after a freeze of ten seconds: it proves nothing newer.
+  follower.mShare.OnTell(*tell, kNow + 12s);
+  BOOST_TEST((follower.mView.Age(kNow + 12s) == Duration(12s)));
+  BOOST_TEST(!follower.mView.MayServeKeys(kNow + 12s));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerKeepsAViewYoung)
+{
+  Vm reader;
+  Vm follower;
+  follower.Read(1, kNow);
+  reader.Read(1, kNow + 4s);
+  const ViewAsk ask{ ViewShare::StampOf(kNow + 5s), "" };
+  const auto outcome =
+    follower.mShare.OnTell(*reader.mShare.Answer(ask, kNow + 5s), kNow + 5s);
+  BOOST_TEST(!outcome.mReadConfiguration);
+  BOOST_TEST(!outcome.mReadUpstreams);
+  BOOST_TEST((follower.mView.Age(kNow + 5s) == Duration(1s)));
+  BOOST_TEST((*follower.mRoster.ListedAt() == kNow + 4s));
+}
+
+BOOST_AUTO_TEST_CASE(WhoeverHoldsSomethingOlderReads)
+{
+  Vm reader;
+  Vm follower;
+  follower.Read(1, kNow);
+  reader.Read(2, kNow + 1s);
+  reader.mRoster.OnListed({ MakeUpstream("u", true) }, kNow + 1s);
+  const ViewAsk ask{ ViewShare::StampOf(kNow + 2s), "" };
+  const auto outcome =
+    follower.mShare.OnTell(*reader.mShare.Answer(ask, kNow + 2s), kNow + 2s);
+  BOOST_TEST(outcome.mReadConfiguration);
+  BOOST_TEST(outcome.mReadUpstreams);
+  BOOST_TEST((follower.mView.Age(kNow + 2s) == Duration(2s)));
+  // And a reader that is behind makes nobody read.
+  const auto back =
+    reader.mShare.OnTell(*follower.mShare.Answer(ask, kNow + 2s), kNow + 2s);
+  BOOST_TEST(!back.mReadConfiguration);
+  BOOST_TEST(!back.mReadUpstreams);
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerToNoQuestionOfOursIsDropped)
+{
+  Vm reader;
+  Vm follower;
+  reader.Read(1, kNow);
+  follower.Read(1, kNow);
+  const ViewAsk ask{ ViewShare::StampOf(kNow + 1h), "" };
+  follower.mShare.OnTell(*reader.mShare.Answer(ask, kNow + 1s), kNow + 2s);
+  BOOST_TEST((follower.mView.Age(kNow + 2s) == Duration(2s)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// Plays reads, questions and answers that are held up, and checks that no VM
+/// believes its view to be younger than it is.
+class SharedReads
+{
+public:
+  void Step()
+  {
+    mNow += std::chrono::milliseconds(*rc::gen::inRange(1, 900));
+    const auto vm = *rc::gen::inRange<std::size_t>(0, mVms.size());
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0: // The operator writes.
+        ++mVersion;
+        mWrittenAt.push_back(mNow);
+        break;
+      case 1:
+        mVms[vm].Read(mVersion, mNow);
+        break;
+      case 2:
+        Ask(vm);
+        break;
+      default:
+        Hear();
+    }
+    for (const Vm& it : mVms) {
+      Check(it);
+    }
+  }
+
+private:
+  struct Late
+  {
+    std::size_t mTo;
+    ViewTell mTell;
+  };
+
+  void Ask(std::size_t aFrom)
+  {
+    const ViewAsk ask{ ViewShare::StampOf(mNow), "" };
+    mNow += std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
+    const auto peer = *rc::gen::inRange<std::size_t>(0, mVms.size());
+    if (const auto tell = mVms[peer].mShare.Answer(ask, mNow)) {
+      mLate.push_back({ aFrom, *tell });
+    }
+  }
+
+  void Hear()
+  {
+    if (!mLate.empty()) {
+      const auto n = *rc::gen::inRange<std::size_t>(0, mLate.size());
+      mVms[mLate[n].mTo].mShare.OnTell(mLate[n].mTell, mNow);
+      mLate.erase(mLate.begin() + static_cast<std::ptrdiff_t>(n));
+    }
+  }
+
+  /// Everything written before a view's confirmation is in it.
+  void Check(const Vm& aVm) const
+  {
+    if (aVm.mView.Version() == 0 || aVm.mView.Version() == mVersion) {
+      return;
+    }
+    const TimePoint confirmed = mNow - aVm.mView.Age(mNow);
+    RC_ASSERT(confirmed <= mWrittenAt[aVm.mView.Version() - 1]);
+  }
+
+  std::array<Vm, 3> mVms;
+  std::vector<Late> mLate;
+  std::vector<TimePoint> mWrittenAt; ///< Of versions 2, 3 and so on.
+  std::uint64_t mVersion = 1;
+  TimePoint mNow{ 1h };
+};
+
+} // namespace
+
+RC_BOOST_PROP(NoViewLooksYoungerThanItIs, ())
+{
+  SharedReads reads;
+  for (int n = 0; n < 80; ++n) {
+    reads.Step();
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(Choosing)
 
 struct ChoiceFixture
@@ -304,6 +479,20 @@
   BOOST_TEST(Choose() == "one");
 }
 
+BOOST_FIXTURE_TEST_CASE(WhoFailsManyCallsGetsFewer, ChoiceFixture)
+{
+  // Pattern: a third of the upstreams fail half of what they run.
+  List({ MakeUpstream("good"), MakeUpstream("grey") });
+  for (int n = 0; n < 6; ++n) {
+    mLoads.OnOutcome("grey", n % 2 == 0, kNow);
+    mLoads.OnOutcome("good", false, kNow);
+  }
+  mLoads.OnSent("good", 0);
+  mLoads.OnSent("good", 0);
+  BOOST_TEST(Choose() == "good");
+  BOOST_TEST(mLoads.FailureRate("grey", kNow + 30s) < 0.01);
+}
+
 BOOST_FIXTURE_TEST_CASE(FullIsNotTheSameAsNone, ChoiceFixture)
 {
   BOOST_TEST(Choose() == "no_upstream");
