--- a/Peridothoist/Node/NodePeers.cpp
+++ b/Peridothoist/Node/NodePeers.cpp
@@ -55,11 +55,17 @@
   , mRandom(aRandom)
   , mListener(aListener)
   , mMembers(aSettings.mMembers, aSettings.mVm)
+{
+  AddSeeds(aSettings.mSeeds);
+}
+
+void
+NodePeers::AddSeeds(const std::vector<std::string>& aSeeds)
 {
   // All VMs hear on the same port; seeds are given with another one.
-  const auto own = ParseSocketAddress(aSettings.mPeerListen);
+  const auto own = ParseSocketAddress(mSettings.mPeerListen);
   PH_ASSERT(own.has_value());
-  for (const std::string& seed : aSettings.mSeeds) {
+  for (const std::string& seed : aSeeds) {
     const auto address = ParseSocketAddress(seed);
     PH_ASSERT(address.has_value());
     mKnown.insert(address->mNumber + ":" + std::to_string(own->mPort));
--- a/Peridothoist/Node/NodePeers.h
+++ b/Peridothoist/Node/NodePeers.h
@@ -50,6 +50,9 @@
 
   MemberBook& Members() { return mMembers; }
 
+  /// Tells these VMs as well, each given by an address of it; ports ignored.
+  void AddSeeds(const std::vector<std::string>& aSeeds);
+
   /// Tells all peers now, not at the next interval.
   void TellAll();
 
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -502,6 +502,21 @@
   return mMetrics.Render();
 }
 
+bool
+NodeProcess::Reload(const Settings& aSettings, Reason* aReason)
+{
+  if (const auto fault = aSettings.Check()) {
+    Reason::Set(aReason, fault->mCode, fault->mText);
+    return false;
+  }
+  mSettings.mView = aSettings.mView;
+  mSettings.mGrace = aSettings.mGrace;
+  mView.SetSettings(aSettings.mView);
+  mMachine.SetRepeatBudget(aSettings.mMachine.mBudget);
+  mPeers->AddSeeds(aSettings.mSeeds);
+  return true;
+}
+
 void
 NodeProcess::StartLeaving()
 {
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -47,6 +47,10 @@
                                              Reason* aReason);
   ~NodeProcess() override;
 
+  /// Takes what may change while it runs: bounds, seeds and the time to leave.
+  /// False with aReason, and nothing is changed, when a setting is wrong.
+  bool Reload(const Settings& aSettings, Reason* aReason);
+
   /// Begins to leave; the reactor is stopped when that is done.
   void StartLeaving();
 
@@ -92,7 +96,7 @@
   // See: LoopMonitorListener
   void OnLoopLag(Duration aLag) override;
 
-  const Settings mSettings;
+  Settings mSettings; ///< Addresses and names never change.
   NodeProtocols mProtocols;
   Reactor* mReactor;
   HttpClient* mClient;
--- a/Peridothoist/Relay/ConfirmedView.h
+++ b/Peridothoist/Relay/ConfirmedView.h
@@ -35,6 +35,9 @@
   {
   }
 
+  /// Takes other bounds.
+  void SetSettings(const Settings& aSettings) { mSettings = aSettings; }
+
   /// A read that began at aBegan gave aConfiguration. True when it is newer
   /// than what was known. An older one confirms nothing and is dropped.
   bool OnRead(std::shared_ptr<const RelayConfiguration> aConfiguration,
--- a/Peridothoist/Relay/RelayMachine.cpp
+++ b/Peridothoist/Relay/RelayMachine.cpp
@@ -49,6 +49,15 @@
   mConfiguration = std::move(aConfig);
 }
 
+void
+RelayMachine::SetRepeatBudget(const RepeatBudgetSettings& aSettings)
+{
+  mSettings.mBudget = aSettings;
+  for (auto& [service, budget] : mBudgets) {
+    budget.SetSettings(aSettings);
+  }
+}
+
 RelayMachine::State*
 RelayMachine::Find(std::uint64_t aId)
 {
--- a/Peridothoist/Relay/RelayMachine.h
+++ b/Peridothoist/Relay/RelayMachine.h
@@ -104,6 +104,9 @@
   /// The configuration that services are looked up in.
   void SetConfiguration(std::shared_ptr<const RelayConfiguration> aConfig);
 
+  /// Takes other bounds of the retry budget.
+  void SetRepeatBudget(const RepeatBudgetSettings& aSettings);
+
   /// How many VMs share the retry budget; at least 1.
   void SetVmCount(std::size_t aCount) { mVmCount = aCount; }
 
@@ -247,7 +250,7 @@
   RelayCommand& Command(RelayCommandKind aKind, const State& aState);
   RepeatBudget& BudgetOf(const std::string& aService);
 
-  const Settings mSettings;
+  Settings mSettings;
   RelayGate* mGate;
   Random* mRandom;
   std::shared_ptr<const RelayConfiguration> mConfiguration;
--- a/Peridothoist/Relay/RepeatBudget.h
+++ b/Peridothoist/Relay/RepeatBudget.h
@@ -28,6 +28,9 @@
   {
   }
 
+  /// Takes other bounds.
+  void SetSettings(const Settings& aSettings) { mSettings = aSettings; }
+
   /// A request for the service came.
   void OnRequest(TimePoint aNow) { mRequests.push_back(aNow); }
 
