Explain a request from the logs of all VMs by its id

peridothoistctl explain ID < LOGS prints in order of time what became of a request at each VM that it met, and what that VM learned of the configuration, the store and those upstreams in the ten seconds before. Each line now names its VM. Tested on lines of two VMs, with damaged input.

--- a/CommandLine/AllCommands.cpp
+++ b/CommandLine/AllCommands.cpp
@@ -4,6 +4,7 @@
 
 #include <CommandLine/ControlCommands.h>
 #include <CommandLine/ItemCommands.h>
+#include <CommandLine/LogCommands.h>
 
 namespace peridothoist {
 
@@ -14,6 +15,8 @@
     std::vector<Command> all = ItemCommands();
     const std::vector<Command> more = ControlCommands();
     all.insert(all.end(), more.begin(), more.end());
+    const std::vector<Command> logs = LogCommands();
+    all.insert(all.end(), logs.begin(), logs.end());
     return all;
   }();
   return commands;
--- a/CommandLine/Command.cpp
+++ b/CommandLine/Command.cpp
@@ -90,6 +90,14 @@
 
 } // namespace
 
+bool
+IsLocalCommand(const std::vector<std::string>& aArguments)
+{
+  std::vector<std::string> arguments = aArguments;
+  const Command* command = FindCommand(arguments);
+  return command != nullptr && command->mLocal;
+}
+
 ExitCode
 RunCommand(CommandContext& aContext, bool aHelp)
 {
--- a/CommandLine/Command.h
+++ b/CommandLine/Command.h
@@ -42,6 +42,7 @@
   ControlCaller& mControl;
   std::ostream& mOut;
   std::ostream& mError;
+  std::istream* mIn = nullptr; ///< What the command reads; may be missing.
   OutputForm mForm = OutputForm::Text;
   std::vector<std::string> mArguments; ///< After the command's name.
 
@@ -66,12 +67,17 @@
   std::size_t mLeast;     ///< Arguments it needs.
   std::size_t mMost;      ///< Arguments it takes.
   ExitCode (*mRun)(CommandContext& aContext);
+  bool mLocal = false; ///< It calls nobody.
 };
 
 /// Rows of all groups.
 const std::vector<Command>&
 AllCommands();
 
+/// Whether the command that aArguments start with calls nobody.
+bool
+IsLocalCommand(const std::vector<std::string>& aArguments);
+
 /// Finds and runs the command that aContext.mArguments starts with; prints
 /// the usage when there is none, or with aHelp.
 ExitCode
--- a/CommandLine/CtlMain.cpp
+++ b/CommandLine/CtlMain.cpp
@@ -77,10 +77,12 @@
   ControlClientSettings settings;
   settings.mControls = SplitControls(FLAGS_control);
   settings.mOperatorKey = FLAGS_operator_key;
-  if (!help && settings.mControls.empty()) {
+  std::vector<std::string> arguments(aArgv + 1, aArgv + aArgc);
+  const bool calls = !help && !IsLocalCommand(arguments);
+  if (calls && settings.mControls.empty()) {
     return UsageError("control is empty, must be http://ip:port,...");
   }
-  if (!help && settings.mOperatorKey.empty()) {
+  if (calls && settings.mOperatorKey.empty()) {
     return UsageError(
       "operator_key is empty; set it or PERIDOTHOIST_OPERATOR_KEY");
   }
@@ -94,8 +96,7 @@
   context.mWait = FLAGS_wait;
   context.mYes = FLAGS_yes;
   context.mUndo = FLAGS_undo;
-  for (int n = 1; n < aArgc; ++n) {
-    context.mArguments.emplace_back(aArgv[n]);
-  }
+  context.mIn = &std::cin;
+  context.mArguments = std::move(arguments);
   return static_cast<int>(RunCommand(context, help));
 }
--- a/Peridothoist/Node/NodePeers.cpp
+++ b/Peridothoist/Node/NodePeers.cpp
@@ -212,7 +212,7 @@
   }
   if (!heard) {
     Log::Info("peer_heard")
-      .Field("vm", copy.mVm)
+      .Field("peer", copy.mVm)
       .Field("instance", copy.mInstance)
       .Field("leaving", copy.mLeaving);
   }
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -170,7 +170,6 @@
   mLoopMonitor =
     std::make_unique<LoopMonitor>(LoopMonitorSettings{ 250ms }, mReactor, this);
   Log::Info("node_started")
-    .Field("vm", mSettings.mVm)
     .Field("instance", mInstance)
     .Field("zone", mSettings.mZone)
     .Field("listen", mSettings.mListen);
--- a/Peridothoist/Node/VmRegistry.cpp
+++ b/Peridothoist/Node/VmRegistry.cpp
@@ -43,11 +43,11 @@
       }
       mRegistering = false;
       if (aReason.mCode == ReasonCode::None) {
-        Log::Info("registered").Field("vm", mVm);
+        Log::Info("registered").Field("name", mVm);
         return;
       }
       Log::Info("not_registered")
-        .Field("vm", mVm)
+        .Field("name", mVm)
         .Field("code", ToName(aReason.mCode))
         .Field("reason", aReason.mText);
       mTimer = mReactor->Schedule(kRegisterAgain, [this] { Register(); });
@@ -69,7 +69,7 @@
     mStore->Change({ mTable, vm, std::nullopt, std::nullopt },
                    [vm](const Reason& aReason) {
                      Log::Info("vm_removed")
-                       .Field("vm", vm)
+                       .Field("name", vm)
                        .Field("code", ToName(aReason.mCode));
                    });
   }
--- a/Peridothoist/Shell/Log.cpp
+++ b/Peridothoist/Shell/Log.cpp
@@ -47,6 +47,7 @@
 {
   std::shared_ptr<spdlog::details::thread_pool> mPool; ///< Null: direct.
   std::shared_ptr<spdlog::logger> mLogger = DirectLogger();
+  std::string mVm; ///< Of Log::Settings.
 };
 
 Sink&
@@ -119,6 +120,9 @@
 {
   if (mOn) {
     mText = fmt::format("level={}", ToName(aLevel));
+    if (!CurrentSink().mVm.empty()) {
+      Field("vm", CurrentSink().mVm);
+    }
     Field("event", aEvent);
   }
 }
@@ -156,6 +160,7 @@
 {
   CurrentLevel() = aSettings.mLevel;
   Sink sink;
+  sink.mVm = aSettings.mVm;
   sink.mPool =
     std::make_shared<spdlog::details::thread_pool>(aSettings.mQueuedLines, 1);
   std::shared_ptr<spdlog::sinks::sink> stream =
--- a/Peridothoist/Shell/Log.h
+++ b/Peridothoist/Shell/Log.h
@@ -80,6 +80,7 @@
   {
     LogLevel mLevel = LogLevel::Info; ///< Events below it are dropped.
     std::size_t mQueuedLines = 8192;  ///< Lines held for a slow sink.
+    std::string mVm;                  ///< Stands in each line; empty: none.
     bool mToStandardOutput = false;   ///< Else to standard error.
   };
 
--- /dev/null
+++ b/UnitTests/CommandLine/LogStoryTest.cpp
@@ -0,0 +1,78 @@
+/// From a request's id to the cause of its failure, by the lines of several
+/// VMs.
+#define BOOST_TEST_MODULE LogStory
+#include <Peridothoist/Peridothoist.h>
+#include <CommandLine/LogStory.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <sstream>
+
+using namespace peridothoist;
+
+namespace {
+
+constexpr const char* kLogs =
+  R"(ts=2026-08-11T13:20:01.000000Z level=info vm=a event=configuration_in_force version=4
+noise without fields
+ts=2026-08-11T13:20:02.000000Z level=info vm=a event=upstream_listed upstream=u1 leaving=false
+ts=2026-08-11T13:20:02.100000Z level=info vm=b event=upstream_listed upstream=u1 leaving=false
+ 10.3 host ts=2026-08-11T13:20:05.300000Z level=info vm=a event=call_ended request=7 attempt=1 upstream=u1 end=broken reason="Failure when \"receiving\" data"
+ts=2026-08-11T13:20:05.310000Z level=info vm=b event=call_ended request=7 attempt=1 upstream=u2 end=whole
+ts=2026-08-11T13:20:05.320000Z level=info vm=a event=request_done id=x1 request=7 outcome=upstream_failed status=502 ms=120
+ts=2026-08-11T13:20:06.000000Z level=info vm=b event=refused_on_arrival id=x2 type=view_stale view_age_ms=4400
+ts=2026-08-11T13:20:06.500000Z level=info vm=a event=request_done id=x3 request=8 outcome=answered status=200 ms=20
+)";
+
+std::vector<StoryLine>
+StoryOf(const std::string& aId)
+{
+  std::istringstream stream(kLogs);
+  return TellStory(ReadLogs(stream), aId);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AFailedRequestLeadsToTheCallThatBroke)
+{
+  const auto story = StoryOf("x1");
+  BOOST_REQUIRE(story.size() == 4U);
+  BOOST_TEST(story[0].mText.find("configuration_in_force") !=
+             std::string::npos);
+  BOOST_TEST(story[1].mText.find("upstream_listed") != std::string::npos);
+  BOOST_TEST(story[2].mText.find("end=broken") != std::string::npos);
+  BOOST_TEST(story[3].mText.find("upstream_failed") != std::string::npos);
+  BOOST_TEST(story[0].mAfter < 0);
+  BOOST_TEST(std::abs(story[2].mAfter - 0.1) < 0.001);
+  for (const StoryLine& it : story) {
+    BOOST_TEST(it.mVm == "a");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalOnArrivalSaysWhatWasBelieved)
+{
+  const auto story = StoryOf("x2");
+  BOOST_REQUIRE(story.size() == 1U);
+  BOOST_TEST(story[0].mText.find("view_age_ms=4400") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(AnUnknownRequestHasNoStory)
+{
+  BOOST_TEST(StoryOf("nobody").empty());
+}
+
+BOOST_AUTO_TEST_CASE(ValuesAreUnquoted)
+{
+  const auto record = ParseLogLine(
+    R"(ts=2026-08-11T13:20:05.3Z level=info event=x reason="a \"b\" c" n=1)");
+  BOOST_REQUIRE(record.has_value());
+  BOOST_TEST(record->Get("reason") == "a \"b\" c");
+  BOOST_TEST(record->Get("n") == "1");
+}
+
+RC_BOOST_PROP(NoLineEndsTheReader, (const std::string& aText))
+{
+  ParseLogLine("ts=" + aText);
+  ParseLogLine(aText);
+}
