Bound what VMs tell each other at any size of the fleet

A VM now tells 16 peers each 250 ms in turn, and of changed work 8 more, in large fleets no oftener than that. How old news may be follows from the count of peers; the choice spreads over upstreams and leaves memory free by that age. One VM in 16 reads the store.

--- a/Peridothoist/Node/NodePeers.cpp
+++ b/Peridothoist/Node/NodePeers.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// A VM of which nothing was heard for so many rounds isn't heard.
+constexpr int kSilentRounds = 2;
+
 /// Addresses of VMs that were never heard are kept up to this count.
 constexpr std::size_t kMostKnown = 256;
 
@@ -82,8 +85,8 @@
 NodePeers::Tick()
 {
   DropSilent();
-  const std::size_t peers = Addresses().size();
-  Tell(std::max(mSettings.mPeerFanOut, (peers + 1) / 2));
+  Tell(mSettings.mPeerFanOut);
+  NoteFleetSize();
   mListener->OnMembersChanged();
   mTimer = mReactor->Schedule(mSettings.mPeerInterval, [this] { Tick(); });
 }
@@ -94,6 +97,26 @@
   Tell(mKnown.size() + mMembers.Members().size());
 }
 
+/// Whether changed work is told to a part of the peers only.
+bool
+NodePeers::IsLarge() const
+{
+  return Addresses().size() > mSettings.mSoonFanOut;
+}
+
+/// Takes from the count of peers how old news of them may be.
+void
+NodePeers::NoteFleetSize()
+{
+  const std::size_t peers = Addresses().size();
+  const auto rounds = static_cast<Duration::rep>(
+    (peers + mSettings.mPeerFanOut - 1) / mSettings.mPeerFanOut);
+  const Duration round = mSettings.mPeerInterval * rounds;
+  mMembers.SetSilence(
+    std::max(mSettings.mMembers.mSilence, round * kSilentRounds));
+  mMachine->Loads().SetNewsAge(IsLarge() ? round : Duration(0));
+}
+
 void
 NodePeers::TellSoon()
 {
@@ -104,7 +127,7 @@
     Duration(0), mToldAt + mSettings.mLeastPeerInterval - mReactor->Now());
   mSoonTimer = mReactor->Schedule(wait, [this] {
     mSoonTimer = 0;
-    Tell(mSettings.mPeerFanOut);
+    Tell(mSettings.mSoonFanOut);
   });
 }
 
--- a/Peridothoist/Node/NodePeers.h
+++ b/Peridothoist/Node/NodePeers.h
@@ -79,6 +79,8 @@
   VmNews MakeNews();
   std::vector<std::string> Addresses() const;
   void TakeNews(VmNews aNews);
+  bool IsLarge() const;
+  void NoteFleetSize();
   void TakeCrashes(const std::vector<CrashNews>& aCrashes);
   void DropSilent();
 
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -445,7 +445,9 @@
     }
   }
   std::sort(names.begin(), names.end());
-  names.resize(std::min(names.size(), mSettings.mReaders));
+  const std::size_t readers =
+    std::max(mSettings.mLeastReaders, names.size() / mSettings.mVmsPerReader);
+  names.resize(std::min(names.size(), readers));
   return names;
 }
 
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -39,9 +39,14 @@
   Duration mPeerInterval = 250ms; ///< Between messages to each peer.
   /// Work at engines that changed is told no more often than this.
   Duration mLeastPeerInterval = 40ms;
-  std::size_t mPeerFanOut = 12; ///< Peers told in one interval.
+  std::size_t mPeerFanOut = 16; ///< Peers told in one interval.
+  /// Peers told of changed work at once. A fleet that isn't much larger hears
+  /// of it within mLeastPeerInterval; in a larger one this goes no oftener than
+  /// the regular messages, so that news cost each VM the same at any size.
+  std::size_t mSoonFanOut = 8;
   // Sharing reads of the store
-  std::size_t mReaders = 2;        ///< VMs that read for all.
+  std::size_t mLeastReaders = 2; ///< VMs that read for all, at least.
+  std::size_t mVmsPerReader = 16;
   Duration mShareInterval = 350ms; ///< Between questions to them.
   /// A VM whose view is older reads by itself. Above the readers' interval and
   /// mShareInterval, and well under the bounds of changes.
--- a/Peridothoist/Node/RelayRunner.cpp
+++ b/Peridothoist/Node/RelayRunner.cpp
@@ -156,7 +156,9 @@
 private:
   void LogEnd(const RelayCallEnd& aEnd, const HttpCallOutcome& aOutcome) const
   {
-    const bool good = aEnd.mOutcome.Ok() && aEnd.mSound;
+    const bool prefilled =
+      mKind == RelayCallKind::Prefill && !aEnd.mHandle.empty();
+    const bool good = aEnd.mOutcome.Ok() && (aEnd.mSound || prefilled);
     LogLine line(good ? LogLevel::Debug : LogLevel::Info,
                  "call_ended",
                  Log::IsOn(good ? LogLevel::Debug : LogLevel::Info));
@@ -398,6 +400,18 @@
   const Refusal& refusal = *aCommand.mRefusal;
   aRequest.mFacts.mStatus = refusal.Status();
   aRequest.mFacts.mOutcome = ToName(refusal.mKind);
+  const TimePoint now = mReactor->Now();
+  const auto listedAt = mMachine->Roster().ListedAt();
+  Log::Info("request_refused")
+    .Field("request", aCommand.mId)
+    .Field("type", ToName(refusal.mKind))
+    .Field("run", ToName(refusal.mVerdict))
+    .Field("retry_after_ms", ToMillis(refusal.mRetryAfter))
+    .Field("waiting", mMachine->Waiting())
+    .Field("peers_waiting", mMachine->Loads().PeersWaiting())
+    .Field("upstreams", mMachine->Roster().All().size())
+    .Field("found_gone", mMachine->Loads().FoundGone(now).size())
+    .Field("list_age_ms", ToMillis(now - listedAt.value_or(now)));
   Refuse(*aRequest.mExchange, refusal);
 }
 
--- a/Peridothoist/Relay/LoadBoard.h
+++ b/Peridothoist/Relay/LoadBoard.h
@@ -72,6 +72,12 @@
 
   /// Another VM's work, in place of what it said before.
   void OnPeerWork(const std::string& aPeer, WorkByUpstream aWork);
+  /// How old what other VMs say may be.
+  void SetNewsAge(Duration aAge) { mNewsAge = aAge; }
+  double NewsAgeSeconds() const
+  {
+    return std::chrono::duration<double>(mNewsAge).count();
+  }
   /// How many requests another VM keeps waiting for room.
   void OnPeerWaiting(const std::string& aPeer, std::size_t aWaiting)
   {
@@ -140,6 +146,7 @@
   Settings mSettings;
   WorkByUpstream mOwn;
   std::uint64_t mRevision = 0;
+  Duration mNewsAge{ 0 };
   std::map<std::string, WorkByUpstream> mPeers;     ///< By peer.
   std::map<std::string, std::size_t> mPeersWaiting; ///< By peer.
   std::map<std::string, Stated> mStated;
--- a/Peridothoist/Relay/MemberBook.h
+++ b/Peridothoist/Relay/MemberBook.h
@@ -62,6 +62,9 @@
 
   MemberBook(const Settings& aSettings, std::string aSelf);
 
+  /// Takes another time of silence.
+  void SetSilence(Duration aSilence) { mSettings.mSilence = aSilence; }
+
   /// Takes a message. False when it is old, or this VM's own.
   bool OnNews(VmNews aNews, TimePoint aNow);
 
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -86,7 +86,6 @@
   std::string mWorkspace;
   std::uint32_t mPriority = 5;
   Duration mTimeLeft{ 0 }; ///< StartCall: until the answer is useless.
-  std::string mWhy;        ///< For the log.
 
   // Answers
   RelayAnswer mAnswer;             ///< SendHead, SendAnswer.
--- a/Peridothoist/Relay/UpstreamChoice.cpp
+++ b/Peridothoist/Relay/UpstreamChoice.cpp
@@ -49,7 +49,9 @@
       anyFull = true;
       continue;
     }
-    const double score = Score(upstream, aQuestion, aNow);
+    const double spread =
+      mSettings.mSpreadPerSecond * mLoads->NewsAgeSeconds() * mRandom->Unit();
+    const double score = Score(upstream, aQuestion, aNow) + spread;
     Choice& place = avoided ? bestAvoided : best;
     if (place.mUpstream == nullptr || score < place.mScore) {
       place = { &upstream, NoChoice::None, score };
@@ -88,8 +90,9 @@
   if (!counted || bySlots < 1) {
     return bySlots;
   }
-  const double limit =
-    mSettings.mEngineFullness * static_cast<double>(aQuestion.mMemoryTokens);
+  const double fullness = mSettings.mEngineFullness -
+                          mSettings.mFreePerSecond * mLoads->NewsAgeSeconds();
+  const double limit = fullness * static_cast<double>(aQuestion.mMemoryTokens);
   const double byMemory = (limit - static_cast<double>(work.mTokens)) /
                           static_cast<double>(aQuestion.mTokens);
   // An empty engine takes a request of any size that it can hold at all.
--- a/Peridothoist/Relay/UpstreamChoice.h
+++ b/Peridothoist/Relay/UpstreamChoice.h
@@ -50,6 +50,11 @@
   double mEngineZoneWorth = 1.5;
   /// Requests that one which fails all its calls seems to have more.
   double mFailureWeight = 8;
+  /// In a large fleet news are old: for each second, the choice is spread over
+  /// upstreams that seem to have so many requests more than the least, and so
+  /// much of the memory is left free.
+  double mSpreadPerSecond = 2;
+  double mFreePerSecond = 0.08;
   double mLapsedPenalty = 50;    ///< In requests: its entry is missing.
   double mPlainFullness = 3.0;   ///< Requests for each slot when it is full.
   double mEngineFullness = 0.94; ///< Part of the KV memory that is used.
