--- a/Peridothoist/Node/NodePeers.cpp
+++ b/Peridothoist/Node/NodePeers.cpp
@@ -123,8 +123,10 @@
   if (mSoonTimer != 0) {
     return;
   }
-  const Duration wait = std::max(
-    Duration(0), mToldAt + mSettings.mLeastPeerInterval - mReactor->Now());
+  const Duration interval =
+    IsLarge() ? mSettings.mPeerInterval : mSettings.mLeastPeerInterval;
+  const Duration wait =
+    std::max(Duration(0), mToldAt + interval - mReactor->Now());
   mSoonTimer = mReactor->Schedule(wait, [this] {
     mSoonTimer = 0;
     Tell(mSettings.mSoonFanOut);
