Tell few crash suspects in one message

A message now holds at most eight, half by most crashes and the others in turn, and a digest is 16 characters.

--- a/CommandLine/LogStory.cpp
+++ b/CommandLine/LogStory.cpp
@@ -170,6 +170,7 @@
   });
   told.erase(std::unique(told.begin(), told.end()), told.end());
   std::vector<StoryLine> story;
+  story.reserve(told.size());
   for (const LogRecord* it : told) {
     story.push_back(
       { it->mSeconds - tries.front().mFrom, it->Get("vm"), it->mText });
--- a/Peridothoist/Node/NodePeers.cpp
+++ b/Peridothoist/Node/NodePeers.cpp
@@ -186,13 +186,7 @@
   news.mWork = mMachine->Loads().Own();
   news.mWaiting = mMachine->Waiting();
   news.mGone = mMachine->Loads().FoundGone(now);
-  for (const ListedDigest& it : mMachine->Suspects().Quarantined(now)) {
-    news.mCrashes.push_back({ it.mDigest, it.mCrashes, true, it.mUntil - now });
-  }
-  for (const ListedDigest& it : mMachine->Suspects().Suspects(now)) {
-    news.mCrashes.push_back(
-      { it.mDigest, it.mCrashes, false, it.mUntil - now });
-  }
+  news.mCrashes = MakeCrashNews(now);
   // One address a message, so that all are heard of in time.
   const std::set<std::string> peers = mMembers.PeerAddresses();
   if (!peers.empty()) {
@@ -221,6 +215,26 @@
   }
 }
 
+/// What to tell of requests that were present at crashes.
+std::vector<CrashNews>
+NodePeers::MakeCrashNews(TimePoint aNow) const
+{
+  std::vector<CrashNews> all;
+  const auto add = [&](const ListedDigest& aDigest, bool aQuarantined) {
+    all.push_back({ aDigest.mDigest,
+                    aDigest.mCrashes,
+                    aQuarantined,
+                    aDigest.mUntil - aNow });
+  };
+  for (const ListedDigest& it : mMachine->Suspects().Quarantined(aNow)) {
+    add(it, true);
+  }
+  for (const ListedDigest& it : mMachine->Suspects().Suspects(aNow)) {
+    add(it, false);
+  }
+  return ChooseCrashNews(std::move(all), mSettings.mMostCrashNews, mSequence);
+}
+
 void
 NodePeers::TakeNews(VmNews aNews)
 {
--- a/Peridothoist/Node/NodePeers.h
+++ b/Peridothoist/Node/NodePeers.h
@@ -77,6 +77,7 @@
   void Tick();
   void Tell(std::size_t aMost);
   VmNews MakeNews();
+  std::vector<CrashNews> MakeCrashNews(TimePoint aNow) const;
   std::vector<std::string> Addresses() const;
   void TakeNews(VmNews aNews);
   bool IsLarge() const;
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -340,7 +340,7 @@
 {
   const TimePoint now = mReactor->Now();
   mRegistry.OnRead(aNames);
-  mPeers->Members().SetRegistered(std::move(aNames), now);
+  mPeers->Members().SetRegistered(aNames, now);
   mRegistry.Remove(mPeers->Members().Vanished(mSettings.mForgetPeers, now));
   OnMembersChanged();
 }
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -52,6 +52,9 @@
   /// mShareInterval, and well under the bounds of changes.
   Duration mOldestShared = 1500ms;
 
+  /// Requests that were present at crashes, told in one message. A crash of
+  /// many upstreams makes hundreds, of which few come again.
+  std::size_t mMostCrashNews = 8;
   Duration mForgetPeers = 30s; ///< VMs silent for so long are gone.
 
   ConfirmedViewSettings mView;
--- a/Peridothoist/Relay/MemberBook.cpp
+++ b/Peridothoist/Relay/MemberBook.cpp
@@ -15,6 +15,29 @@
   return kNames[static_cast<std::size_t>(aState)];
 }
 
+std::vector<CrashNews>
+ChooseCrashNews(std::vector<CrashNews> aAll,
+                std::size_t aMost,
+                std::uint64_t aTurn)
+{
+  if (aAll.size() <= aMost) {
+    return aAll;
+  }
+  std::stable_sort(
+    aAll.begin(), aAll.end(), [](const CrashNews& aOne, const CrashNews& aTwo) {
+      return aOne.mCrashes > aTwo.mCrashes;
+    });
+  const std::size_t first = aMost / 2;
+  const std::size_t rest = aAll.size() - first;
+  std::vector<CrashNews> some(
+    aAll.begin(), aAll.begin() + static_cast<std::ptrdiff_t>(first));
+  const std::size_t places = aMost - first;
+  for (std::size_t n = 0; n < places; ++n) {
+    some.push_back(aAll[first + (aTurn * places + n) % rest]);
+  }
+  return some;
+}
+
 MemberBook::MemberBook(const Settings& aSettings, std::string aSelf)
   : mSettings(aSettings)
   , mSelf(std::move(aSelf))
@@ -39,7 +62,7 @@
 }
 
 void
-MemberBook::SetRegistered(std::set<std::string> aNames, TimePoint aNow)
+MemberBook::SetRegistered(const std::set<std::string>& aNames, TimePoint aNow)
 {
   std::map<std::string, TimePoint> since;
   for (const std::string& name : aNames) {
--- a/Peridothoist/Relay/MemberBook.h
+++ b/Peridothoist/Relay/MemberBook.h
@@ -19,6 +19,14 @@
   Duration mLasts{ 0 }; ///< From now on.
 };
 
+/// At most aMost of them for one message: half by most crashes, the others in
+/// turn, so that each is told within a few messages. aTurn goes up by one with
+/// each message.
+std::vector<CrashNews>
+ChooseCrashNews(std::vector<CrashNews> aAll,
+                std::size_t aMost,
+                std::uint64_t aTurn);
+
 /// What a VM can serve to new callers.
 enum class ServingState
 {
@@ -69,7 +77,7 @@
   bool OnNews(VmNews aNews, TimePoint aNow);
 
   /// The names that are registered, read as a whole.
-  void SetRegistered(std::set<std::string> aNames, TimePoint aNow);
+  void SetRegistered(const std::set<std::string>& aNames, TimePoint aNow);
 
   /// Heard within the settings' time.
   bool IsHeard(const std::string& aVm, TimePoint aNow) const;
--- a/Peridothoist/Relay/RelayIntake.cpp
+++ b/Peridothoist/Relay/RelayIntake.cpp
@@ -17,6 +17,9 @@
 /// counted from the beginning.
 constexpr double kHeldOutputPart = 0.25;
 
+/// Enough of a digest to tell the requests of some minutes apart, in hex.
+constexpr std::size_t kDigestChars = 16;
+
 /// A caller comes back after at most this part of its patience.
 constexpr double kMostRetryPart = 0.3;
 
@@ -132,7 +135,8 @@
       return std::nullopt;
     }
   }
-  arrival.mDigest = arrival.mWorkspace + '/' + aQuestion.mDigest;
+  arrival.mDigest =
+    arrival.mWorkspace + '/' + aQuestion.mDigest.substr(0, kDigestChars);
   arrival.mLastEventId = aQuestion.mLastEventId;
   arrival.mArrivedAt = aNow;
   arrival.mPatience = patience;
--- a/Peridothoist/Relay/UpstreamChoice.h
+++ b/Peridothoist/Relay/UpstreamChoice.h
@@ -54,7 +54,7 @@
   /// upstreams that seem to have so many requests more than the least, and so
   /// much of the memory is left free.
   double mSpreadPerSecond = 2;
-  double mFreePerSecond = 0.08;
+  double mFreePerSecond = 0.16;
   double mLapsedPenalty = 50;    ///< In requests: its entry is missing.
   double mPlainFullness = 3.0;   ///< Requests for each slot when it is full.
   double mEngineFullness = 0.94; ///< Part of the KV memory that is used.
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -241,6 +241,25 @@
   BOOST_TEST(list(ServingState::Everything, kNow + 2s).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(ACrashOfManyUpstreamsMakesNoLargeMessages)
+{
+  // Pattern: a quarter of the engines crash, with all that ran there.
+  std::vector<CrashNews> all;
+  for (int n = 0; n < 200; ++n) {
+    all.push_back({ std::to_string(n), n == 150 ? 2U : 1U, false, 1s });
+  }
+  std::set<std::string> told;
+  for (std::uint64_t turn = 0; turn < 60; ++turn) {
+    const auto some = ChooseCrashNews(all, 8, turn);
+    BOOST_TEST(some.size() == 8U);
+    BOOST_TEST(some[0].mDigest == "150");
+    for (const CrashNews& it : some) {
+      told.insert(it.mDigest);
+    }
+  }
+  BOOST_TEST(told.size() == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(VmsThatVanishedAreNoticed)
 {
   MemberBook book({ 1s }, "me");
--- a/UnitTests/Shell/ObservationTest.cpp
+++ b/UnitTests/Shell/ObservationTest.cpp
@@ -97,6 +97,25 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(HistogramsCountUpToEachBound)
+{
+  Metrics metrics;
+  Histogram& histogram = metrics.GetHistogram("wait_seconds");
+  histogram.Observe(4ms);
+  histogram.Observe(100ms);
+  histogram.Observe(1h);
+  const std::string text = metrics.Render();
+  const auto has = [&](const std::string& aLine) {
+    return text.find(aLine + "\n") != std::string::npos;
+  };
+  BOOST_TEST(has("# TYPE wait_seconds histogram"));
+  BOOST_TEST(has("wait_seconds_bucket{le=\"0.005\"} 1"));
+  BOOST_TEST(has("wait_seconds_bucket{le=\"0.1\"} 2"));
+  BOOST_TEST(has("wait_seconds_bucket{le=\"15\"} 2"));
+  BOOST_TEST(has("wait_seconds_bucket{le=\"+Inf\"} 3"));
+  BOOST_TEST(has("wait_seconds_count 3"));
+}
+
 BOOST_AUTO_TEST_CASE(BadTraceparents)
 {
   const std::string good =
