--- a/CommandLine/CtlMain.cpp
+++ b/CommandLine/CtlMain.cpp
@@ -25,19 +25,6 @@
 
 using namespace peridothoist;
 
-std::vector<std::string>
-SplitControls(const std::string& aText)
-{
-  std::vector<std::string> controls;
-  std::size_t start = 0;
-  while (start < aText.size()) {
-    const std::size_t end = std::min(aText.find(',', start), aText.size());
-    controls.push_back(aText.substr(start, end - start));
-    start = end + 1;
-  }
-  return controls;
-}
-
 /// Takes --help out of the arguments, which gflags would answer itself.
 bool
 TakeHelp(int* aArgc, char** aArgv)
@@ -75,7 +62,7 @@
                       "\", must be text or json");
   }
   ControlClientSettings settings;
-  settings.mControls = SplitControls(FLAGS_control);
+  settings.mControls = SplitSetting(FLAGS_control);
   settings.mOperatorKey = FLAGS_operator_key;
   std::vector<std::string> arguments(aArgv + 1, aArgv + aArgc);
   const bool calls = !help && !IsLocalCommand(arguments);
--- a/Daemons/EntryMain.cpp
+++ b/Daemons/EntryMain.cpp
@@ -36,26 +36,6 @@
 
 using namespace peridothoist;
 
-Duration
-Seconds(double aSeconds)
-{
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(aSeconds));
-}
-
-std::vector<std::string>
-SplitByComma(const std::string& aText)
-{
-  std::vector<std::string> parts;
-  std::size_t start = 0;
-  while (start < aText.size()) {
-    const std::size_t end = std::min(aText.find(',', start), aText.size());
-    parts.push_back(aText.substr(start, end - start));
-    start = end + 1;
-  }
-  return parts;
-}
-
 EntrySettings
 SettingsFromFlags()
 {
@@ -64,7 +44,7 @@
   settings.mZone = FLAGS_zone;
   settings.mListen = FLAGS_listen;
   settings.mPeerListen = FLAGS_peer_listen;
-  settings.mControls = SplitByComma(FLAGS_control);
+  settings.mControls = SplitSetting(FLAGS_control);
   settings.mPlatform = FLAGS_platform;
   settings.mPeerSecret = FLAGS_peer_secret;
   settings.mPeerCertificate = FLAGS_peer_certificate;
@@ -76,10 +56,10 @@
   settings.mMaxBodyBytes = FLAGS_max_body_bytes;
   settings.mMaxConnections = FLAGS_max_connections;
   settings.mMaxConnectionsPerAddress = FLAGS_max_connections_per_address;
-  settings.mIdleTimeout = Seconds(FLAGS_idle_timeout);
-  settings.mRequestTimeout = Seconds(FLAGS_request_timeout);
-  settings.mEntriesMaxAge = Seconds(FLAGS_entries_max_age);
-  settings.mLoadInterval = Seconds(FLAGS_load_interval);
+  settings.mIdleTimeout = SecondsSetting(FLAGS_idle_timeout);
+  settings.mRequestTimeout = SecondsSetting(FLAGS_request_timeout);
+  settings.mEntriesMaxAge = SecondsSetting(FLAGS_entries_max_age);
+  settings.mLoadInterval = SecondsSetting(FLAGS_load_interval);
   settings.mTraceSampling = FLAGS_trace_sampling;
   return settings;
 }
--- /dev/null
+++ b/Peridothoist/Relay/CrashWatch.cpp
@@ -0,0 +1,38 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/CrashWatch.h>
+
+#include <algorithm>
+
+namespace peridothoist {
+
+void
+CrashWatch::OnBroken(const std::string& aUpstream,
+                     const std::string& aDigest,
+                     TimePoint aNow)
+{
+  std::vector<Break>& breaks = mBreaks[aUpstream];
+  const auto old = [&](const Break& aBreak) {
+    return aNow - aBreak.mAt > mWindow;
+  };
+  breaks.erase(std::remove_if(breaks.begin(), breaks.end(), old), breaks.end());
+  breaks.push_back({ aDigest, aNow });
+}
+
+std::vector<std::string>
+CrashWatch::OnLost(const std::string& aUpstream, TimePoint aNow)
+{
+  std::vector<std::string> present;
+  const auto it = mBreaks.find(aUpstream);
+  if (it == mBreaks.end()) {
+    return present;
+  }
+  for (const Break& each : it->second) {
+    if (aNow - each.mAt <= mWindow) {
+      present.push_back(each.mDigest);
+    }
+  }
+  mBreaks.erase(it);
+  return present;
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Relay/RelayIntake.cpp
+++ b/Peridothoist/Relay/RelayIntake.cpp
@@ -1,6 +1,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/RelayIntake.h>
 
+#include <Peridothoist/Relay/RetryTimes.h>
+
 #include <algorithm>
 
 namespace peridothoist {
@@ -20,9 +22,6 @@
 /// Enough of a digest to tell the requests of some minutes apart, in hex.
 constexpr std::size_t kDigestChars = 16;
 
-/// A caller comes back after at most this part of its patience.
-constexpr double kMostRetryPart = 0.3;
-
 /// Another VM may serve what this one can't: come back after this part of the
 /// longest wait.
 constexpr double kElsewherePart = 0.15;
@@ -81,8 +80,7 @@
                    Refusal* aRefusal)
 {
   const Duration patience = aQuestion.mPatience.value_or(kUsualPatience);
-  const auto longest =
-    std::chrono::duration_cast<Duration>(patience * kMostRetryPart);
+  const Duration longest = LongestRetryWait(patience);
   const auto elsewhere = std::chrono::duration_cast<Duration>(
     longest * kElsewherePart * (0.5 + mRandom->Unit()));
   const auto& configuration = mView->Configuration();
--- a/Peridothoist/Relay/RelayMachine.h
+++ b/Peridothoist/Relay/RelayMachine.h
@@ -13,6 +13,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Core/Random.h>
+#include <Peridothoist/Relay/CrashWatch.h>
 #include <Peridothoist/Relay/RelayCommand.h>
 #include <Peridothoist/Relay/RelayPlan.h>
 #include <Peridothoist/Relay/RepeatBudget.h>
@@ -239,7 +240,6 @@
   void Finish(State& aState);
 
   // Crashes
-  void NoteBroken(const std::string& aUpstream, const std::string& aDigest);
   void OnUpstreamLost(const std::string& aUpstream);
 
   // Timers
@@ -270,13 +270,7 @@
   std::set<std::pair<std::uint32_t, std::uint64_t>> mWaiting; ///< By priority,
                                                               ///< then arrival.
   TimerQueue mTimers;
-  struct Break
-  {
-    std::string mDigest;
-    TimePoint mAt;
-  };
-  std::map<std::string, std::vector<Break>> mBreaks; ///< By upstream; of
-                                                     ///< mCrashWindow.
+  CrashWatch mCrashes;
   RelayCounters mCounters;
 };
 
--- /dev/null
+++ b/Peridothoist/Relay/RelayPlacing.cpp
@@ -0,0 +1,253 @@
+/// The relay machine's placing of requests on upstreams: the choice, whether a
+/// prompt is read apart, and the wait for room.
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/RelayMachine.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridothoist {
+
+void
+RelayMachine::Begin(State& aState)
+{
+  const RelayArrival& arrival = aState.mArrival;
+  mWaiting.erase({ arrival.mPriority, arrival.mId });
+  if (mNow + mSettings.mLeastTimeLeft >= arrival.mDeadline) {
+    Refuse(aState, RefusalKind::DeadlinePassed);
+    return;
+  }
+  const auto refusal = mGate->MayRelay(arrival, mNow);
+  if (refusal) {
+    Refuse(aState, *refusal);
+    return;
+  }
+  if (arrival.mRoute->mKind == RelayKind::Stream) {
+    BeginStream(aState);
+  } else {
+    BeginWhole(aState);
+  }
+}
+
+ChoiceQuestion
+RelayMachine::QuestionFor(const State& aState, RelayStage aStage) const
+{
+  ChoiceQuestion question;
+  question.mService = aState.mArrival.mService;
+  question.mStage = aStage;
+  question.mZone = mSettings.mZone;
+  question.mTokens = aState.mArrival.mMemoryTokens;
+  question.mExcluded = aState.mExcluded;
+  const RelayEngines* engines = EnginesOf(aState);
+  question.mMemoryTokens = engines == nullptr ? 0 : engines->mMemoryTokens;
+  return question;
+}
+
+bool
+RelayMachine::BeginWhole(State& aState)
+{
+  const Choice choice =
+    mChooser.Choose(QuestionFor(aState, RelayStage::Plain), mNow);
+  if (choice.mUpstream == nullptr) {
+    OnNoChoice(aState, choice.mWhyNot);
+    return false;
+  }
+  return StartOn(aState, *choice.mUpstream, RelayCallKind::Whole);
+}
+
+bool
+RelayMachine::BeginStream(State& aState)
+{
+  Choice decode =
+    mChooser.Choose(QuestionFor(aState, RelayStage::Decode), mNow);
+  if (decode.mUpstream == nullptr && decode.mWhyNot == NoChoice::NoUpstream) {
+    // A service whose upstreams name no stage streams by itself.
+    const Choice plain =
+      mChooser.Choose(QuestionFor(aState, RelayStage::Plain), mNow);
+    decode = plain.mUpstream != nullptr ? plain : decode;
+  }
+  if (decode.mUpstream == nullptr) {
+    OnNoChoice(aState, decode.mWhyNot);
+    return false;
+  }
+  if (!aState.mHandle.empty()) {
+    return StartOn(aState, *decode.mUpstream, RelayCallKind::Stream);
+  }
+  ChoiceQuestion question = QuestionFor(aState, RelayStage::Prefill);
+  question.mZone = decode.mUpstream->mZone;
+  const Choice prefill = mChooser.Choose(question, mNow);
+  PlanQuestion plan;
+  plan.mPromptTokens = aState.mArrival.mPromptTokens;
+  plan.mAtDecode = mLoads.Work(decode.mUpstream->mId);
+  if (prefill.mUpstream != nullptr) {
+    plan.mAtPrefill = mLoads.Work(prefill.mUpstream->mId);
+  }
+  plan.mOnlyOneSend = aState.mArrival.mRoute->mMaxAttempts < 2;
+  if (!aState.mDirectOnly && mPlanner.IsSplit(plan)) {
+    KeepRoom(aState, decode.mUpstream->mId);
+    return StartOn(aState, *prefill.mUpstream, RelayCallKind::Prefill);
+  }
+  return StartOn(aState, *decode.mUpstream, RelayCallKind::Stream);
+}
+
+/// Takes a send beyond the request's first off the budget, once.
+bool
+RelayMachine::PayRepeat(State& aState)
+{
+  if (aState.mTried.empty() || aState.mRepeatPaid) {
+    return true;
+  }
+  if (!BudgetOf(aState.mArrival.mService).Take(mVmCount, mNow)) {
+    ++mCounters.mRepeatsDenied;
+    return false;
+  }
+  ++mCounters.mRepeats;
+  aState.mRepeatPaid = true;
+  return true;
+}
+
+bool
+RelayMachine::StartOn(State& aState,
+                      const RelayUpstream& aUpstream,
+                      RelayCallKind aKind)
+{
+  const bool prefill = aKind == RelayCallKind::Prefill;
+  if (!prefill && !PayRepeat(aState)) {
+    Refuse(aState, RefusalKind::UpstreamFailed);
+    return false;
+  }
+  const RelayArrival& arrival = aState.mArrival;
+  Call call;
+  call.mAttempt = aState.mNextAttempt++;
+  call.mUpstream = aUpstream.mId;
+  call.mAddress = aUpstream.mAddress;
+  call.mKind = aKind;
+  call.mTokens = arrival.mMemoryTokens;
+  call.mLastSign = mNow;
+  call.mTakesHandle = aKind == RelayCallKind::Stream && !aState.mHandle.empty();
+
+  RelayCommand& command = Command(RelayCommandKind::StartCall, aState);
+  command.mAttempt = call.mAttempt;
+  command.mUpstream = call.mUpstream;
+  command.mAddress = call.mAddress;
+  command.mCall = aKind;
+  command.mWorkspace = arrival.mWorkspace;
+  command.mPriority = arrival.mPriority;
+  command.mTimeLeft = arrival.mDeadline - mNow;
+  command.mLastEventId = aState.mLastEventId;
+  if (call.mTakesHandle) {
+    call.mHandle = std::move(aState.mHandle);
+    call.mHandleAddress = aState.mHandleAddress;
+    aState.mHandle.clear();
+    command.mHandle = call.mHandle;
+    command.mHandleAddress = call.mHandleAddress;
+  }
+  if (prefill) {
+    command.mTimeLeft = std::min(command.mTimeLeft, mSettings.mPrefillPatience);
+    ++mCounters.mPrefills;
+  } else {
+    ++mCounters.mSent;
+    aState.mRepeatPaid = false;
+    aState.mTried.insert(aUpstream.mId);
+  }
+  mLoads.OnSent(call.mUpstream, call.mTokens);
+  aState.mCall = std::move(call);
+  ArmSilence(aState);
+  return true;
+}
+
+void
+RelayMachine::OnNoChoice(State& aState, NoChoice aWhy)
+{
+  const RelayArrival& arrival = aState.mArrival;
+  if (aWhy == NoChoice::NoUpstream) {
+    Refuse(aState,
+           aState.mTried.empty() ? RefusalKind::NoUpstream
+                                 : RefusalKind::UpstreamFailed);
+    return;
+  }
+  if (!aState.mWaitUntil) {
+    const auto wait = std::chrono::duration_cast<Duration>(arrival.mPatience *
+                                                           mSettings.mWaitPart);
+    aState.mWaitUntil = std::min(arrival.mArrivedAt + wait, arrival.mDeadline);
+    mTimers.Add(*aState.mWaitUntil, { TimerKind::Pump, arrival.mId, 0 });
+  }
+  if (mNow >= *aState.mWaitUntil) {
+    Refuse(aState, RefusalKind::TooLate);
+    return;
+  }
+  mWaiting.insert({ arrival.mPriority, arrival.mId });
+}
+
+/// Gives room to waiting requests: to those that can still be in time before
+/// those that are late already, and by priority and arrival among each.
+void
+RelayMachine::Pump()
+{
+  if (mWaiting.empty()) {
+    return;
+  }
+  const auto waiting = mWaiting;
+  double starts = -1;
+  for (const bool late : { false, true }) {
+    for (const auto& place : waiting) {
+      State* state = Find(place.second);
+      if (state == nullptr || state->mCall || IsLate(*state) != late) {
+        continue;
+      }
+      if (starts < 0) {
+        starts = OwnPartOfRoom(*state, waiting.size());
+      }
+      if (starts < 1) {
+        return;
+      }
+      starts -= 1;
+      Begin(*state);
+    }
+  }
+}
+
+/// This VM's part of the room that is free, by how many requests wait here and
+/// at the others: all VMs see the same room at the same time. A fraction is
+/// rounded by chance.
+double
+RelayMachine::OwnPartOfRoom(const State& aState, std::size_t aWaiting)
+{
+  const RelayStage stage = aState.mArrival.mRoute->mKind == RelayKind::Stream
+                             ? RelayStage::Decode
+                             : RelayStage::Plain;
+  const double room = mChooser.RoomFor(QuestionFor(aState, stage), mNow);
+  const double own = static_cast<double>(aWaiting);
+  const double all = own + static_cast<double>(mLoads.PeersWaiting());
+  const double part = std::max(room, 0.0) * own / all;
+  const double whole = std::floor(part);
+  return whole + (mRandom->Unit() < part - whole ? 1 : 0);
+}
+
+bool
+RelayMachine::IsLate(const State& aState) const
+{
+  const RelayArrival& arrival = aState.mArrival;
+  const bool stream = arrival.mRoute->mKind == RelayKind::Stream;
+  const Duration start = stream ? mSettings.mUsualStart : Duration(0);
+  return mNow + start - arrival.mArrivedAt >= arrival.mRoute->mTargetLatency;
+}
+
+bool
+RelayMachine::MayStillSend(std::uint64_t aId,
+                           std::uint32_t aAttempt,
+                           TimePoint aNow)
+{
+  Call* call = FindCall(aId, aAttempt);
+  if (call == nullptr) {
+    return false;
+  }
+  const RelayArrival& arrival = Find(aId)->mArrival;
+  const bool may = aNow < arrival.mDeadline &&
+                   mRoster.TakesWork(call->mUpstream) &&
+                   !mGate->MayRelay(arrival, aNow);
+  call->mMayHaveBeenSent = call->mMayHaveBeenSent || may;
+  return may;
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Shell/FlagsFromEnvironment.cpp
+++ b/Peridothoist/Shell/FlagsFromEnvironment.cpp
@@ -80,6 +80,26 @@
   return true;
 }
 
+Duration
+SecondsSetting(double aSeconds)
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(aSeconds));
+}
+
+std::vector<std::string>
+SplitSetting(const std::string& aText)
+{
+  std::vector<std::string> parts;
+  std::size_t start = 0;
+  while (start < aText.size()) {
+    const std::size_t end = std::min(aText.find(',', start), aText.size());
+    parts.push_back(aText.substr(start, end - start));
+    start = end + 1;
+  }
+  return parts;
+}
+
 std::optional<SocketAddress>
 ParseSocketAddress(std::string_view aText)
 {
--- a/Peridothoist/Shell/FlagsFromEnvironment.h
+++ b/Peridothoist/Shell/FlagsFromEnvironment.h
@@ -17,6 +17,14 @@
 std::string
 EnvironmentNameOf(std::string_view aFlag);
 
+/// A setting's number of seconds as a span of time.
+Duration
+SecondsSetting(double aSeconds);
+
+/// The parts of a setting that are divided by commas; none when it is empty.
+std::vector<std::string>
+SplitSetting(const std::string& aText);
+
 /// An IP number and a port.
 struct SocketAddress
 {
