Reserve memory at the decode engine before a prompt is read for it

Where news are old, or an engine is filled to 0.6 by what is known, a slot and memory are reserved first; an engine without room costs a call and no prompt. The reservation goes with the request and is freed when nobody uses it.

--- a/Peridothoist/Node/RelayRunner.cpp
+++ b/Peridothoist/Node/RelayRunner.cpp
@@ -146,6 +146,9 @@
     if (prefilled) {
       end.mHandle = mRunner.mUpstreams->ReadHandle(end.mAnswer.mBody);
     }
+    if (mKind == RelayCallKind::Reserve && end.mOutcome.Ok()) {
+      end.mReservation = mRunner.mUpstreams->ReadReservation(end.mAnswer.mBody);
+    }
     LogEnd(end, aOutcome);
     mRunner.Deliver(
       [&](RelayMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
@@ -158,7 +161,10 @@
   {
     const bool prefilled =
       mKind == RelayCallKind::Prefill && !aEnd.mHandle.empty();
-    const bool good = aEnd.mOutcome.Ok() && (aEnd.mSound || prefilled);
+    const bool reserved =
+      mKind == RelayCallKind::Reserve && !aEnd.mReservation.empty();
+    const bool good =
+      aEnd.mOutcome.Ok() && (aEnd.mSound || prefilled || reserved);
     LogLine line(good ? LogLevel::Debug : LogLevel::Info,
                  "call_ended",
                  Log::IsOn(good ? LogLevel::Debug : LogLevel::Info));
@@ -287,12 +293,13 @@
 void
 RelayRunner::Perform(const RelayCommand& aCommand)
 {
-  static constexpr std::array<Performer, 10> kPerformers = {
-    &RelayRunner::StartCall,     &RelayRunner::CancelCall,
-    &RelayRunner::ReleaseHandle, &RelayRunner::SendHead,
-    &RelayRunner::SendEvent,     &RelayRunner::SendAnswer,
-    &RelayRunner::SendRefusal,   &RelayRunner::EndStream,
-    &RelayRunner::AbortStream,   &RelayRunner::Forget
+  static constexpr std::array<Performer, 11> kPerformers = {
+    &RelayRunner::StartCall,  &RelayRunner::CancelCall,
+    &RelayRunner::Release,    &RelayRunner::Release,
+    &RelayRunner::SendHead,   &RelayRunner::SendEvent,
+    &RelayRunner::SendAnswer, &RelayRunner::SendRefusal,
+    &RelayRunner::EndStream,  &RelayRunner::AbortStream,
+    &RelayRunner::Forget
   };
   const auto it = mRequests.find(aCommand.mId);
   PH_ASSERT(it != mRequests.end());
@@ -335,13 +342,15 @@
 }
 
 void
-RelayRunner::ReleaseHandle(const RelayCommand& aCommand, Request& /*aRequest*/)
+RelayRunner::Release(const RelayCommand& aCommand, Request& /*aRequest*/)
 {
-  const std::string address = aCommand.mHandleAddress;
+  const bool handle = aCommand.mKind == RelayCommandKind::ReleaseHandle;
+  const std::string address =
+    handle ? aCommand.mHandleAddress : aCommand.mAddress;
   mClient->Fetch(
     mUpstreams->MakeRelease(aCommand),
-    [address](const HttpCallOutcome& aOutcome, const std::string& /*aBody*/) {
-      Log::Info("handle_released")
+    [address, handle](const HttpCallOutcome& aOutcome, const std::string&) {
+      Log::Info(handle ? "handle_released" : "reservation_released")
         .Field("address", address)
         .Field("end", ToName(aOutcome.mFailure))
         .Field("status", aOutcome.mStatus);
--- a/Peridothoist/Node/RelayRunner.h
+++ b/Peridothoist/Node/RelayRunner.h
@@ -92,7 +92,7 @@
   void Perform(const RelayCommand& aCommand);
   void StartCall(const RelayCommand& aCommand, Request& aRequest);
   void CancelCall(const RelayCommand& aCommand, Request& aRequest);
-  void ReleaseHandle(const RelayCommand& aCommand, Request& aRequest);
+  void Release(const RelayCommand& aCommand, Request& aRequest);
   void SendHead(const RelayCommand& aCommand, Request& aRequest);
   void SendEvent(const RelayCommand& aCommand, Request& aRequest);
   void SendAnswer(const RelayCommand& aCommand, Request& aRequest);
--- a/Peridothoist/Node/UpstreamProtocol.h
+++ b/Peridothoist/Node/UpstreamProtocol.h
@@ -37,7 +37,10 @@
   /// The name of a prefill's result; empty when the body holds none.
   virtual std::string ReadHandle(const std::string& aBody) const = 0;
 
-  /// The call for a ReleaseHandle command.
+  /// The name of a reservation; empty when the body holds none.
+  virtual std::string ReadReservation(const std::string& aBody) const = 0;
+
+  /// The call for a ReleaseHandle or ReleaseReservation command.
   virtual HttpCall MakeRelease(const RelayCommand& aCommand) const = 0;
 };
 
--- a/Peridothoist/Relay/LoadBoard.cpp
+++ b/Peridothoist/Relay/LoadBoard.cpp
@@ -76,6 +76,15 @@
   failures.mAvoidUntil = aNow + avoidance;
 }
 
+void
+LoadBoard::OnFull(const std::string& aUpstream,
+                  Duration aAvoidance,
+                  TimePoint aNow)
+{
+  Failures& failures = mFailures[aUpstream];
+  failures.mAvoidUntil = std::max(failures.mAvoidUntil, aNow + aAvoidance);
+}
+
 void
 LoadBoard::OnGone(const std::string& aUpstream, TimePoint aNow)
 {
--- a/Peridothoist/Relay/LoadBoard.h
+++ b/Peridothoist/Relay/LoadBoard.h
@@ -92,6 +92,10 @@
 
   /// The upstream could not be reached, or broke a call.
   void OnFailure(const std::string& aUpstream, TimePoint aNow);
+  /// It has no room for the moment.
+  void OnFull(const std::string& aUpstream,
+              Duration aAvoidance,
+              TimePoint aNow);
   /// Nothing listens there, or another process does.
   void OnGone(const std::string& aUpstream, TimePoint aNow);
   /// Upstreams that another VM found gone.
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -83,8 +83,11 @@
                         TimePoint aNow,
                         RelayCommands& aOut)
 {
-  static constexpr std::array<EndHandler, 3> kHandlers = {
-    &RelayMachine::OnWhole, &RelayMachine::OnPrefill, &RelayMachine::OnStream
+  static constexpr std::array<EndHandler, 4> kHandlers = {
+    &RelayMachine::OnWhole,
+    &RelayMachine::OnPrefill,
+    &RelayMachine::OnStream,
+    &RelayMachine::OnReserve
   };
   mNow = aNow;
   mOut = &aOut;
@@ -97,7 +100,9 @@
     mLoads.OnStated(call.mUpstream, *aEnd.mLoad, aNow);
   }
   const CallOutcome& outcome = aEnd.mOutcome;
-  if (outcome.mMayHaveBeenSent && !aEnd.mNotRun) {
+  const bool counted = outcome.mMayHaveBeenSent && !aEnd.mNotRun &&
+                       call.mKind != RelayCallKind::Reserve;
+  if (counted) {
     const bool prefill = call.mKind == RelayCallKind::Prefill;
     const bool good = outcome.Ok() && (aEnd.mSound || prefill);
     mLoads.OnOutcome(call.mUpstream, !good, aNow);
@@ -217,6 +222,9 @@
     ReleaseRoom(aState);
     aState.mDirectOnly = true;
   }
+  if (aCall.mKind == RelayCallKind::Reserve) {
+    ReleaseRoom(aState);
+  }
   if (++aState.mUnsent > mSettings.mMaxUnsent) {
     Refuse(aState, RefusalKind::NoUpstream);
     return;
@@ -227,6 +235,10 @@
 void
 RelayMachine::OnRejected(State& aState, const Call& aCall, bool aOther)
 {
+  if (aCall.mKind == RelayCallKind::Reserve) {
+    OnNotReserved(aState, aCall);
+    return;
+  }
   ++mCounters.mRejected;
   aState.mDirectOnly = true;
   if (aOther) {
@@ -293,6 +305,43 @@
   Begin(aState);
 }
 
+void
+RelayMachine::OnReserve(State& aState, const Call& aCall, RelayCallEnd& aEnd)
+{
+  if (!aEnd.mOutcome.Ok() || aEnd.mReservation.empty()) {
+    OnNotReserved(aState, aCall);
+    return;
+  }
+  ++mCounters.mReserved;
+  DropReservation(aState);
+  aState.mReservation = aEnd.mReservation;
+  aState.mReservationUpstream = aCall.mUpstream;
+  aState.mReservationAddress = aCall.mAddress;
+  aState.mReservedUntil =
+    aCall.mLastSign + mSettings.mReservationLasts - mSettings.mHandleMargin;
+  const RelayUpstream* decode = mRoster.Find(aCall.mUpstream);
+  if (decode == nullptr || decode->mLeaving) {
+    ReleaseRoom(aState);
+    Begin(aState);
+    return;
+  }
+  BeginPrefill(aState, *decode);
+}
+
+/// The engine has no room after all: another one, or the wait for room.
+void
+RelayMachine::OnNotReserved(State& aState, const Call& aCall)
+{
+  ++mCounters.mNotReserved;
+  ReleaseRoom(aState);
+  mLoads.OnFull(aCall.mUpstream, mSettings.mFullAvoidance, mNow);
+  if (++aState.mReserveTries % mSettings.mMostReserveTries == 0) {
+    OnNoChoice(aState, NoChoice::Full);
+    return;
+  }
+  Begin(aState);
+}
+
 void
 RelayMachine::OnWhole(State& aState, const Call& aCall, RelayCallEnd& aEnd)
 {
--- a/Peridothoist/Relay/RelayCommand.cpp
+++ b/Peridothoist/Relay/RelayCommand.cpp
@@ -8,10 +8,10 @@
 const char*
 ToName(RelayCommandKind aKind)
 {
-  static constexpr std::array<const char*, 10> kNames = {
-    "start_call",   "cancel_call", "release_handle", "send_head",
-    "send_event",   "send_answer", "send_refusal",   "end_stream",
-    "abort_stream", "forget"
+  static constexpr std::array<const char*, 11> kNames = {
+    "start_call", "cancel_call",  "release_handle", "release_reservation",
+    "send_head",  "send_event",   "send_answer",    "send_refusal",
+    "end_stream", "abort_stream", "forget"
   };
   return kNames[static_cast<std::size_t>(aKind)];
 }
@@ -19,9 +19,9 @@
 const char*
 ToName(RelayCallKind aKind)
 {
-  static constexpr std::array<const char*, 3> kNames = { "whole",
-                                                         "prefill",
-                                                         "stream" };
+  static constexpr std::array<const char*, 4> kNames = {
+    "whole", "prefill", "stream", "reserve"
+  };
   return kNames[static_cast<std::size_t>(aKind)];
 }
 
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -34,16 +34,17 @@
 /// Kinds of command.
 enum class RelayCommandKind
 {
-  StartCall,     ///< Call an upstream.        -> OnEvent*, OnCallEnd
-  CancelCall,    ///< Close that call; nothing of it is reported any more.
-  ReleaseHandle, ///< Free a prefill result that nobody will take.
-  SendHead,      ///< Start the caller's stream.
-  SendEvent,     ///< Send a whole event.
-  SendAnswer,    ///< Send an upstream's whole answer.
-  SendRefusal,   ///< Send a refusal.
-  EndStream,     ///< End the caller's stream as complete.
-  AbortStream,   ///< End the caller's stream so that it isn't taken for whole.
-  Forget         ///< The request is over.
+  StartCall,          ///< Call an upstream.        -> OnEvent*, OnCallEnd
+  CancelCall,         ///< Close that call; nothing of it is reported any more.
+  ReleaseHandle,      ///< Free a prefill result that nobody will take.
+  ReleaseReservation, ///< Free a reservation that nobody will use.
+  SendHead,           ///< Start the caller's stream.
+  SendEvent,          ///< Send a whole event.
+  SendAnswer,         ///< Send an upstream's whole answer.
+  SendRefusal,        ///< Send a refusal.
+  EndStream,          ///< End the caller's stream as complete.
+  AbortStream, ///< End the caller's stream so that it isn't taken for whole.
+  Forget       ///< The request is over.
 };
 
 const char*
@@ -54,9 +55,17 @@
 {
   Whole,   ///< Answers whole.
   Prefill, ///< Reads the prompt; answers with a handle.
-  Stream   ///< Answers with events.
+  Stream,  ///< Answers with events.
+  Reserve  ///< Reserves a slot and memory at a decode engine.
 };
 
+/// Whether such a call makes the upstream run the request.
+constexpr bool
+RunsRequest(RelayCallKind aKind)
+{
+  return aKind == RelayCallKind::Whole || aKind == RelayCallKind::Stream;
+}
+
 const char*
 ToName(RelayCallKind aKind);
 
@@ -79,8 +88,11 @@
   std::string mUpstream; ///< Id.
   std::string mAddress;  ///< "ip:port".
   RelayCallKind mCall = RelayCallKind::Whole;
-  std::string mHandle;        ///< Prefill result to take or to free.
-  std::string mHandleAddress; ///< Of the engine that holds it.
+  std::string mHandle;             ///< Prefill result to take or to free.
+  std::string mHandleAddress;      ///< Of the engine that holds it.
+  std::string mReservation;        ///< To use or to free.
+  std::uint64_t mMemoryTokens = 0; ///< Reserve: how much.
+  Duration mReservationLasts{ 0 }; ///< Reserve: how long.
   std::uint64_t mLastEventId =
     0; ///< Stream: go on after this; 0: from the start.
   std::string mWorkspace;
@@ -108,6 +120,7 @@
   bool mSound = false;
   RelayAnswer mAnswer;             ///< With a whole answer.
   std::string mHandle;             ///< Prefill: the result's name.
+  std::string mReservation;        ///< Reserve: its name.
   std::optional<StatedLoad> mLoad; ///< If the upstream stated it.
 };
 
--- a/Peridothoist/Relay/RelayMachine.cpp
+++ b/Peridothoist/Relay/RelayMachine.cpp
@@ -126,7 +126,7 @@
   RelayCommand& command = Command(RelayCommandKind::CancelCall, aState);
   command.mAttempt = call.mAttempt;
   command.mUpstream = call.mUpstream;
-  if (call.mMayHaveBeenSent && call.mKind != RelayCallKind::Prefill) {
+  if (call.mMayHaveBeenSent && RunsRequest(call.mKind)) {
     aState.mVerdict.Advance(RunVerdict::MayHaveRun);
   }
 }
@@ -143,6 +143,21 @@
   aState.mHandle.clear();
 }
 
+void
+RelayMachine::DropReservation(State& aState)
+{
+  if (aState.mReservation.empty()) {
+    return;
+  }
+  if (mNow < aState.mReservedUntil) {
+    RelayCommand& command =
+      Command(RelayCommandKind::ReleaseReservation, aState);
+    command.mReservation = std::move(aState.mReservation);
+    command.mAddress = aState.mReservationAddress;
+  }
+  aState.mReservation.clear();
+}
+
 void
 RelayMachine::Answer(State& aState, RelayAnswer aAnswer)
 {
@@ -186,6 +201,7 @@
   const std::uint64_t id = aState.mArrival.mId;
   PH_ASSERT(!aState.mCall);
   DropHandle(aState);
+  DropReservation(aState);
   ReleaseRoom(aState);
   if (aState.mVerdict.Get() == RunVerdict::NotRun) {
     mGate->Refund(aState.mArrival, mNow);
@@ -272,7 +288,7 @@
 {
   Call& call = *aState.mCall;
   const RelayRoute& route = *aState.mArrival.mRoute;
-  if (!route.MayRepeat() || call.mKind == RelayCallKind::Prefill) {
+  if (!route.MayRepeat() || !RunsRequest(call.mKind)) {
     return;
   }
   Duration patience = mSettings.mFirstEventPatience;
--- a/Peridothoist/Relay/RelayMachine.h
+++ b/Peridothoist/Relay/RelayMachine.h
@@ -63,6 +63,9 @@
   /// An engine that is used to this part refuses for its memory rather than
   /// for a handle that lapsed.
   double mLikelyFull = 0.7;
+  Duration mReservationLasts = 1500ms; ///< Longer than a prefill takes.
+  std::uint32_t mMostReserveTries = 3; ///< Engines asked for room at once.
+  Duration mFullAvoidance = 200ms;     ///< After an engine had no room.
   Duration mHandleMargin = 100ms; ///< A handle isn't used so shortly before
                                   ///< it lapses.
   Duration mCrashWindow = 6s;     ///< A call that broke this long before its
@@ -81,6 +84,8 @@
   std::uint64_t mArrived = 0;
   std::uint64_t mSent = 0;
   std::uint64_t mPrefills = 0;
+  std::uint64_t mReserved = 0;
+  std::uint64_t mNotReserved = 0; ///< The engine had no room.
   std::uint64_t mRepeats = 0;
   std::uint64_t mRepeatsDenied = 0; ///< By the budget.
   std::uint64_t mResumed = 0;
@@ -191,9 +196,15 @@
     // A prefill result that waits to be taken.
     std::string mHandle;
     std::string mHandleAddress;
-    std::string mHandleUpstream;         ///< The engine that holds it.
-    TimePoint mHandleUntil;              ///< It has lapsed by then.
-    std::string mDecodeUpstream;         ///< Memory is kept for it there.
+    std::string mHandleUpstream; ///< The engine that holds it.
+    TimePoint mHandleUntil;      ///< It has lapsed by then.
+    // A reservation that waits to be used.
+    std::string mReservation;
+    std::string mReservationUpstream;
+    std::string mReservationAddress;
+    TimePoint mReservedUntil;
+    std::uint32_t mReserveTries = 0; ///< Engines that had no room after all.
+    std::string mDecodeUpstream;     ///< Memory is kept for it there.
     std::optional<TimePoint> mWaitUntil; ///< Set while it waits for room.
   };
 
@@ -204,6 +215,7 @@
   void Begin(State& aState);
   bool BeginStream(State& aState);
   bool BeginWhole(State& aState);
+  bool BeginPrefill(State& aState, const RelayUpstream& aDecode);
   bool StartOn(State& aState,
                const RelayUpstream& aUpstream,
                RelayCallKind aKind);
@@ -220,6 +232,8 @@
   void OnWhole(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnPrefill(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnStream(State& aState, const Call& aCall, RelayCallEnd& aEnd);
+  void OnReserve(State& aState, const Call& aCall, RelayCallEnd& aEnd);
+  void OnNotReserved(State& aState, const Call& aCall);
   void OnRejected(State& aState, const Call& aCall, bool aOther);
   void OnHandleRefused(State& aState, const Call& aCall);
   bool KeepHandle(State& aState, const Call& aCall);
@@ -230,6 +244,9 @@
   Call TakeCall(State& aState);
   void CancelCall(State& aState);
   void DropHandle(State& aState);
+  void DropReservation(State& aState);
+  bool HasReservationAt(const State& aState,
+                        const std::string& aUpstream) const;
   void KeepRoom(State& aState, const std::string& aUpstream);
   void ReleaseRoom(State& aState);
 
--- a/Peridothoist/Relay/RelayPlacing.cpp
+++ b/Peridothoist/Relay/RelayPlacing.cpp
@@ -85,11 +85,43 @@
   plan.mOnlyOneSend = aState.mArrival.mRoute->mMaxAttempts < 2;
   if (!aState.mDirectOnly && mPlanner.IsSplit(plan)) {
     KeepRoom(aState, decode.mUpstream->mId);
+    const bool oldNews = mLoads.NewsAgeSeconds() > 0;
+    const bool reserves =
+      !HasReservationAt(aState, decode.mUpstream->mId) &&
+      mPlanner.IsReserved(plan.mAtDecode,
+                          QuestionFor(aState, RelayStage::Decode).mMemoryTokens,
+                          oldNews);
+    if (reserves) {
+      return StartOn(aState, *decode.mUpstream, RelayCallKind::Reserve);
+    }
     return StartOn(aState, *prefill.mUpstream, RelayCallKind::Prefill);
   }
   return StartOn(aState, *decode.mUpstream, RelayCallKind::Stream);
 }
 
+/// Goes on after memory was reserved at aDecode.
+bool
+RelayMachine::BeginPrefill(State& aState, const RelayUpstream& aDecode)
+{
+  ChoiceQuestion question = QuestionFor(aState, RelayStage::Prefill);
+  question.mZone = aDecode.mZone;
+  const Choice prefill = mChooser.Choose(question, mNow);
+  if (prefill.mUpstream == nullptr) {
+    ReleaseRoom(aState);
+    return StartOn(aState, aDecode, RelayCallKind::Stream);
+  }
+  return StartOn(aState, *prefill.mUpstream, RelayCallKind::Prefill);
+}
+
+bool
+RelayMachine::HasReservationAt(const State& aState,
+                               const std::string& aUpstream) const
+{
+  return !aState.mReservation.empty() &&
+         aState.mReservationUpstream == aUpstream &&
+         mNow < aState.mReservedUntil;
+}
+
 /// Takes a send beyond the request's first off the budget, once.
 bool
 RelayMachine::PayRepeat(State& aState)
@@ -111,8 +143,7 @@
                       const RelayUpstream& aUpstream,
                       RelayCallKind aKind)
 {
-  const bool prefill = aKind == RelayCallKind::Prefill;
-  if (!prefill && !PayRepeat(aState)) {
+  if (RunsRequest(aKind) && !PayRepeat(aState)) {
     Refuse(aState, RefusalKind::UpstreamFailed);
     return false;
   }
@@ -122,7 +153,8 @@
   call.mUpstream = aUpstream.mId;
   call.mAddress = aUpstream.mAddress;
   call.mKind = aKind;
-  call.mTokens = arrival.mMemoryTokens;
+  const bool reserve = aKind == RelayCallKind::Reserve;
+  call.mTokens = reserve ? 0 : arrival.mMemoryTokens; // KeepRoom() counts it.
   call.mLastSign = mNow;
   call.mTakesHandle = aKind == RelayCallKind::Stream && !aState.mHandle.empty();
 
@@ -142,7 +174,15 @@
     command.mHandle = call.mHandle;
     command.mHandleAddress = call.mHandleAddress;
   }
-  if (prefill) {
+  if (aKind == RelayCallKind::Stream &&
+      HasReservationAt(aState, aUpstream.mId)) {
+    command.mReservation = std::move(aState.mReservation);
+    aState.mReservation.clear();
+  }
+  if (reserve) {
+    command.mMemoryTokens = arrival.mMemoryTokens;
+    command.mReservationLasts = mSettings.mReservationLasts;
+  } else if (aKind == RelayCallKind::Prefill) {
     command.mTimeLeft = std::min(command.mTimeLeft, mSettings.mPrefillPatience);
     ++mCounters.mPrefills;
   } else {
--- a/Peridothoist/Relay/RelayPlan.h
+++ b/Peridothoist/Relay/RelayPlan.h
@@ -18,6 +18,9 @@
   std::uint32_t mMostPrefills = 6;
   /// Shorter prompts are always read by the decode engine, in tokens.
   std::uint64_t mLeastPrompt = 256;
+  /// Memory is reserved before the prompt is read from this part of the
+  /// engine's memory on; and always where news of other VMs' work are old.
+  double mReserveFrom = 0.6;
 };
 
 /// What the decision looks at.
@@ -49,6 +52,16 @@
            aQuestion.mAtPrefill->mRequests < mSettings.mMostPrefills;
   }
 
+  /// Whether memory is to be reserved at the decode engine first.
+  bool IsReserved(const UpstreamWork& aAtDecode,
+                  std::uint64_t aMemoryTokens,
+                  bool aNewsAreOld) const
+  {
+    const double used = static_cast<double>(aAtDecode.mTokens);
+    return aNewsAreOld ||
+           used >= mSettings.mReserveFrom * static_cast<double>(aMemoryTokens);
+  }
+
 private:
   Settings mSettings;
 };
--- a/UnitTests/Platform/PlatformWordsTest.cpp
+++ b/UnitTests/Platform/PlatformWordsTest.cpp
@@ -338,6 +338,28 @@
                .mHeaders.at("serving-stage") == "prefill");
 }
 
+BOOST_AUTO_TEST_CASE(MemoryIsReservedUsedAndFreed)
+{
+  const PlatformUpstreams upstreams;
+  RelayCommand command = ExampleCommand();
+  command.mCall = RelayCallKind::Reserve;
+  command.mMemoryTokens = 3200;
+  command.mReservationLasts = 1500ms;
+  const HttpCall reserve = upstreams.MakeCall(command, ExampleRequest());
+  BOOST_TEST(reserve.mUrl == "http://10.0.0.9:8080/-/hold-take");
+  BOOST_TEST(reserve.mBody == R"({"tokens":3200,"ttlMs":1500})");
+  BOOST_TEST(reserve.mHeaders.count("authorization") == 0U);
+  BOOST_TEST(upstreams.ReadReservation(R"({"hold":"k"})") == "k");
+  command.mCall = RelayCallKind::Stream;
+  command.mReservation = "k";
+  BOOST_TEST(
+    upstreams.MakeCall(command, ExampleRequest()).mHeaders.at("kv-hold") ==
+    "k");
+  command.mKind = RelayCommandKind::ReleaseReservation;
+  BOOST_TEST(upstreams.MakeRelease(command).mUrl ==
+             "http://10.0.0.9:8080/-/hold-drop/k");
+}
+
 BOOST_AUTO_TEST_CASE(OnlySealedAnswersToThisRequestAreSound)
 {
   const PlatformUpstreams upstreams;
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -211,6 +211,13 @@
     return end;
   }
 
+  static RelayCallEnd Reserved(const std::string& aReservation)
+  {
+    RelayCallEnd end = Answered(200);
+    end.mReservation = aReservation;
+    return end;
+  }
+
   TimePoint mNow{ 1h };
   FakeGate mGate;
   Random mRandom;
--- a/UnitTests/Relay/RelayMachineTest.cpp
+++ b/UnitTests/Relay/RelayMachineTest.cpp
@@ -316,6 +316,51 @@
   BOOST_TEST(mMachine.Loads().Own().at("d1").mRequests <= 3U);
 }
 
+BOOST_AUTO_TEST_CASE(MemoryIsReservedBeforeAPromptIsReadWhereNewsAreOld)
+{
+  // Pattern: 64 VMs choose engines by what they heard a second ago.
+  List({ Upstream("d1", RelayStage::Decode),
+         Upstream("d2", RelayStage::Decode),
+         Upstream("f1", RelayStage::Prefill) });
+  mMachine.Loads().SetNewsAge(1s);
+  const auto id = Arrive(Route(RelayKind::Stream, 1));
+  const RelayCommand first = Call(id);
+  BOOST_TEST((first.mCall == RelayCallKind::Reserve));
+  BOOST_TEST(first.mMemoryTokens == 3200U);
+  End(first, Answered(503)); // Others were there before.
+  const RelayCommand second = Call(id);
+  BOOST_TEST((second.mCall == RelayCallKind::Reserve));
+  BOOST_TEST(second.mUpstream != first.mUpstream);
+  BOOST_TEST(mMachine.Counters().mPrefills == 0U);
+  End(second, Reserved("k"));
+  const RelayCommand prefill = Call(id);
+  BOOST_TEST((prefill.mCall == RelayCallKind::Prefill));
+  End(prefill, Prefilled("h"));
+  const RelayCommand stream = Call(id);
+  BOOST_TEST(stream.mUpstream == second.mUpstream);
+  BOOST_TEST(stream.mReservation == "k");
+  BOOST_TEST(stream.mHandle == "h");
+  End(stream, Answered(200));
+  BOOST_TEST(Count(RelayCommandKind::EndStream) == 1U);
+  BOOST_TEST(Count(RelayCommandKind::ReleaseReservation) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AReservationThatNobodyUsesIsFreed)
+{
+  List({ Upstream("d1", RelayStage::Decode),
+         Upstream("f1", RelayStage::Prefill) });
+  mMachine.Loads().SetNewsAge(1s);
+  const auto id = Arrive(Route(RelayKind::Stream, 1));
+  End(Call(id), Reserved("k"));
+  Call(id);
+  RelayCommands out;
+  mMachine.OnCallerGone(id, mNow, out);
+  Keep(std::move(out));
+  BOOST_TEST(Count(RelayCommandKind::ReleaseReservation) == 1U);
+  BOOST_TEST(mMachine.Loads().Own().empty());
+  BOOST_TEST(mGate.mRefunds == 1); // Nothing of it ran.
+}
+
 BOOST_AUTO_TEST_CASE(ACallerThatLeavesFreesWhatItHeld)
 {
   List({ Upstream("d1", RelayStage::Decode),
@@ -395,7 +440,7 @@
     if (!mMachine.MayStillSend(call.mId, call.mAttempt, mNow)) {
       return;
     }
-    const bool run = call.mCall != RelayCallKind::Prefill;
+    const bool run = RunsRequest(call.mCall);
     if (how == 1) {
       End(call, NotRun(*rc::gen::inRange(0, 2) == 0 ? 503 : 421));
       return;
@@ -410,6 +455,8 @@
       End(call, Answered(500));
     } else if (run) {
       End(call, Answered(200));
+    } else if (call.mCall == RelayCallKind::Reserve) {
+      End(call, Reserved("k"));
     } else {
       End(call, Prefilled("h"));
     }
@@ -475,6 +522,7 @@
               RelayFixture::Upstream("d1", RelayStage::Decode),
               RelayFixture::Upstream("d2", RelayStage::Decode, "b"),
               RelayFixture::Upstream("f1", RelayStage::Prefill) });
+  life.mMachine.Loads().SetNewsAge(Duration(*rc::gen::inRange(0, 2)));
   const int steps = *rc::gen::inRange(1, 120);
   for (int n = 0; n < steps; ++n) {
     life.Step();
