Refuse streams that a leaving VM could cut

Streams that come 2.5 s or more after the signal are refused with 503 and a time to come back; whole answers, which are short, are served until connections are closed. A test of the whole node shows both.

--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -1,6 +1,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/NodeProcess.h>
 
+#include <Peridothoist/Relay/RetryTimes.h>
 #include <Peridothoist/Shell/FlagsFromEnvironment.h>
 #include <Peridothoist/Shell/Log.h>
 
@@ -260,6 +261,14 @@
     refusal =
       Refusal::Make(RefusalKind::BadRequest, RunVerdictTracker(), Duration(0));
   }
+  if (arrival) {
+    const auto leaving = RefuseWhileLeaving(*arrival);
+    if (leaving) {
+      refusal = *leaving;
+      mIntake.Refund(*arrival, now);
+      arrival.reset();
+    }
+  }
   if (arrival) {
     mRunner.Admit(std::move(aExchange), std::move(*arrival), question->mName);
     return;
@@ -276,6 +285,20 @@
   mRunner.Refuse(*aExchange, refusal);
 }
 
+/// Refuses what would be cut when this process ends.
+std::optional<Refusal>
+NodeProcess::RefuseWhileLeaving(const RelayArrival& aArrival)
+{
+  const bool late =
+    mLeaving && mReactor->Now() - mLeavingSince >= mSettings.mLastStreams;
+  if (!late || aArrival.mRoute->mKind != RelayKind::Stream) {
+    return std::nullopt;
+  }
+  const auto wait = std::chrono::duration_cast<Duration>(
+    LongestRetryWait(aArrival.mPatience) * mRandom.Unit());
+  return Refusal::Make(RefusalKind::Leaving, RunVerdictTracker(), wait);
+}
+
 void
 NodeProcess::OnConfigurationRead(
   std::shared_ptr<const RelayConfiguration> aConfiguration,
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -71,6 +71,7 @@
   NodeStatus Status() const;
   std::string RenderMetrics();
   void CheckLeft();
+  std::optional<Refusal> RefuseWhileLeaving(const RelayArrival& aArrival);
   void ShareReads();
   bool IsViewYoung() const;
   std::vector<std::string> Readers() const;
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -34,6 +34,9 @@
   Duration mGraceMargin = 500ms; ///< The process is gone so long before.
   /// Callers with old addresses come until this long after the signal.
   Duration mLateCallers = 3500ms;
+  /// Streams that come so long after the signal are refused: they might not end
+  /// in time.
+  Duration mLastStreams = 2500ms;
 
   // Peers
   Duration mPeerInterval = 250ms; ///< Between messages to each peer.
--- a/Peridothoist/Relay/RelayPlacing.cpp
+++ b/Peridothoist/Relay/RelayPlacing.cpp
@@ -82,7 +82,6 @@
   if (prefill.mUpstream != nullptr) {
     plan.mAtPrefill = mLoads.Work(prefill.mUpstream->mId);
   }
-  plan.mOnlyOneSend = aState.mArrival.mRoute->mMaxAttempts < 2;
   if (!aState.mDirectOnly && mPlanner.IsSplit(plan)) {
     KeepRoom(aState, decode.mUpstream->mId);
     const bool oldNews = mLoads.NewsAgeSeconds() > 0;
--- a/Peridothoist/Relay/RelayPlan.h
+++ b/Peridothoist/Relay/RelayPlan.h
@@ -29,7 +29,6 @@
   std::uint64_t mPromptTokens = 0;
   UpstreamWork mAtDecode;
   std::optional<UpstreamWork> mAtPrefill; ///< Empty: no prefill engine.
-  bool mOnlyOneSend = false; ///< A lost handle could not be made good.
 };
 
 /// Makes the decision.
--- a/Peridothoist/Request/Refusal.cpp
+++ b/Peridothoist/Request/Refusal.cpp
@@ -46,6 +46,7 @@
   { "no_route", 404, 502, "No route of this host has the path." },
   { "over_allowance", 429, 502, "The workspace's allowance is used up." },
   { "bad_request", 400, 400, "The request can't be read." },
+  { "leaving", 503, 502, "This VM stops; another one serves the request." },
 } };
 
 const RefusalText&
--- a/Peridothoist/Request/Refusal.h
+++ b/Peridothoist/Request/Refusal.h
@@ -26,14 +26,15 @@
   Quarantined,            ///< Was present at upstream crashes.
   NoRoute,                ///< No route of the host has the path.
   OverAllowance,          ///< The workspace's allowance is used up.
-  BadRequest              ///< Something in the request can't be read.
+  BadRequest,             ///< Something in the request can't be read.
+  Leaving                 ///< This VM stops before it could be answered.
 };
 
 /// The name of a kind, as JSON bodies and metrics carry it.
 const char*
 ToName(RefusalKind aKind);
 
-constexpr std::size_t kRefusalKinds = 17; ///< Count of RefusalKind.
+constexpr std::size_t kRefusalKinds = 18; ///< Count of RefusalKind.
 
 /// A refusal as it goes to the caller.
 struct Refusal
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -94,6 +94,11 @@
                               { "pathPrefix", "/a/" },
                               { "kind", "unsafe" },
                               { "service", "s" } },
+                            { { "name", "events" },
+                              { "host", "site" },
+                              { "pathPrefix", "/s/" },
+                              { "kind", "streaming" },
+                              { "service", "s" } },
                             { { "name", "open" },
                               { "host", "site" },
                               { "pathPrefix", "/open/" },
@@ -117,7 +122,7 @@
     mStore.mTables["servers"]["i-1"] = body.dump();
   }
 
-  void StartNode()
+  void StartNode(Duration aLastStreams = 50ms)
   {
     const std::string ip = OwnAddress();
     NodeSettings settings;
@@ -133,6 +138,7 @@
     settings.mReader.mRetryInterval = 10ms;
     settings.mView = { 1500ms, 200ms, 0.5 };
     settings.mLateCallers = 50ms;
+    settings.mLastStreams = aLastStreams;
     settings.mMachine.mRoster.mReturnTime = 0ms;
     Reason reason;
     mNode = NodeProcess::Create(settings,
@@ -283,6 +289,24 @@
   BOOST_TEST(notes->mHeaders.at("connection") == "close");
 }
 
+BOOST_AUTO_TEST_CASE(AStreamThatCouldBeCutIsRefusedWhileLeaving)
+{
+  StartNode(0ms);
+  BOOST_REQUIRE(AskUntil(Request("/a/x", "k1"), 200));
+  mHandler.mAnswer = [](HttpExchange& aExchange) {
+    aExchange.Respond(200,
+                      { { "request-id", "id-1" }, { "response-seal", "s" } },
+                      "id: 1\ndata: x\n\n");
+  };
+  const auto first = CallAndWait(Request("/s/x", "k1"));
+  BOOST_TEST(first->mStatus == 200);
+  mNode->StartLeaving();
+  const auto notes = CallAndWait(Request("/s/x", "k1"));
+  BOOST_TEST(notes->mStatus == 503);
+  BOOST_TEST(notes->mHeaders.count("retry-after") == 1U);
+  BOOST_TEST(CallAndWait(Request("/a/x", "k1"))->mStatus == 200);
+}
+
 BOOST_AUTO_TEST_CASE(MetricsAreServed)
 {
   StartNode();
