Count a repeat when it is sent, and none as the first after a restart

A repeat is now taken off as it is sent, refused prefills always count, and a prefill result that lapsed while its request waited is not sent any more, which cost a refused send. The fixed part of the budget grows from nothing after a start, since what was used before isn't known. Tests for each.

--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -35,6 +35,13 @@
   return (std::uint64_t(device()) << 32) | device();
 }
 
+RelayMachineSettings
+StartedNow(RelayMachineSettings aSettings)
+{
+  aSettings.mStartedAt = Reactor::ReadClock();
+  return aSettings;
+}
+
 std::unique_ptr<HttpServer>
 Serve(Reactor& aReactor,
       const std::string& aAddress,
@@ -123,7 +130,7 @@
   , mView(aSettings.mView)
   , mLedger(aSettings.mLedger, Reactor::ReadClock())
   , mIntake(&mView, &mLedger, &mRandom)
-  , mMachine(aSettings.mMachine, &mIntake, &mRandom)
+  , mMachine(StartedNow(aSettings.mMachine), &mIntake, &mRandom)
   , mShare(&mView, &mMachine.Roster())
   , mRunner(aReactor,
             aClient,
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -138,10 +138,11 @@
                     (used > mSettings.mLikelyFull *
                               static_cast<double>(engines->mMemoryTokens) ||
                      mLoads.StatedBeyond(aCall.mUpstream, mNow) > 1);
-  if (!PayRepeat(aState)) {
+  if (!MayRepeatNow(aState)) {
     Refuse(aState, RefusalKind::NoUpstream);
     return;
   }
+  aState.mOwesRepeat = true;
   if (full) {
     mLoads.OnFailure(aCall.mUpstream, mNow);
   } else {
@@ -248,10 +249,11 @@
     KeepHandle(aState, aCall);
     if (aCall.mKind != RelayCallKind::Prefill) {
       // The upstream that was meant never got it.
-      if (!PayRepeat(aState)) {
+      if (!MayRepeatNow(aState)) {
         Refuse(aState, RefusalKind::NoUpstream);
         return;
       }
+      aState.mOwesRepeat = true;
       aState.mTried.erase(aCall.mUpstream);
       Begin(aState);
       return;
@@ -259,7 +261,7 @@
   }
   if (aCall.mKind == RelayCallKind::Prefill) {
     // A refused prefill counts as a send beyond the first.
-    BudgetOf(aState.mArrival.mService).Take(mVmCount, mNow);
+    BudgetOf(aState.mArrival.mService).OnRepeat(mNow);
     ReleaseRoom(aState);
     mLoads.OnFailure(aCall.mUpstream, mNow);
     Begin(aState);
@@ -363,7 +365,7 @@
                                ? RelayStage::Decode
                                : RelayStage::Plain;
     const Choice other = mChooser.Choose(QuestionFor(aState, stage), mNow);
-    if (other.mUpstream != nullptr && PayRepeat(aState)) {
+    if (other.mUpstream != nullptr && MayRepeatNow(aState)) {
       StartOn(aState, *other.mUpstream, aCall.mKind);
       return;
     }
--- a/Peridothoist/Relay/RelayMachine.cpp
+++ b/Peridothoist/Relay/RelayMachine.cpp
@@ -71,7 +71,8 @@
 RepeatBudget&
 RelayMachine::BudgetOf(const std::string& aService)
 {
-  return mBudgets.emplace(aService, RepeatBudget(mSettings.mBudget))
+  return mBudgets
+    .emplace(aService, RepeatBudget(mSettings.mBudget, mSettings.mStartedAt))
     .first->second;
 }
 
@@ -322,7 +323,7 @@
                                                    : RelayStage::Decode);
   question.mExcluded.insert(call.mUpstream);
   const bool another = mChooser.Choose(question, mNow).mUpstream != nullptr;
-  if (!another || !MayTryAgain(aState) || !PayRepeat(aState)) {
+  if (!another || !MayTryAgain(aState) || !MayRepeatNow(aState)) {
     return; // It may still answer.
   }
   const std::string upstream = call.mUpstream;
--- a/Peridothoist/Relay/RelayMachine.h
+++ b/Peridothoist/Relay/RelayMachine.h
@@ -44,7 +44,8 @@
 /// Limits and times of the machine.
 struct RelayMachineSettings
 {
-  std::string mZone; ///< This VM's zone.
+  std::string mZone;    ///< This VM's zone.
+  TimePoint mStartedAt; ///< This VM's process.
   /// Sends that found no connection, for each request.
   std::uint32_t mMaxUnsent = 3;
   /// An idempotent request without an answer after this many times its target
@@ -189,7 +190,8 @@
     std::set<std::string> mExcluded; ///< Not to be chosen again.
     std::uint32_t mUnsent = 0;
     RunVerdictTracker mVerdict;
-    bool mRepeatPaid = false; ///< The next send is taken off the budget.
+    bool mOwesRepeat = false; ///< The next send counts as a repeat, whatever
+                              ///< mTried holds.
     bool mHeadSent = false;
     std::uint64_t mLastEventId = 0;
     bool mDirectOnly = false; ///< A prefill of its own failed.
@@ -219,6 +221,7 @@
   bool StartOn(State& aState,
                const RelayUpstream& aUpstream,
                RelayCallKind aKind);
+  bool MayRepeatNow(const State& aState);
   bool PayRepeat(State& aState);
   void OnNoChoice(State& aState, NoChoice aWhy);
   ChoiceQuestion QuestionFor(const State& aState, RelayStage aStage) const;
--- a/Peridothoist/Relay/RelayPlacing.cpp
+++ b/Peridothoist/Relay/RelayPlacing.cpp
@@ -70,6 +70,11 @@
     OnNoChoice(aState, decode.mWhyNot);
     return false;
   }
+  const bool lapsed = mNow + mSettings.mHandleMargin >= aState.mHandleUntil;
+  if (!aState.mHandle.empty() && lapsed) {
+    DropHandle(aState);
+    aState.mDirectOnly = true;
+  }
   if (!aState.mHandle.empty()) {
     return StartOn(aState, *decode.mUpstream, RelayCallKind::Stream);
   }
@@ -121,11 +126,20 @@
          mNow < aState.mReservedUntil;
 }
 
-/// Takes a send beyond the request's first off the budget, once.
+/// Whether the budget allows a send beyond the request's first.
+bool
+RelayMachine::MayRepeatNow(const State& aState)
+{
+  return BudgetOf(aState.mArrival.mService).HasRoom(mVmCount, mNow);
+}
+
+/// Takes the send that starts now off the budget when it is a repeat. Not
+/// earlier: a request may wait for room in between, and the window counts
+/// sends.
 bool
 RelayMachine::PayRepeat(State& aState)
 {
-  if (aState.mTried.empty() || aState.mRepeatPaid) {
+  if (aState.mTried.empty() && !aState.mOwesRepeat) {
     return true;
   }
   if (!BudgetOf(aState.mArrival.mService).Take(mVmCount, mNow)) {
@@ -133,7 +147,7 @@
     return false;
   }
   ++mCounters.mRepeats;
-  aState.mRepeatPaid = true;
+  aState.mOwesRepeat = false;
   return true;
 }
 
@@ -186,7 +200,6 @@
     ++mCounters.mPrefills;
   } else {
     ++mCounters.mSent;
-    aState.mRepeatPaid = false;
     aState.mTried.insert(aUpstream.mId);
   }
   mLoads.OnSent(call.mUpstream, call.mTokens);
--- a/Peridothoist/Relay/RepeatBudget.h
+++ b/Peridothoist/Relay/RepeatBudget.h
@@ -5,6 +5,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 
+#include <algorithm>
 #include <deque>
 
 namespace peridothoist {
@@ -23,8 +24,12 @@
 public:
   using Settings = RepeatBudgetSettings;
 
-  explicit RepeatBudget(const Settings& aSettings)
+  /// aStart: when this VM's process started. What it used before isn't known
+  /// any more, so its part of the fixed amount grows from nothing over a
+  /// window.
+  RepeatBudget(const Settings& aSettings, TimePoint aStart)
     : mSettings(aSettings)
+    , mStart(aStart)
   {
   }
 
@@ -34,23 +39,40 @@
   /// A request for the service came.
   void OnRequest(TimePoint aNow) { mRequests.push_back(aNow); }
 
-  /// Takes one repeat; false when the budget is spent. aVms: how many VMs
-  /// share the fixed amount, at least 1.
-  bool Take(std::size_t aVms, TimePoint aNow)
+  /// Whether one more repeat is allowed now. aVms: how many VMs share the fixed
+  /// amount, at least 1.
+  bool HasRoom(std::size_t aVms, TimePoint aNow)
   {
     Drop(mRequests, aNow);
     Drop(mRepeats, aNow);
     const double most =
       mSettings.mRatio * static_cast<double>(mRequests.size()) +
-      mSettings.mFixed / static_cast<double>(aVms);
-    if (static_cast<double>(mRepeats.size()) + 1 > most) {
-      return false;
+      mSettings.mFixed * KnownPart(aNow) / static_cast<double>(aVms);
+    return static_cast<double>(mRepeats.size()) + 1 <= most;
+  }
+
+  /// Counts a repeat that was sent, allowed or not.
+  void OnRepeat(TimePoint aNow) { mRepeats.push_back(aNow); }
+
+  /// Takes one repeat, which is sent now; false when the budget is spent.
+  bool Take(std::size_t aVms, TimePoint aNow)
+  {
+    const bool room = HasRoom(aVms, aNow);
+    if (room) {
+      OnRepeat(aNow);
     }
-    mRepeats.push_back(aNow);
-    return true;
+    return room;
   }
 
 private:
+  /// The part of a window for which this VM knows what it used.
+  double KnownPart(TimePoint aNow) const
+  {
+    using Seconds = std::chrono::duration<double>;
+    const double known = Seconds(aNow - mStart) / Seconds(mSettings.mWindow);
+    return std::clamp(known, 0.0, 1.0);
+  }
+
   void Drop(std::deque<TimePoint>& aTimes, TimePoint aNow) const
   {
     while (!aTimes.empty() && aTimes.front() <= aNow - mSettings.mWindow) {
@@ -59,6 +81,7 @@
   }
 
   Settings mSettings;
+  TimePoint mStart;
   std::deque<TimePoint> mRequests; ///< In order; those of the window.
   std::deque<TimePoint> mRepeats;  ///< In order; those of the window.
 };
--- a/UnitTests/Relay/RelayMachineTest.cpp
+++ b/UnitTests/Relay/RelayMachineTest.cpp
@@ -361,6 +361,27 @@
   BOOST_TEST(mGate.mRefunds == 1); // Nothing of it ran.
 }
 
+BOOST_AUTO_TEST_CASE(ARepeatIsCountedWhenItIsSent)
+{
+  // Pattern: engines lose prefill results while all of them are full; a repeat
+  // that waits for room belongs to the window in which it is sent.
+  mMachine.SetRepeatBudget({ 0, 1, 10s });
+  List({ Upstream("d1", RelayStage::Decode),
+         Upstream("f1", RelayStage::Prefill) });
+  const auto id = Arrive(Route(RelayKind::Stream, 1));
+  End(Call(id), Prefilled("h"));
+  RelayCommands out;
+  mMachine.OnPeerWork("vm2", { { "d1", { 9, 37000 } } }, mNow, out);
+  End(Call(id), NotRun());
+  BOOST_TEST(mMachine.Waiting() == 1U);
+  BOOST_TEST(mMachine.Counters().mRepeats == 0U);
+  Pass(600ms); // The result lapses, and the engine isn't avoided any more.
+  mMachine.OnPeerWork("vm2", {}, mNow, out);
+  Keep(std::move(out));
+  BOOST_TEST(mMachine.Counters().mRepeats == 1U);
+  BOOST_TEST(Call(id).mHandle.empty());
+}
+
 BOOST_AUTO_TEST_CASE(ACallerThatLeavesFreesWhatItHeld)
 {
   List({ Upstream("d1", RelayStage::Decode),
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -567,11 +567,30 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(ARestartGivesNobodyASecondBudget)
+{
+  // Pattern: all VMs lose power while upstreams lose answers.
+  const RepeatBudgetSettings settings;
+  const auto drain = [](RepeatBudget& aBudget, TimePoint aNow) {
+    int repeats = 0;
+    while (aBudget.Take(1, aNow)) {
+      ++repeats;
+    }
+    return repeats;
+  };
+  RepeatBudget before(settings, kNow - 1h);
+  RepeatBudget after(settings, kNow);
+  const int used = drain(before, kNow);
+  BOOST_TEST(used == settings.mFixed);
+  BOOST_TEST(drain(after, kNow) == 0);
+  BOOST_TEST(drain(after, kNow + 5s) <= settings.mFixed / 2);
+}
+
 RC_BOOST_PROP(VmsTogetherKeepToTheRepeatBudget, ())
 {
   const auto vms = *rc::gen::inRange<std::size_t>(1, 8);
   const RepeatBudgetSettings settings;
-  std::vector<RepeatBudget> budgets(vms, RepeatBudget(settings));
+  std::vector<RepeatBudget> budgets(vms, RepeatBudget(settings, kNow));
   std::vector<std::pair<TimePoint, bool>> events; // True: a repeat.
   TimePoint now = kNow;
   for (int n = 0; n < 400; ++n) {
