Count the send after a failed prefill as a repeat

In the window that broke the rule 313 prefill calls ended broken; their prompts then went to a decode engine, the second arrival of the request, and neither send was counted. Only prefills that an engine refused were.

Change: a prefill that fails, refused, broken or timed out, leaves the request owing a repeat; the next send takes it off the budget or the request is refused as not run.

TheSendAfterAFailedPrefillIsARepeat failed before the change.

--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -260,11 +260,7 @@
     }
   }
   if (aCall.mKind == RelayCallKind::Prefill) {
-    // A refused prefill counts as a send beyond the first.
-    BudgetOf(aState.mArrival.mService).OnRepeat(mNow);
-    ReleaseRoom(aState);
-    mLoads.OnFailure(aCall.mUpstream, mNow);
-    Begin(aState);
+    OnPrefillFailed(aState, aCall);
     return;
   }
   if (aCall.mTakesHandle && !aOther) {
@@ -295,15 +291,26 @@
       return;
     }
     DropHandle(aState);
-  } else {
-    ReleaseRoom(aState);
-    mLoads.OnFailure(aCall.mUpstream, mNow);
-    if (aEnd.mOutcome.mEnd == CallEnd::Broken) {
-      ++mCounters.mBroken;
-      mCrashes.OnBroken(aCall.mUpstream, aState.mArrival.mDigest, mNow);
-    }
+    aState.mDirectOnly = true;
+    Begin(aState);
+    return;
   }
+  if (aEnd.mOutcome.mEnd == CallEnd::Broken) {
+    ++mCounters.mBroken;
+    mCrashes.OnBroken(aCall.mUpstream, aState.mArrival.mDigest, mNow);
+  }
+  OnPrefillFailed(aState, aCall);
+}
+
+/// Goes on without a prefill engine. What came to one and wasn't taken counts
+/// like a send of the request, so that the next is a repeat.
+void
+RelayMachine::OnPrefillFailed(State& aState, const Call& aCall)
+{
+  aState.mOwesRepeat = true;
   aState.mDirectOnly = true;
+  ReleaseRoom(aState);
+  mLoads.OnFailure(aCall.mUpstream, mNow);
   Begin(aState);
 }
 
--- a/Peridothoist/Relay/RelayMachine.h
+++ b/Peridothoist/Relay/RelayMachine.h
@@ -234,6 +234,7 @@
   using EndHandler = void (RelayMachine::*)(State&, const Call&, RelayCallEnd&);
   void OnWhole(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnPrefill(State& aState, const Call& aCall, RelayCallEnd& aEnd);
+  void OnPrefillFailed(State& aState, const Call& aCall);
   void OnStream(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnReserve(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnNotReserved(State& aState, const Call& aCall);
--- a/UnitTests/Relay/RelayMachineTest.cpp
+++ b/UnitTests/Relay/RelayMachineTest.cpp
@@ -382,6 +382,28 @@
   BOOST_TEST(Call(id).mHandle.empty());
 }
 
+BOOST_AUTO_TEST_CASE(TheSendAfterAFailedPrefillIsARepeat)
+{
+  // Pattern: prefill engines reset what they are sent. A prefill that an
+  // engine hasn't answered counts like a send, so the next one is a repeat.
+  for (const bool reset : { true, false }) {
+    for (const double budget : { 0.0, 1.0 }) {
+      RelayFixture one;
+      one.mMachine.SetRepeatBudget({ 0, budget, 10s });
+      one.List({ Upstream("d1", RelayStage::Decode),
+                 Upstream("f1", RelayStage::Prefill) });
+      const auto id = one.Arrive(Route(RelayKind::Stream, 1));
+      one.End(one.Call(id), reset ? Broken() : NotRun());
+      const bool goesOn = budget > 0;
+      BOOST_TEST(one.mMachine.Counters().mRepeats == (goesOn ? 1U : 0U));
+      BOOST_TEST(one.Count(RelayCommandKind::StartCall) == (goesOn ? 2U : 1U));
+      if (!goesOn) {
+        BOOST_TEST((one.TheRefusal().mVerdict == RunVerdict::NotRun));
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ACallerThatLeavesFreesWhatItHeld)
 {
   List({ Upstream("d1", RelayStage::Decode),
