Tell peers which upstreams fail calls, and avoid those

Change: OutcomeBoard keeps decayed counts of good and failed calls; a VM tells the others the upstreams that fail its calls, at most 8 in a message, and nothing when more than half of what it calls fails (its own link). An upstream that fails over 0.35 of all VMs' calls is the last resort. Work of peers is summed up as news come instead of at each choice.

--- a/Peridothoist/Node/NodePeers.cpp
+++ b/Peridothoist/Node/NodePeers.cpp
@@ -186,6 +186,7 @@
   news.mWork = mMachine->Loads().Own();
   news.mWaiting = mMachine->Waiting();
   news.mGone = mMachine->Loads().FoundGone(now);
+  news.mFailing = mMachine->Loads().Outcomes().Failing(now);
   news.mCrashes = MakeCrashNews(now);
   // One address a message, so that all are heard of in time.
   const std::set<std::string> peers = mMembers.PeerAddresses();
@@ -257,6 +258,7 @@
   }
   mLedger->OnPeerGranted(copy.mInstance, copy.mGranted, now);
   mMachine->Loads().OnPeerFoundGone(copy.mGone, now);
+  mMachine->Loads().Outcomes().OnPeer(copy.mVm, copy.mFailing);
   TakeCrashes(copy.mCrashes);
   mListener->OnMembersChanged();
   mMachine->Loads().OnPeerWaiting(copy.mVm, copy.mWaiting);
--- a/Peridothoist/Node/VmNewsCodec.cpp
+++ b/Peridothoist/Node/VmNewsCodec.cpp
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace peridothoist {
 
 namespace {
@@ -21,7 +23,11 @@
 constexpr const char* kWork = "w";
 constexpr const char* kWaiting = "q";
 constexpr const char* kGone = "x";
+constexpr const char* kFailing = "f";
 constexpr const char* kCrashes = "c";
+
+/// Counts of calls travel in hundredths.
+constexpr double kCountUnit = 100;
 constexpr const char* kKnownPeers = "k";
 
 json
@@ -45,6 +51,28 @@
   return crashes;
 }
 
+json
+EncodeFailing(const CountsByUpstream& aFailing)
+{
+  json failing = json::object();
+  for (const auto& [id, it] : aFailing) {
+    failing[id] = { std::llround(it.mFailed * kCountUnit),
+                    std::llround(it.mGood * kCountUnit) };
+  }
+  return failing;
+}
+
+CountsByUpstream
+DecodeFailing(const json& aValue)
+{
+  CountsByUpstream failing;
+  for (const auto& [id, counts] : aValue.items()) {
+    failing[id] = { counts.at(0).get<std::uint32_t>() / kCountUnit,
+                    counts.at(1).get<std::uint32_t>() / kCountUnit };
+  }
+  return failing;
+}
+
 ServingState
 ServingStateOf(int aNumber)
 {
@@ -71,6 +99,7 @@
   }
   news.mWaiting = aValue.at(kWaiting).get<std::uint64_t>();
   news.mGone = aValue.at(kGone).get<std::vector<std::string>>();
+  news.mFailing = DecodeFailing(aValue.at(kFailing));
   for (const json& it : aValue.at(kCrashes)) {
     news.mCrashes.push_back({ it.at(0).get<std::string>(),
                               it.at(1).get<std::uint32_t>(),
@@ -149,6 +178,7 @@
                    { kWork, EncodeWork(aNews.mWork) },
                    { kWaiting, aNews.mWaiting },
                    { kGone, aNews.mGone },
+                   { kFailing, EncodeFailing(aNews.mFailing) },
                    { kCrashes, EncodeCrashes(aNews.mCrashes) },
                    { kKnownPeers, aNews.mPeers } });
 }
--- a/Peridothoist/Relay/LoadBoard.cpp
+++ b/Peridothoist/Relay/LoadBoard.cpp
@@ -2,7 +2,6 @@
 #include <Peridothoist/Relay/LoadBoard.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace peridothoist {
 
@@ -62,7 +61,28 @@
 void
 LoadBoard::OnPeerWork(const std::string& aPeer, WorkByUpstream aWork)
 {
-  mPeers[aPeer] = std::move(aWork);
+  WorkByUpstream& known = mPeers[aPeer];
+  for (const auto& [id, work] : known) {
+    const auto sum = mPeerSums.find(id);
+    PH_ASSERT(sum != mPeerSums.end());
+    sum->second -= work;
+    if (sum->second.mRequests == 0 && sum->second.mTokens == 0) {
+      mPeerSums.erase(sum);
+    }
+  }
+  for (const auto& [id, work] : aWork) {
+    mPeerSums[id] += work;
+  }
+  known = std::move(aWork);
+}
+
+void
+LoadBoard::ForgetPeer(const std::string& aPeer)
+{
+  OnPeerWork(aPeer, {});
+  mPeers.erase(aPeer);
+  mPeersWaiting.erase(aPeer);
+  mOutcomes.ForgetPeer(aPeer);
 }
 
 void
@@ -129,36 +149,16 @@
 {
   mFailures.erase(aUpstream);
   mStated.erase(aUpstream);
-  mOutcomes.erase(aUpstream);
-}
-
-void
-LoadBoard::OnOutcome(const std::string& aUpstream, bool aFailed, TimePoint aNow)
-{
-  const double before = FailureRate(aUpstream, aNow);
-  const double weight = mSettings.mOutcomeWeight;
-  mOutcomes[aUpstream] = { before * (1 - weight) + (aFailed ? weight : 0),
-                           aNow };
-}
-
-double
-LoadBoard::FailureRate(const std::string& aUpstream, TimePoint aNow) const
-{
-  const auto it = mOutcomes.find(aUpstream);
-  if (it == mOutcomes.end()) {
-    return 0;
-  }
-  const double halves =
-    std::chrono::duration<double>(aNow - it->second.mAt).count() /
-    std::chrono::duration<double>(mSettings.mOutcomeHalfLife).count();
-  return it->second.mRate * std::exp2(-halves);
+  mOutcomes.Forget(aUpstream);
 }
 
 bool
 LoadBoard::IsAvoided(const std::string& aUpstream, TimePoint aNow) const
 {
   const auto it = mFailures.find(aUpstream);
-  return it != mFailures.end() && aNow < it->second.mAvoidUntil;
+  const bool failed = it != mFailures.end() && aNow < it->second.mAvoidUntil;
+  return failed ||
+         mOutcomes.FailureRate(aUpstream, aNow) > mSettings.mMostFailures;
 }
 
 UpstreamWork
@@ -169,11 +169,9 @@
   if (own != mOwn.end()) {
     work += own->second;
   }
-  for (const auto& [peer, byUpstream] : mPeers) {
-    const auto it = byUpstream.find(aUpstream);
-    if (it != byUpstream.end()) {
-      work += it->second;
-    }
+  const auto peers = mPeerSums.find(aUpstream);
+  if (peers != mPeerSums.end()) {
+    work += peers->second;
   }
   return work;
 }
--- a/Peridothoist/Relay/LoadBoard.h
+++ b/Peridothoist/Relay/LoadBoard.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/OutcomeBoard.h>
 
 namespace peridothoist {
 
@@ -19,6 +20,12 @@
     mTokens += aOther.mTokens;
     return *this;
   }
+  UpstreamWork& operator-=(const UpstreamWork& aOther)
+  {
+    mRequests -= aOther.mRequests;
+    mTokens -= aOther.mTokens;
+    return *this;
+  }
 };
 
 /// Work by upstream id, as VMs tell each other. Upstreams without work are
@@ -42,9 +49,10 @@
   /// After one whose process was found gone; it mostly comes back under
   /// another id.
   Duration mGoneAvoidance = 3s;
-  double mOutcomeWeight = 0.25;   ///< Of one outcome in the failure rate.
-  Duration mOutcomeHalfLife = 3s; ///< A failure rate without news halves.
-  Duration mPeerAvoidance = 1s;   ///< After a peer's word of such a one.
+  Duration mPeerAvoidance = 1s; ///< After a peer's word of such a one.
+  /// An upstream that fails more than this part of calls is avoided.
+  double mMostFailures = 0.35;
+  OutcomeBoardSettings mOutcomes;
 };
 
 /// Keeps the load of all upstreams.
@@ -55,6 +63,7 @@
 
   explicit LoadBoard(const Settings& aSettings)
     : mSettings(aSettings)
+    , mOutcomes(aSettings.mOutcomes)
   {
   }
 
@@ -84,11 +93,7 @@
     mPeersWaiting[aPeer] = aWaiting;
   }
   std::size_t PeersWaiting() const;
-  void ForgetPeer(const std::string& aPeer)
-  {
-    mPeers.erase(aPeer);
-    mPeersWaiting.erase(aPeer);
-  }
+  void ForgetPeer(const std::string& aPeer);
 
   /// The upstream could not be reached, or broke a call.
   void OnFailure(const std::string& aUpstream, TimePoint aNow);
@@ -108,10 +113,9 @@
   /// It is gone or was started anew: what was known means nothing any more.
   void Forget(const std::string& aUpstream);
 
-  /// A call there ended; aFailed: without an answer, or with an error.
-  void OnOutcome(const std::string& aUpstream, bool aFailed, TimePoint aNow);
-  /// The part of calls that failed lately, 0 to 1.
-  double FailureRate(const std::string& aUpstream, TimePoint aNow) const;
+  /// How calls ended.
+  OutcomeBoard& Outcomes() { return mOutcomes; }
+  const OutcomeBoard& Outcomes() const { return mOutcomes; }
 
   bool IsAvoided(const std::string& aUpstream, TimePoint aNow) const;
 
@@ -135,12 +139,6 @@
     TimePoint mAvoidUntil;
     TimePoint mGoneUntil; ///< This VM found it gone.
   };
-  /// A moving average of outcomes.
-  struct Outcomes
-  {
-    double mRate = 0;
-    TimePoint mAt;
-  };
   struct Stated
   {
     StatedLoad mLoad;
@@ -152,10 +150,11 @@
   std::uint64_t mRevision = 0;
   Duration mNewsAge{ 0 };
   std::map<std::string, WorkByUpstream> mPeers;     ///< By peer.
+  WorkByUpstream mPeerSums;                         ///< Of mPeers.
   std::map<std::string, std::size_t> mPeersWaiting; ///< By peer.
   std::map<std::string, Stated> mStated;
   std::map<std::string, Failures> mFailures;
-  std::map<std::string, Outcomes> mOutcomes;
+  OutcomeBoard mOutcomes;
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Relay/MemberBook.h
+++ b/Peridothoist/Relay/MemberBook.h
@@ -52,6 +52,7 @@
   std::uint64_t mWaiting = 0;     ///< Requests that wait for room.
   WorkByUpstream mWork;           ///< Its open requests.
   std::vector<std::string> mGone; ///< Upstreams that it found gone.
+  CountsByUpstream mFailing;      ///< Upstreams that fail its calls.
   std::vector<CrashNews> mCrashes;
   std::vector<std::string> mPeers; ///< Peer addresses that it knows.
 };
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -105,7 +105,7 @@
   if (counted) {
     const bool prefill = call.mKind == RelayCallKind::Prefill;
     const bool good = outcome.Ok() && (aEnd.mSound || prefill);
-    mLoads.OnOutcome(call.mUpstream, !good, aNow);
+    mLoads.Outcomes().OnOutcome(call.mUpstream, !good, aNow);
   }
   if (!outcome.mMayHaveBeenSent) {
     OnUnsent(state, call, aEnd);
--- a/Peridothoist/Relay/UpstreamChoice.cpp
+++ b/Peridothoist/Relay/UpstreamChoice.cpp
@@ -135,7 +135,8 @@
     score += aUpstream.mStage == RelayStage::Plain ? mSettings.mPlainZoneWorth
                                                    : mSettings.mEngineZoneWorth;
   }
-  score += mSettings.mFailureWeight * mLoads->FailureRate(aUpstream.mId, aNow);
+  score += mSettings.mFailureWeight *
+           mLoads->Outcomes().FailureRate(aUpstream.mId, aNow);
   if (mRoster->IsLapsed(aUpstream.mId)) {
     score += mSettings.mLapsedPenalty;
   }
--- a/UnitTests/Platform/PlatformWordsTest.cpp
+++ b/UnitTests/Platform/PlatformWordsTest.cpp
@@ -423,6 +423,7 @@
   news.mGranted = { { "w", -5 } };
   news.mWork = { { "u", { 3, 400 } } };
   news.mGone = { "x" };
+  news.mFailing = { { "y", { 1.5, 0.25 } } };
   news.mWaiting = 4;
   news.mCrashes = { { "d", 2, true, Duration(9) } };
   const std::string bytes = EncodeVmNews(news);
--- /dev/null
+++ b/UnitTests/Relay/PlainUpstream.h
@@ -0,0 +1,21 @@
+/// An upstream whose answers are whole, for tests.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/UpstreamRoster.h>
+
+namespace peridothoist::test {
+
+inline RelayUpstream
+MakeUpstream(const std::string& aId, bool aLeaving = false)
+{
+  RelayUpstream upstream;
+  upstream.mId = aId;
+  upstream.mService = "s";
+  upstream.mZone = "a";
+  upstream.mSlots = 6;
+  upstream.mLeaving = aLeaving;
+  return upstream;
+}
+
+} // namespace peridothoist::test
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -1,14 +1,13 @@
 /// What a VM believes: the configuration and its age, the list of upstreams
-/// over outages, the other VMs, and the choice made from them.
+/// over outages, and the other VMs.
 #define BOOST_TEST_MODULE RelayView
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/ConfirmedView.h>
 #include <Peridothoist/Relay/MemberBook.h>
 #include <Peridothoist/Relay/RelayIntake.h>
-#include <Peridothoist/Relay/RepeatBudget.h>
-#include <Peridothoist/Relay/UpstreamChoice.h>
 #include <Peridothoist/Relay/UpstreamRoster.h>
 #include <Peridothoist/Relay/ViewShare.h>
+#include <Relay/PlainUpstream.h>
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
@@ -17,6 +16,7 @@
 #include <cmath>
 
 using namespace peridothoist;
+using namespace peridothoist::test;
 
 namespace {
 
@@ -51,18 +51,6 @@
   return configuration;
 }
 
-RelayUpstream
-MakeUpstream(const std::string& aId, bool aLeaving = false)
-{
-  RelayUpstream upstream;
-  upstream.mId = aId;
-  upstream.mService = "s";
-  upstream.mZone = "a";
-  upstream.mSlots = 6;
-  upstream.mLeaving = aLeaving;
-  return upstream;
-}
-
 VmNews
 MakeNews(const std::string& aVm,
          std::uint64_t aSequence,
@@ -442,175 +430,3 @@
     reads.Step();
   }
 }
-
-BOOST_AUTO_TEST_SUITE(Choosing)
-
-struct ChoiceFixture
-{
-  ChoiceFixture()
-    : mRoster({ 2s })
-    , mLoads(LoadBoardSettings())
-    , mRandom(3)
-    , mChooser(UpstreamChooserSettings(), &mRoster, &mLoads, &mRandom)
-  {
-    mQuestion.mService = "s";
-    mQuestion.mZone = "a";
-  }
-
-  std::string Choose(TimePoint aNow = kNow)
-  {
-    const Choice choice = mChooser.Choose(mQuestion, aNow);
-    return choice.mUpstream == nullptr ? ToName(choice.mWhyNot)
-                                       : choice.mUpstream->mId;
-  }
-
-  void List(std::vector<RelayUpstream> aUpstreams)
-  {
-    mRoster.OnListed(std::move(aUpstreams), kNow);
-  }
-
-  UpstreamRoster mRoster;
-  LoadBoard mLoads;
-  Random mRandom;
-  UpstreamChooser mChooser;
-  ChoiceQuestion mQuestion;
-};
-
-BOOST_FIXTURE_TEST_CASE(TheOwnZoneWhileItIsNotBusier, ChoiceFixture)
-{
-  RelayUpstream far = MakeUpstream("far");
-  far.mZone = "b";
-  List({ MakeUpstream("near"), far });
-  BOOST_TEST(Choose() == "near");
-  for (int n = 0; n < 4; ++n) {
-    mLoads.OnSent("near", 0);
-  }
-  BOOST_TEST(Choose() == "far");
-}
-
-BOOST_FIXTURE_TEST_CASE(OthersWorkCounts, ChoiceFixture)
-{
-  List({ MakeUpstream("one"), MakeUpstream("two") });
-  mLoads.OnPeerWork("vm", { { "one", { 5, 0 } } });
-  BOOST_TEST(Choose() == "two");
-  mLoads.ForgetPeer("vm");
-  mLoads.OnSent("two", 0);
-  BOOST_TEST(Choose() == "one");
-}
-
-BOOST_FIXTURE_TEST_CASE(WhoFailsManyCallsGetsFewer, ChoiceFixture)
-{
-  // Pattern: a third of the upstreams fail half of what they run.
-  List({ MakeUpstream("good"), MakeUpstream("grey") });
-  for (int n = 0; n < 6; ++n) {
-    mLoads.OnOutcome("grey", n % 2 == 0, kNow);
-    mLoads.OnOutcome("good", false, kNow);
-  }
-  mLoads.OnSent("good", 0);
-  mLoads.OnSent("good", 0);
-  BOOST_TEST(Choose() == "good");
-  BOOST_TEST(mLoads.FailureRate("grey", kNow + 30s) < 0.01);
-}
-
-BOOST_FIXTURE_TEST_CASE(FullIsNotTheSameAsNone, ChoiceFixture)
-{
-  BOOST_TEST(Choose() == "no_upstream");
-  List({ MakeUpstream("one") });
-  for (int n = 0; n < 18; ++n) {
-    mLoads.OnSent("one", 0);
-  }
-  BOOST_TEST(Choose() == "full");
-}
-
-BOOST_FIXTURE_TEST_CASE(AvoidedOnesAreTheLastResort, ChoiceFixture)
-{
-  List({ MakeUpstream("one"), MakeUpstream("two") });
-  mLoads.OnGone("one", kNow);
-  BOOST_TEST(Choose() == "two");
-  mLoads.OnGone("two", kNow);
-  BOOST_TEST((Choose() == "one" || Choose() == "two"));
-  BOOST_TEST(mLoads.FoundGone(kNow).size() == 2U);
-  mLoads.OnSuccess("one");
-  BOOST_TEST(Choose() == "one");
-}
-
-BOOST_FIXTURE_TEST_CASE(MemoryLimitsAnEngine, ChoiceFixture)
-{
-  RelayUpstream engine = MakeUpstream("e");
-  engine.mStage = RelayStage::Decode;
-  engine.mSlots = 64;
-  List({ engine });
-  mQuestion.mStage = RelayStage::Decode;
-  mQuestion.mMemoryTokens = 10000;
-  mQuestion.mTokens = 3000;
-  BOOST_TEST(mChooser.RoomFor(mQuestion, kNow) == 3);
-  mLoads.OnSent("e", 7000);
-  BOOST_TEST(Choose() == "full");
-  mLoads.OnDone("e", 7000);
-  mQuestion.mTokens = 20000; // Larger than all: the engine will say so.
-  BOOST_TEST(Choose() == "e");
-}
-
-BOOST_FIXTURE_TEST_CASE(AnEnginesWordCoversWhatIsNotKnown, ChoiceFixture)
-{
-  RelayUpstream engine = MakeUpstream("e");
-  engine.mStage = RelayStage::Decode;
-  engine.mSlots = 64;
-  List({ engine });
-  mQuestion.mStage = RelayStage::Decode;
-  mQuestion.mMemoryTokens = 10000;
-  mQuestion.mTokens = 3000;
-  mLoads.OnStated("e", { 3, 0, 64 }, kNow);
-  BOOST_TEST(Choose() == "full");
-  BOOST_TEST(Choose(kNow + 2s) == "e");
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
-BOOST_AUTO_TEST_CASE(ARestartGivesNobodyASecondBudget)
-{
-  // Pattern: all VMs lose power while upstreams lose answers.
-  const RepeatBudgetSettings settings;
-  const auto drain = [](RepeatBudget& aBudget, TimePoint aNow) {
-    int repeats = 0;
-    while (aBudget.Take(1, aNow)) {
-      ++repeats;
-    }
-    return repeats;
-  };
-  RepeatBudget before(settings, kNow - 1h);
-  RepeatBudget after(settings, kNow);
-  const int used = drain(before, kNow);
-  BOOST_TEST(used == settings.mFixed);
-  BOOST_TEST(drain(after, kNow) == 0);
-  BOOST_TEST(drain(after, kNow + 5s) <= settings.mFixed / 2);
-}
-
-RC_BOOST_PROP(VmsTogetherKeepToTheRepeatBudget, ())
-{
-  const auto vms = *rc::gen::inRange<std::size_t>(1, 8);
-  const RepeatBudgetSettings settings;
-  std::vector<RepeatBudget> budgets(vms, RepeatBudget(settings, kNow));
-  std::vector<std::pair<TimePoint, bool>> events; // True: a repeat.
-  TimePoint now = kNow;
-  for (int n = 0; n < 400; ++n) {
-    now += std::chrono::milliseconds(*rc::gen::inRange(0, 100));
-    RepeatBudget& budget = budgets[*rc::gen::inRange<std::size_t>(0, vms)];
-    if (*rc::gen::inRange(0, 2) == 0) {
-      budget.OnRequest(now);
-      events.push_back({ now, false });
-    } else if (budget.Take(vms, now)) {
-      events.push_back({ now, true });
-    }
-  }
-  for (const auto& [end, repeat] : events) {
-    double requests = 0;
-    double repeats = 0;
-    for (const auto& it : events) {
-      const bool in = it.first <= end && it.first > end - settings.mWindow;
-      requests += in && !it.second ? 1 : 0;
-      repeats += in && it.second ? 1 : 0;
-    }
-    RC_ASSERT(repeats <= settings.mRatio * requests + settings.mFixed + vms);
-  }
-}
