Bound log lines, count those that are lost, and complete the metrics

What was left out or overrun by a slow sink is counted, in a line a second and on the metrics page.

The page gains calls to upstreams and to the store by kind and result, the time to the first call, the longest gap, upstreams by state, and repeats and tokens left. Pages have files of their own (PageServer, NodeProcessPages).

--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -21,10 +21,26 @@
                                  { "outcome", aFacts.mOutcome } };
   mMetrics.GetCounter("peridothoist_requests_total", outcome).Add();
   mMetrics.GetHistogram("peridothoist_request_seconds", kind).Observe(aTook);
+  if (aFacts.mCalls > 0) {
+    mMetrics.GetHistogram("peridothoist_first_call_seconds", kind)
+      .Observe(aFacts.mFirstCallAfter);
+  }
   if (aFacts.mFirstByteAfter > Duration(0)) {
     mMetrics.GetHistogram("peridothoist_first_event_seconds", kind)
       .Observe(aFacts.mFirstByteAfter);
   }
+  if (aFacts.mEvents > 1) {
+    mMetrics.GetHistogram("peridothoist_longest_gap_seconds", kind)
+      .Observe(aFacts.mLongestGap);
+  }
+}
+
+void
+NodeMetrics::ObserveCall(RelayCallKind aKind, bool aGood, Duration aTook)
+{
+  const MetricLabels labels = { { "call", ToName(aKind) },
+                                { "good", aGood ? "yes" : "no" } };
+  mMetrics.GetHistogram("peridothoist_call_seconds", labels).Observe(aTook);
 }
 
 void
@@ -83,11 +99,38 @@
   set("peridothoist_view_age_seconds", ToSeconds(aGauges.mViewAge));
   set("peridothoist_view_version", static_cast<double>(aGauges.mVersion));
   set("peridothoist_list_age_seconds", ToSeconds(aGauges.mListAge));
-  set("peridothoist_upstreams", static_cast<double>(aGauges.mUpstreams));
+  for (const auto& [state, count] : aGauges.mUpstreams) {
+    mMetrics.GetGauge("peridothoist_upstreams", { { "state", state } })
+      .Set(static_cast<double>(count));
+  }
+  for (const auto& [service, left] : aGauges.mRepeatsLeft) {
+    mMetrics.GetGauge("peridothoist_repeats_left", { { "service", service } })
+      .Set(left);
+  }
+  for (const auto& [workspace, left] : aGauges.mTokensLeft) {
+    mMetrics
+      .GetGauge("peridothoist_allowance_left_tokens",
+                { { "workspace", workspace } })
+      .Set(left);
+  }
   set("peridothoist_vms", static_cast<double>(aGauges.mVms));
   set("peridothoist_vms_heard_part", aGauges.mHeardPart);
   set("peridothoist_open_requests", static_cast<double>(aGauges.mOpen));
   set("peridothoist_waiting_requests", static_cast<double>(aGauges.mWaiting));
 }
 
+void
+NodeMetrics::TakeLosses(const LogLosses& aLosses)
+{
+  const std::pair<const char*, std::uint64_t> rows[] = {
+    { "routine", aLosses.mRoutine },
+    { "decision", aLosses.mDecisions },
+    { "overrun", aLosses.mOverrun },
+  };
+  for (const auto& [kind, lines] : rows) {
+    SetCounter(
+      "peridothoist_log_lines_lost_total", lines, { { "kind", kind } });
+  }
+}
+
 } // namespace peridothoist
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -16,12 +16,12 @@
 
 constexpr Duration kLeaveCheckInterval = 50ms;
 
+/// Between lines on log lines that were lost.
+constexpr Duration kLossesInterval = 1s;
+
 /// A loop that runs this late is worth a line in the log.
 constexpr Duration kLoopLagWarned = 100ms;
 
-/// Callers of pages only, which are few.
-constexpr std::uint32_t kPageConnections = 256;
-
 double
 ToMillis(Duration aDuration)
 {
@@ -42,63 +42,8 @@
   return aSettings;
 }
 
-std::unique_ptr<HttpServer>
-Serve(Reactor& aReactor,
-      const std::string& aAddress,
-      HttpServerSettings aSettings,
-      HttpRequestHandler* aHandler,
-      Reason* aReason)
-{
-  const auto address = ParseSocketAddress(aAddress);
-  PH_ASSERT(address.has_value());
-  aSettings.mAddress = address->mNumber;
-  aSettings.mPort = address->mPort;
-  std::string fault;
-  auto server = HttpServer::Create(aReactor, aSettings, aHandler, &fault);
-  if (server == nullptr) {
-    Reason::Set(aReason, ReasonCode::Refused, "listen: " + fault);
-  }
-  return server;
-}
-
 } // namespace
 
-/// Answers the pages of one listening address.
-class NodeProcess::PageServer : public HttpRequestHandler
-{
-public:
-  using Page = std::function<std::optional<PageAnswer>(const HttpRequest&)>;
-
-  PageServer(Reactor& aReactor,
-             const std::string& aAddress,
-             Page aPage,
-             Reason* aReason)
-    : mPage(std::move(aPage))
-  {
-    HttpServerSettings settings;
-    settings.mMaxConnections = kPageConnections;
-    mServer = Serve(aReactor, aAddress, settings, this, aReason);
-  }
-
-  bool IsUp() const { return mServer != nullptr; }
-
-  // See: HttpRequestHandler
-  void OnRequest(std::shared_ptr<HttpExchange> aExchange) override
-  {
-    const auto answer = mPage(aExchange->Request());
-    if (!answer) {
-      aExchange->Respond(
-        404, { { "content-type", "text/plain" } }, "no page\n");
-      return;
-    }
-    aExchange->Respond(answer->mStatus, answer->mHeaders, answer->mBody);
-  }
-
-private:
-  Page mPage;
-  std::unique_ptr<HttpServer> mServer;
-};
-
 std::unique_ptr<NodeProcess>
 NodeProcess::Create(const Settings& aSettings,
                     const NodeProtocols& aProtocols,
@@ -138,15 +83,9 @@
             aProtocols.mCallers,
             aProtocols.mUpstreams,
             this)
-  , mReader(aSettings.mReader,
-            aReactor,
-            aProtocols.mStore,
-            aProtocols.mDecoder,
-            this)
-  , mRegistry(aSettings.mReader.mVmTable,
-              aSettings.mVm,
-              aReactor,
-              aProtocols.mStore)
+  , mStore(aProtocols.mStore, aReactor, &mMetrics.Page())
+  , mReader(aSettings.mReader, aReactor, &mStore, aProtocols.mDecoder, this)
+  , mRegistry(aSettings.mReader.mVmTable, aSettings.mVm, aReactor, &mStore)
 {
 }
 
@@ -193,66 +132,17 @@
   settings.mMaxConnections = mSettings.mMaxConnections;
   settings.mMaxConnectionsPerAddress = mSettings.mMaxConnections;
   settings.mIdleTimeout = mSettings.mIdleTimeout;
-  mCallerServer = Serve(*mReactor, mSettings.mListen, settings, this, aReason);
+  mCallerServer =
+    ServeOn(*mReactor, mSettings.mListen, settings, this, aReason);
   return mCallerServer != nullptr;
 }
 
-bool
-NodeProcess::StartPages(Reason* aReason)
-{
-  struct Row
-  {
-    const std::string& mAddress;
-    PageServer::Page mPage;
-  };
-  const Row rows[] = {
-    { mSettings.mReadyListen,
-      [this](const HttpRequest& aRequest) {
-        return mProtocols.mCallers->ReadyPage(aRequest, Status());
-      } },
-    { mSettings.mDirectoryListen,
-      [this](const HttpRequest& aRequest) {
-        return mProtocols.mCallers->AddressPage(aRequest, Status());
-      } },
-    { mSettings.mMetricsListen,
-      [this](const HttpRequest&) -> std::optional<PageAnswer> {
-        return PageAnswer{ 200,
-                           { { "content-type", "text/plain; version=0.0.4" } },
-                           RenderMetrics() };
-      } },
-  };
-  for (const Row& row : rows) {
-    if (row.mAddress.empty()) {
-      continue;
-    }
-    auto server =
-      std::make_unique<PageServer>(*mReactor, row.mAddress, row.mPage, aReason);
-    if (!server->IsUp()) {
-      return false;
-    }
-    mPageServers.push_back(std::move(server));
-  }
-  return true;
-}
-
 ServingState
 NodeProcess::Serving() const
 {
   return mLeaving ? ServingState::Nothing : mIntake.Serving(mReactor->Now());
 }
 
-NodeStatus
-NodeProcess::Status() const
-{
-  const ServingState serving = Serving();
-  NodeStatus status;
-  status.mReady = serving != ServingState::Nothing;
-  status.mAddressesHold = mSettings.mAddressesHold;
-  status.mCallerAddresses = mPeers->Members().CallerAddresses(
-    serving, mSettings.mListen, mReactor->Now());
-  return status;
-}
-
 void
 NodeProcess::OnRequest(std::shared_ptr<HttpExchange> aExchange)
 {
@@ -408,7 +298,9 @@
 {
   const Duration took = mReactor->Now() - aFacts.mArrivedAt;
   mMetrics.ObserveRequest(aFacts, took);
-  Log::Info("request_done")
+  const bool good = aFacts.mStatus >= 200 && aFacts.mStatus < 300 &&
+                    std::string_view(aFacts.mOutcome) == "answered";
+  (good ? Log::Routine("request_done") : Log::Info("request_done"))
     .Field("id", aFacts.mName)
     .Field("request", aFacts.mId)
     .Field("route", aFacts.mRoute)
@@ -427,6 +319,12 @@
     .Field("ms", ToMillis(took));
 }
 
+void
+NodeProcess::OnCallOver(RelayCallKind aKind, bool aGood, Duration aTook)
+{
+  mMetrics.ObserveCall(aKind, aGood, aTook);
+}
+
 void
 NodeProcess::OnWorkChanged()
 {
@@ -510,29 +408,15 @@
 NodeProcess::OnLoopLag(Duration aLag)
 {
   mMetrics.ObserveLoopLag(aLag);
+  if (mReactor->Now() >= mLossesToldAt + kLossesInterval) {
+    mLossesToldAt = mReactor->Now();
+    Log::TellLosses();
+  }
   if (aLag >= kLoopLagWarned) {
     Log::Warning("loop_lag").Field("ms", ToMillis(aLag));
   }
 }
 
-std::string
-NodeProcess::RenderMetrics()
-{
-  const TimePoint now = mReactor->Now();
-  NodeGauges gauges;
-  gauges.mViewAge = mView.Age(now);
-  gauges.mVersion = mView.Version();
-  gauges.mListAge = now - mMachine.Roster().ListedAt().value_or(now);
-  gauges.mUpstreams = mMachine.Roster().All().size();
-  gauges.mVms = mPeers->Members().Count(now);
-  gauges.mHeardPart = mPeers->Members().HeardPart(now);
-  gauges.mOpen = mMachine.Open();
-  gauges.mWaiting = mMachine.Waiting();
-  mMetrics.TakeCounters(mMachine.Counters());
-  mMetrics.TakeGauges(gauges);
-  return mMetrics.Render();
-}
-
 bool
 NodeProcess::Reload(const Settings& aSettings, Reason* aReason)
 {
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -4,9 +4,11 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/CallerProtocol.h>
+#include <Peridothoist/Node/MeteredStore.h>
 #include <Peridothoist/Node/NodeMetrics.h>
 #include <Peridothoist/Node/NodePeers.h>
 #include <Peridothoist/Node/NodeSettings.h>
+#include <Peridothoist/Node/PageServer.h>
 #include <Peridothoist/Node/RelayRunner.h>
 #include <Peridothoist/Node/UpstreamProtocol.h>
 #include <Peridothoist/Node/ViewReader.h>
@@ -55,9 +57,6 @@
   void StartLeaving();
 
 private:
-  /// Answers the pages of one listening address.
-  class PageServer;
-
   NodeProcess(const Settings& aSettings,
               const NodeProtocols& aProtocols,
               Reactor* aReactor,
@@ -69,6 +68,7 @@
   /// What new callers get here.
   ServingState Serving() const;
   NodeStatus Status() const;
+  NodeGauges Gauges();
   std::string RenderMetrics();
   void CheckLeft();
   std::optional<Refusal> RefuseWhileLeaving(const RelayArrival& aArrival);
@@ -93,6 +93,7 @@
   void OnPeerWork(const std::string& aVm, const WorkByUpstream& aWork) override;
   // See: RelayRunnerListener
   void OnRelayOver(const RelayFacts& aFacts) override;
+  void OnCallOver(RelayCallKind aKind, bool aGood, Duration aTook) override;
   void OnWorkChanged() override;
   // See: LoopMonitorListener
   void OnLoopLag(Duration aLag) override;
@@ -110,12 +111,14 @@
   ViewShare mShare;
   NodeMetrics mMetrics;
   RelayRunner mRunner;
+  MeteredStore mStore;
   ViewReader mReader;
   VmRegistry mRegistry;
   std::unique_ptr<NodePeers> mPeers;
   std::unique_ptr<HttpServer> mCallerServer;
   std::vector<std::unique_ptr<PageServer>> mPageServers;
   std::unique_ptr<LoopMonitor> mLoopMonitor;
+  TimePoint mLossesToldAt;                          ///< Of log lines.
   ServingState mWasServing = ServingState::Nothing; ///< For the log.
 
   // Leaving
--- a/Peridothoist/Node/RelayRunner.cpp
+++ b/Peridothoist/Node/RelayRunner.cpp
@@ -149,7 +149,10 @@
     if (mKind == RelayCallKind::Reserve && end.mOutcome.Ok()) {
       end.mReservation = mRunner.mUpstreams->ReadReservation(end.mAnswer.mBody);
     }
-    LogEnd(end, aOutcome);
+    const bool good = IsGood(end);
+    LogEnd(end, aOutcome, good);
+    const Duration took = mRunner.mReactor->Now() - mStartedAt;
+    mRunner.mListener->OnCallOver(mKind, good, took);
     mRunner.Deliver(
       [&](RelayMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
         aMachine.OnCallEnd(mId, mAttempt, std::move(end), aNow, aOut);
@@ -157,18 +160,22 @@
   }
 
 private:
-  void LogEnd(const RelayCallEnd& aEnd, const HttpCallOutcome& aOutcome) const
+  /// Whether the call gave what was asked for.
+  bool IsGood(const RelayCallEnd& aEnd) const
   {
     const bool prefilled =
       mKind == RelayCallKind::Prefill && !aEnd.mHandle.empty();
     const bool reserved =
       mKind == RelayCallKind::Reserve && !aEnd.mReservation.empty();
-    const bool good =
-      aEnd.mOutcome.Ok() && (aEnd.mSound || prefilled || reserved);
-    LogLine line(good ? LogLevel::Debug : LogLevel::Info,
-                 "call_ended",
-                 Log::IsOn(good ? LogLevel::Debug : LogLevel::Info));
-    line.Field("request", mId)
+    return aEnd.mOutcome.Ok() && (aEnd.mSound || prefilled || reserved);
+  }
+
+  void LogEnd(const RelayCallEnd& aEnd,
+              const HttpCallOutcome& aOutcome,
+              bool aGood) const
+  {
+    (aGood ? Log::Debug("call_ended") : Log::Info("call_ended"))
+      .Field("request", mId)
       .Field("attempt", mAttempt)
       .Field("upstream", mUpstream)
       .Field("call", ToName(mKind))
@@ -311,7 +318,10 @@
 void
 RelayRunner::StartCall(const RelayCommand& aCommand, Request& aRequest)
 {
-  ++aRequest.mFacts.mCalls;
+  if (++aRequest.mFacts.mCalls == 1) {
+    aRequest.mFacts.mFirstCallAfter =
+      mReactor->Now() - aRequest.mFacts.mArrivedAt;
+  }
   aRequest.mFacts.mUpstream = aCommand.mUpstream;
   Log::Debug("call_started")
     .Field("request", aCommand.mId)
--- a/Peridothoist/Node/RelayRunner.h
+++ b/Peridothoist/Node/RelayRunner.h
@@ -29,6 +29,7 @@
   std::uint32_t mCalls = 0;      ///< Calls to upstreams.
   std::string mUpstream;         ///< Of the last call.
   Duration mFirstByteAfter{ 0 }; ///< Streams: until the first event was sent.
+  Duration mFirstCallAfter{ 0 }; ///< Until something was sent to an upstream.
 };
 
 /// Told about requests that are over.
@@ -39,6 +40,9 @@
 
   virtual void OnRelayOver(const RelayFacts& aFacts) = 0;
 
+  /// A call to an upstream ended; aGood: it gave what was asked for.
+  virtual void OnCallOver(RelayCallKind aKind, bool aGood, Duration aTook) = 0;
+
   /// This VM's work at engines has changed.
   virtual void OnWorkChanged() = 0;
 };
--- a/Peridothoist/Relay/RelayMachine.cpp
+++ b/Peridothoist/Relay/RelayMachine.cpp
@@ -76,6 +76,16 @@
     .first->second;
 }
 
+std::map<std::string, double>
+RelayMachine::RepeatsLeft(TimePoint aNow)
+{
+  std::map<std::string, double> left;
+  for (auto& [service, budget] : mBudgets) {
+    left[service] = budget.Left(mVmCount, aNow);
+  }
+  return left;
+}
+
 void
 RelayMachine::OnArrival(RelayArrival aArrival,
                         TimePoint aNow,
--- a/Peridothoist/Relay/RelayMachine.h
+++ b/Peridothoist/Relay/RelayMachine.h
@@ -114,6 +114,9 @@
   /// Takes other bounds of the retry budget.
   void SetRepeatBudget(const RepeatBudgetSettings& aSettings);
 
+  /// Repeats that are allowed now, by service.
+  std::map<std::string, double> RepeatsLeft(TimePoint aNow);
+
   /// How many VMs share the retry budget; at least 1.
   void SetVmCount(std::size_t aCount) { mVmCount = aCount; }
 
--- a/Peridothoist/Relay/RepeatBudget.h
+++ b/Peridothoist/Relay/RepeatBudget.h
@@ -39,16 +39,22 @@
   /// A request for the service came.
   void OnRequest(TimePoint aNow) { mRequests.push_back(aNow); }
 
-  /// Whether one more repeat is allowed now. aVms: how many VMs share the fixed
-  /// amount, at least 1.
-  bool HasRoom(std::size_t aVms, TimePoint aNow)
+  /// How many more repeats are allowed now; may be below 0. aVms: how many VMs
+  /// share the fixed amount, at least 1.
+  double Left(std::size_t aVms, TimePoint aNow)
   {
     Drop(mRequests, aNow);
     Drop(mRepeats, aNow);
     const double most =
       mSettings.mRatio * static_cast<double>(mRequests.size()) +
       mSettings.mFixed * KnownPart(aNow) / static_cast<double>(aVms);
-    return static_cast<double>(mRepeats.size()) + 1 <= most;
+    return most - static_cast<double>(mRepeats.size());
+  }
+
+  /// Whether one more repeat is allowed now.
+  bool HasRoom(std::size_t aVms, TimePoint aNow)
+  {
+    return Left(aVms, aNow) >= 1;
   }
 
   /// Counts a repeat that was sent, allowed or not.
--- a/Peridothoist/Relay/UsageLedger.cpp
+++ b/Peridothoist/Relay/UsageLedger.cpp
@@ -157,4 +157,17 @@
   known->second = aGranted;
 }
 
+std::map<std::string, double>
+UsageLedger::Left(TimePoint aNow)
+{
+  std::map<std::string, double> left;
+  for (auto& [workspace, account] : mAccounts) {
+    if (account.mRate > 0) {
+      Drop(account, aNow);
+      left[workspace] = LimitOf(account, aNow) - account.mSum;
+    }
+  }
+  return left;
+}
+
 } // namespace peridothoist
--- a/Peridothoist/Relay/UsageLedger.h
+++ b/Peridothoist/Relay/UsageLedger.h
@@ -65,6 +65,9 @@
   /// An instance is gone; its grants need no more counting.
   void ForgetPeer(const std::string& aInstance) { mPeers.erase(aInstance); }
 
+  /// Tokens that could be had now, by workspace with a limit.
+  std::map<std::string, double> Left(TimePoint aNow);
+
   /// What this VM granted, for the others.
   const GrantedTokens& Granted() const { return mGranted; }
 
--- a/Peridothoist/Shell/Log.cpp
+++ b/Peridothoist/Shell/Log.cpp
@@ -2,6 +2,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Shell/Log.h>
 
+#include <Peridothoist/Shell/Reactor.h>
+
 #include <fmt/format.h>
 #include <spdlog/async.h>
 #include <spdlog/async_logger.h>
@@ -11,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <mutex>
 
 namespace peridothoist {
 
@@ -57,6 +60,21 @@
   return sink;
 }
 
+/// The bound, for all threads.
+struct Bound
+{
+  std::mutex mMutex;
+  LogBudget mBudget{ LogBudgetSettings() };
+  LogLosses mTold; ///< As of the last line on them.
+};
+
+Bound&
+CurrentBound()
+{
+  static Bound bound;
+  return bound;
+}
+
 bool
 NeedsQuotes(std::string_view aValue)
 {
@@ -174,6 +192,10 @@
     sink.mPool,
     spdlog::async_overflow_policy::overrun_oldest));
   CurrentSink() = std::move(sink);
+  Bound& bound = CurrentBound();
+  const std::lock_guard<std::mutex> lock(bound.mMutex);
+  bound.mBudget = LogBudget(aSettings.mBudget);
+  bound.mTold = LogLosses();
 }
 
 void
@@ -181,6 +203,9 @@
 {
   CurrentLevel() = LogLevel::Info;
   CurrentSink() = Sink(); // The pool writes out its queue as it goes.
+  Bound& bound = CurrentBound();
+  const std::lock_guard<std::mutex> lock(bound.mMutex);
+  bound.mBudget = LogBudget(LogBudgetSettings());
 }
 
 bool
@@ -189,4 +214,49 @@
   return aLevel >= CurrentLevel().load(std::memory_order_relaxed);
 }
 
+LogLine
+Log::Line(LogLevel aLevel, LogWorth aWorth, std::string_view aEvent)
+{
+  if (!IsOn(aLevel)) {
+    return { aLevel, aEvent, false };
+  }
+  Bound& bound = CurrentBound();
+  const std::lock_guard<std::mutex> lock(bound.mMutex);
+  return { aLevel, aEvent, bound.mBudget.Take(aWorth, Reactor::ReadClock()) };
+}
+
+LogLosses
+Log::Losses()
+{
+  LogLosses losses;
+  const Sink& sink = CurrentSink();
+  losses.mOverrun = sink.mPool ? sink.mPool->overrun_counter() : 0;
+  Bound& bound = CurrentBound();
+  const std::lock_guard<std::mutex> lock(bound.mMutex);
+  losses.mRoutine = bound.mBudget.LeftOut(LogWorth::Routine);
+  losses.mDecisions = bound.mBudget.LeftOut(LogWorth::Decision);
+  return losses;
+}
+
+void
+Log::TellLosses()
+{
+  const LogLosses now = Losses();
+  LogLosses before;
+  {
+    Bound& bound = CurrentBound();
+    const std::lock_guard<std::mutex> lock(bound.mMutex);
+    before = std::exchange(bound.mTold, now);
+  }
+  const bool same = now.mRoutine == before.mRoutine &&
+                    now.mDecisions == before.mDecisions &&
+                    now.mOverrun == before.mOverrun;
+  if (!same) {
+    Warning("log_lines_lost")
+      .Field("routine", now.mRoutine - before.mRoutine)
+      .Field("decisions", now.mDecisions - before.mDecisions)
+      .Field("overrun", now.mOverrun - before.mOverrun);
+  }
+}
+
 } // namespace peridothoist
--- a/Peridothoist/Shell/Log.h
+++ b/Peridothoist/Shell/Log.h
@@ -6,9 +6,12 @@
 /// spaces, quotes or control bytes are quoted and escaped, so that one event
 /// is always one line. Lines go to standard error, or output, through a bounded
 /// queue: a slow sink loses the oldest lines, and never holds up the reactor.
+/// A bound on lines a second leaves out those on what went well first. Lines
+/// that were lost or left out are counted, and a line says so.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Shell/LogBudget.h>
 
 #include <type_traits>
 
@@ -72,6 +75,14 @@
   std::string mText;
 };
 
+/// Lines that nobody will read.
+struct LogLosses
+{
+  std::uint64_t mRoutine = 0;   ///< Left out by the bound.
+  std::uint64_t mDecisions = 0; ///< Left out by the bound.
+  std::uint64_t mOverrun = 0;   ///< The sink was too slow.
+};
+
 /// The process's log.
 class Log
 {
@@ -82,6 +93,7 @@
     std::size_t mQueuedLines = 8192;  ///< Lines held for a slow sink.
     std::string mVm;                  ///< Stands in each line; empty: none.
     bool mToStandardOutput = false;   ///< Else to standard error.
+    LogBudgetSettings mBudget;        ///< No bound by default.
   };
 
   /// Sets level and sink, before other threads log. Until then, lines go
@@ -93,22 +105,38 @@
 
   static bool IsOn(LogLevel aLevel);
 
+  /// Lines lost or left out since Start().
+  static LogLosses Losses();
+
+  /// Writes a line on losses when there were more since the last one.
+  static void TellLosses();
+
   static LogLine Debug(std::string_view aEvent)
   {
-    return { LogLevel::Debug, aEvent, IsOn(LogLevel::Debug) };
+    return Line(LogLevel::Debug, LogWorth::Routine, aEvent);
+  }
+  /// What went well, as most does.
+  static LogLine Routine(std::string_view aEvent)
+  {
+    return Line(LogLevel::Info, LogWorth::Routine, aEvent);
   }
   static LogLine Info(std::string_view aEvent)
   {
-    return { LogLevel::Info, aEvent, IsOn(LogLevel::Info) };
+    return Line(LogLevel::Info, LogWorth::Decision, aEvent);
   }
   static LogLine Warning(std::string_view aEvent)
   {
-    return { LogLevel::Warning, aEvent, IsOn(LogLevel::Warning) };
+    return Line(LogLevel::Warning, LogWorth::Fault, aEvent);
   }
   static LogLine Error(std::string_view aEvent)
   {
-    return { LogLevel::Error, aEvent, IsOn(LogLevel::Error) };
+    return Line(LogLevel::Error, LogWorth::Fault, aEvent);
   }
+
+private:
+  static LogLine Line(LogLevel aLevel,
+                      LogWorth aWorth,
+                      std::string_view aEvent);
 };
 
 /// A value as a log line carries it: quoted when it needs to be.
