--- a/SystemTests/harness/process.py
+++ b/SystemTests/harness/process.py
@@ -63,6 +63,10 @@
         if self.running():
             self.child.send_signal(signal.SIGTERM)
 
+    def hang_up(self):
+        """SIGHUP: says that the settings file changed."""
+        self.child.send_signal(signal.SIGHUP)
+
     def wait(self, seconds):
         """The exit code, or None when it still runs after that time."""
         try:
--- a/SystemTests/harness/relay.py
+++ b/SystemTests/harness/relay.py
@@ -30,6 +30,7 @@
         self.run(self._cancel_all())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join(5)
+        self.loop.close()
 
     @staticmethod
     async def _cancel_all():
@@ -66,6 +67,7 @@
         self.owner_of = owner_of or (lambda port: None)
         self.cut_all = False
         self.cut_owners = set()
+        self.answers_cut = False
         self.delay_seconds = 0.0
         self.server = None
         self.writers = set()
@@ -87,9 +89,14 @@
         else:
             self.cut_all = True
 
+    def cut_answers(self):
+        """Holds back the bytes that come from the target only."""
+        self.answers_cut = True
+
     def heal(self):
         """Ends every cut and delay."""
         self.cut_all = False
+        self.answers_cut = False
         self.cut_owners = set()
         self.delay_seconds = 0.0
 
@@ -136,21 +143,21 @@
         self.writers |= {writer, far_writer}
         try:
             await asyncio.gather(
-                self._pump(source, reader, far_writer),
-                self._pump(source, far_reader, writer),
+                self._pump(source, reader, far_writer, answers=False),
+                self._pump(source, far_reader, writer, answers=True),
             )
         finally:
             self.writers -= {writer, far_writer}
             writer.close()
             far_writer.close()
 
-    async def _pump(self, source, reader, writer):
+    async def _pump(self, source, reader, writer, answers):
         try:
             while True:
                 data = await reader.read(CHUNK_BYTES)
                 if self.delay_seconds:
                     await asyncio.sleep(self.delay_seconds)
-                while self._is_cut(source):
+                while self._is_cut(source) or (answers and self.answers_cut):
                     await asyncio.sleep(POLL_SECONDS)
                 if not data:
                     writer.write_eof()
--- /dev/null
+++ b/SystemTests/users_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the users' platform: its store and its upstreams."""
--- /dev/null
+++ b/SystemTests/users_platform/nodes.py
@@ -0,0 +1,157 @@
+"""peridothoist-node processes on loopback addresses, with the stand-ins round
+them."""
+
+import asyncio
+import os
+import shutil
+import tempfile
+import time
+
+from harness.process import Process, wait_until
+from harness.relay import Relay, RelayLoop
+
+from .store import Store
+from .upstreams import Upstream, World
+
+BUILD = os.path.abspath(os.environ.get("PERIDOTHOIST_BUILD", "build"))
+ZONES = ("zone-a", "zone-b", "zone-c")
+READY_SECONDS = 20
+
+CALLERS, READY, DIRECTORY, METRICS, PEERS, STORE = range(8221, 8227)
+
+ROUTES = (
+    {"name": "post", "pathPrefix": "/post/", "kind": "unsafe", "service": "ledger"},
+    {"name": "look", "pathPrefix": "/look/", "kind": "safe", "service": "ledger"},
+    {"name": "stream", "pathPrefix": "/stream/", "kind": "streaming", "service": "lm"},
+)
+
+
+def configuration(version, tenants, routes=ROUTES):
+    """What an operator writes. tenants: dicts of the platform's fields."""
+    common = {"host": "site", "maxAttempts": 3, "resumable": True}
+    common.update(timeoutMs=4000, targetLatencyMs=400)
+    engine = {"slots": 8, "stride": 1, "kvCapacity": 30000, "handleTtlS": 4}
+    return {
+        "version": version,
+        "routes": [{**common, **route} for route in routes],
+        "services": [{"name": "ledger"}, {"name": "lm", "engine": engine}],
+        "tenants": list(tenants),
+    }
+
+
+class Node:
+    """One VM: its process, and the relay through which it reaches the store."""
+
+    def __init__(self, cluster, number):
+        self.name = f"vm-{number}"
+        self.zone = ZONES[number % len(ZONES)]
+        self.host = f"{cluster.network}.{10 + number}"
+        self.store_relay = Relay(
+            cluster.loop, self.address(STORE), cluster.store.server.address
+        )
+        self.settings_path = os.path.join(cluster.folder, self.name + ".flags")
+        self.process = Process(
+            self.name,
+            [os.path.join(BUILD, "peridothoist-node")],
+            cluster.folder,
+            {"PERIDOTHOIST_NODE_FILE": self.settings_path},
+        )
+
+    def address(self, port=CALLERS):
+        return f"{self.host}:{port}"
+
+    def write_settings(self, seeds, extra=""):
+        listens = {
+            "listen": CALLERS,
+            "ready_listen": READY,
+            "directory_listen": DIRECTORY,
+            "metrics_listen": METRICS,
+            "peer_listen": PEERS,
+            "store": STORE,
+        }
+        lines = [f"--{name}={self.address(port)}" for name, port in listens.items()]
+        lines += [f"--vm={self.name}", f"--zone={self.zone}"]
+        lines += ["--seeds=" + ",".join(seeds), "--log_level=debug", extra]
+        with open(self.settings_path + ".new", "w") as file:
+            file.write("\n".join(lines) + "\n")
+        os.replace(self.settings_path + ".new", self.settings_path)
+
+
+class NodeCluster:
+    """Nodes, the store, and upstreams of two services: "ledger", whose answers
+    are whole, and "lm", whose prefill and decode engines answer by streams."""
+
+    def __init__(self, nodes=3, ledgers=3, prefills=2, decodes=3):
+        number = os.getpid()
+        self.network = f"127.{120 + number // 250 % 100}.{1 + number % 250}"
+        self.folder = tempfile.mkdtemp(prefix="peridothoist-nodes-")
+        self.loop = RelayLoop()
+        self.store = Store(f"{self.network}.2:{STORE}")
+        self.world = World(self.store)
+        self.nodes = [Node(self, n) for n in range(nodes)]
+        kinds = [("ledger", None)] * ledgers
+        kinds += [("lm", "prefill")] * prefills + [("lm", "decode")] * decodes
+        self.upstreams = [
+            Upstream(
+                self.world,
+                service,
+                ZONES[n % len(ZONES)],
+                f"{self.network}.{100 + n}:9000",
+                stage=stage,
+            )
+            for n, (service, stage) in enumerate(kinds)
+        ]
+
+    def __enter__(self):
+        self.start()
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+        return False
+
+    def start(self, tenants=({"name": "w1", "apiKeys": ["k1"]},)):
+        self.loop.run(self.store.server.start())
+        self.store.put("op", "config", configuration(1, tenants))
+        for upstream in self.upstreams:
+            self.loop.run(upstream.start())
+        for node in self.nodes:
+            node.store_relay.start()
+            node.write_settings(self.seeds())
+            node.process.start()
+        for node in self.nodes:
+            self.wait_ready(node)
+
+    def seeds(self):
+        return [node.address(PEERS) for node in self.nodes[:3]]
+
+    def wait_ready(self, node):
+        wait_until(
+            lambda: self.status_of(node, READY, "/-/ready") == 200,
+            READY_SECONDS,
+            f"{node.name} is ready",
+        )
+
+    def status_of(self, node, port, path):
+        from harness.caller import call
+
+        return call(node.address(port), "GET", path, timeout=2).status
+
+    def stop(self):
+        for node in self.nodes:
+            if node.process.running():
+                node.process.thaw()
+                node.process.kill()
+        for node in self.nodes:
+            if node.store_relay.server is not None:
+                node.store_relay.stop()
+        for upstream in self.upstreams:
+            self.loop.run(upstream.crash())
+        self.loop.run(self.store.server.stop())
+        self.loop.run(asyncio.sleep(0.05))  # For what was just closed.
+        self.loop.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def logs(self):
+        """The lines of all nodes."""
+        return "".join(node.process.log() for node in self.nodes)
--- /dev/null
+++ b/SystemTests/users_platform/store.py
@@ -0,0 +1,80 @@
+"""A stand-in for the platform's store: rows in tables, read and changed over
+HTTP, with the troubles that a store may have."""
+
+import asyncio
+import base64
+import json
+
+from .wire import Server, answer_bytes
+
+SLOW_SECONDS = 0.4
+
+
+class Store:
+    """trouble: None, or what happens to calls: "away" (503), "slow", "silent"
+    (no answer, nothing done) or "lost" (done, and the answer is lost)."""
+
+    def __init__(self, address):
+        self.server = Server(address, self._handle)
+        self.tables = {}
+        self.version = 0
+        self.trouble = None
+
+    def put(self, table, key, value):
+        """Writes a row as the platform or an operator does."""
+        self.version += 1
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.tables.setdefault(table, {})[key] = (self.version, raw)
+
+    def remove(self, table, key):
+        self.version += 1
+        self.tables.get(table, {}).pop(key, None)
+
+    async def _handle(self, request, writer):
+        trouble = self.trouble
+        if trouble == "slow":
+            await asyncio.sleep(SLOW_SECONDS)
+        if trouble == "silent":
+            await asyncio.sleep(3600)
+        if trouble == "away":
+            writer.write(answer_bytes(503, {}, b""))
+            return True
+        status, body = self._answer(request)
+        if trouble == "lost":
+            return False
+        writer.write(answer_bytes(status, {}, json.dumps(body).encode()))
+        return True
+
+    def _answer(self, request):
+        if request.path == "/-/rows-get":
+            return 200, self._rows(request.query)
+        if request.path == "/-/rows-tx":
+            return self._change(json.loads(request.body))
+        return 404, {}
+
+    def _rows(self, query):
+        table = self.tables.get(query["table"], {})
+        keys = sorted(key for key in table if key >= query.get("from", ""))
+        limit = int(query.get("limit", 500))
+        return {
+            "rows": [self._row(query["table"], key) for key in keys[:limit]],
+            "hasMore": len(keys) > limit,
+            "ver": self.version,
+        }
+
+    def _row(self, table, key):
+        version, raw = self.tables.get(table, {}).get(key, (0, b""))
+        value = base64.b64encode(raw).decode()
+        return {"table": table, "part": "", "key": key, "ver": version, "value": value}
+
+    def _change(self, body):
+        for row in body["expected"]:
+            if self._row(row["table"], row["key"])["ver"] != row["ver"]:
+                return 412, {"rows": [self._row(row["table"], row["key"])]}
+        for row in body["puts"]:
+            if row["table"] in ("op", "servers"):
+                return 403, {}
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        for row in body["remove"]:
+            self.remove(row["table"], row["key"])
+        return 200, {"ver": self.version}
--- /dev/null
+++ b/SystemTests/users_platform/upstreams.py
@@ -0,0 +1,224 @@
+"""Stand-ins for the platform's upstreams, and what they saw.
+
+Each request that reaches one is noted, with whether it ran. An answer can be
+recomputed from the request, so that a caller can tell its own from another's.
+"""
+
+import asyncio
+import hashlib
+import itertools
+import json
+import time
+from dataclasses import dataclass, field
+
+from .wire import Server, answer_bytes, chunk, head_bytes
+
+HEARTBEAT_SECONDS = 0.4
+WORK_SECONDS = 0.01
+EVENT_SECONDS = 0.015
+SLOW_FACTOR = 20
+
+_numbers = itertools.count(1)
+
+
+def whole_answer(request_id, body):
+    """The body of a whole answer."""
+    return f"{request_id}:{hashlib.sha256(body).hexdigest()}".encode()
+
+
+def event_text(request_id, number):
+    """One event of a stream."""
+    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+
+
+@dataclass
+class Seen:
+    """One request that reached an upstream."""
+
+    at: float
+    request_id: str
+    upstream: str
+    service: str
+    headers: dict
+    ran: bool = False
+    prefill: bool = False
+
+
+@dataclass
+class World:
+    """What all upstreams share."""
+
+    store: object
+    seen: list = field(default_factory=list)
+    handles: set = field(default_factory=set)
+
+
+class Upstream:
+    """trouble: None, or what happens to requests: "lost" (run, and the answer
+    is lost), "half" (the answer breaks off), "errors", "hang", "shed" (not run),
+    "slow" or "crossed" (answered with another request's id)."""
+
+    def __init__(self, world, service, zone, address, slots=8, stage=None):
+        self.world = world
+        self.service = service
+        self.zone = zone
+        self.address = address
+        self.slots = slots
+        self.stage = stage
+        self.trouble = None
+        self.state = "ready"
+        self.draining_since = None  # When the store accepted that report.
+        self.running = 0
+        self.up = False
+        self.heartbeat = None
+        self.server = Server(address, self._handle)
+        self._take_id()
+
+    def _take_id(self):
+        self.id = f"i-{next(_numbers):04d}"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+
+    async def start(self):
+        self._take_id()
+        self.state = "ready"
+        self.draining_since = None
+        self.running = 0
+        self.trouble = None
+        await self.server.start()
+        self.up = True
+        self.heartbeat = asyncio.ensure_future(self._beat())
+
+    async def crash(self):
+        """Is gone without a word; its entry lapses."""
+        if not self.up:
+            return
+        self.up = False
+        self.heartbeat.cancel()
+        await self.server.stop()
+        gone = self.id
+        lapse = 3 * HEARTBEAT_SECONDS
+        asyncio.get_event_loop().call_later(
+            lapse, lambda: self.world.store.remove("servers", gone)
+        )
+
+    async def drain(self, seconds):
+        """Says that it leaves, serves so long, and goes."""
+        if not self.up or self.state != "ready":
+            return
+        self.state = "draining"
+        self._register()
+        self.draining_since = time.monotonic()
+        await asyncio.sleep(seconds)
+        if self.up:
+            await self.crash()
+
+    def _register(self):
+        self.sequence += 1
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "slots": self.slots,
+            "state": self.state,
+            "born": self.born,
+            "sequence": self.sequence,
+        }
+        if self.stage:
+            entry["stage"] = self.stage
+        self.world.store.put("servers", self.id, entry)
+
+    async def _beat(self):
+        while True:
+            self._register()
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def _handle(self, request, writer):
+        if request.path.startswith("/-/"):
+            writer.write(self._control(request))
+            return True
+        seen = Seen(
+            time.monotonic(),
+            request.headers.get("request-id", ""),
+            self.id,
+            self.service,
+            request.headers,
+            prefill=request.headers.get("serving-stage") == "prefill",
+        )
+        self.world.seen.append(seen)
+        if request.headers.get("expect-instance", self.id) != self.id:
+            writer.write(answer_bytes(421, {"Instance-Id": self.id}, b""))
+            return True
+        if self.trouble == "shed" or self.running >= 2 * self.slots:
+            writer.write(answer_bytes(503, {"Not-Processed": "1"}, b""))
+            return True
+        if seen.prefill:
+            return await self._prefill(writer)
+        source = request.headers.get("kv-source")
+        if source is not None and source not in self.world.handles:
+            writer.write(answer_bytes(503, {"Not-Processed": "1"}, b""))
+            return True
+        self.world.handles.discard(source)
+        seen.ran = True
+        self.running += 1
+        try:
+            return await self._run(request, writer)
+        finally:
+            self.running -= 1
+
+    def _control(self, request):
+        if request.path == "/-/hold-take":
+            if self.running >= self.slots:
+                return answer_bytes(503, {}, b"")
+            return answer_bytes(200, {}, json.dumps({"hold": "h1"}).encode())
+        self.world.handles.discard(f"{self.address}/{request.path.rsplit('/', 1)[1]}")
+        return answer_bytes(200, {}, b"{}")
+
+    async def _prefill(self, writer):
+        await asyncio.sleep(WORK_SECONDS)
+        handle = f"p{next(_numbers)}"
+        self.world.handles.add(f"{self.address}/{handle}")
+        body = json.dumps({"handle": handle, "tokens": 10, "version": 1}).encode()
+        writer.write(answer_bytes(200, {}, body))
+        return True
+
+    async def _run(self, request, writer):
+        trouble = self.trouble
+        await asyncio.sleep(WORK_SECONDS * (SLOW_FACTOR if trouble == "slow" else 1))
+        if trouble == "hang":
+            await asyncio.sleep(3600)
+        if trouble == "lost":
+            return False
+        own = request.headers.get("request-id", "")
+        name = "crossed" if trouble == "crossed" else own
+        headers = {"Request-Id": name, "Response-Seal": f"{self.id}.{name}"}
+        if trouble == "errors":
+            writer.write(answer_bytes(500, {"Request-Id": name}, b"failed"))
+        elif request.path.startswith("/stream/"):
+            return await self._stream(request, writer, name, headers)
+        elif trouble == "half":
+            writer.write(answer_bytes(200, headers, whole_answer(name, b""))[:-9])
+            return False
+        else:
+            writer.write(answer_bytes(200, headers, whole_answer(name, request.body)))
+        return True
+
+    async def _stream(self, request, writer, name, headers):
+        count = int(request.headers["token-count"].split(",")[1])
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        headers = {
+            **headers,
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        writer.write(head_bytes("HTTP/1.1 200 X", headers))
+        pause = EVENT_SECONDS * (SLOW_FACTOR if self.trouble == "slow" else 1)
+        for number in range(first, count + 1):
+            if self.trouble == "half" and number > count // 2:
+                writer.write(b"20\r\nid: ")
+                return False
+            writer.write(chunk(event_text(name, number)))
+            await writer.drain()
+            await asyncio.sleep(pause)
+        writer.write(chunk(b""))
+        return True
