--- a/SystemTests/soak/faults.py
+++ b/SystemTests/soak/faults.py
@@ -111,6 +111,8 @@
     def signals(self, at):
         """The settings file changes, some times with a signal and some wrong."""
         node = self.rng.choice(self.cluster.nodes)
+        if not self._take(node, at, 1.5):
+            return  # A process doesn't start with wrong settings.
         for n in range(3):
             extra = self.rng.choice(["", "--repeat_ratio=0.1", "--grace_s=oops"])
             signalled = self.rng.random() < 0.5
