Order prefill engines that are idle to decode

Change: StageBalance chooses prefill engines above a fifth of a service's (2 at least), zone by zone, once they were listed for 4 s. StageOrders gives each life of an engine at most one order over all VMs: a row of the store that can be made only once gives the right to it, and the row's version is the fencing token. Only the first VM by name orders, while it hears most of the registered ones; two that both think they lead choose the same engines (property test).

--- a/Peridothoist/Node/MeteredStore.cpp
+++ b/Peridothoist/Node/MeteredStore.cpp
@@ -21,9 +21,10 @@
 {
   const TimePoint began = mReactor->Now();
   mStore->Change(aChange,
-                 [this, began, done = std::move(aDone)](const Reason& aReason) {
+                 [this, began, done = std::move(aDone)](
+                   const Reason& aReason, std::uint64_t aVersion) {
                    Note("change", aReason, began);
-                   done(aReason);
+                   done(aReason, aVersion);
                  });
 }
 
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -86,6 +86,13 @@
   , mStore(aProtocols.mStore, aReactor, &mMetrics.Page())
   , mReader(aSettings.mReader, aReactor, &mStore, aProtocols.mDecoder, this)
   , mRegistry(aSettings.mReader.mVmTable, aSettings.mVm, aReactor, &mStore)
+  , mOrders(aSettings.mOrders,
+            aSettings.mVm,
+            aReactor,
+            aClient,
+            &mStore,
+            aProtocols.mUpstreams,
+            &mMachine)
 {
 }
 
@@ -93,6 +100,7 @@
 {
   mReactor->CancelTimer(mLeaveTimer);
   mReactor->CancelTimer(mShareTimer);
+  mReactor->CancelTimer(mOrderTimer);
 }
 
 bool
@@ -114,6 +122,7 @@
     return false;
   }
   ShareReads();
+  LookAtEngines();
   mLoopMonitor =
     std::make_unique<LoopMonitor>(LoopMonitorSettings{ 250ms }, mReactor, this);
   Log::Info("node_started")
@@ -379,6 +388,25 @@
   return names;
 }
 
+/// Whether this VM is the one that gives orders: the first that is heard, by
+/// name, while it hears most of those that are registered.
+bool
+NodeProcess::Leads() const
+{
+  const TimePoint now = mReactor->Now();
+  return !mLeaving && Serving() == ServingState::Everything &&
+         mPeers->Members().HeardPart(now) > mSettings.mLeastHeardToOrder &&
+         Readers().front() == mSettings.mVm;
+}
+
+void
+NodeProcess::LookAtEngines()
+{
+  mOrders.Look(Leads());
+  mOrderTimer =
+    mReactor->Schedule(mSettings.mOrderInterval, [this] { LookAtEngines(); });
+}
+
 /// Whether peers' answers keep this VM's view as young as own reads would.
 bool
 NodeProcess::IsViewYoung() const
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -73,6 +73,8 @@
   void CheckLeft();
   std::optional<Refusal> RefuseWhileLeaving(const RelayArrival& aArrival);
   void ShareReads();
+  bool Leads() const;
+  void LookAtEngines();
   bool IsViewYoung() const;
   std::vector<std::string> Readers() const;
 
@@ -114,6 +116,7 @@
   MeteredStore mStore;
   ViewReader mReader;
   VmRegistry mRegistry;
+  StageOrders mOrders;
   std::unique_ptr<NodePeers> mPeers;
   std::unique_ptr<HttpServer> mCallerServer;
   std::vector<std::unique_ptr<PageServer>> mPageServers;
@@ -127,6 +130,8 @@
   TimePoint mLeavingSince;
   Reactor::TimerId mLeaveTimer = 0;
 
+  Reactor::TimerId mOrderTimer = 0;
+
   // Sharing reads
   Reactor::TimerId mShareTimer = 0;
   std::size_t mAsked = 0; ///< Questions to readers so far.
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -3,6 +3,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Core/Reason.h>
+#include <Peridothoist/Node/StageOrders.h>
 #include <Peridothoist/Node/ViewReader.h>
 #include <Peridothoist/Relay/ConfirmedView.h>
 #include <Peridothoist/Relay/MemberBook.h>
@@ -60,6 +61,13 @@
   std::size_t mMostCrashNews = 8;
   Duration mForgetPeers = 30s; ///< VMs silent for so long are gone.
 
+  // Orders to engines
+  Duration mOrderInterval = 1s; ///< Between looks at the engines.
+  /// Of the VMs that are registered, the part which must be heard by one that
+  /// gives orders: the lesser part of a cut gives none.
+  double mLeastHeardToOrder = 0.5;
+  StageOrdersSettings mOrders;
+
   ConfirmedViewSettings mView;
   MemberBookSettings mMembers;
   UsageLedgerSettings mLedger;
--- a/Peridothoist/Node/RowStore.h
+++ b/Peridothoist/Node/RowStore.h
@@ -39,7 +39,10 @@
   virtual void ReadTable(const std::string& aTable, RowsDone aDone) = 0;
 
   /// Whether the change took effect. InDoubt: it may have, or may yet.
-  using ChangeDone = std::function<void(const Reason& aReason)>;
+  /// aVersion: the row's version then, higher than that of any change before;
+  /// 0 when it didn't.
+  using ChangeDone =
+    std::function<void(const Reason& aReason, std::uint64_t aVersion)>;
   virtual void Change(const RowChange& aChange, ChangeDone aDone) = 0;
 };
 
--- a/Peridothoist/Node/UpstreamProtocol.h
+++ b/Peridothoist/Node/UpstreamProtocol.h
@@ -4,6 +4,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/RelayCommand.h>
+#include <Peridothoist/Relay/UpstreamRoster.h>
 #include <Peridothoist/Shell/HttpClient.h>
 
 namespace peridothoist {
@@ -40,6 +41,13 @@
   /// The name of a reservation; empty when the body holds none.
   virtual std::string ReadReservation(const std::string& aBody) const = 0;
 
+  /// The call that orders an engine to a stage. aHolder: who orders; aFence:
+  /// higher than that of any order to it before.
+  virtual HttpCall MakeStageOrder(const RelayUpstream& aEngine,
+                                  RelayStage aStage,
+                                  const std::string& aHolder,
+                                  std::uint64_t aFence) const = 0;
+
   /// The call for a ReleaseHandle or ReleaseReservation command.
   virtual HttpCall MakeRelease(const RelayCommand& aCommand) const = 0;
 };
--- a/Peridothoist/Node/VmRegistry.cpp
+++ b/Peridothoist/Node/VmRegistry.cpp
@@ -36,22 +36,23 @@
   }
   mRegistering = true;
   const auto alive = mAlive;
-  mStore->Change(
-    { mTable, mVm, "{}", std::nullopt }, [this, alive](const Reason& aReason) {
-      if (!*alive) {
-        return;
-      }
-      mRegistering = false;
-      if (aReason.mCode == ReasonCode::None) {
-        Log::Info("registered").Field("name", mVm);
-        return;
-      }
-      Log::Info("not_registered")
-        .Field("name", mVm)
-        .Field("code", ToName(aReason.mCode))
-        .Field("reason", aReason.mText);
-      mTimer = mReactor->Schedule(kRegisterAgain, [this] { Register(); });
-    });
+  mStore->Change({ mTable, mVm, "{}", std::nullopt },
+                 [this, alive](const Reason& aReason, std::uint64_t) {
+                   if (!*alive) {
+                     return;
+                   }
+                   mRegistering = false;
+                   if (aReason.mCode == ReasonCode::None) {
+                     Log::Info("registered").Field("name", mVm);
+                     return;
+                   }
+                   Log::Info("not_registered")
+                     .Field("name", mVm)
+                     .Field("code", ToName(aReason.mCode))
+                     .Field("reason", aReason.mText);
+                   mTimer =
+                     mReactor->Schedule(kRegisterAgain, [this] { Register(); });
+                 });
 }
 
 void
@@ -67,7 +68,7 @@
 {
   for (const std::string& vm : aVms) {
     mStore->Change({ mTable, vm, std::nullopt, std::nullopt },
-                   [vm](const Reason& aReason) {
+                   [vm](const Reason& aReason, std::uint64_t) {
                      Log::Info("vm_removed")
                        .Field("name", vm)
                        .Field("code", ToName(aReason.mCode));
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -54,12 +54,17 @@
   }
   void Change(const RowChange& aChange, ChangeDone aDone) override
   {
+    if (aChange.mIfVersion == 0U &&
+        mTables[aChange.mTable].count(aChange.mKey) > 0) {
+      mReactor->Post([aDone] { aDone({ ReasonCode::Conflict, "" }, 0); });
+      return;
+    }
     if (aChange.mValue) {
       mTables[aChange.mTable][aChange.mKey] = *aChange.mValue;
     } else {
       mTables[aChange.mTable].erase(aChange.mKey);
     }
-    mReactor->Post([aDone] { aDone(Reason()); });
+    mReactor->Post([aDone] { aDone(Reason(), 1); });
   }
 
   Reactor* mReactor;
--- /dev/null
+++ b/UnitTests/Relay/StageBalanceTest.cpp
@@ -0,0 +1,178 @@
+/// Which engines are ordered from prompts to generating.
+#define BOOST_TEST_MODULE StageBalance
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/StageBalance.h>
+#include <Relay/PlainUpstream.h>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace peridothoist;
+using namespace peridothoist::test;
+
+namespace {
+
+const TimePoint kNow{ 1h };
+
+RelayUpstream
+MakeEngine(const std::string& aId, RelayStage aStage, const std::string& aZone)
+{
+  RelayUpstream engine = MakeUpstream(aId);
+  engine.mStage = aStage;
+  engine.mZone = aZone;
+  engine.mBorn = 7;
+  return engine;
+}
+
+/// A fleet with a third of its engines on prompts.
+struct Fleet
+{
+  explicit Fleet(int aEngines)
+  {
+    for (int n = 0; n < aEngines; ++n) {
+      const bool prefill = n % 3 == 0;
+      mEngines.push_back(
+        MakeEngine("e" + std::to_string(n),
+                   prefill ? RelayStage::Prefill : RelayStage::Decode,
+                   n % 2 == 0 ? "a" : "b"));
+    }
+    List(kNow);
+  }
+
+  void List(TimePoint aNow) { mRoster.OnListed(mEngines, aNow); }
+
+  std::size_t PrefillEngines() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(mEngines.begin(), mEngines.end(), [](const auto& aEngine) {
+        return aEngine.mStage == RelayStage::Prefill;
+      }));
+  }
+
+  void Switch(const std::string& aId)
+  {
+    for (RelayUpstream& it : mEngines) {
+      if (it.mId == aId) {
+        it.mStage = RelayStage::Decode;
+      }
+    }
+  }
+
+  std::vector<RelayUpstream> mEngines;
+  UpstreamRoster mRoster{ UpstreamRosterSettings() };
+};
+
+std::vector<std::string>
+NamesOf(const std::vector<RelayUpstream>& aEngines)
+{
+  std::vector<std::string> names;
+  for (const RelayUpstream& it : aEngines) {
+    names.push_back(it.mId);
+  }
+  return names;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ExcessPrefillEnginesAreChosenOnceTheyAreKnown)
+{
+  // Pattern: long answers fill the memory of those that generate, while the
+  // engines for prompts are idle.
+  Fleet fleet(30);
+  StageBalance balance{ StageBalanceSettings() };
+  BOOST_TEST(balance.Choose(fleet.mRoster, kNow).empty());
+  const auto chosen = balance.Choose(fleet.mRoster, kNow + 5s);
+  BOOST_TEST(chosen.size() == 4U); // Of 10, a fifth of 30 are kept.
+  std::map<std::string, int> byZone;
+  for (const RelayUpstream& it : chosen) {
+    BOOST_TEST((it.mStage == RelayStage::Prefill));
+    ++byZone[it.mZone];
+  }
+  BOOST_TEST(byZone["a"] == 2);
+  BOOST_TEST(byZone["b"] == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AnOrderedEngineCountsAsSwitched)
+{
+  Fleet fleet(30);
+  StageBalance balance{ StageBalanceSettings() };
+  balance.Choose(fleet.mRoster, kNow);
+  for (const RelayUpstream& it : balance.Choose(fleet.mRoster, kNow + 5s)) {
+    balance.OnTaken(it);
+  }
+  BOOST_TEST(balance.Choose(fleet.mRoster, kNow + 6s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(ANewLifeOfAnEngineHasItsOwnOrder)
+{
+  Fleet fleet(30);
+  StageBalance balance{ StageBalanceSettings() };
+  balance.Choose(fleet.mRoster, kNow);
+  const auto chosen = balance.Choose(fleet.mRoster, kNow + 5s);
+  for (const RelayUpstream& it : chosen) {
+    balance.OnTaken(it);
+  }
+  for (RelayUpstream& it : fleet.mEngines) {
+    it.mBorn = 8;
+  }
+  fleet.List(kNow + 6s);
+  BOOST_TEST(balance.Choose(fleet.mRoster, kNow + 6s).empty());
+  BOOST_TEST(balance.Choose(fleet.mRoster, kNow + 11s).size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(ASmallServiceKeepsItsLeast)
+{
+  Fleet fleet(6);
+  StageBalance balance{ StageBalanceSettings() };
+  balance.Choose(fleet.mRoster, kNow);
+  BOOST_TEST(balance.Choose(fleet.mRoster, kNow + 5s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsChosenWithoutAPart)
+{
+  StageBalanceSettings settings;
+  settings.mPrefillPart = 0;
+  Fleet fleet(30);
+  StageBalance balance(settings);
+  balance.Choose(fleet.mRoster, kNow);
+  BOOST_TEST(balance.Choose(fleet.mRoster, kNow + 5s).empty());
+}
+
+RC_BOOST_PROP(TwoThatLeadOrderNoMoreThanOneWould, ())
+{
+  // Each sees engines change their stages at times of its own; a row that can
+  // be made only once stands between them.
+  Fleet one(*rc::gen::inRange(6, 60));
+  Fleet two = one;
+  const auto kept = std::max<std::size_t>(2, (one.mEngines.size() + 4) / 5);
+  const std::size_t least = std::min(kept, one.PrefillEngines());
+  StageBalance first{ StageBalanceSettings() };
+  StageBalance second{ StageBalanceSettings() };
+  first.Choose(one.mRoster, kNow);
+  second.Choose(two.mRoster, kNow);
+  std::set<std::string> rows;
+  TimePoint now = kNow + 5s;
+  for (int n = 0; n < 20; ++n) {
+    now += 1s;
+    const bool which = *rc::gen::inRange(0, 2) == 0;
+    Fleet& fleet = which ? one : two;
+    StageBalance& balance = which ? first : second;
+    for (const RelayUpstream& it : balance.Choose(fleet.mRoster, now)) {
+      if (*rc::gen::inRange(0, 3) > 0) {
+        rows.insert(it.mId);
+        balance.OnTaken(it);
+      }
+    }
+    for (const std::string& id : rows) {
+      if (*rc::gen::inRange(0, 3) == 0) {
+        fleet.Switch(id);
+      }
+    }
+    fleet.List(now);
+  }
+  std::size_t left = 0;
+  for (const RelayUpstream& it : one.mEngines) {
+    left += it.mStage == RelayStage::Prefill && rows.count(it.mId) == 0 ? 1 : 0;
+  }
+  RC_ASSERT(left >= least);
+}
