Wait less before the first order to an engine

Cause: engines were listed 8 to 6 s before traffic, ordered at -1.9 s and -0.9 s, and back at 4.8 s and 5.5 s: 4 s of waiting that only an engine started anew under its id needs (holders' orders may not take turns within 3 s).

Change: 1.5 s for an engine under a new id, 4 s for one that is listed under an id known before. The naive counterpart of leaving wasn't found by its test: the test now holds a request open past the time for late callers.

--- a/Peridothoist/Relay/StageBalance.cpp
+++ b/Peridothoist/Relay/StageBalance.cpp
@@ -15,15 +15,22 @@
 void
 StageBalance::NoteListed(const UpstreamRoster& aRoster, TimePoint aNow)
 {
-  std::map<std::string, TimePoint> listed;
+  std::map<std::string, TimePoint> orderFrom;
+  std::set<std::string> ids;
   for (const auto& [id, entry] : aRoster.All()) {
     const std::string life = LifeOf(entry.mUpstream);
-    const auto before = mListedSince.find(life);
-    listed[life] = before == mListedSince.end() ? aNow : before->second;
+    const auto known = mOrderFrom.find(life);
+    const bool reborn = mIds.count(id) > 0;
+    orderFrom[life] =
+      known != mOrderFrom.end()
+        ? known->second
+        : aNow + (reborn ? mSettings.mLeastReborn : mSettings.mLeastListed);
+    ids.insert(id);
   }
-  mListedSince = std::move(listed);
+  mOrderFrom = std::move(orderFrom);
+  mIds = std::move(ids);
   for (auto it = mTaken.begin(); it != mTaken.end();) {
-    it = mListedSince.count(*it) == 0 ? mTaken.erase(it) : std::next(it);
+    it = mOrderFrom.count(*it) == 0 ? mTaken.erase(it) : std::next(it);
   }
 }
 
@@ -79,8 +86,7 @@
     for (const RelayUpstream* it :
          ChooseAmong(readers, readers.size() - kept)) {
       const std::string life = LifeOf(*it);
-      const bool known = aNow - mListedSince[life] >= mSettings.mLeastListed;
-      if (known && mTaken.count(life) == 0) {
+      if (aNow >= mOrderFrom[life] && mTaken.count(life) == 0) {
         chosen.push_back(*it);
       }
     }
--- a/Peridothoist/Relay/StageBalance.h
+++ b/Peridothoist/Relay/StageBalance.h
@@ -18,9 +18,10 @@
 {
   double mPrefillPart = 0.2;     ///< Of a service's engines; 0: leave them all.
   std::size_t mLeastPrefill = 2; ///< Of a service.
-  /// An engine is left alone until it was listed for so long: over the time
+  Duration mLeastListed = 1500ms; ///< An engine is left alone until then.
+  /// And for so long when it was started anew under its id: over the time
   /// within which two holders' orders may not take turns.
-  Duration mLeastListed = 4s;
+  Duration mLeastReborn = 4s;
 };
 
 /// Makes the choice.
@@ -56,7 +57,9 @@
   Engines ChooseAmong(Engines aPrefill, std::size_t aExcess) const;
 
   Settings mSettings;
-  std::map<std::string, TimePoint> mListedSince; ///< By life.
+  /// When a life may have its order.
+  std::map<std::string, TimePoint> mOrderFrom;
+  std::set<std::string> mIds; ///< That were listed last.
   std::set<std::string> mTaken;                  ///< Lives.
 };
 
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -184,13 +184,19 @@
       if (CallAndWait(aCall)->mStatus == aStatus) {
         return true;
       }
-      bool passed = false;
-      mReactor->Schedule(10ms, [&] { passed = true; });
-      Until([&] { return passed; });
+      Pass(10ms);
     }
     return false;
   }
 
+  /// Lets time pass; false when the node stopped the reactor meanwhile.
+  bool Pass(Duration aTime)
+  {
+    bool passed = false;
+    mReactor->Schedule(aTime, [&] { passed = true; });
+    return Until([&] { return passed; });
+  }
+
   MemoryStore mStore;
   HttpRequest mSeen;
   platform::PlatformCallers mCallers;
@@ -286,6 +292,8 @@
   BOOST_REQUIRE(Until([&] { return mHandler.mRequests > before; }));
   mNode->StartLeaving();
   BOOST_TEST(CallAndWait(Page(8224, "/-/ready"))->mStatus == 503);
+  // Past the time for late callers, only the open request holds the node.
+  BOOST_REQUIRE(Pass(200ms));
   mHandler.mLast->Respond(
     200, { { "request-id", "id-1" }, { "response-seal", "s" } }, "late");
   mReactor->Run(); // Until the node has left.
