Ask the store less often while it is away

Change: retries double, up to 200 ms at VMs that read for all, 1.6 s at the others, which hear from those that the store is back, and 5 s for the names of VMs.

The stand-in engines take orders, the soak checks that each life of an engine has one, and test_nodes that two of six are ordered, once, by one VM.

--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -424,7 +424,7 @@
   const std::vector<std::string> readers = Readers();
   const bool reads =
     std::find(readers.begin(), readers.end(), mSettings.mVm) != readers.end();
-  mReader.SetFollowing(!reads && IsViewYoung());
+  mReader.SetRole(reads, !reads && IsViewYoung());
   if (!reads) {
     mPeers->AskView(readers[mAsked++ % readers.size()]);
   }
--- a/Peridothoist/Node/ViewReader.cpp
+++ b/Peridothoist/Node/ViewReader.cpp
@@ -3,8 +3,16 @@
 
 #include <Peridothoist/Shell/Log.h>
 
+#include <algorithm>
+
 namespace peridothoist {
 
+namespace {
+
+constexpr std::uint32_t kMostDoublings = 8;
+
+} // namespace
+
 ViewReader::ViewReader(const Settings& aSettings,
                        Reactor* aReactor,
                        RowStore* aStore,
@@ -45,7 +53,7 @@
 ViewReader::Begin(Loop& aLoop)
 {
   aLoop.mTimer = 0;
-  if (mFollowing && !aLoop.mFailed && &aLoop != &mVmLoop) {
+  if (mFollowing && aLoop.mFailures == 0 && &aLoop != &mVmLoop) {
     return; // SetFollowing(false) or a peer's word begins the next one.
   }
   BeginNow(aLoop);
@@ -69,28 +77,43 @@
 void
 ViewReader::Next(Loop& aLoop, bool aOk, const Reason& aReason)
 {
-  if (aOk == aLoop.mFailed) {
-    aLoop.mFailed = !aOk;
-    if (aOk) {
-      Log::Info("store_regained").Field("table", aLoop.mName);
-    } else {
-      Log::Warning("store_lost")
-        .Field("table", aLoop.mName)
-        .Field("code", ToName(aReason.mCode))
-        .Field("reason", aReason.mText);
-    }
+  if (aOk && aLoop.mFailures > 0) {
+    Log::Info("store_regained")
+      .Field("table", aLoop.mName)
+      .Field("failures", aLoop.mFailures);
+  } else if (!aOk && aLoop.mFailures == 0) {
+    Log::Warning("store_lost")
+      .Field("table", aLoop.mName)
+      .Field("code", ToName(aReason.mCode))
+      .Field("reason", aReason.mText);
   }
+  aLoop.mFailures = aOk ? 0 : aLoop.mFailures + 1;
   aLoop.mInHand = false;
   const Duration passed = mReactor->Now() - aLoop.mBegan;
   const Duration wait =
     aOk ? std::max(mSettings.mRetryInterval, IntervalOf(aLoop) - passed)
-        : mSettings.mRetryInterval;
+        : RetryOf(aLoop);
   aLoop.mTimer = mReactor->Schedule(wait, [this, &aLoop] { Begin(aLoop); });
 }
 
+/// While the store is away, few VMs ask for it often: the others hear from
+/// them that it is back.
+Duration
+ViewReader::RetryOf(const Loop& aLoop) const
+{
+  Duration longest =
+    mReadsForAll ? mSettings.mLongestRetry : mSettings.mLongestFollowerRetry;
+  if (&aLoop == &mVmLoop) {
+    longest = mSettings.mLongestVmRetry;
+  }
+  const std::uint32_t doublings = std::min(aLoop.mFailures, kMostDoublings) - 1;
+  return std::min(longest, mSettings.mRetryInterval * (1 << doublings));
+}
+
 void
-ViewReader::SetFollowing(bool aFollowing)
+ViewReader::SetRole(bool aReadsForAll, bool aFollowing)
 {
+  mReadsForAll = aReadsForAll;
   if (aFollowing == mFollowing) {
     return;
   }
--- a/Peridothoist/Node/ViewReader.h
+++ b/Peridothoist/Node/ViewReader.h
@@ -40,8 +40,14 @@
   Duration mUpstreamInterval = 800ms;      ///< As above, for leaving upstreams.
   Duration mVmInterval = 5s;
   Duration mFollowerVmInterval = 20s;
-  Duration mRetryInterval = 100ms; ///< After a failed read.
-  std::string mVmTable = "vms";    ///< One row for each registered VM.
+  /// After a failed read. Doubles with each further one up to the longest: of
+  /// the VMs that read for others, of those that are told by them, and of the
+  /// names of registered VMs, which are in no hurry.
+  Duration mRetryInterval = 100ms;
+  Duration mLongestRetry = 200ms;
+  Duration mLongestFollowerRetry = 1600ms;
+  Duration mLongestVmRetry = 5s;
+  std::string mVmTable = "vms"; ///< One row for each registered VM.
 };
 
 /// Reads on, until it goes.
@@ -60,9 +66,10 @@
 
   void Start();
 
-  /// While it follows, peers confirm the view and only the registered VMs are
-  /// read at intervals.
-  void SetFollowing(bool aFollowing);
+  /// aReadsForAll: peers rely on this VM's reads. Else it follows while
+  /// aFollowing: peers confirm the view, and only the registered VMs are read
+  /// at intervals.
+  void SetRole(bool aReadsForAll, bool aFollowing);
 
   /// Reads now: a peer has something newer.
   void ReadConfigurationNow() { BeginNow(mConfigurationLoop); }
@@ -78,9 +85,9 @@
     Duration mInterval;
     Reader mRead;
     Reactor::TimerId mTimer = 0;
-    TimePoint mBegan = {}; ///< Of the read in hand or the last one.
-    bool mInHand = false;  ///< A read has no answer yet.
-    bool mFailed = false;  ///< The last read failed; for the log.
+    TimePoint mBegan = {};       ///< Of the read in hand or the last one.
+    bool mInHand = false;        ///< A read has no answer yet.
+    std::uint32_t mFailures = 0; ///< Failed reads since the last good one.
   };
 
   void ReadConfiguration();
@@ -90,6 +97,7 @@
   void Begin(Loop& aLoop);
   void BeginNow(Loop& aLoop);
   Duration IntervalOf(const Loop& aLoop) const;
+  Duration RetryOf(const Loop& aLoop) const;
 
   Settings mSettings;
   Reactor* mReactor;
@@ -101,6 +109,7 @@
   Loop mVmLoop;
   /// Versions of rows that couldn't be read, so that each is logged once.
   std::map<std::string, std::uint64_t> mPassedOver;
+  bool mReadsForAll = true;
   bool mFollowing = false;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/SystemTests/soak/promises.py
+++ b/SystemTests/soak/promises.py
@@ -67,6 +67,7 @@
             self._check_answered(one, runs)
         for it in seen:
             self._check_seen(it, runs)
+        self._check_orders()
         self._check_repeats(seen)
         self._check_allowance(seen)
 
@@ -125,6 +126,16 @@
         if left is not None and touch and it.at > left + LEAVE_BOUND:
             self._break("LEAVING", it.request_id, f"{it.at - left:.2f} s after")
 
+    def _check_orders(self):
+        """Each life of an engine has one order at most, all by fences of their
+        own."""
+        orders = list(self.record.world.orders)
+        lives = Counter(it.upstream for it in orders)
+        fences = Counter(it.fence for it in orders)
+        for it in orders:
+            if lives[it.upstream] > 1 or fences[it.fence] > 1:
+                self._break("ONE", it.upstream, f"ordered again by {it.holder}")
+
     def _check_repeats(self, seen):
         for service in set(SERVICE_OF.values()):
             asked = sorted(
--- a/SystemTests/soak/soak.py
+++ b/SystemTests/soak/soak.py
@@ -42,7 +42,7 @@
     def __init__(self, seed, seconds, troubles):
         self.rng = random.Random(seed)
         self.seconds = seconds
-        self.cluster = NodeCluster(nodes=4)
+        self.cluster = NodeCluster(nodes=4, prefills=4)
         self.record = Record(self.cluster.world, {"k2": (10, 10)})
         self.record.workspaces = {"k1": "w1", "k2": "w2", "k3": "w3", "k4": "w1"}
         self.promises = Promises(self.record)
--- a/SystemTests/test_nodes.py
+++ b/SystemTests/test_nodes.py
@@ -13,9 +13,13 @@
 from users_platform.nodes import BUILD, DIRECTORY, METRICS, NodeCluster
 
 
-class NodesTest(unittest.TestCase):
+class NodesCase(unittest.TestCase):
+    """A cluster and a caller for each test."""
+
+    ENGINES = {"prefills": 1, "decodes": 2}
+
     def setUp(self):
-        self.cluster = NodeCluster(nodes=3, ledgers=2, prefills=1, decodes=2)
+        self.cluster = NodeCluster(nodes=3, ledgers=2, **self.ENGINES)
         self.addCleanup(self.cluster.stop)
         self.cluster.start()
         self.caller = Caller("c")
@@ -66,6 +70,8 @@
 
         return wait_until(found, 5, f"{texts} in the story of {request_id}")
 
+
+class NodesTest(NodesCase):
     def test_every_node_serves_every_kind(self):
         for node in range(3):
             for kind in ("post", "look", "stream"):
@@ -149,5 +155,24 @@
         )
 
 
+class OrdersTest(NodesCase):
+    ENGINES = {"prefills": 4, "decodes": 2}
+
+    def test_idle_prefill_engines_are_ordered_to_decode_once(self):
+        """Of six engines with four on prompts, two are kept there."""
+        def readers():
+            return len(self.upstreams("lm", "prefill"))
+
+        wait_until(lambda: readers() == 2, 15, "two engines are ordered")
+        one = self.send("stream")
+        self.assertEqual((one.status, one.answer), (200, one.expected))
+        time.sleep(3)  # Longer than the looks at the engines.
+        orders = self.cluster.world.orders
+        self.assertEqual(len(orders), 2)
+        self.assertEqual(len({it.upstream for it in orders}), 2)
+        self.assertEqual(len({it.holder for it in orders}), 1)
+        self.assertEqual(readers(), 2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/SystemTests/users_platform/upstreams.py
+++ b/SystemTests/users_platform/upstreams.py
@@ -17,6 +17,7 @@
 WORK_SECONDS = 0.01
 EVENT_SECONDS = 0.015
 SLOW_FACTOR = 20
+SWITCH_SECONDS = 1.0
 
 _numbers = itertools.count(1)
 
@@ -44,6 +45,16 @@
     prefill: bool = False
 
 
+@dataclass
+class Order:
+    """One order that reached an engine."""
+
+    at: float
+    upstream: str
+    holder: str
+    fence: int
+
+
 @dataclass
 class World:
     """What all upstreams share."""
@@ -51,6 +62,7 @@
     store: object
     seen: list = field(default_factory=list)
     handles: set = field(default_factory=set)
+    orders: list = field(default_factory=list)
 
 
 class Upstream:
@@ -65,6 +77,8 @@
         self.address = address
         self.slots = slots
         self.stage = stage
+        self.own_stage = stage  # What it has after each start.
+        self.switching = False
         self.trouble = None
         self.state = "ready"
         self.draining_since = None  # When the store accepted that report.
@@ -85,6 +99,8 @@
         self.draining_since = None
         self.running = 0
         self.trouble = None
+        self.stage = self.own_stage
+        self.switching = False
         await self.server.start()
         self.up = True
         self.heartbeat = asyncio.ensure_future(self._beat())
@@ -149,7 +165,12 @@
         if request.headers.get("expect-instance", self.id) != self.id:
             writer.write(answer_bytes(421, {"Instance-Id": self.id}, b""))
             return True
-        if self.trouble == "shed" or self.running >= 2 * self.slots:
+        wrong_stage = self.stage == ("decode" if seen.prefill else "prefill")
+        if wrong_stage and not self.switching:
+            writer.write(answer_bytes(421, {"Instance-Id": self.id}, b""))
+            return True
+        full = self.running >= 2 * self.slots
+        if self.trouble == "shed" or full or self.switching:
             writer.write(answer_bytes(503, {"Not-Processed": "1"}, b""))
             return True
         if seen.prefill:
@@ -171,9 +192,29 @@
             if self.running >= self.slots:
                 return answer_bytes(503, {}, b"")
             return answer_bytes(200, {}, json.dumps({"hold": "h1"}).encode())
+        if request.path == "/-/order":
+            return answer_bytes(self._take_order(json.loads(request.body)), {}, b"")
         self.world.handles.discard(f"{self.address}/{request.path.rsplit('/', 1)[1]}")
         return answer_bytes(200, {}, b"{}")
 
+    def _take_order(self, order):
+        """Begins to change the stage, and gives the answer's status."""
+        self.world.orders.append(
+            Order(time.monotonic(), self.id, order["holder"], order["fence"])
+        )
+        if order["stage"] == self.stage:
+            return 200
+        self.switching = True
+
+        def switch():
+            self.stage = order["stage"]
+            self.switching = False
+            if self.up:
+                self._register()
+
+        asyncio.get_event_loop().call_later(SWITCH_SECONDS, switch)
+        return 202
+
     async def _prefill(self, writer):
         await asyncio.sleep(WORK_SECONDS)
         handle = f"p{next(_numbers)}"
