Log limits that change and what an allowance refusal was decided from

A refusal for the allowance now names the workspace, the request's cost, the tokens left and the part of the VMs that is heard; a new version's changed limits have a line each.

--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -180,14 +180,7 @@
     return;
   }
   mMetrics.ObserveRefusal(refusal.mKind);
-  Log::Info("refused_on_arrival")
-    .Field("id", question ? question->mName : "")
-    .Field("type", ToName(refusal.mKind))
-    .Field("status", refusal.Status())
-    .Field("version", mView.Version())
-    .Field("view_age_ms", ToMillis(mView.Age(now)))
-    .Field("retry_after_ms", ToMillis(refusal.mRetryAfter))
-    .Field("reason", reason.mText);
+  LogRefusal(question, refusal, reason);
   mRunner.Refuse(*aExchange, refusal);
 }
 
@@ -205,13 +198,63 @@
   return Refusal::Make(RefusalKind::Leaving, RunVerdictTracker(), wait);
 }
 
+/// Logs the limits of workspaces that changed.
+void
+NodeProcess::LogLimits(const RelayConfiguration* aOld,
+                       const RelayConfiguration& aNew) const
+{
+  for (const auto& [name, workspace] : aNew.Workspaces()) {
+    const bool known = aOld != nullptr && aOld->Workspaces().count(name) > 0;
+    const bool same =
+      known && aOld->Workspaces().at(name).HasLimitOf(workspace);
+    if (!same) {
+      Log::Info("workspace_limit")
+        .Field("workspace", name)
+        .Field("tokens_per_s", workspace.mTokensPerSecond)
+        .Field("burst_tokens", workspace.mBurstTokens)
+        .Field("plain_tokens", workspace.mPlainTokens)
+        .Field("version", aNew.mVersion);
+    }
+  }
+}
+
+/// Logs a refusal at the door, with what it was decided from.
+void
+NodeProcess::LogRefusal(const std::optional<RelayQuestion>& aQuestion,
+                        const Refusal& aRefusal,
+                        const Reason& aReason)
+{
+  const TimePoint now = mReactor->Now();
+  const auto& configuration = mView.Configuration();
+  const RelayWorkspace* workspace =
+    aQuestion && configuration != nullptr
+      ? configuration->FindByKey(aQuestion->mKey)
+      : nullptr;
+  LogLine line = Log::Info("refused_on_arrival");
+  line.Field("id", aQuestion ? aQuestion->mName : "")
+    .Field("type", ToName(aRefusal.mKind))
+    .Field("status", aRefusal.Status())
+    .Field("version", mView.Version())
+    .Field("view_age_ms", ToMillis(mView.Age(now)))
+    .Field("retry_after_ms", ToMillis(aRefusal.mRetryAfter))
+    .Field("reason", aReason.mText);
+  if (workspace != nullptr) {
+    line.Field("workspace", workspace->mName)
+      .Field("cost", RelayIntake::CostOf(*workspace, *aQuestion))
+      .Field("left", mLedger.Left(now)[workspace->mName])
+      .Field("heard_part", mPeers->Members().HeardPart(now));
+  }
+}
+
 void
 NodeProcess::OnConfigurationRead(
   std::shared_ptr<const RelayConfiguration> aConfiguration,
   TimePoint aBegan)
 {
   const std::uint64_t before = mView.Version();
+  const auto old = mView.Configuration();
   if (mView.OnRead(aConfiguration, aBegan)) {
+    LogLimits(old.get(), *aConfiguration);
     mMachine.SetConfiguration(aConfiguration);
     mLedger.SetWorkspaces(aConfiguration->Workspaces());
     Log::Info("configuration_in_force")
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -71,6 +71,11 @@
   NodeGauges Gauges();
   std::string RenderMetrics();
   void CheckLeft();
+  void LogLimits(const RelayConfiguration* aOld,
+                 const RelayConfiguration& aNew) const;
+  void LogRefusal(const std::optional<RelayQuestion>& aQuestion,
+                  const Refusal& aRefusal,
+                  const Reason& aReason);
   std::optional<Refusal> RefuseWhileLeaving(const RelayArrival& aArrival);
   void ShareReads();
   bool Leads() const;
--- a/Peridothoist/Relay/RelayConfiguration.h
+++ b/Peridothoist/Relay/RelayConfiguration.h
@@ -83,6 +83,15 @@
   double mBurstTokens = 0;
   bool mCountsTokens = true;      ///< Else each request counts as one.
   std::uint64_t mPlainTokens = 1; ///< Cost of a request that states no tokens.
+
+  /// Whether the other's limit and count are the same.
+  bool HasLimitOf(const RelayWorkspace& aOther) const
+  {
+    return mTokensPerSecond == aOther.mTokensPerSecond &&
+           mBurstTokens == aOther.mBurstTokens &&
+           mCountsTokens == aOther.mCountsTokens &&
+           mPlainTokens == aOther.mPlainTokens;
+  }
 };
 
 /// A whole configuration at one version.
--- a/Peridothoist/Relay/RelayIntake.cpp
+++ b/Peridothoist/Relay/RelayIntake.cpp
@@ -42,20 +42,6 @@
          static_cast<std::uint64_t>(expected * kHeldOutputPart);
 }
 
-/// What a request takes off its workspace's allowance.
-double
-CostOf(const RelayWorkspace& aWorkspace, const RelayQuestion& aQuestion)
-{
-  if (!aWorkspace.mCountsTokens) {
-    return 1;
-  }
-  if (!aQuestion.mPromptTokens) {
-    return static_cast<double>(aWorkspace.mPlainTokens);
-  }
-  return static_cast<double>(*aQuestion.mPromptTokens +
-                             aQuestion.mOutputTokens);
-}
-
 Refusal
 NotRun(RefusalKind aKind, Duration aRetryAfter)
 {
@@ -73,6 +59,19 @@
 {
 }
 
+double
+RelayIntake::CostOf(const RelayWorkspace& aWorkspace, const RelayQuestion& aQuestion)
+{
+  if (!aWorkspace.mCountsTokens) {
+    return 1;
+  }
+  if (!aQuestion.mPromptTokens) {
+    return static_cast<double>(aWorkspace.mPlainTokens);
+  }
+  return static_cast<double>(*aQuestion.mPromptTokens +
+                             aQuestion.mOutputTokens);
+}
+
 std::optional<RelayArrival>
 RelayIntake::Admit(std::uint64_t aId,
                    const RelayQuestion& aQuestion,
--- a/Peridothoist/Relay/RelayIntake.h
+++ b/Peridothoist/Relay/RelayIntake.h
@@ -41,6 +41,10 @@
                                     TimePoint aNow,
                                     Refusal* aRefusal);
 
+  /// What a request takes off its workspace's allowance.
+  static double CostOf(const RelayWorkspace& aWorkspace,
+                       const RelayQuestion& aQuestion);
+
   /// What this VM can serve to new callers now.
   ServingState Serving(TimePoint aNow) const;
 
