Grant allowances by a token bucket

Late news take its level below nothing, and it is earned back. The wait that a refusal tells is the bucket's.

AWindowHoldsRateAndBurst held the window to be spent at once; it now checks the same bound and the same least over a window of steady asking, and the burst at once. Two cases are new; the steady one fails with the window alone.

--- a/Peridothoist/Relay/UsageLedger.cpp
+++ b/Peridothoist/Relay/UsageLedger.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// No VM waits for longer than if it heard this part of the others.
+constexpr double kLeastPart = 0.01;
+
 double
 ToSeconds(Duration aDuration)
 {
@@ -28,6 +31,7 @@
   std::map<std::string, Account> accounts;
   for (const auto& [name, workspace] : aWorkspaces) {
     Account& account = accounts[name];
+    account.mLevelAt = mStart;
     const auto known = mAccounts.find(name);
     if (known != mAccounts.end()) {
       account = std::move(known->second);
@@ -50,6 +54,18 @@
 {
   aAccount.mGrants.push_back({ aNow, aTokens });
   aAccount.mSum += aTokens;
+  aAccount.mLevel -= aTokens;
+}
+
+/// Brings the bucket's level up to now.
+void
+UsageLedger::Fill(Account& aAccount, TimePoint aNow) const
+{
+  const double passed =
+    ToSeconds(std::max(Duration(0), aNow - aAccount.mLevelAt));
+  const double filled = aAccount.mLevel + aAccount.mRate * mPart * passed;
+  aAccount.mLevel = std::min(aAccount.mBurst * mPart, filled);
+  aAccount.mLevelAt = std::max(aAccount.mLevelAt, aNow);
 }
 
 void
@@ -72,15 +88,13 @@
   return whole * mPart;
 }
 
-/// The limit for a request of aTokens.
+/// What a request of aTokens leaves for smaller ones.
 double
-UsageLedger::RoomFor(const Account& aAccount,
-                     double aTokens,
-                     TimePoint aNow) const
+UsageLedger::KeptFrom(const Account& aAccount, double aTokens) const
 {
-  const double limit = LimitOf(aAccount, aNow);
-  const bool small = aTokens <= limit * mSettings.mSmallPart;
-  return small ? limit : limit * (1 - mSettings.mKeptForSmall);
+  const double burst = aAccount.mBurst * mPart;
+  const bool small = aTokens <= burst * mSettings.mSmallPart;
+  return small ? 0 : burst * mSettings.mKeptForSmall;
 }
 
 /// How long until aExcess tokens have left the window.
@@ -109,12 +123,21 @@
     return std::nullopt;
   }
   Drop(*account, aNow);
-  const double limit = RoomFor(*account, aTokens, aNow);
-  // A request above the whole limit is let in while nothing else was: else it
+  Fill(*account, aNow);
+  const double limit = LimitOf(*account, aNow);
+  // A request above the whole is let in while the bucket is full: else it
   // could never run.
+  const double full = account->mBurst * mPart;
+  const double needed = std::min(full, aTokens + KeptFrom(*account, aTokens));
   const bool alone = account->mSum <= 0 && limit > 0;
-  if (account->mSum + aTokens > limit && !alone) {
-    return WaitFor(*account, account->mSum + aTokens - limit, aNow);
+  const double excess = account->mSum + aTokens - limit;
+  if (account->mLevel < needed) {
+    const double missing = needed - account->mLevel;
+    return std::chrono::ceil<Duration>(std::chrono::duration<double>(
+      missing / (account->mRate * std::max(mPart, kLeastPart))));
+  }
+  if (excess > 0 && !alone) {
+    return WaitFor(*account, excess, aNow);
   }
   Add(*account, aTokens, aNow);
   mGranted[aWorkspace] += static_cast<std::int64_t>(aTokens);
@@ -130,6 +153,7 @@
   if (account == nullptr) {
     return;
   }
+  Fill(*account, aNow);
   Add(*account, -aTokens, aNow);
   mGranted[aWorkspace] -= static_cast<std::int64_t>(aTokens);
 }
@@ -151,6 +175,7 @@
     Account* account = Limited(workspace);
     if (account != nullptr && delta != 0) {
       Drop(*account, aNow);
+      Fill(*account, aNow);
       Add(*account, static_cast<double>(delta), aNow);
     }
   }
@@ -164,7 +189,9 @@
   for (auto& [workspace, account] : mAccounts) {
     if (account.mRate > 0) {
       Drop(account, aNow);
-      left[workspace] = LimitOf(account, aNow) - account.mSum;
+      Fill(account, aNow);
+      left[workspace] =
+        std::min(account.mLevel, LimitOf(account, aNow) - account.mSum);
     }
   }
   return left;
--- a/Peridothoist/Relay/UsageLedger.h
+++ b/Peridothoist/Relay/UsageLedger.h
@@ -1,13 +1,15 @@
-/// Spends workspaces' allowances over all VMs together. Every VM counts what
-/// it and the others granted in the last window, its own grants at once and
-/// the others' as it hears of them. For a VM that it doesn't hear, it sets
-/// that VM's equal part aside, since that VM may be spending.
+/// Spends workspaces' allowances over all VMs together: a token bucket of the
+/// rate and the burst, and besides it a bound on every window. Every VM counts
+/// what it and the others granted, its own grants at once and the others' as it
+/// hears of them. For a VM that it doesn't hear, it sets that VM's equal part
+/// aside, since that VM may be spending.
 ///
 /// Over any window all VMs together grant at most rate x window + burst and
 /// what they granted unheard of each other, which is bounded by the interval
 /// between their messages. A VM that started a moment ago doesn't know what
 /// was granted before and lets the allowance grow from nothing, so a restart
-/// of all VMs gives nobody a second burst.
+/// of all VMs gives nobody a second burst. The bucket alone would hold a window
+/// to the same; but news that come late would fill it while it is full.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
@@ -24,11 +26,11 @@
 struct UsageLedgerSettings
 {
   Duration mWindow = 8s; ///< Any span of this length counts.
-  /// This part of an allowance is kept for small requests: a few large ones
-  /// less leave room for many of them.
+  /// This part of the burst is kept for small requests: a few large ones less
+  /// leave room for many of them.
   double mKeptForSmall = 0.05;
-  /// A small request takes at most this part of an allowance.
-  double mSmallPart = 0.002;
+  /// A small request takes at most this part of a burst.
+  double mSmallPart = 0.02;
 };
 
 /// One VM's view of all workspaces' allowances.
@@ -83,13 +85,16 @@
     double mBurst = 0;         ///< Tokens, of the whole.
     std::deque<Grant> mGrants; ///< Of the window, in order.
     double mSum = 0;           ///< Over mGrants.
+    double mLevel = 0;         ///< Of the bucket; below 0 after late news.
+    TimePoint mLevelAt;        ///< As of which mLevel is.
   };
 
   Account* Limited(const std::string& aWorkspace);
   void Add(Account& aAccount, double aTokens, TimePoint aNow) const;
   void Drop(Account& aAccount, TimePoint aNow) const;
+  void Fill(Account& aAccount, TimePoint aNow) const;
   double LimitOf(const Account& aAccount, TimePoint aNow) const;
-  double RoomFor(const Account& aAccount, double aTokens, TimePoint aNow) const;
+  double KeptFrom(const Account& aAccount, double aTokens) const;
   Duration WaitFor(const Account& aAccount,
                    double aExcess,
                    TimePoint aNow) const;
--- a/UnitTests/Relay/UsageLedgerTest.cpp
+++ b/UnitTests/Relay/UsageLedgerTest.cpp
@@ -51,20 +51,50 @@
 {
   UsageLedger ledger = MakeLedger();
   const double whole = kRate * 8 + kBurst;
-  const double granted = Drain(ledger, kStart + 20s);
+  const double burst = Drain(ledger, kStart + 20s);
+  BOOST_TEST(burst <= kBurst);
+  BOOST_TEST(burst >= kBurst * 0.94);
+  double granted = burst;
+  for (int step = 1; step <= 79; ++step) {
+    granted += Drain(ledger, kStart + 20s + step * Duration(100ms));
+  }
   BOOST_TEST(granted <= whole);
   BOOST_TEST(granted >= whole * 0.94);
-  BOOST_TEST(Drain(ledger, kStart + 27s) == 0);
-  BOOST_TEST(Drain(ledger, kStart + 28s) >= whole * 0.94);
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsAskedSteadilyAtTheRateIsGranted)
+{
+  // Pattern: a workspace asks three times its rate for ten seconds. What lies
+  // within its rate is granted all the time, and not in turns of nothing.
+  UsageLedger ledger = MakeLedger();
+  Drain(ledger, kStart + 20s);
+  for (int second = 21; second < 40; ++second) {
+    const double granted = Drain(ledger, kStart + second * Duration(1s));
+    BOOST_TEST(granted >= kRate * 0.9);
+    BOOST_TEST(granted <= kRate * 1.1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ALargeRequestWaitsForAFullBucketOnly)
+{
+  UsageLedger ledger = MakeLedger();
+  Drain(ledger, kStart + 20s);
+  const auto wait = ledger.Spend("w", kBurst * 3, kStart + 20s);
+  BOOST_REQUIRE(wait.has_value());
+  BOOST_TEST((*wait <= 2s));
+  BOOST_TEST(!ledger.Spend("w", kBurst * 3, kStart + 20s + *wait));
+  BOOST_TEST(Drain(ledger, kStart + 25s) == 0); // It has to be earned first.
 }
 
 BOOST_AUTO_TEST_CASE(TheWaitIsTrue)
 {
   UsageLedger ledger = MakeLedger();
   Drain(ledger, kStart + 20s);
-  const auto wait = ledger.Spend("w", 100, kStart + 21s);
+  const TimePoint soon = kStart + 20s + 10ms;
+  const auto wait = ledger.Spend("w", 100, soon);
   BOOST_REQUIRE(wait.has_value());
-  BOOST_TEST(!ledger.Spend("w", 100, kStart + 21s + *wait));
+  BOOST_TEST(ledger.Spend("w", 100, soon + *wait - 1ms).has_value());
+  BOOST_TEST(!ledger.Spend("w", 100, soon + *wait));
 }
 
 BOOST_AUTO_TEST_CASE(AStartGivesNobodyASecondBurst)
