Let late requests wait while other VMs have some that can be in time

Cause: in a burst over 64 VMs each has a few requests waiting; one whose own are all late begins them, while another's could be in time for the same memory.

Change: VMs tell how many of their waiting requests can be in time and how many are late. Late ones begin when nobody says that it has others.

--- a/Peridothoist/Node/NodePeers.cpp
+++ b/Peridothoist/Node/NodePeers.cpp
@@ -184,7 +184,7 @@
   news.mPeerAddress = mSettings.mPeerListen;
   news.mGranted = mLedger->Granted();
   news.mWork = mMachine->Loads().Own();
-  news.mWaiting = mMachine->Waiting();
+  news.mWaiting = mMachine->WaitingNow(now);
   news.mGone = mMachine->Loads().FoundGone(now);
   news.mFailing = mMachine->Loads().Outcomes().Failing(now);
   news.mCrashes = MakeCrashNews(now);
--- a/Peridothoist/Node/NodeSettings.cpp
+++ b/Peridothoist/Node/NodeSettings.cpp
@@ -45,6 +45,12 @@
                    "setting revoke_limit_ms is too short; allowed: more than " +
                      std::to_string(mView.mMargin.count() / 1000) };
   }
+  const double prefill = mOrders.mBalance.mPrefillPart;
+  if (!(prefill >= 0 && prefill <= 1)) {
+    return Reason{ ReasonCode::Invalid,
+                   "setting prefill_part is " + std::to_string(prefill) +
+                     "; allowed: 0 to 1" };
+  }
   return std::nullopt;
 }
 
--- a/Peridothoist/Node/RelayRunner.cpp
+++ b/Peridothoist/Node/RelayRunner.cpp
@@ -427,7 +427,7 @@
     .Field("run", ToName(refusal.mVerdict))
     .Field("retry_after_ms", ToMillis(refusal.mRetryAfter))
     .Field("waiting", mMachine->Waiting())
-    .Field("peers_waiting", mMachine->Loads().PeersWaiting())
+    .Field("peers_waiting", mMachine->Loads().PeersWaiting().All())
     .Field("upstreams", mMachine->Roster().All().size())
     .Field("found_gone", mMachine->Loads().FoundGone(now).size())
     .Field("list_age_ms", ToMillis(now - listedAt.value_or(now)));
--- a/Peridothoist/Node/VmNewsCodec.cpp
+++ b/Peridothoist/Node/VmNewsCodec.cpp
@@ -97,7 +97,9 @@
     news.mWork[id] = { work.at(0).get<std::uint32_t>(),
                        work.at(1).get<std::uint64_t>() };
   }
-  news.mWaiting = aValue.at(kWaiting).get<std::uint64_t>();
+  const json& waiting = aValue.at(kWaiting);
+  news.mWaiting = { waiting.at(0).get<std::uint32_t>(),
+                    waiting.at(1).get<std::uint32_t>() };
   news.mGone = aValue.at(kGone).get<std::vector<std::string>>();
   news.mFailing = DecodeFailing(aValue.at(kFailing));
   for (const json& it : aValue.at(kCrashes)) {
@@ -167,20 +169,21 @@
 std::string
 EncodeVmNews(const VmNews& aNews)
 {
-  return ToBytes({ { kVm, aNews.mVm },
-                   { kInstance, aNews.mInstance },
-                   { kSequence, aNews.mSequence },
-                   { kCallers, aNews.mCallerAddress },
-                   { kPeer, aNews.mPeerAddress },
-                   { kServing, static_cast<int>(aNews.mServing) },
-                   { kLeaving, aNews.mLeaving },
-                   { kGranted, aNews.mGranted },
-                   { kWork, EncodeWork(aNews.mWork) },
-                   { kWaiting, aNews.mWaiting },
-                   { kGone, aNews.mGone },
-                   { kFailing, EncodeFailing(aNews.mFailing) },
-                   { kCrashes, EncodeCrashes(aNews.mCrashes) },
-                   { kKnownPeers, aNews.mPeers } });
+  return ToBytes(
+    { { kVm, aNews.mVm },
+      { kInstance, aNews.mInstance },
+      { kSequence, aNews.mSequence },
+      { kCallers, aNews.mCallerAddress },
+      { kPeer, aNews.mPeerAddress },
+      { kServing, static_cast<int>(aNews.mServing) },
+      { kLeaving, aNews.mLeaving },
+      { kGranted, aNews.mGranted },
+      { kWork, EncodeWork(aNews.mWork) },
+      { kWaiting, { aNews.mWaiting.mInTime, aNews.mWaiting.mLate } },
+      { kGone, aNews.mGone },
+      { kFailing, EncodeFailing(aNews.mFailing) },
+      { kCrashes, EncodeCrashes(aNews.mCrashes) },
+      { kKnownPeers, aNews.mPeers } });
 }
 
 std::optional<VmNews>
--- a/Peridothoist/Relay/LoadBoard.cpp
+++ b/Peridothoist/Relay/LoadBoard.cpp
@@ -26,12 +26,13 @@
   it->second.mTokens += aTokens; // Told with the next regular message.
 }
 
-std::size_t
+WaitingRequests
 LoadBoard::PeersWaiting() const
 {
-  std::size_t waiting = 0;
-  for (const auto& [peer, count] : mPeersWaiting) {
-    waiting += count;
+  WaitingRequests waiting;
+  for (const auto& [peer, its] : mPeersWaiting) {
+    waiting.mInTime += its.mInTime;
+    waiting.mLate += its.mLate;
   }
   return waiting;
 }
--- a/Peridothoist/Relay/LoadBoard.h
+++ b/Peridothoist/Relay/LoadBoard.h
@@ -40,6 +40,15 @@
   std::uint32_t mSlots = 0; ///< 0: not stated.
 };
 
+/// Requests that wait for room at a VM.
+struct WaitingRequests
+{
+  std::size_t mInTime = 0; ///< They can still be in time.
+  std::size_t mLate = 0;
+
+  std::size_t All() const { return mInTime + mLate; }
+};
+
 /// Settings of a LoadBoard.
 struct LoadBoardSettings
 {
@@ -87,12 +96,12 @@
   {
     return std::chrono::duration<double>(mNewsAge).count();
   }
-  /// How many requests another VM keeps waiting for room.
-  void OnPeerWaiting(const std::string& aPeer, std::size_t aWaiting)
+  /// What another VM keeps waiting for room.
+  void OnPeerWaiting(const std::string& aPeer, const WaitingRequests& aWaiting)
   {
     mPeersWaiting[aPeer] = aWaiting;
   }
-  std::size_t PeersWaiting() const;
+  WaitingRequests PeersWaiting() const;
   void ForgetPeer(const std::string& aPeer);
 
   /// The upstream could not be reached, or broke a call.
@@ -149,9 +158,9 @@
   WorkByUpstream mOwn;
   std::uint64_t mRevision = 0;
   Duration mNewsAge{ 0 };
-  std::map<std::string, WorkByUpstream> mPeers;     ///< By peer.
-  WorkByUpstream mPeerSums;                         ///< Of mPeers.
-  std::map<std::string, std::size_t> mPeersWaiting; ///< By peer.
+  std::map<std::string, WorkByUpstream> mPeers;         ///< By peer.
+  WorkByUpstream mPeerSums;                             ///< Of mPeers.
+  std::map<std::string, WaitingRequests> mPeersWaiting; ///< By peer.
   std::map<std::string, Stated> mStated;
   std::map<std::string, Failures> mFailures;
   OutcomeBoard mOutcomes;
--- a/Peridothoist/Relay/MemberBook.h
+++ b/Peridothoist/Relay/MemberBook.h
@@ -47,9 +47,9 @@
   std::string mCallerAddress;  ///< Where callers connect, "ip:port".
   std::string mPeerAddress;    ///< Where it hears the others, "ip:port".
   ServingState mServing = ServingState::Nothing;
-  bool mLeaving = false;          ///< It stops soon.
-  GrantedTokens mGranted;         ///< Net, since the instance started.
-  std::uint64_t mWaiting = 0;     ///< Requests that wait for room.
+  bool mLeaving = false;  ///< It stops soon.
+  GrantedTokens mGranted; ///< Net, since the instance started.
+  WaitingRequests mWaiting;
   WorkByUpstream mWork;           ///< Its open requests.
   std::vector<std::string> mGone; ///< Upstreams that it found gone.
   CountsByUpstream mFailing;      ///< Upstreams that fail its calls.
--- a/Peridothoist/Relay/RelayIntake.cpp
+++ b/Peridothoist/Relay/RelayIntake.cpp
@@ -60,7 +60,8 @@
 }
 
 double
-RelayIntake::CostOf(const RelayWorkspace& aWorkspace, const RelayQuestion& aQuestion)
+RelayIntake::CostOf(const RelayWorkspace& aWorkspace,
+                    const RelayQuestion& aQuestion)
 {
   if (!aWorkspace.mCountsTokens) {
     return 1;
--- a/Peridothoist/Relay/RelayMachine.h
+++ b/Peridothoist/Relay/RelayMachine.h
@@ -162,6 +162,8 @@
 
   std::size_t Open() const { return mRequests.size(); }
   std::size_t Waiting() const { return mWaiting.size(); }
+  /// The same, by whether they can still be in time.
+  WaitingRequests WaitingNow(TimePoint aNow);
   const RelayCounters& Counters() const { return mCounters; }
 
 private:
@@ -229,7 +231,7 @@
   void OnNoChoice(State& aState, NoChoice aWhy);
   ChoiceQuestion QuestionFor(const State& aState, RelayStage aStage) const;
   void Pump();
-  double OwnPartOfRoom(const State& aState, std::size_t aWaiting);
+  void BeginSome(const std::vector<std::uint64_t>& aRequests, double aPart);
   bool IsLate(const State& aState) const;
   const RelayEngines* EnginesOf(const State& aState) const;
 
--- a/Peridothoist/Relay/RelayPlacing.cpp
+++ b/Peridothoist/Relay/RelayPlacing.cpp
@@ -232,48 +232,71 @@
 }
 
 /// Gives room to waiting requests: to those that can still be in time before
-/// those that are late already, and by priority and arrival among each.
+/// those that are late already, here and at the other VMs, and by priority and
+/// arrival among each.
 void
 RelayMachine::Pump()
 {
-  if (mWaiting.empty()) {
+  std::vector<std::uint64_t> inTime;
+  std::vector<std::uint64_t> late;
+  for (const auto& place : mWaiting) {
+    const State* state = Find(place.second);
+    if (state != nullptr && !state->mCall) {
+      (IsLate(*state) ? late : inTime).push_back(place.second);
+    }
+  }
+  const WaitingRequests others = mLoads.PeersWaiting();
+  const auto partOf = [](std::size_t aOwn, std::size_t aOthers) {
+    return static_cast<double>(aOwn) /
+           static_cast<double>(std::max<std::size_t>(1, aOwn + aOthers));
+  };
+  BeginSome(inTime, partOf(inTime.size(), others.mInTime));
+  if (others.mInTime == 0 && mWaiting.size() <= late.size()) {
+    BeginSome(late, partOf(late.size(), others.mLate));
+  }
+}
+
+/// Begins requests, in their order, while this VM's part of the room lasts. All
+/// VMs see the same room at the same time; a fraction is rounded by chance.
+void
+RelayMachine::BeginSome(const std::vector<std::uint64_t>& aRequests,
+                        double aPart)
+{
+  if (aRequests.empty()) {
     return;
   }
-  const auto waiting = mWaiting;
-  double starts = -1;
-  for (const bool late : { false, true }) {
-    for (const auto& place : waiting) {
-      State* state = Find(place.second);
-      if (state == nullptr || state->mCall || IsLate(*state) != late) {
-        continue;
-      }
-      if (starts < 0) {
-        starts = OwnPartOfRoom(*state, waiting.size());
-      }
-      if (starts < 1) {
-        return;
-      }
+  const State& first = *Find(aRequests.front());
+  const RelayStage stage = first.mArrival.mRoute->mKind == RelayKind::Stream
+                             ? RelayStage::Decode
+                             : RelayStage::Plain;
+  const double room = mChooser.RoomFor(QuestionFor(first, stage), mNow);
+  const double part = std::max(room, 0.0) * aPart;
+  const double whole = std::floor(part);
+  double starts = whole + (mRandom->Unit() < part - whole ? 1 : 0);
+  for (const std::uint64_t id : aRequests) {
+    State* state = Find(id);
+    if (starts < 1) {
+      return;
+    }
+    if (state != nullptr && !state->mCall) {
       starts -= 1;
       Begin(*state);
     }
   }
 }
 
-/// This VM's part of the room that is free, by how many requests wait here and
-/// at the others: all VMs see the same room at the same time. A fraction is
-/// rounded by chance.
-double
-RelayMachine::OwnPartOfRoom(const State& aState, std::size_t aWaiting)
+WaitingRequests
+RelayMachine::WaitingNow(TimePoint aNow)
 {
-  const RelayStage stage = aState.mArrival.mRoute->mKind == RelayKind::Stream
-                             ? RelayStage::Decode
-                             : RelayStage::Plain;
-  const double room = mChooser.RoomFor(QuestionFor(aState, stage), mNow);
-  const double own = static_cast<double>(aWaiting);
-  const double all = own + static_cast<double>(mLoads.PeersWaiting());
-  const double part = std::max(room, 0.0) * own / all;
-  const double whole = std::floor(part);
-  return whole + (mRandom->Unit() < part - whole ? 1 : 0);
+  mNow = std::max(mNow, aNow);
+  WaitingRequests waiting;
+  for (const auto& place : mWaiting) {
+    const State* state = Find(place.second);
+    if (state != nullptr) {
+      ++(IsLate(*state) ? waiting.mLate : waiting.mInTime);
+    }
+  }
+  return waiting;
 }
 
 bool
--- a/Peridothoist/Relay/StageBalance.h
+++ b/Peridothoist/Relay/StageBalance.h
@@ -59,8 +59,8 @@
   Settings mSettings;
   /// When a life may have its order.
   std::map<std::string, TimePoint> mOrderFrom;
-  std::set<std::string> mIds; ///< That were listed last.
-  std::set<std::string> mTaken;                  ///< Lives.
+  std::set<std::string> mIds;   ///< That were listed last.
+  std::set<std::string> mTaken; ///< Lives.
 };
 
 } // namespace peridothoist
--- a/UnitTests/Platform/PlatformWordsTest.cpp
+++ b/UnitTests/Platform/PlatformWordsTest.cpp
@@ -424,7 +424,7 @@
   news.mWork = { { "u", { 3, 400 } } };
   news.mGone = { "x" };
   news.mFailing = { { "y", { 1.5, 0.25 } } };
-  news.mWaiting = 4;
+  news.mWaiting = { 4, 2 };
   news.mCrashes = { { "d", 2, true, Duration(9) } };
   const std::string bytes = EncodeVmNews(news);
   const auto back = DecodeVmNews(bytes);
--- a/UnitTests/Relay/RelayMachineTest.cpp
+++ b/UnitTests/Relay/RelayMachineTest.cpp
@@ -300,6 +300,29 @@
   BOOST_TEST(late != fresh);
 }
 
+BOOST_AUTO_TEST_CASE(LateOnesWaitWhileAnotherVmsCanBeInTime)
+{
+  // Pattern: a burst at twice the memory of all engines, over many VMs. Each
+  // of them has a few waiting, and a late one takes the same memory.
+  List({ Upstream("d1", RelayStage::Decode) });
+  const auto first = Arrive(Route(RelayKind::Stream, 1));
+  while (mMachine.Waiting() == 0) {
+    Arrive(Route(RelayKind::Stream, 1));
+  }
+  const std::uint64_t late = mLastId;
+  Pass(800ms);
+  BOOST_TEST(mMachine.WaitingNow(mNow).mInTime == 0U);
+  mMachine.Loads().OnPeerWaiting("vm2", { 3, 0 });
+  End(Call(first), Answered(200));
+  BOOST_TEST(mMachine.Waiting() == 1U);
+  mMachine.Loads().OnPeerWaiting("vm2", {});
+  RelayCommands out;
+  mMachine.OnPeerWork("vm2", {}, mNow, out);
+  Keep(std::move(out));
+  BOOST_TEST(mMachine.Waiting() == 0U);
+  BOOST_TEST(Call(late).mId == late);
+}
+
 BOOST_AUTO_TEST_CASE(VmsShareTheRoomThatAllOfThemSee)
 {
   // Pattern: an engine comes back while requests wait at six VMs.
@@ -310,7 +333,7 @@
     Arrive(Route(RelayKind::Stream, 1));
   }
   BOOST_TEST(mMachine.Waiting() == 10U);
-  mMachine.Loads().OnPeerWaiting("vm2", 50);
+  mMachine.Loads().OnPeerWaiting("vm2", { 50, 0 });
   mMachine.OnPeerWork("vm2", {}, mNow, out);
   Keep(std::move(out));
   BOOST_TEST(mMachine.Loads().Own().at("d1").mRequests <= 3U);
