--- a/UnitTests/Platform/PlatformWordsTest.cpp
+++ b/UnitTests/Platform/PlatformWordsTest.cpp
@@ -360,6 +360,22 @@
              "http://10.0.0.9:8080/-/hold-drop/k");
 }
 
+BOOST_AUTO_TEST_CASE(AnOrderNamesItsEngineItsHolderAndItsFence)
+{
+  const PlatformUpstreams upstreams;
+  RelayUpstream engine;
+  engine.mId = "i-1";
+  engine.mAddress = "10.0.0.9:8080";
+  const HttpCall order =
+    upstreams.MakeStageOrder(engine, RelayStage::Decode, "vm1", 41);
+  BOOST_TEST(order.mMethod == "POST");
+  BOOST_TEST(order.mUrl == "http://10.0.0.9:8080/-/order");
+  BOOST_TEST(order.mHeaders.at("expect-instance") == "i-1");
+  BOOST_TEST(order.mBody ==
+             R"({"fence":41,"holder":"vm1","op":"stage","stage":"decode"})");
+  BOOST_TEST(order.mSendOnce);
+}
+
 BOOST_AUTO_TEST_CASE(OnlySealedAnswersToThisRequestAreSound)
 {
   const PlatformUpstreams upstreams;
