--- a/Peridothoist/Relay/StageBalance.cpp
+++ b/Peridothoist/Relay/StageBalance.cpp
@@ -37,7 +37,7 @@
 /// Those that were taken already, then one by one from the zone that has most
 /// left, by id.
 StageBalance::Engines
-StageBalance::ChooseAmong(Engines aPrefill, std::size_t aExcess) const
+StageBalance::ChooseAmong(const Engines& aPrefill, std::size_t aExcess) const
 {
   Engines chosen;
   std::map<std::string, Engines> byZone;
--- a/Peridothoist/Relay/StageBalance.h
+++ b/Peridothoist/Relay/StageBalance.h
@@ -54,7 +54,7 @@
   using Engines = std::vector<const RelayUpstream*>;
 
   void NoteListed(const UpstreamRoster& aRoster, TimePoint aNow);
-  Engines ChooseAmong(Engines aPrefill, std::size_t aExcess) const;
+  Engines ChooseAmong(const Engines& aPrefill, std::size_t aExcess) const;
 
   Settings mSettings;
   /// When a life may have its order.
