Keep the stand-ins of the users' platform with its own tests

Cause: SystemTests/users_platform spoke the platform's words (header names, rows and calls), which only platform/ and its tests may know.

Change: the folder is platform/tests/users_platform; the harness adds it to the path.

No code of the product changed.

--- a/SystemTests/soak/soak.py
+++ b/SystemTests/soak/soak.py
@@ -18,6 +18,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 
+import harness  # noqa: E402, F401  pylint: disable=unused-import
 from soak.faults import Faults  # noqa: E402
 from soak.promises import Promises, Record  # noqa: E402
 from users_platform.callers import Caller  # noqa: E402
