Report successes of upstreams that other VMs report to fail

Cause: a VM reported its counts only for upstreams at which it saw failures, so the sum over 74 VMs lacked the successes of all others: a plain upstream that fails one call in 25 came out at a quarter and more, was avoided by all, and its load went to the others. Change: counts are also reported for upstreams that peers report. Ruled out: a higher limit of the failure rate, which would hide runners that do fail in part.

--- a/Peridothoist/Relay/CallOutcomeTracker.cpp
+++ b/Peridothoist/Relay/CallOutcomeTracker.cpp
@@ -6,6 +6,13 @@
 
 namespace peridothoist {
 
+namespace {
+
+/// Sums below this are what rounding leaves of counts that were taken back.
+constexpr double kRoundingError = 0.005;
+
+} // namespace
+
 void
 CallOutcomeTracker::OnOutcome(const std::string& aUpstream,
                               bool aFailed,
@@ -36,8 +43,8 @@
       CallCounts& sum = mPeerTotals[id];
       sum.mFailed -= counts.mFailed;
       sum.mSucceeded -= counts.mSucceeded;
-      if (sum.mFailed <= mSettings.mMinReportedFailures / 2) {
-        mPeerTotals.erase(id); // The rest is rounding error.
+      if (std::max(sum.mFailed, sum.mSucceeded) < kRoundingError) {
+        mPeerTotals.erase(id);
       }
     }
     mPeers.erase(old);
@@ -53,10 +60,19 @@
   mPeers[aPeer] = std::move(aCounts);
 }
 
+bool
+CallOutcomeTracker::IsReportedByPeers(const std::string& aUpstream) const
+{
+  const auto it = mPeerTotals.find(aUpstream);
+  return it != mPeerTotals.end() &&
+         it->second.mFailed >= mSettings.mMinReportedFailures;
+}
+
 CountsByUpstream
 CallOutcomeTracker::FailingUpstreams(TimePoint aNow) const
 {
   std::vector<std::pair<double, std::string>> worst;
+  std::vector<std::pair<double, std::string>> reportedByPeers;
   std::size_t called = 0;
   for (const auto& [id, own] : mOwn) {
     const CallCounts counts = DecayedCounts(own, aNow);
@@ -65,6 +81,8 @@
                                                                            : 0;
     if (counts.mFailed >= mSettings.mMinReportedFailures) {
       worst.emplace_back(-counts.mFailed, id);
+    } else if (IsReportedByPeers(id)) {
+      reportedByPeers.emplace_back(-counts.mSucceeded, id);
     }
   }
   const auto maxFailing =
@@ -74,6 +92,8 @@
     return {};
   }
   std::sort(worst.begin(), worst.end());
+  std::sort(reportedByPeers.begin(), reportedByPeers.end());
+  worst.insert(worst.end(), reportedByPeers.begin(), reportedByPeers.end());
   worst.resize(std::min(worst.size(), mSettings.mMaxReportedUpstreams));
   CountsByUpstream failing;
   for (const auto& [failed, id] : worst) {
--- a/Peridothoist/Relay/CallOutcomeTracker.h
+++ b/Peridothoist/Relay/CallOutcomeTracker.h
@@ -57,7 +57,10 @@
   void OnPeerCounts(const std::string& aPeer, CountsByUpstream aCounts);
   void ForgetPeer(const std::string& aPeer) { OnPeerCounts(aPeer, {}); }
 
-  /// Returns the upstreams that fail this VM's calls, to report to other VMs.
+  /// Returns the counts to report to other VMs: those of the upstreams that
+  /// fail this VM's calls, and of those that others report to fail. Without the
+  /// latter, the sum over all VMs would lack the successes of the VMs that saw
+  /// no failure.
   CountsByUpstream FailingUpstreams(TimePoint aNow) const;
 
   /// Returns the fraction of all VMs' recent calls that failed, 0 to 1.
@@ -71,6 +74,7 @@
   };
 
   CallCounts DecayedCounts(const Own& aOwn, TimePoint aNow) const;
+  bool IsReportedByPeers(const std::string& aUpstream) const;
 
   Settings mSettings;
   std::map<std::string, Own> mOwn;                ///< By upstream.
--- a/UnitTests/Relay/CallOutcomeTrackerTest.cpp
+++ b/UnitTests/Relay/CallOutcomeTrackerTest.cpp
@@ -59,6 +59,31 @@
   BOOST_TEST(Rate("u") < 0.4);
 }
 
+BOOST_AUTO_TEST_CASE(VmsWithoutFailuresReportTheirSuccesses)
+{
+  // Each of 70 VMs calls a plain upstream three times, and one call in 25
+  // fails. The VMs that saw no failure tell so once others report the upstream:
+  // by the reports of the others alone, a quarter of its calls would fail.
+  std::vector<CallOutcomeTracker> vms(
+    70, CallOutcomeTracker(CallOutcomeTrackerSettings()));
+  for (std::size_t n = 0; n < vms.size(); ++n) {
+    for (std::size_t call = 0; call < 3; ++call) {
+      vms[n].OnOutcome("u", (3 * n + call) % 25 == 0, kNow);
+    }
+  }
+  for (int round = 0; round < 2; ++round) {
+    for (std::size_t from = 0; from < vms.size(); ++from) {
+      for (std::size_t to = 0; to < vms.size(); ++to) {
+        if (from != to) {
+          vms[to].OnPeerCounts("vm" + std::to_string(from),
+                               vms[from].FailingUpstreams(kNow));
+        }
+      }
+    }
+  }
+  BOOST_TEST(vms.front().FailureRate("u", kNow) < 0.06);
+}
+
 BOOST_AUTO_TEST_CASE(AVmThatFailsMostCallsReportsNoUpstreams)
 {
   // A VM whose network link fails sees all its calls fail. It must not make
