--- a/Peridothoist/Node/CallerProtocol.h
+++ b/Peridothoist/Node/CallerProtocol.h
@@ -47,6 +47,11 @@
     const HttpRequest& aRequest,
     const NodeStatus& aStatus) const = 0;
 
+  /// Returns the availability zone of the caller that looks up node addresses,
+  /// or nullopt if it states none.
+  virtual std::optional<std::string> CallerZone(
+    const HttpRequest& aRequest) const = 0;
+
   /// Handles a lookup of node addresses by a caller. Returns nullopt if the
   /// path is another one.
   virtual std::optional<EndpointResponse> HandleAddressLookup(
--- a/Peridothoist/Node/GossipCodec.cpp
+++ b/Peridothoist/Node/GossipCodec.cpp
@@ -1,7 +1,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/GossipCodec.h>
 
-#include <nlohmann/json.hpp>
+#include <Peridothoist/Node/CborMessage.h>
 
 #include <cmath>
 
@@ -9,10 +9,14 @@
 
 namespace {
 
+using detail::FromCbor;
+using detail::ToCbor;
 using nlohmann::json;
 
 // Keys of a gossip message, short to reduce traffic.
 constexpr const char* kVm = "v";
+constexpr const char* kZone = "z";
+constexpr const char* kRedirect = "d";
 constexpr const char* kInstance = "i";
 constexpr const char* kSequence = "n";
 constexpr const char* kCallerAddress = "a";
@@ -21,11 +25,17 @@
 constexpr const char* kLeaving = "l";
 constexpr const char* kGranted = "g";
 constexpr const char* kWork = "w";
-constexpr const char* kWaiting = "q";
+constexpr const char* kWaiting = "q"; ///< Over all services.
+constexpr const char* kWaitingByService = "b";
 constexpr const char* kGone = "x";
 constexpr const char* kFailing = "f";
 constexpr const char* kCrashes = "c";
 
+// Further keys of a summary.
+constexpr const char* kCell = "e";
+constexpr const char* kReachable = "r";
+constexpr const char* kCallers = "o";
+
 /// Call counts are encoded as integers in hundredths.
 constexpr double kCountScale = 100;
 constexpr const char* kKnownPeers = "k";
@@ -81,11 +91,63 @@
   return known ? static_cast<ServingState>(aNumber) : ServingState::Nothing;
 }
 
+WorkByUpstream
+DecodeWork(const json& aValue)
+{
+  WorkByUpstream all;
+  for (const auto& [id, work] : aValue.items()) {
+    all[id] = { work.at(0).get<std::uint32_t>(),
+                work.at(1).get<std::uint64_t>() };
+  }
+  return all;
+}
+
+WaitingRequests
+DecodeWaiting(const json& aValue)
+{
+  return { aValue.at(0).get<std::uint32_t>(),
+           aValue.at(1).get<std::uint32_t>() };
+}
+
+json
+EncodeWaitingByService(const WaitingByService& aWaiting)
+{
+  json services = json::object();
+  for (const auto& [service, it] : aWaiting) {
+    services[service] = { it.mInTime, it.mLate };
+  }
+  return services;
+}
+
+WaitingByService
+DecodeWaitingByService(const json& aValue)
+{
+  WaitingByService waiting;
+  for (const auto& [service, it] : aValue.items()) {
+    waiting[service] = DecodeWaiting(it);
+  }
+  return waiting;
+}
+
+std::vector<CrashReport>
+DecodeCrashes(const json& aValue)
+{
+  std::vector<CrashReport> crashes;
+  for (const json& it : aValue) {
+    crashes.push_back({ it.at(0).get<std::string>(),
+                        it.at(1).get<std::uint32_t>(),
+                        it.at(2).get<bool>(),
+                        Duration(it.at(3).get<std::int64_t>()) });
+  }
+  return crashes;
+}
+
 GossipMessage
 DecodeMessage(const json& aValue)
 {
   GossipMessage message;
   message.mVm = aValue.at(kVm).get<std::string>();
+  message.mZone = aValue.value(kZone, "");
   message.mInstance = aValue.at(kInstance).get<std::string>();
   message.mSequence = aValue.at(kSequence).get<std::uint64_t>();
   message.mCallerAddress = aValue.at(kCallerAddress).get<std::string>();
@@ -93,50 +155,45 @@
   message.mServing = ServingStateOf(aValue.at(kServing).get<int>());
   message.mIsLeaving = aValue.at(kLeaving).get<bool>();
   message.mGranted = aValue.at(kGranted).get<GrantedTokens>();
-  for (const auto& [id, work] : aValue.at(kWork).items()) {
-    message.mWork[id] = { work.at(0).get<std::uint32_t>(),
-                          work.at(1).get<std::uint64_t>() };
+  message.mWork = DecodeWork(aValue.at(kWork));
+  if (aValue.contains(kWaitingByService)) {
+    message.mWaiting = DecodeWaitingByService(aValue.at(kWaitingByService));
+  } else {
+    message.mWaiting[""] = DecodeWaiting(aValue.at(kWaiting));
   }
-  const json& waiting = aValue.at(kWaiting);
-  message.mWaiting = { waiting.at(0).get<std::uint32_t>(),
-                       waiting.at(1).get<std::uint32_t>() };
   message.mGoneUpstreams = aValue.at(kGone).get<std::vector<std::string>>();
   message.mFailingUpstreams = DecodeFailing(aValue.at(kFailing));
-  for (const json& it : aValue.at(kCrashes)) {
-    message.mCrashReports.push_back({ it.at(0).get<std::string>(),
-                                      it.at(1).get<std::uint32_t>(),
-                                      it.at(2).get<bool>(),
-                                      Duration(it.at(3).get<std::int64_t>()) });
-  }
+  message.mCrashReports = DecodeCrashes(aValue.at(kCrashes));
   message.mPeers = aValue.at(kKnownPeers).get<std::vector<std::string>>();
+  message.mIsRedirect = aValue.value(kRedirect, false);
   return message;
 }
 
-// View queries and responses are arrays that begin with one of these tags.
-constexpr const char* kViewQueryTag = "ask";
-constexpr const char* kViewResponseTag = "tell";
-
-std::string
-ToBytes(const json& aValue)
+json
+EncodeCallers(const std::vector<CallerAddress>& aCallers)
 {
-  const std::vector<std::uint8_t> bytes = json::to_cbor(aValue);
-  return { bytes.begin(), bytes.end() };
+  json callers = json::array();
+  for (const CallerAddress& it : aCallers) {
+    callers.push_back({ it.mZone, it.mAddress, static_cast<int>(it.mServing) });
+  }
+  return callers;
 }
 
-/// Decodes bytes with aDecode. Returns nullopt if they are invalid. The library
-/// throws on missing fields and fields of other types, and on excessive sizes
-/// even if told not to throw.
-template<typename Decoded>
-std::optional<Decoded>
-FromBytes(std::string_view aBytes, Decoded (*aDecode)(const json& aValue))
+std::vector<CallerAddress>
+DecodeCallers(const json& aValue)
 {
-  try {
-    return aDecode(json::from_cbor(aBytes.begin(), aBytes.end()));
-  } catch (const json::exception&) {
-    return std::nullopt;
+  std::vector<CallerAddress> callers;
+  for (const json& it : aValue) {
+    callers.push_back({ it.at(0).get<std::string>(),
+                        it.at(1).get<std::string>(),
+                        ServingStateOf(it.at(2).get<int>()) });
   }
+  return callers;
 }
 
+/// A summary is an array of kSummaryTag and an object.
+constexpr const char* kSummaryTag = "sum";
+
 /// Checks the tag of an array. Throws the library's exception on a mismatch.
 void
 CheckTag(const json& aValue, const char* aTag)
@@ -146,6 +203,36 @@
   }
 }
 
+GossipSummary
+DecodeSummary(const json& aValue)
+{
+  CheckTag(aValue, kSummaryTag);
+  const json& body = aValue.at(1);
+  GossipSummary summary;
+  summary.mVm = body.at(kVm).get<std::string>();
+  summary.mInstance = body.at(kInstance).get<std::string>();
+  summary.mSequence = body.at(kSequence).get<std::uint64_t>();
+  summary.mPeerAddress = body.at(kPeerAddress).get<std::string>();
+  if (body.contains(kCell)) {
+    const json& cell = body.at(kCell);
+    summary.mCell =
+      CellId{ cell.at(0).get<std::string>(), cell.at(1).get<std::uint32_t>() };
+  }
+  summary.mReachableVms = body.at(kReachable).get<std::uint32_t>();
+  summary.mGranted = body.at(kGranted).get<GrantedTokens>();
+  summary.mWaiting = DecodeWaitingByService(body.at(kWaitingByService));
+  summary.mWork = DecodeWork(body.at(kWork));
+  summary.mGoneUpstreams = body.at(kGone).get<std::vector<std::string>>();
+  summary.mFailingUpstreams = DecodeFailing(body.at(kFailing));
+  summary.mCrashReports = DecodeCrashes(body.at(kCrashes));
+  summary.mCallers = DecodeCallers(body.at(kCallers));
+  return summary;
+}
+
+// View queries and responses are arrays that begin with one of these tags.
+constexpr const char* kViewQueryTag = "ask";
+constexpr const char* kViewResponseTag = "tell";
+
 ViewQuery
 ParseViewQuery(const json& aValue)
 {
@@ -157,11 +244,18 @@
 ParseViewResponse(const json& aValue)
 {
   CheckTag(aValue, kViewResponseTag);
-  return { aValue.at(1).get<std::uint64_t>(),
-           aValue.at(2).get<std::uint64_t>(),
-           Duration(aValue.at(3).get<std::int64_t>()),
-           aValue.at(4).get<std::uint64_t>(),
-           Duration(aValue.at(5).get<std::int64_t>()) };
+  ViewResponse response;
+  response.mStamp = aValue.at(1).get<std::uint64_t>();
+  response.mVersion = aValue.at(2).get<std::uint64_t>();
+  response.mConfigurationAge = Duration(aValue.at(3).get<std::int64_t>());
+  response.mListDigest = aValue.at(4).get<std::uint64_t>();
+  response.mListAge = Duration(aValue.at(5).get<std::int64_t>());
+  // Builds that send no views end the message here.
+  if (aValue.size() > 7) {
+    response.mVmDigest = aValue.at(6).get<std::uint64_t>();
+    response.mViewAddress = aValue.at(7).get<std::string>();
+  }
+  return response;
 }
 
 } // namespace
@@ -169,17 +263,24 @@
 std::string
 EncodeGossipMessage(const GossipMessage& aMessage)
 {
-  return ToBytes(
+  WaitingRequests waiting;
+  for (const auto& [service, it] : aMessage.mWaiting) {
+    waiting += it;
+  }
+  return ToCbor(
     { { kVm, aMessage.mVm },
+      { kZone, aMessage.mZone },
       { kInstance, aMessage.mInstance },
       { kSequence, aMessage.mSequence },
       { kCallerAddress, aMessage.mCallerAddress },
       { kPeerAddress, aMessage.mPeerAddress },
       { kServing, static_cast<int>(aMessage.mServing) },
       { kLeaving, aMessage.mIsLeaving },
+      { kRedirect, aMessage.mIsRedirect },
       { kGranted, aMessage.mGranted },
       { kWork, EncodeWork(aMessage.mWork) },
-      { kWaiting, { aMessage.mWaiting.mInTime, aMessage.mWaiting.mLate } },
+      { kWaiting, { waiting.mInTime, waiting.mLate } },
+      { kWaitingByService, EncodeWaitingByService(aMessage.mWaiting) },
       { kGone, aMessage.mGoneUpstreams },
       { kFailing, EncodeFailing(aMessage.mFailingUpstreams) },
       { kCrashes, EncodeCrashes(aMessage.mCrashReports) },
@@ -189,37 +290,67 @@
 std::optional<GossipMessage>
 DecodeGossipMessage(std::string_view aBytes)
 {
-  return FromBytes(aBytes, &DecodeMessage);
+  return FromCbor(aBytes, &DecodeMessage);
+}
+
+std::string
+EncodeGossipSummary(const GossipSummary& aSummary)
+{
+  json body = { { kVm, aSummary.mVm },
+                { kInstance, aSummary.mInstance },
+                { kSequence, aSummary.mSequence },
+                { kPeerAddress, aSummary.mPeerAddress },
+                { kReachable, aSummary.mReachableVms },
+                { kGranted, aSummary.mGranted },
+                { kWaitingByService,
+                  EncodeWaitingByService(aSummary.mWaiting) },
+                { kWork, EncodeWork(aSummary.mWork) },
+                { kGone, aSummary.mGoneUpstreams },
+                { kFailing, EncodeFailing(aSummary.mFailingUpstreams) },
+                { kCrashes, EncodeCrashes(aSummary.mCrashReports) },
+                { kCallers, EncodeCallers(aSummary.mCallers) } };
+  if (aSummary.mCell) {
+    body[kCell] = { aSummary.mCell->mZone, aSummary.mCell->mNumber };
+  }
+  return ToCbor(json::array({ kSummaryTag, std::move(body) }));
+}
+
+std::optional<GossipSummary>
+DecodeGossipSummary(std::string_view aBytes)
+{
+  return FromCbor(aBytes, &DecodeSummary);
 }
 
 std::string
 EncodeViewQuery(const ViewQuery& aQuery)
 {
-  return ToBytes(
+  return ToCbor(
     json::array({ kViewQueryTag, aQuery.mStamp, aQuery.mReplyAddress }));
 }
 
 std::optional<ViewQuery>
 DecodeViewQuery(std::string_view aBytes)
 {
-  return FromBytes(aBytes, &ParseViewQuery);
+  return FromCbor(aBytes, &ParseViewQuery);
 }
 
 std::string
 EncodeViewResponse(const ViewResponse& aResponse)
 {
-  return ToBytes(json::array({ kViewResponseTag,
-                               aResponse.mStamp,
-                               aResponse.mVersion,
-                               aResponse.mConfigurationAge.count(),
-                               aResponse.mListDigest,
-                               aResponse.mListAge.count() }));
+  return ToCbor(json::array({ kViewResponseTag,
+                              aResponse.mStamp,
+                              aResponse.mVersion,
+                              aResponse.mConfigurationAge.count(),
+                              aResponse.mListDigest,
+                              aResponse.mListAge.count(),
+                              aResponse.mVmDigest,
+                              aResponse.mViewAddress }));
 }
 
 std::optional<ViewResponse>
 DecodeViewResponse(std::string_view aBytes)
 {
-  return FromBytes(aBytes, &ParseViewResponse);
+  return FromCbor(aBytes, &ParseViewResponse);
 }
 
 } // namespace peridothoist
--- a/Peridothoist/Node/GossipCodec.h
+++ b/Peridothoist/Node/GossipCodec.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Cells/GossipSummary.h>
 #include <Peridothoist/Relay/MembershipTable.h>
 #include <Peridothoist/Relay/ViewExchange.h>
 
@@ -14,6 +15,12 @@
 std::optional<GossipMessage>
 DecodeGossipMessage(std::string_view aBytes);
 
+std::string
+EncodeGossipSummary(const GossipSummary& aSummary);
+
+std::optional<GossipSummary>
+DecodeGossipSummary(std::string_view aBytes);
+
 std::string
 EncodeViewQuery(const ViewQuery& aQuery);
 std::optional<ViewQuery>
--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -19,6 +19,10 @@
 /// gossip.
 constexpr std::size_t kMaxKnownAddresses = 256;
 
+/// Gossip intervals until a change in one cell is known in all others: to the
+/// cell's leader, to the other leaders, and to the VMs of their cells.
+constexpr int kIntervalsAcrossCells = 3;
+
 } // namespace
 
 std::unique_ptr<NodeGossip>
@@ -65,6 +69,13 @@
   , mRandom(aRandom)
   , mListener(aListener)
   , mMembers(aSettings.mMembers, aSettings.mVm)
+  , mCells(aSettings.mCells,
+           aSettings.mSummaries,
+           aSettings.Record(),
+           &mMembers,
+           aMachine,
+           aRateLimiter,
+           aListener)
 {
   AddSeeds(aSettings.mSeeds);
 }
@@ -106,33 +117,67 @@
   Publish(mKnownAddresses.size() + mMembers.Members().size());
 }
 
-/// Returns whether the fleet is so large that a change of work is sent to some
-/// of the peers only.
+void
+NodeGossip::SetVms(const VmRecords& aVms)
+{
+  std::set<std::string> names;
+  for (const auto& [name, vm] : aVms) {
+    names.insert(name);
+  }
+  mMembers.SetRegistered(names, mReactor->Now());
+  const CellId before = Cells().OwnCell();
+  mCells.Membership().SetVms(aVms);
+  if (!(before == Cells().OwnCell())) {
+    Log::Info("cell_changed")
+      .Field("zone", Cells().OwnCell().mZone)
+      .Field("cell", Cells().OwnCell().mNumber)
+      .Field("cells", Cells().Layout().Cells().size())
+      .Field("vms", aVms.size());
+    RemoveOtherCells();
+  }
+}
+
+std::vector<CallerAddress>
+NodeGossip::Callers() const
+{
+  std::vector<CallerAddress> callers = mMembers.Callers(mReactor->Now());
+  const std::vector<CallerAddress> others = mCells.Summaries().Callers();
+  callers.insert(callers.end(), others.begin(), others.end());
+  return callers;
+}
+
+/// Returns whether the fleet is so large that a change of work is not sent to
+/// all VMs at once.
 bool
 NodeGossip::IsLargeFleet() const
 {
-  return AllPeerAddresses().size() > mSettings.mWorkFanOut;
+  return !Cells().IsSingleCell() ||
+         AddressesInTurns().size() > mSettings.mWorkFanOut;
 }
 
-/// Derives the silence timeout and the age of peers' loads from the number of
-/// peers, since a larger fleet needs more intervals to reach all of them.
+/// Derives the silence timeout and the age of peers' reports from the number of
+/// VMs that are sent to in turns, and from whether there are cells.
 void
 NodeGossip::UpdateMaxGossipAge()
 {
-  const std::size_t peers = AllPeerAddresses().size();
+  const std::size_t peers = AddressesInTurns().size();
   const auto rounds = static_cast<Duration::rep>(
     (peers + mSettings.mGossipFanOut - 1) / mSettings.mGossipFanOut);
   const Duration round = mSettings.mGossipInterval * rounds;
   mMembers.SetSilenceTimeout(
     std::max(mSettings.mMembers.mSilenceTimeout, round * kSilentRounds));
-  mMachine->Loads().SetPeerLoadAge(IsLargeFleet() ? round : Duration(0));
+  Duration age = IsLargeFleet() ? round : Duration(0);
+  if (!Cells().IsSingleCell()) {
+    age = std::max(age, mSettings.mGossipInterval * kIntervalsAcrossCells);
+  }
+  mMachine->Loads().SetPeerLoadAge(age);
 }
 
 void
 NodeGossip::SchedulePublish()
 {
-  if (mEarlyPublishTimer != 0) {
-    return;
+  if (mEarlyPublishTimer != 0 || !Cells().IsSingleCell()) {
+    return; // A cell's VMs all get the next regular message.
   }
   const Duration interval =
     IsLargeFleet() ? mSettings.mGossipInterval : mSettings.mMinGossipInterval;
@@ -144,44 +189,66 @@
   });
 }
 
+/// Returns the addresses of the VMs that are sent to in turns: in a single cell
+/// all that are known, otherwise those of builds that know no cells.
 std::vector<std::string>
-NodeGossip::AllPeerAddresses() const
+NodeGossip::AddressesInTurns() const
 {
-  std::set<std::string> addresses = mMembers.PeerAddresses();
-  addresses.insert(mKnownAddresses.begin(), mKnownAddresses.end());
+  std::set<std::string> addresses;
+  if (Cells().IsSingleCell()) {
+    addresses = mMembers.PeerAddresses();
+    addresses.insert(mKnownAddresses.begin(), mKnownAddresses.end());
+    const std::set<std::string> registered = Cells().CellPeerAddresses();
+    addresses.insert(registered.begin(), registered.end());
+  } else {
+    addresses = Cells().OtherBuildAddresses();
+  }
   addresses.erase(mSettings.mPeerListen);
   return { addresses.begin(), addresses.end() };
 }
 
-/// Sends a gossip message to at most aMaxPeers peers in round-robin order,
-/// which bounds the time between two messages to the same peer.
+/// Sends a gossip message to all VMs of this cell if there are several cells,
+/// and to at most aMaxPeers of those that are sent to in turns.
 void
 NodeGossip::Publish(std::size_t aMaxPeers)
 {
   mPublishedAt = mReactor->Now();
-  const std::vector<std::string> addresses = AllPeerAddresses();
-  const std::string bytes = EncodeGossipMessage(MakeMessage());
+  const GossipMessage message = MakeMessage();
+  const std::string bytes = EncodeGossipMessage(message);
+  if (!Cells().IsSingleCell()) {
+    for (const std::string& address : Cells().CellPeerAddresses()) {
+      mSocket->Send(address, bytes);
+    }
+  }
+  SendInTurns(AddressesInTurns(), aMaxPeers, bytes);
+  mCells.Update(message, *mSocket, mPublishedAt);
+}
+
+/// Sends to at most aCount of the addresses in round-robin order, which bounds
+/// the time between two messages to the same VM.
+void
+NodeGossip::SendInTurns(const std::vector<std::string>& aAddresses,
+                        std::size_t aCount,
+                        const std::string& aBytes)
+{
   auto next =
-    std::upper_bound(addresses.begin(), addresses.end(), mLastRecipient);
-  for (std::size_t n = 0; n < std::min(aMaxPeers, addresses.size()); ++n) {
-    if (next == addresses.end()) {
-      next = addresses.begin();
+    std::upper_bound(aAddresses.begin(), aAddresses.end(), mLastRecipient);
+  for (std::size_t n = 0; n < std::min(aCount, aAddresses.size()); ++n) {
+    if (next == aAddresses.end()) {
+      next = aAddresses.begin();
     }
-    mSocket->Send(*next, bytes);
+    mSocket->Send(*next, aBytes);
     mLastRecipient = *next;
     ++next;
   }
 }
 
 void
-NodeGossip::SendViewQuery(const std::string& aVm)
+NodeGossip::SendViewQuery(const std::string& aPeer)
 {
-  const auto it = mMembers.Members().find(aVm);
-  if (it != mMembers.Members().end()) {
-    const ViewQuery query{ ViewExchange::TimestampOf(Reactor::ReadClock()),
-                           mSettings.mPeerListen };
-    mSocket->Send(it->second.mLastMessage.mPeerAddress, EncodeViewQuery(query));
-  }
+  const ViewQuery query{ ViewExchange::TimestampOf(Reactor::ReadClock()),
+                         mSettings.mPeerListen };
+  mSocket->Send(aPeer, EncodeViewQuery(query));
 }
 
 GossipMessage
@@ -190,6 +257,7 @@
   const TimePoint now = mReactor->Now();
   GossipMessage message;
   message.mVm = mSettings.mVm;
+  message.mZone = mSettings.mZone;
   message.mInstance = mInstance;
   message.mSequence = ++mSequence;
   message.mCallerAddress = mSettings.mListen;
@@ -200,7 +268,10 @@
   message.mGoneUpstreams = mMachine->Loads().GoneUpstreams(now);
   message.mFailingUpstreams =
     mMachine->Loads().Outcomes().FailingUpstreams(now);
-  message.mCrashReports = MakeCrashReports(now);
+  message.mCrashReports =
+    SelectCrashReports(MakeCrashReports(mMachine->Suspects(), now),
+                       mSettings.mMaxCrashReports,
+                       mSequence);
   // Each message carries one random peer address: over time all VMs learn all
   // addresses while messages stay small.
   const std::set<std::string> peers = mMembers.PeerAddresses();
@@ -218,6 +289,9 @@
 {
   if (auto message = DecodeGossipMessage(aBytes)) {
     ApplyMessage(std::move(*message));
+  } else if (const auto summary = DecodeGossipSummary(aBytes)) {
+    mCells.OnSummary(*summary, mReactor->Now());
+    mListener->OnMembersChanged();
   } else if (const auto query = DecodeViewQuery(aBytes)) {
     const auto response = mListener->OnViewQuery(*query);
     if (response && ParseSocketAddress(query->mReplyAddress)) {
@@ -230,35 +304,37 @@
   }
 }
 
-/// Returns reports about requests that were running when upstreams crashed.
-std::vector<CrashReport>
-NodeGossip::MakeCrashReports(TimePoint aNow) const
+void
+NodeGossip::LearnAddresses(const GossipMessage& aMessage)
 {
-  std::vector<CrashReport> all;
-  const auto add = [&](const SuspectSummary& aSummary, bool aQuarantined) {
-    all.push_back({ aSummary.mDigest,
-                    aSummary.mCrashes,
-                    aQuarantined,
-                    aSummary.mExpiresAt - aNow });
-  };
-  for (const SuspectSummary& it : mMachine->Suspects().ListQuarantined(aNow)) {
-    add(it, true);
-  }
-  for (const SuspectSummary& it : mMachine->Suspects().ListSuspects(aNow)) {
-    add(it, false);
+  for (const std::string& address : aMessage.mPeers) {
+    if (mKnownAddresses.size() < kMaxKnownAddresses &&
+        ParseSocketAddress(address)) {
+      mKnownAddresses.insert(address);
+    }
   }
-  return SelectCrashReports(
-    std::move(all), mSettings.mMaxCrashReports, mSequence);
+}
+
+/// Answers a VM of another cell, which does not know the layout of cells yet,
+/// with the addresses of its own cell.
+void
+NodeGossip::Redirect(const GossipMessage& aMessage)
+{
+  GossipMessage answer = MakeMessage();
+  answer.mIsRedirect = true;
+  answer.mPeers = Cells().AddressesOfCell(aMessage.mVm, aMessage.mZone);
+  mSocket->Send(aMessage.mPeerAddress, EncodeGossipMessage(answer));
 }
 
 void
 NodeGossip::ApplyMessage(GossipMessage aMessage)
 {
-  for (const std::string& address : aMessage.mPeers) {
-    if (mKnownAddresses.size() < kMaxKnownAddresses &&
-        ParseSocketAddress(address)) {
-      mKnownAddresses.insert(address);
+  LearnAddresses(aMessage);
+  if (!Cells().IsPeer(aMessage)) {
+    if (!aMessage.mIsRedirect) {
+      Redirect(aMessage);
     }
+    return;
   }
   const TimePoint now = mReactor->Now();
   const bool wasReachable = mMembers.IsReachable(aMessage.mVm, now);
@@ -272,27 +348,35 @@
       .Field("instance", copy.mInstance)
       .Field("leaving", copy.mIsLeaving);
   }
-  mRateLimiter->OnPeerGranted(copy.mInstance, copy.mGranted, now);
+  const GrantedTokens added =
+    mRateLimiter->OnPeerGranted(copy.mInstance, copy.mGranted, now);
+  if (!copy.mZone.empty()) {
+    mCells.OnCellGranted(added);
+  }
   mMachine->Loads().OnPeerFoundGone(copy.mGoneUpstreams, now);
   mMachine->Loads().Outcomes().OnPeerCounts(copy.mVm, copy.mFailingUpstreams);
-  ApplyCrashReports(copy.mCrashReports);
+  ApplyCrashReports(copy.mCrashReports, mMachine->Suspects(), now);
   mListener->OnMembersChanged();
   mMachine->Loads().OnPeerWaiting(copy.mVm, copy.mWaiting);
   mListener->OnPeerWork(copy.mVm, copy.mWork);
 }
 
+/// Forgets VMs that are not in this VM's cell any more, after a change of the
+/// layout.
 void
-NodeGossip::ApplyCrashReports(const std::vector<CrashReport>& aCrashes)
+NodeGossip::RemoveOtherCells()
 {
-  const TimePoint now = mReactor->Now();
-  SuspectTable& suspects = mMachine->Suspects();
-  for (const CrashReport& it : aCrashes) {
-    if (it.mIsQuarantined) {
-      suspects.AddQuarantine(it.mDigest, now + it.mRemaining, now);
-    } else {
-      suspects.AddSuspect(it.mDigest, now + it.mRemaining, now, it.mCrashes);
+  std::vector<GossipMessage> others;
+  for (const auto& [name, member] : mMembers.Members()) {
+    if (!Cells().IsPeer(member.mLastMessage)) {
+      others.push_back(member.mLastMessage);
     }
   }
+  for (const GossipMessage& it : others) {
+    mMachine->Loads().ForgetPeer(it.mVm);
+    mRateLimiter->ForgetPeer(it.mInstance);
+    mMembers.Remove(it.mVm);
+  }
 }
 
 void
--- a/Peridothoist/Node/NodeGossip.h
+++ b/Peridothoist/Node/NodeGossip.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Node/CellGossip.h>
 #include <Peridothoist/Node/NodeSettings.h>
 #include <Peridothoist/Node/PeerSocket.h>
 #include <Peridothoist/Relay/MembershipTable.h>
@@ -13,11 +14,9 @@
 namespace peridothoist {
 
 /// Supplies state of the node process and handles gossip events.
-class NodeGossipListener
+class NodeGossipListener : public PeerReportListener
 {
 public:
-  virtual ~NodeGossipListener() = default;
-
   /// Sets what this VM serves and whether it is leaving.
   virtual void FillServingState(GossipMessage& aMessage) = 0;
 
@@ -31,10 +30,6 @@
 
   /// Called for a peer's response to a view query.
   virtual void OnViewResponse(const ViewResponse& aResponse) = 0;
-
-  /// Called when a peer has reported its open work at upstreams.
-  virtual void OnPeerWork(const std::string& aVm,
-                          const WorkByUpstream& aWork) = 0;
 };
 
 /// Sends and receives the gossip of one VM.
@@ -54,6 +49,14 @@
   ~NodeGossip() override;
 
   MembershipTable& Members() { return mMembers; }
+  const MembershipTable& Members() const { return mMembers; }
+  const CellMembership& Cells() const { return mCells.Membership(); }
+
+  /// Replaces the registered VMs, which decide the layout of cells.
+  void SetVms(const VmRecords& aVms);
+
+  /// Returns where all reachable VMs known here accept callers.
+  std::vector<CallerAddress> Callers() const;
 
   /// Adds VMs to send gossip to, each given by one of its addresses; ports are
   /// ignored.
@@ -62,8 +65,8 @@
   /// Sends a gossip message to all peers immediately.
   void PublishToAll();
 
-  /// Sends a request for its view to a VM.
-  void SendViewQuery(const std::string& aVm);
+  /// Sends a request for its view to a peer, "ip:port".
+  void SendViewQuery(const std::string& aPeer);
 
   /// Schedules a message ahead of the regular one because this VM's work has
   /// changed.
@@ -83,14 +86,18 @@
 
   void Tick();
   void Publish(std::size_t aMaxPeers);
+  void SendInTurns(const std::vector<std::string>& aAddresses,
+                   std::size_t aCount,
+                   const std::string& aBytes);
   GossipMessage MakeMessage();
-  std::vector<CrashReport> MakeCrashReports(TimePoint aNow) const;
-  std::vector<std::string> AllPeerAddresses() const;
+  std::vector<std::string> AddressesInTurns() const;
+  void LearnAddresses(const GossipMessage& aMessage);
   void ApplyMessage(GossipMessage aMessage);
+  void Redirect(const GossipMessage& aMessage);
   bool IsLargeFleet() const;
   void UpdateMaxGossipAge();
-  void ApplyCrashReports(const std::vector<CrashReport>& aCrashes);
   void RemoveSilentPeers();
+  void RemoveOtherCells();
 
   const NodeSettings& mSettings;
   std::string mInstance;
@@ -100,13 +107,14 @@
   Random* mRandom;
   NodeGossipListener* mListener;
   MembershipTable mMembers;
+  CellGossip mCells;
   std::unique_ptr<PeerSocket> mSocket;
   std::set<std::string> mKnownAddresses; ///< From seeds and gossip.
   std::uint64_t mSequence = 0;
   Reactor::TimerId mPublishTimer = 0;
   Reactor::TimerId mEarlyPublishTimer = 0;
   TimePoint mPublishedAt;     ///< Time of the last message.
-  std::string mLastRecipient; ///< Address; peers are sent to in order.
+  std::string mLastRecipient; ///< Address of the last one sent to in turns.
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -76,7 +76,7 @@
   , mRateLimiter(aSettings.mRateLimiter, Reactor::ReadClock())
   , mAdmission(&mView, &mRateLimiter, &mRandom)
   , mMachine(WithStartTime(aSettings.mMachine), &mAdmission, &mRandom)
-  , mViewExchange(&mView, &mMachine.ListedUpstreams())
+  , mDirectory(aSettings.mDirectory, &mRandom)
   , mExecutor(aReactor,
               aClient,
               &mMachine,
@@ -84,8 +84,20 @@
               aProtocols.mUpstreams,
               this)
   , mStore(aProtocols.mStore, aReactor, &mMetrics.Registry())
-  , mPoller(aSettings.mPoller, aReactor, &mStore, aProtocols.mDecoder, this)
-  , mRegistry(aSettings.mPoller.mVmTable, aSettings.mVm, aReactor, &mStore)
+  , mViews(aSettings.mViews,
+           aSettings.mPeerListen,
+           aReactor,
+           aClient,
+           &mStore,
+           aProtocols.mDecoder,
+           &mView,
+           &mMachine.ListedUpstreams(),
+           this)
+  , mRegistry(aSettings.mViews.mPoller.mVmTable,
+              aSettings.Record(),
+              aReactor,
+              &mStore,
+              [this] { mViews.RereadVms(); })
   , mStageOrders(aSettings.mStageOrders,
                  aSettings.mVm,
                  aReactor,
@@ -99,14 +111,13 @@
 NodeProcess::~NodeProcess()
 {
   mReactor->CancelTimer(mLeaveTimer);
-  mReactor->CancelTimer(mReadRoleTimer);
   mReactor->CancelTimer(mStageOrderTimer);
 }
 
 bool
 NodeProcess::Start(Reason* aReason)
 {
-  mPoller.Start();
+  mViews.Start();
   if (!StartCallerServer(aReason) || !StartEndpoints(aReason)) {
     return false;
   }
@@ -121,7 +132,7 @@
   if (mGossip == nullptr) {
     return false;
   }
-  UpdateReadRole();
+  mViews.StartQueries();
   UpdateStageOrders();
   mLoopMonitor =
     std::make_unique<LoopMonitor>(LoopMonitorSettings{ 250ms }, mReactor, this);
@@ -249,13 +260,13 @@
 }
 
 void
-NodeProcess::OnConfigurationRead(
+NodeProcess::OnConfiguration(
   std::shared_ptr<const RelayConfiguration> aConfiguration,
-  TimePoint aStartedAt)
+  TimePoint aConfirmedAt)
 {
   const std::uint64_t before = mView.Version();
   const auto old = mView.Configuration();
-  if (mView.OnRead(aConfiguration, aStartedAt)) {
+  if (mView.OnRead(aConfiguration, aConfirmedAt)) {
     LogChangedLimits(old.get(), *aConfiguration);
     mMachine.SetConfiguration(aConfiguration);
     mRateLimiter.SetWorkspaces(aConfiguration->Workspaces());
@@ -264,23 +275,55 @@
       .Field("before", before)
       .Field("routes", aConfiguration->Routes().size())
       .Field("workspaces", aConfiguration->Workspaces().size())
-      .Field("read_ms", ToMillis(mReactor->Now() - aStartedAt));
+      .Field("age_ms", ToMillis(mReactor->Now() - aConfirmedAt));
   }
   OnMembersChanged();
 }
 
 void
-NodeProcess::OnUpstreamsRead(std::vector<RelayUpstream> aUpstreams)
+NodeProcess::OnUpstreams(std::vector<RelayUpstream> aUpstreams)
 {
   const auto before = mMachine.ListedUpstreams().All();
   mExecutor.Deliver(
     [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
       aMachine.OnListRead(std::move(aUpstreams), aNow, aOut);
     });
+  LogListChanges(before);
+  UpdateHomeEngines();
+}
+
+void
+NodeProcess::OnPeerUpstreams(std::vector<UpstreamList::Entry> aEntries,
+                             TimePoint aConfirmedAt)
+{
+  const auto before = mMachine.ListedUpstreams().All();
+  mExecutor.Deliver(
+    [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
+      aMachine.OnPeerList(std::move(aEntries), aConfirmedAt, aNow, aOut);
+    });
+  LogListChanges(before);
+  UpdateHomeEngines();
+}
+
+void
+NodeProcess::UpdateHomeEngines()
+{
+  if (mGossip != nullptr) {
+    const CellMembership& cells = mGossip->Cells();
+    mMachine.SetHomeEngines(
+      HomeEngines(cells.Layout(), cells.OwnCell(), mMachine.ListedUpstreams()));
+  }
+}
+
+/// Logs which upstreams came, went or changed since aBefore.
+void
+NodeProcess::LogListChanges(
+  const std::map<std::string, UpstreamList::Entry>& aBefore) const
+{
   const auto& after = mMachine.ListedUpstreams().All();
   for (const auto& [id, entry] : after) {
-    const auto known = before.find(id);
-    const bool isNew = known == before.end();
+    const auto known = aBefore.find(id);
+    const bool isNew = known == aBefore.end();
     if (isNew ||
         known->second.mUpstream.mIsLeaving != entry.mUpstream.mIsLeaving ||
         known->second.mIsMissing != entry.mIsMissing ||
@@ -295,7 +338,7 @@
         .Field("lapsed", entry.mIsMissing);
     }
   }
-  for (const auto& [id, entry] : before) {
+  for (const auto& [id, entry] : aBefore) {
     if (after.count(id) == 0) {
       Log::Info("upstream_gone")
         .Field("upstream", id)
@@ -311,16 +354,56 @@
 }
 
 void
-NodeProcess::OnVmsRead(std::set<std::string> aNames)
+NodeProcess::OnVms(const VmRecords& aVms, bool aFromStore)
 {
-  const TimePoint now = mReactor->Now();
-  mRegistry.OnNamesRead(aNames);
-  mGossip->Members().SetRegistered(aNames, now);
-  mRegistry.Remove(
-    mGossip->Members().RegisteredButSilent(mSettings.mPeerRetention, now));
+  if (mGossip == nullptr) {
+    return; // The peer address could not be listened on.
+  }
+  mGossip->SetVms(aVms);
+  UpdateHomeEngines();
+  if (aFromStore) {
+    mRegistry.OnVmsRead(aVms);
+    RemoveSilentVms();
+  }
   OnMembersChanged();
 }
 
+/// Removes the registrations of VMs that are gone. In a large fleet the leader
+/// of each cell does this for its cell, whose VMs it hears.
+void
+NodeProcess::RemoveSilentVms()
+{
+  const TimePoint now = mReactor->Now();
+  const CellMembership& cells = mGossip->Cells();
+  if (!cells.IsSingleCell() && !cells.IsLeader(mIsLeaving, now)) {
+    return;
+  }
+  std::vector<std::string> gone;
+  for (const std::string& name :
+       mGossip->Members().RegisteredButSilent(mSettings.mPeerRetention, now)) {
+    const auto it = cells.Layout().Vms().find(name);
+    const bool isOurs =
+      it == cells.Layout().Vms().end() || it->second.mZone.empty() ||
+      cells.Layout().CellOf(name, it->second.mZone) == cells.OwnCell();
+    if (isOurs) {
+      gone.push_back(name);
+    }
+  }
+  mRegistry.Remove(gone);
+}
+
+ViewRole
+NodeProcess::RoleForView()
+{
+  return mGossip->Cells().RoleForView(mIsLeaving, mReactor->Now());
+}
+
+void
+NodeProcess::SendViewQuery(const std::string& aPeer)
+{
+  mGossip->SendViewQuery(aPeer);
+}
+
 void
 NodeProcess::FillServingState(GossipMessage& aMessage)
 {
@@ -403,40 +486,13 @@
 std::optional<ViewResponse>
 NodeProcess::OnViewQuery(const ViewQuery& aQuery)
 {
-  return mViewExchange.MakeResponse(aQuery, Reactor::ReadClock());
+  return mViews.OnQuery(aQuery);
 }
 
 void
 NodeProcess::OnViewResponse(const ViewResponse& aResponse)
 {
-  const ViewExchangeResult result =
-    mViewExchange.OnPeerResponse(aResponse, Reactor::ReadClock());
-  if (result.mShouldReadConfiguration) {
-    mPoller.ReadConfigurationNow();
-  }
-  if (result.mShouldReadUpstreams) {
-    mPoller.ReadUpstreamsNow();
-  }
-}
-
-/// Returns the VMs that read the store on behalf of all: the first by name
-/// among this VM and the reachable VMs that are not leaving.
-std::vector<std::string>
-NodeProcess::StoreReaders() const
-{
-  const TimePoint now = mReactor->Now();
-  std::vector<std::string> names = { mSettings.mVm };
-  for (const auto& [name, member] : mGossip->Members().Members()) {
-    if (mGossip->Members().IsReachable(name, now) &&
-        !member.mLastMessage.mIsLeaving) {
-      names.push_back(name);
-    }
-  }
-  std::sort(names.begin(), names.end());
-  const std::size_t readers =
-    std::max(mSettings.mMinReaders, names.size() / mSettings.mVmsPerReader);
-  names.resize(std::min(names.size(), readers));
-  return names;
+  mViews.OnResponse(aResponse);
 }
 
 /// Returns whether this VM is the one that sends stage orders: the first
@@ -449,7 +505,7 @@
   return !mIsLeaving && Serving() == ServingState::Everything &&
          mGossip->Members().ReachableFraction(now) >
            mSettings.mMinReachableFractionToOrder &&
-         StoreReaders().front() == mSettings.mVm;
+         mGossip->Cells().IsFleetLeader(mIsLeaving, now);
 }
 
 void
@@ -460,33 +516,6 @@
                                         [this] { UpdateStageOrders(); });
 }
 
-/// Returns whether peers' responses keep this VM's view as fresh as its own
-/// reads would.
-bool
-NodeProcess::IsSharedViewFresh() const
-{
-  const TimePoint now = mReactor->Now();
-  const auto listedAt = mMachine.ListedUpstreams().ListedAt();
-  return listedAt && now - *listedAt < mSettings.mMaxSharedViewAge &&
-         mView.Age(now) < mSettings.mMaxSharedViewAge;
-}
-
-/// Chooses between polling the store and relying on the readers' responses, and
-/// sends the next view query.
-void
-NodeProcess::UpdateReadRole()
-{
-  const std::vector<std::string> readers = StoreReaders();
-  const bool isReader =
-    std::find(readers.begin(), readers.end(), mSettings.mVm) != readers.end();
-  mPoller.SetRole(isReader, !isReader && IsSharedViewFresh());
-  if (!isReader) {
-    mGossip->SendViewQuery(readers[mViewQueriesSent++ % readers.size()]);
-  }
-  mReadRoleTimer = mReactor->Schedule(mSettings.mViewQueryInterval,
-                                      [this] { UpdateReadRole(); });
-}
-
 void
 NodeProcess::OnLoopLag(Duration aLag)
 {
@@ -510,6 +539,7 @@
   mSettings.mView = aSettings.mView;
   mSettings.mGracePeriod = aSettings.mGracePeriod;
   mView.SetSettings(aSettings.mView);
+  mViews.SetSettings(aSettings.mViews);
   mMachine.SetRetryBudget(aSettings.mMachine.mRetryBudget);
   mGossip->AddSeeds(aSettings.mSeeds);
   return true;
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Cells/HomeEngines.h>
 #include <Peridothoist/Node/CallerProtocol.h>
 #include <Peridothoist/Node/InstrumentedRowStore.h>
 #include <Peridothoist/Node/NodeMetrics.h>
@@ -12,7 +13,7 @@
 #include <Peridothoist/Node/EndpointServer.h>
 #include <Peridothoist/Node/RelayExecutor.h>
 #include <Peridothoist/Node/UpstreamProtocol.h>
-#include <Peridothoist/Node/ViewPoller.h>
+#include <Peridothoist/Node/ViewUpdater.h>
 #include <Peridothoist/Node/VmRegistry.h>
 #include <Peridothoist/Relay/RelayAdmission.h>
 #include <Peridothoist/Shell/HttpServer.h>
@@ -32,7 +33,7 @@
 /// Runs one node.
 class NodeProcess
   : public HttpRequestHandler
-  , public ViewPollerListener
+  , public ViewUpdaterListener
   , public NodeGossipListener
   , public RelayExecutorListener
   , public LoopMonitorListener
@@ -69,7 +70,7 @@
   bool StartEndpoints(Reason* aReason);
   /// Returns which routes this node serves to new callers.
   ServingState Serving() const;
-  NodeStatus Status() const;
+  NodeStatus Status(const std::string& aCallerZone);
   NodeGauges Gauges();
   std::string RenderMetrics();
   void CheckLeaveProgress();
@@ -79,21 +80,25 @@
                   const Refusal& aRefusal,
                   const Reason& aReason);
   std::optional<Refusal> RefuseWhileLeaving(const AdmittedRequest& aAdmitted);
-  void UpdateReadRole();
   bool IsOrderLeader() const;
   void UpdateStageOrders();
-  bool IsSharedViewFresh() const;
-  std::vector<std::string> StoreReaders() const;
+  void UpdateHomeEngines();
+  void RemoveSilentVms();
+  void LogListChanges(
+    const std::map<std::string, UpstreamList::Entry>& aBefore) const;
 
   // See: HttpRequestHandler
   void OnRequest(std::shared_ptr<HttpExchange> aExchange) override;
-  // See: ViewPollerListener
-  void OnConfigurationRead(
-    std::shared_ptr<const RelayConfiguration> aConfiguration,
-    TimePoint aStartedAt) override;
-  void OnUpstreamsRead(std::vector<RelayUpstream> aUpstreams) override;
+  // See: ViewUpdaterListener
+  void OnConfiguration(std::shared_ptr<const RelayConfiguration> aConfiguration,
+                       TimePoint aConfirmedAt) override;
+  void OnUpstreams(std::vector<RelayUpstream> aUpstreams) override;
+  void OnPeerUpstreams(std::vector<UpstreamList::Entry> aEntries,
+                       TimePoint aConfirmedAt) override;
   void OnUpstreamsUnreachable() override;
-  void OnVmsRead(std::set<std::string> aNames) override;
+  void OnVms(const VmRecords& aVms, bool aFromStore) override;
+  ViewRole RoleForView() override;
+  void SendViewQuery(const std::string& aPeer) override;
   // See: NodeGossipListener
   void FillServingState(GossipMessage& aMessage) override;
   void OnMembersChanged() override;
@@ -119,11 +124,11 @@
   WorkspaceRateLimiter mRateLimiter;
   RelayAdmission mAdmission;
   RelayStateMachine mMachine;
-  ViewExchange mViewExchange;
+  CallerDirectory mDirectory;
   NodeMetrics mMetrics;
   RelayExecutor mExecutor;
   InstrumentedRowStore mStore;
-  ViewPoller mPoller;
+  ViewUpdater mViews;
   VmRegistry mRegistry;
   StageOrderManager mStageOrders;
   std::unique_ptr<NodeGossip> mGossip;
@@ -140,10 +145,6 @@
   Reactor::TimerId mLeaveTimer = 0;
 
   Reactor::TimerId mStageOrderTimer = 0;
-
-  // Sharing of store reads
-  Reactor::TimerId mReadRoleTimer = 0;
-  std::size_t mViewQueriesSent = 0; ///< Selects the next reader.
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -32,11 +32,14 @@
   const Row rows[] = {
     { mSettings.mReadyListen,
       [this](const HttpRequest& aRequest) {
-        return mProtocols.mCallers->HandleReadiness(aRequest, Status());
+        return mProtocols.mCallers->HandleReadiness(aRequest,
+                                                    Status(mSettings.mZone));
       } },
     { mSettings.mDirectoryListen,
       [this](const HttpRequest& aRequest) {
-        return mProtocols.mCallers->HandleAddressLookup(aRequest, Status());
+        const std::string zone =
+          mProtocols.mCallers->CallerZone(aRequest).value_or(mSettings.mZone);
+        return mProtocols.mCallers->HandleAddressLookup(aRequest, Status(zone));
       } },
     { mSettings.mMetricsListen,
       [this](const HttpRequest&) -> std::optional<EndpointResponse> {
@@ -57,18 +60,26 @@
     }
     mEndpointServers.push_back(std::move(server));
   }
+  auto views =
+    StartPeerViewServer(*mReactor, mSettings.mPeerListen, &mViews, aReason);
+  if (views == nullptr) {
+    return false;
+  }
+  mEndpointServers.push_back(std::move(views));
   return true;
 }
 
 NodeStatus
-NodeProcess::Status() const
+NodeProcess::Status(const std::string& aCallerZone)
 {
   const ServingState serving = Serving();
+  std::vector<CallerAddress> callers = mGossip->Callers();
+  callers.push_back({ mSettings.mZone, mSettings.mListen, serving });
   NodeStatus status;
   status.mIsReady = serving != ServingState::Nothing;
   status.mAddressTtl = mSettings.mAddressTtl;
-  status.mCallerAddresses = mGossip->Members().CallerAddresses(
-    serving, mSettings.mListen, mReactor->Now());
+  status.mCallerAddresses = mDirectory.Select(
+    callers, aCallerZone, mGossip->Members().Count(mReactor->Now()));
   return status;
 }
 
--- a/Peridothoist/Node/NodeSettings.cpp
+++ b/Peridothoist/Node/NodeSettings.cpp
@@ -5,6 +5,13 @@
 
 namespace peridothoist {
 
+namespace {
+
+/// Queries at shorter intervals would cost more than they show.
+constexpr Duration kMinQueryInterval = 10ms;
+
+} // namespace
+
 std::optional<Reason>
 NodeSettings::Check() const
 {
@@ -45,6 +52,11 @@
                    "setting revoke_limit_ms is too short; allowed: more than " +
                      std::to_string(mView.mMargin.count() / 1000) };
   }
+  if (mViews.mQueryInterval < kMinQueryInterval) {
+    return Reason{ ReasonCode::Invalid,
+                   "setting change_limit_ms or leave_limit_ms is too short; "
+                   "allowed: 100 and more" };
+  }
   const double prefill = mStageOrders.mBalance.mPrefillFraction;
   if (!(prefill >= 0 && prefill <= 1)) {
     return Reason{ ReasonCode::Invalid,
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -3,8 +3,10 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Core/Reason.h>
+#include <Peridothoist/Cells/CellMembership.h>
 #include <Peridothoist/Node/StageOrderManager.h>
-#include <Peridothoist/Node/ViewPoller.h>
+#include <Peridothoist/Node/ViewUpdater.h>
+#include <Peridothoist/Relay/CallerDirectory.h>
 #include <Peridothoist/Relay/ConfirmedView.h>
 #include <Peridothoist/Relay/MembershipTable.h>
 #include <Peridothoist/Relay/RelayStateMachine.h>
@@ -54,15 +56,6 @@
   /// not grow with the fleet.
   std::size_t mWorkFanOut = 8;
 
-  // Sharing of store reads
-  std::size_t mMinReaders = 2; ///< Minimum number of VMs that read the store.
-  std::size_t mVmsPerReader = 16;      ///< VMs for each reader.
-  Duration mViewQueryInterval = 350ms; ///< Between requests to readers.
-  /// A VM whose view is older than this reads the store itself. Must exceed the
-  /// sum of the readers' interval and mViewQueryInterval, and be well below
-  /// the time within which changes must take effect.
-  Duration mMaxSharedViewAge = 1500ms;
-
   // Crash reports and silent peers
   /// Maximum number of crash reports per gossip message. A crash of many
   /// upstreams makes hundreds of requests suspect, few of which are retried.
@@ -78,10 +71,16 @@
 
   ConfirmedViewSettings mView;
   MembershipTableSettings mMembers;
+  CellMembershipSettings mCells;
+  SummaryTableSettings mSummaries;
+  CallerDirectorySettings mDirectory;
   WorkspaceRateLimiterSettings mRateLimiter;
-  ViewPollerSettings mPoller;
+  ViewUpdaterSettings mViews;
   RelayStateMachineSettings mMachine;
 
+  /// Returns this VM's registration.
+  VmRecord Record() const { return { mVm, mZone, mPeerListen }; }
+
   /// Returns the first invalid setting, or nullopt if all are valid.
   std::optional<Reason> Check() const;
 };
--- /dev/null
+++ b/Peridothoist/Node/ViewCodec.cpp
@@ -0,0 +1,138 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Node/ViewCodec.h>
+
+#include <Peridothoist/Node/CborMessage.h>
+
+namespace peridothoist {
+
+namespace {
+
+using detail::FromCbor;
+using detail::ToCbor;
+using nlohmann::json;
+
+RelayStage
+StageOf(int aNumber)
+{
+  const bool known =
+    aNumber >= 0 && aNumber <= static_cast<int>(RelayStage::Decode);
+  if (!known) {
+    throw json::other_error::create(0, "unknown stage", nullptr);
+  }
+  return static_cast<RelayStage>(aNumber);
+}
+
+SharedConfiguration
+ParseConfiguration(const json& aValue)
+{
+  SharedConfiguration part;
+  part.mAge = Duration(aValue.at(0).get<std::int64_t>());
+  for (const json& it : aValue.at(1)) {
+    part.mRows.push_back({ it.at(0).get<std::string>(),
+                           it.at(1).get<std::string>(),
+                           it.at(2).get<std::uint64_t>() });
+  }
+  return part;
+}
+
+UpstreamList::Entry
+ParseEntry(const json& aValue)
+{
+  UpstreamList::Entry entry;
+  RelayUpstream& upstream = entry.mUpstream;
+  upstream.mId = aValue.at(0).get<std::string>();
+  upstream.mService = aValue.at(1).get<std::string>();
+  upstream.mAddress = aValue.at(2).get<std::string>();
+  upstream.mZone = aValue.at(3).get<std::string>();
+  upstream.mStage = StageOf(aValue.at(4).get<int>());
+  upstream.mSlots = aValue.at(5).get<std::uint32_t>();
+  upstream.mIsLeaving = aValue.at(6).get<bool>();
+  upstream.mIncarnationId = aValue.at(7).get<std::uint64_t>();
+  entry.mIsMissing = aValue.at(8).get<bool>();
+  return entry;
+}
+
+SharedUpstreams
+ParseUpstreams(const json& aValue)
+{
+  SharedUpstreams part;
+  part.mAge = Duration(aValue.at(0).get<std::int64_t>());
+  for (const json& it : aValue.at(1)) {
+    part.mEntries.push_back(ParseEntry(it));
+  }
+  return part;
+}
+
+VmRecords
+ParseVms(const json& aValue)
+{
+  VmRecords vms;
+  for (const json& it : aValue) {
+    const auto name = it.at(0).get<std::string>();
+    vms[name] = { name,
+                  it.at(1).get<std::string>(),
+                  it.at(2).get<std::string>() };
+  }
+  return vms;
+}
+
+} // namespace
+
+std::string
+EncodeSharedConfiguration(const SharedConfiguration& aPart)
+{
+  json rows = json::array();
+  for (const StoredRow& it : aPart.mRows) {
+    rows.push_back(json::array({ it.mKey, it.mValue, it.mVersion }));
+  }
+  return ToCbor(json::array({ aPart.mAge.count(), std::move(rows) }));
+}
+
+std::optional<SharedConfiguration>
+DecodeSharedConfiguration(std::string_view aBytes)
+{
+  return FromCbor(aBytes, &ParseConfiguration);
+}
+
+std::string
+EncodeSharedUpstreams(const SharedUpstreams& aPart)
+{
+  json entries = json::array();
+  for (const UpstreamList::Entry& it : aPart.mEntries) {
+    const RelayUpstream& upstream = it.mUpstream;
+    entries.push_back(json::array({ upstream.mId,
+                                    upstream.mService,
+                                    upstream.mAddress,
+                                    upstream.mZone,
+                                    static_cast<int>(upstream.mStage),
+                                    upstream.mSlots,
+                                    upstream.mIsLeaving,
+                                    upstream.mIncarnationId,
+                                    it.mIsMissing }));
+  }
+  return ToCbor(json::array({ aPart.mAge.count(), std::move(entries) }));
+}
+
+std::optional<SharedUpstreams>
+DecodeSharedUpstreams(std::string_view aBytes)
+{
+  return FromCbor(aBytes, &ParseUpstreams);
+}
+
+std::string
+EncodeVmRecords(const VmRecords& aVms)
+{
+  json vms = json::array();
+  for (const auto& [name, vm] : aVms) {
+    vms.push_back(json::array({ name, vm.mZone, vm.mPeerAddress }));
+  }
+  return ToCbor(vms);
+}
+
+std::optional<VmRecords>
+DecodeVmRecords(std::string_view aBytes)
+{
+  return FromCbor(aBytes, &ParseVms);
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Node/ViewPoller.cpp
+++ b/Peridothoist/Node/ViewPoller.cpp
@@ -53,12 +53,28 @@
 ViewPoller::StartReadUnlessFollowing(PollLoop& aLoop)
 {
   aLoop.mTimer = 0;
-  if (mIsFollowing && aLoop.mFailures == 0 && &aLoop != &mVmLoop) {
+  const bool isFollowing = &aLoop == &mVmLoop ? mIsFollowingVms : mIsFollowing;
+  if (isFollowing && aLoop.mFailures == 0) {
     return; // SetRole() or a peer's newer view starts the next read.
   }
   StartRead(aLoop);
 }
 
+void
+ViewPoller::SetIntervals(Duration aConfiguration, Duration aUpstreams)
+{
+  mConfigurationLoop.mInterval = aConfiguration;
+  mUpstreamLoop.mInterval = aUpstreams;
+}
+
+void
+ViewPoller::RereadVms()
+{
+  mReactor->CancelTimer(mVmLoop.mTimer);
+  mVmLoop.mTimer = mReactor->Schedule(mSettings.mVmRereadDelay,
+                                      [this] { StartRead(mVmLoop); });
+}
+
 void
 ViewPoller::StartRead(PollLoop& aLoop)
 {
@@ -113,9 +129,14 @@
 }
 
 void
-ViewPoller::SetRole(bool aReadsForAll, bool aFollowing)
+ViewPoller::SetRole(bool aReadsForAll, bool aFollowing, bool aFollowingVms)
 {
   mReadsForAll = aReadsForAll;
+  const bool stopsFollowingVms = mIsFollowingVms && !aFollowingVms;
+  mIsFollowingVms = aFollowingVms;
+  if (stopsFollowingVms) {
+    StartRead(mVmLoop);
+  }
   if (aFollowing == mIsFollowing) {
     return;
   }
@@ -151,8 +172,8 @@
         configuration = mDecoder->DecodeConfiguration(*aRows, &reason);
       }
       if (configuration != nullptr) {
-        mListener->OnConfigurationRead(configuration,
-                                       mConfigurationLoop.mStartedAt);
+        mListener->OnConfigurationRead(
+          configuration, std::move(*aRows), mConfigurationLoop.mStartedAt);
       }
       FinishRead(mConfigurationLoop, configuration != nullptr, reason);
     });
@@ -203,14 +224,11 @@
                       if (!*alive) {
                         return;
                       }
-                      if (aRows) {
-                        std::set<std::string> names;
-                        for (const StoredRow& row : *aRows) {
-                          names.insert(row.mKey);
-                        }
-                        mListener->OnVmsRead(std::move(names));
+                      const bool isRead = aRows.has_value();
+                      if (isRead) {
+                        mListener->OnVmsRead(std::move(*aRows));
                       }
-                      FinishRead(mVmLoop, aRows.has_value(), aReason);
+                      FinishRead(mVmLoop, isRead, aReason);
                     });
 }
 
--- a/Peridothoist/Node/ViewPoller.h
+++ b/Peridothoist/Node/ViewPoller.h
@@ -7,8 +7,6 @@
 #include <Peridothoist/Node/ViewDecoder.h>
 #include <Peridothoist/Shell/Reactor.h>
 
-#include <set>
-
 namespace peridothoist {
 
 /// Receives the results of reads.
@@ -17,10 +15,11 @@
 public:
   virtual ~ViewPollerListener() = default;
 
-  /// Called after each successful read of the configuration. aStartedAt: start
-  /// of the read.
+  /// Called after each successful read of the configuration. aRows: as read.
+  /// aStartedAt: start of the read.
   virtual void OnConfigurationRead(
     std::shared_ptr<const RelayConfiguration> aConfiguration,
+    std::vector<StoredRow> aRows,
     TimePoint aStartedAt) = 0;
 
   /// Called after each successful read of the upstreams, with the complete
@@ -30,8 +29,8 @@
   /// Called when a read of the upstreams has failed.
   virtual void OnUpstreamsUnreachable() = 0;
 
-  /// Called after each successful read of the names of all registered VMs.
-  virtual void OnVmsRead(std::set<std::string> aNames) = 0;
+  /// Called after each successful read of the registered VMs, one row each.
+  virtual void OnVmsRead(std::vector<StoredRow> aRows) = 0;
 };
 
 /// Settings of a ViewPoller.
@@ -45,6 +44,9 @@
   Duration mUpstreamInterval = 800ms;
   Duration mVmInterval = 5s;
   Duration mFollowerVmInterval = 20s; ///< While peers confirm the view.
+  /// Between this VM's registration and the next read of the registered VMs.
+  /// In a fleet that starts, most others register within this time.
+  Duration mVmRereadDelay = 1200ms;
   /// Delay of the first retry after a failed read. It doubles with each further
   /// failure up to one of the following limits.
   Duration mRetryInterval = 100ms;
@@ -71,9 +73,15 @@
   void Start();
 
   /// Sets the role of this VM. aReadsForAll: whether peers rely on its reads.
-  /// aFollowing: whether peers confirm its view, so that it polls only the
-  /// registered VMs.
-  void SetRole(bool aReadsForAll, bool aFollowing);
+  /// aFollowing: whether peers confirm its configuration and upstreams, so that
+  /// it does not poll these. aFollowingVms: the same for the registered VMs.
+  void SetRole(bool aReadsForAll, bool aFollowing, bool aFollowingVms);
+
+  /// Sets the intervals between reads.
+  void SetIntervals(Duration aConfiguration, Duration aUpstreams);
+
+  /// Schedules a read of the registered VMs after mVmRereadDelay.
+  void RereadVms();
 
   /// Start a read immediately; called when a peer has a newer view.
   void ReadConfigurationNow() { StartRead(mConfigurationLoop); }
@@ -115,6 +123,7 @@
   std::map<std::string, std::uint64_t> mSkippedRowVersions;
   bool mReadsForAll = true;
   bool mIsFollowing = false;
+  bool mIsFollowingVms = false;
   /// Set to false by the destructor; checked by pending callbacks.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/Peridothoist/Node/ViewUpdater.cpp
@@ -0,0 +1,309 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Node/ViewUpdater.h>
+
+#include <Peridothoist/Node/VmRegistry.h>
+#include <Peridothoist/Shell/Log.h>
+
+#include <algorithm>
+
+namespace peridothoist {
+
+namespace {
+
+// Parts of the time within which a change must be in force everywhere.
+constexpr double kConfigurationIntervalPart = 0.325;
+constexpr double kUpstreamIntervalPart = 0.4;
+constexpr double kQueryIntervalPart = 0.1;
+constexpr double kMaxAgePart = 0.65;
+constexpr double kMaxIndirectAgePart = 0.85;
+
+/// Peers other than the usual ones are asked too while the view is older than
+/// this part of its limit.
+constexpr double kFallbackPart = 0.7;
+
+/// A peer's statement about the registered VMs is relied on for this long.
+constexpr Duration kVmsConfirmedFor = 5s;
+
+Duration
+Part(Duration aWhole, double aPart)
+{
+  return std::chrono::duration_cast<Duration>(aWhole * aPart);
+}
+
+} // namespace
+
+void
+ViewUpdaterSettings::SetChangeLimit(Duration aLimit)
+{
+  mPoller.mConfigurationInterval = Part(aLimit, kConfigurationIntervalPart);
+  mPoller.mUpstreamInterval = Part(aLimit, kUpstreamIntervalPart);
+  mQueryInterval = Part(aLimit, kQueryIntervalPart);
+  mMaxAge = Part(aLimit, kMaxAgePart);
+  mMaxIndirectAge = Part(aLimit, kMaxIndirectAgePart);
+}
+
+ViewUpdater::ViewUpdater(const Settings& aSettings,
+                         const std::string& aViewAddress,
+                         Reactor* aReactor,
+                         HttpClient* aClient,
+                         RowStore* aStore,
+                         const ViewDecoder* aDecoder,
+                         ConfirmedView* aView,
+                         UpstreamList* aUpstreamList,
+                         ViewUpdaterListener* aListener)
+  : mSettings(aSettings)
+  , mViewAddress(aViewAddress)
+  , mReactor(aReactor)
+  , mDecoder(aDecoder)
+  , mView(aView)
+  , mUpstreamList(aUpstreamList)
+  , mListener(aListener)
+  , mExchange(aView, aUpstreamList)
+  , mPoller(aSettings.mPoller, aReactor, aStore, aDecoder, this)
+  , mPeers(aClient)
+{
+}
+
+ViewUpdater::~ViewUpdater()
+{
+  *mAlive = false;
+  mReactor->CancelTimer(mTimer);
+}
+
+void
+ViewUpdater::SetSettings(const Settings& aSettings)
+{
+  mSettings = aSettings;
+  mPoller.SetIntervals(aSettings.mPoller.mConfigurationInterval,
+                       aSettings.mPoller.mUpstreamInterval);
+}
+
+/// Returns the age of the older of the configuration and the upstreams.
+Duration
+ViewUpdater::Age() const
+{
+  const TimePoint now = Reactor::ReadClock();
+  const auto listedAt = mUpstreamList->ListedAt();
+  return listedAt ? std::max(now - *listedAt, mView->Age(now))
+                  : Duration::max();
+}
+
+Duration
+ViewUpdater::MaxAge(const ViewRole& aRole) const
+{
+  return aRole.mIsIndirect ? mSettings.mMaxIndirectAge : mSettings.mMaxAge;
+}
+
+/// Chooses between reading the store and following peers, and sends the next
+/// query.
+void
+ViewUpdater::Update()
+{
+  const ViewRole role = mListener->RoleForView();
+  const bool isFollowing = !role.mIsReader && Age() < MaxAge(role);
+  const bool isFollowingVms =
+    isFollowing && Reactor::ReadClock() - mVmsConfirmedAt < kVmsConfirmedFor;
+  mPoller.SetRole(role.mIsReader, isFollowing, isFollowingVms);
+  SendQuery(role);
+  mTimer = mReactor->Schedule(mSettings.mQueryInterval, [this] { Update(); });
+}
+
+void
+ViewUpdater::SendQuery(const ViewRole& aRole)
+{
+  std::vector<std::string> peers = aRole.mPeers;
+  if (Age() > Part(MaxAge(aRole), kFallbackPart)) {
+    peers.insert(
+      peers.end(), aRole.mFallbackPeers.begin(), aRole.mFallbackPeers.end());
+  }
+  if (!peers.empty()) {
+    mListener->SendViewQuery(peers[mQueriesSent++ % peers.size()]);
+  }
+}
+
+std::optional<ViewResponse>
+ViewUpdater::OnQuery(const ViewQuery& aQuery)
+{
+  auto response = mExchange.MakeResponse(aQuery, Reactor::ReadClock());
+  if (response) {
+    response->mVmDigest = mVmDigest;
+    response->mViewAddress = mViewAddress;
+  }
+  return response;
+}
+
+void
+ViewUpdater::OnResponse(const ViewResponse& aResponse)
+{
+  const TimePoint now = Reactor::ReadClock();
+  const ViewExchangeResult result = mExchange.OnPeerResponse(aResponse, now);
+  if (aResponse.mViewAddress.empty()) {
+    // The peer's build shares no views.
+    if (result.mShouldReadConfiguration) {
+      mPoller.ReadConfigurationNow();
+    }
+    if (result.mShouldReadUpstreams) {
+      mPoller.ReadUpstreamsNow();
+    }
+    return;
+  }
+  if (result.mShouldReadConfiguration) {
+    FetchConfiguration(aResponse.mViewAddress);
+  }
+  if (result.mShouldReadUpstreams) {
+    FetchUpstreams(aResponse.mViewAddress);
+  }
+  if (aResponse.mVmDigest != 0 && aResponse.mVmDigest == mVmDigest) {
+    mVmsConfirmedAt = now;
+  } else if (aResponse.mVmDigest != 0) {
+    FetchVms(aResponse.mViewAddress);
+  }
+}
+
+void
+ViewUpdater::FetchConfiguration(const std::string& aPeer)
+{
+  if (std::exchange(mIsFetchingConfiguration, true)) {
+    return;
+  }
+  const TimePoint sentAt = Reactor::ReadClock();
+  mPeers.FetchConfiguration(
+    aPeer,
+    [this, sentAt, alive = mAlive](std::optional<SharedConfiguration> aPart) {
+      if (!*alive) {
+        return;
+      }
+      mIsFetchingConfiguration = false;
+      if (aPart) {
+        OnPeerConfiguration(*aPart, sentAt);
+      } else {
+        mPoller.ReadConfigurationNow();
+      }
+    });
+}
+
+void
+ViewUpdater::OnPeerConfiguration(const SharedConfiguration& aPart,
+                                 TimePoint aSentAt)
+{
+  Reason reason;
+  const auto configuration =
+    mDecoder->DecodeConfiguration(aPart.mRows, &reason);
+  if (configuration == nullptr || aPart.mAge < Duration(0)) {
+    Log::Warning("peer_configuration_unreadable").Field("reason", reason.mText);
+    mPoller.ReadConfigurationNow();
+    return;
+  }
+  OnConfigurationRead(configuration, aPart.mRows, aSentAt - aPart.mAge);
+}
+
+void
+ViewUpdater::FetchUpstreams(const std::string& aPeer)
+{
+  if (std::exchange(mIsFetchingUpstreams, true)) {
+    return;
+  }
+  const TimePoint sentAt = Reactor::ReadClock();
+  mPeers.FetchUpstreams(
+    aPeer,
+    [this, sentAt, alive = mAlive](std::optional<SharedUpstreams> aPart) {
+      if (!*alive) {
+        return;
+      }
+      mIsFetchingUpstreams = false;
+      if (!aPart || aPart->mAge < Duration(0)) {
+        mPoller.ReadUpstreamsNow();
+        return;
+      }
+      const TimePoint confirmedAt = sentAt - aPart->mAge;
+      const auto listedAt = mUpstreamList->ListedAt();
+      if (!listedAt || *listedAt < confirmedAt) {
+        mListener->OnPeerUpstreams(std::move(aPart->mEntries), confirmedAt);
+      }
+    });
+}
+
+void
+ViewUpdater::FetchVms(const std::string& aPeer)
+{
+  if (std::exchange(mIsFetchingVms, true)) {
+    return;
+  }
+  mPeers.FetchVms(aPeer, [this, alive = mAlive](std::optional<VmRecords> aVms) {
+    if (!*alive) {
+      return;
+    }
+    mIsFetchingVms = false;
+    if (aVms) {
+      mVms = std::move(*aVms);
+      mVmDigest = DigestOf(*mVms);
+      mVmsConfirmedAt = Reactor::ReadClock();
+      mListener->OnVms(*mVms, false);
+    }
+  });
+}
+
+void
+ViewUpdater::OnConfigurationRead(
+  std::shared_ptr<const RelayConfiguration> aConfiguration,
+  std::vector<StoredRow> aRows,
+  TimePoint aStartedAt)
+{
+  if (aConfiguration->mVersion >= mView->Version()) {
+    mConfigurationRows = std::move(aRows);
+  }
+  mListener->OnConfiguration(std::move(aConfiguration), aStartedAt);
+}
+
+void
+ViewUpdater::OnUpstreamsRead(std::vector<RelayUpstream> aUpstreams)
+{
+  mListener->OnUpstreams(std::move(aUpstreams));
+}
+
+void
+ViewUpdater::OnUpstreamsUnreachable()
+{
+  mListener->OnUpstreamsUnreachable();
+}
+
+void
+ViewUpdater::OnVmsRead(std::vector<StoredRow> aRows)
+{
+  mVms = VmRegistry::Decode(aRows);
+  mVmDigest = DigestOf(*mVms);
+  mListener->OnVms(*mVms, true);
+}
+
+std::optional<SharedConfiguration>
+ViewUpdater::ShareConfiguration()
+{
+  if (mConfigurationRows.empty()) {
+    return std::nullopt;
+  }
+  return SharedConfiguration{ mView->Age(Reactor::ReadClock()),
+                              mConfigurationRows };
+}
+
+std::optional<SharedUpstreams>
+ViewUpdater::ShareUpstreams()
+{
+  const auto listedAt = mUpstreamList->ListedAt();
+  if (!listedAt) {
+    return std::nullopt;
+  }
+  SharedUpstreams part;
+  part.mAge = Reactor::ReadClock() - *listedAt;
+  for (const auto& [id, entry] : mUpstreamList->All()) {
+    part.mEntries.push_back(entry);
+  }
+  return part;
+}
+
+std::optional<VmRecords>
+ViewUpdater::ShareVms()
+{
+  return mVms;
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Node/VmRegistry.cpp
+++ b/Peridothoist/Node/VmRegistry.cpp
@@ -3,22 +3,41 @@
 
 #include <Peridothoist/Shell/Log.h>
 
+#include <nlohmann/json.hpp>
+
 namespace peridothoist {
 
 namespace {
 
+using nlohmann::json;
+
 constexpr Duration kRetryInterval = 1s;
 
+// Fields of a VM's row.
+constexpr const char* kZone = "zone";
+constexpr const char* kPeer = "peer";
+
+/// Returns the text in a field, or "" if it has none.
+std::string
+TextField(const json& aObject, const char* aName)
+{
+  const auto it = aObject.find(aName);
+  const bool isText = it != aObject.end() && it->is_string();
+  return isText ? it->get<std::string>() : std::string();
+}
+
 } // namespace
 
 VmRegistry::VmRegistry(const std::string& aTable,
-                       const std::string& aVm,
+                       const VmRecord& aSelf,
                        Reactor* aReactor,
-                       RowStore* aStore)
+                       RowStore* aStore,
+                       std::function<void()> aOnRegistered)
   : mTable(aTable)
-  , mVm(aVm)
+  , mSelf(aSelf)
   , mReactor(aReactor)
   , mStore(aStore)
+  , mOnRegistered(std::move(aOnRegistered))
 {
 }
 
@@ -36,18 +55,20 @@
   }
   mIsRegistering = true;
   const auto alive = mAlive;
-  mStore->Change({ mTable, mVm, "{}", std::nullopt },
+  const json row = { { kZone, mSelf.mZone }, { kPeer, mSelf.mPeerAddress } };
+  mStore->Change({ mTable, mSelf.mName, row.dump(), std::nullopt },
                  [this, alive](const Reason& aReason, std::uint64_t) {
                    if (!*alive) {
                      return;
                    }
                    mIsRegistering = false;
                    if (aReason.mCode == ReasonCode::None) {
-                     Log::Info("registered").Field("name", mVm);
+                     Log::Info("registered").Field("name", mSelf.mName);
+                     mOnRegistered();
                      return;
                    }
                    Log::Info("not_registered")
-                     .Field("name", mVm)
+                     .Field("name", mSelf.mName)
                      .Field("code", ToName(aReason.mCode))
                      .Field("reason", aReason.mText);
                    mRetryTimer =
@@ -55,10 +76,29 @@
                  });
 }
 
+VmRecords
+VmRegistry::Decode(const std::vector<StoredRow>& aRows)
+{
+  VmRecords vms;
+  for (const StoredRow& row : aRows) {
+    VmRecord vm;
+    vm.mName = row.mKey;
+    const json body = json::parse(row.mValue, nullptr, false);
+    if (body.is_object()) {
+      vm.mZone = TextField(body, kZone);
+      vm.mPeerAddress = TextField(body, kPeer);
+    }
+    const bool isComplete = !vm.mPeerAddress.empty();
+    vms[vm.mName] = isComplete ? vm : VmRecord{ vm.mName, "", "" };
+  }
+  return vms;
+}
+
 void
-VmRegistry::OnNamesRead(const std::set<std::string>& aNames)
+VmRegistry::OnVmsRead(const VmRecords& aVms)
 {
-  if (aNames.count(mVm) == 0) {
+  const auto it = aVms.find(mSelf.mName);
+  if (it == aVms.end() || !(it->second == mSelf)) {
     Register();
   }
 }
--- a/Peridothoist/Node/VmRegistry.h
+++ b/Peridothoist/Node/VmRegistry.h
@@ -3,30 +3,35 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Cells/CellLayout.h>
 #include <Peridothoist/Node/RowStore.h>
 #include <Peridothoist/Shell/Reactor.h>
 
-#include <set>
-
 namespace peridothoist {
 
 /// Registration of VMs, as seen from one of them.
 class VmRegistry
 {
 public:
-  /// The pointers are not owned.
+  /// aOnRegistered is called when the store has accepted the registration. The
+  /// pointers are not owned.
   VmRegistry(const std::string& aTable,
-             const std::string& aVm,
+             const VmRecord& aSelf,
              Reactor* aReactor,
-             RowStore* aStore);
+             RowStore* aStore,
+             std::function<void()> aOnRegistered);
   ~VmRegistry();
 
   /// Registers this VM; retries until the store has accepted it.
   void Register();
 
-  /// Called with the names that are registered now. Registers this VM again if
-  /// its name is missing.
-  void OnNamesRead(const std::set<std::string>& aNames);
+  /// Decodes the rows of the registered VMs. Rows of builds that know no cells
+  /// give records with a name only.
+  static VmRecords Decode(const std::vector<StoredRow>& aRows);
+
+  /// Called with the VMs that are registered now. Registers this VM again if it
+  /// is missing or registered otherwise.
+  void OnVmsRead(const VmRecords& aVms);
 
   /// Removes the registrations of VMs that are gone. If one of them is still
   /// running, it registers again.
@@ -34,9 +39,10 @@
 
 private:
   std::string mTable;
-  std::string mVm;
+  VmRecord mSelf;
   Reactor* mReactor;
   RowStore* mStore;
+  std::function<void()> mOnRegistered;
   bool mIsRegistering = false;
   Reactor::TimerId mRetryTimer = 0;
   /// Set to false by the destructor; checked by pending callbacks.
--- a/Peridothoist/Relay/MembershipTable.cpp
+++ b/Peridothoist/Relay/MembershipTable.cpp
@@ -15,30 +15,6 @@
   return kNames[static_cast<std::size_t>(aState)];
 }
 
-std::vector<CrashReport>
-SelectCrashReports(std::vector<CrashReport> aAll,
-                   std::size_t aMaxReports,
-                   std::uint64_t aMessageNumber)
-{
-  if (aAll.size() <= aMaxReports) {
-    return aAll;
-  }
-  std::stable_sort(aAll.begin(),
-                   aAll.end(),
-                   [](const CrashReport& aOne, const CrashReport& aTwo) {
-                     return aOne.mCrashes > aTwo.mCrashes;
-                   });
-  const std::size_t first = aMaxReports / 2;
-  const std::size_t rest = aAll.size() - first;
-  std::vector<CrashReport> chosen(
-    aAll.begin(), aAll.begin() + static_cast<std::ptrdiff_t>(first));
-  const std::size_t rotating = aMaxReports - first;
-  for (std::size_t n = 0; n < rotating; ++n) {
-    chosen.push_back(aAll[first + (aMessageNumber * rotating + n) % rest]);
-  }
-  return chosen;
-}
-
 MembershipTable::MembershipTable(const Settings& aSettings, std::string aSelf)
   : mSettings(aSettings)
   , mSelf(std::move(aSelf))
@@ -99,37 +75,27 @@
 double
 MembershipTable::ReachableFraction(TimePoint aNow) const
 {
-  std::size_t reachable = 1;
+  std::size_t reachable = 1 + mReachableElsewhere;
   for (const auto& [name, member] : mMembers) {
     reachable += IsReachable(name, aNow) ? 1 : 0;
   }
-  return static_cast<double>(reachable) / static_cast<double>(Count(aNow));
+  const std::size_t count = Count(aNow);
+  return static_cast<double>(std::min(reachable, count)) /
+         static_cast<double>(count);
 }
 
-std::vector<std::string>
-MembershipTable::CallerAddresses(ServingState aOwnState,
-                                 const std::string& aOwnAddress,
-                                 TimePoint aNow) const
+std::vector<CallerAddress>
+MembershipTable::Callers(TimePoint aNow) const
 {
-  const auto addressesOf = [&](ServingState aState) {
-    std::vector<std::string> addresses;
-    if (aOwnState == aState) {
-      addresses.push_back(aOwnAddress);
-    }
-    for (const auto& [name, member] : mMembers) {
-      if (IsReachable(name, aNow) && member.mLastMessage.mServing == aState) {
-        addresses.push_back(member.mLastMessage.mCallerAddress);
-      }
+  std::vector<CallerAddress> callers;
+  for (const auto& [name, member] : mMembers) {
+    const GossipMessage& message = member.mLastMessage;
+    if (IsReachable(name, aNow)) {
+      callers.push_back(
+        { message.mZone, message.mCallerAddress, message.mServing });
     }
-    return addresses;
-  };
-  std::vector<std::string> addresses = addressesOf(ServingState::Everything);
-  if (!addresses.empty()) {
-    return addresses;
   }
-  addresses = addressesOf(ServingState::OpenRoutes);
-  const bool alone = addresses.size() == 1 && Count(aNow) > 1;
-  return alone ? std::vector<std::string>() : addresses;
+  return callers;
 }
 
 std::vector<std::string>
--- a/Peridothoist/Relay/MembershipTable.h
+++ b/Peridothoist/Relay/MembershipTable.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/CrashReports.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/WorkspaceRateLimiter.h>
 
@@ -10,24 +11,6 @@
 
 namespace peridothoist {
 
-/// Reports that a request, named by its digest, was present at upstream
-/// crashes.
-struct CrashReport
-{
-  std::string mDigest;
-  std::uint32_t mCrashes = 0; ///< Crashes at which it was present.
-  bool mIsQuarantined = false;
-  Duration mRemaining{ 0 }; ///< Remaining lifetime of the report.
-};
-
-/// Returns at most aMaxReports reports for one message: half of them those with
-/// the most crashes, the others in rotation, so that each is sent within a few
-/// messages. aMessageNumber goes up by one with each message.
-std::vector<CrashReport>
-SelectCrashReports(std::vector<CrashReport> aAll,
-                   std::size_t aMaxReports,
-                   std::uint64_t aMessageNumber);
-
 /// What a VM can serve to new callers.
 enum class ServingState
 {
@@ -39,10 +22,19 @@
 const char*
 ToName(ServingState aState);
 
+/// Where a VM accepts callers, and what it serves them.
+struct CallerAddress
+{
+  std::string mZone;    ///< Of the VM; empty: not known.
+  std::string mAddress; ///< "ip:port".
+  ServingState mServing = ServingState::Nothing;
+};
+
 /// The gossip message in which a VM describes itself to the others.
 struct GossipMessage
 {
   std::string mVm;             ///< Its name.
+  std::string mZone;           ///< Empty: sent by a build without cells.
   std::string mInstance;       ///< New with each start of its process.
   std::uint64_t mSequence = 0; ///< Goes up with each message of an instance.
   std::string mCallerAddress;  ///< Where it accepts callers, "ip:port".
@@ -50,12 +42,14 @@
   ServingState mServing = ServingState::Nothing;
   bool mIsLeaving = false;                 ///< It will stop soon.
   GrantedTokens mGranted;                  ///< Since the instance started.
-  WaitingRequests mWaiting;                ///< They wait for upstream capacity.
+  WaitingByService mWaiting;               ///< They wait for upstream capacity.
   WorkByUpstream mWork;                    ///< Its open requests.
   std::vector<std::string> mGoneUpstreams; ///< Upstreams that it found gone.
   CountsByUpstream mFailingUpstreams;      ///< Upstreams that fail its calls.
   std::vector<CrashReport> mCrashReports;
   std::vector<std::string> mPeers; ///< Peer addresses that it knows.
+  /// It answers a VM of another cell with the addresses of that VM's cell.
+  bool mIsRedirect = false;
 };
 
 /// Settings of MembershipTable.
@@ -94,15 +88,14 @@
   /// Returns the fraction of all VMs that are reachable, this one included.
   double ReachableFraction(TimePoint aNow) const;
 
-  /// Returns the addresses to which callers are directed: those of the
-  /// reachable VMs that serve everything or, if there are none, of those that
-  /// serve open routes. This VM's own address is included if it serves as much.
-  /// A single address that serves only open routes is not returned while other
-  /// VMs exist: this VM may be cut off from them, and they may serve
-  /// everything.
-  std::vector<std::string> CallerAddresses(ServingState aOwnState,
-                                           const std::string& aOwnAddress,
-                                           TimePoint aNow) const;
+  /// Sets the number of reachable VMs of which only others receive messages.
+  void SetReachableElsewhere(std::size_t aCount)
+  {
+    mReachableElsewhere = aCount;
+  }
+
+  /// Returns where the reachable VMs accept callers.
+  std::vector<CallerAddress> Callers(TimePoint aNow) const;
 
   /// Returns the VMs that have been registered and silent for longer than
   /// aSilentFor.
@@ -120,6 +113,9 @@
   };
   const std::map<std::string, Member>& Members() const { return mMembers; }
 
+  /// Drops a VM.
+  void Remove(const std::string& aVm) { mMembers.erase(aVm); }
+
   /// Drops the VMs that were silent for longer than aSilentFor; returns their
   /// instances.
   std::vector<std::string> DropSilent(Duration aSilentFor, TimePoint aNow);
@@ -129,6 +125,7 @@
   std::string mSelf;
   std::map<std::string, Member> mMembers; ///< By name, without this VM.
   std::map<std::string, TimePoint> mRegisteredSince; ///< By name.
+  std::size_t mReachableElsewhere = 0;
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -99,14 +99,8 @@
   if (aEnd.mLoad) {
     mLoads.OnLoadStated(call.mUpstream, *aEnd.mLoad, aNow);
   }
+  CountOutcome(state, call, aEnd);
   const CallResult& outcome = aEnd.mOutcome;
-  const bool counted = outcome.mMayHaveBeenSent && !aEnd.mNotRun &&
-                       call.mKind != RelayCallKind::Reserve;
-  if (counted) {
-    const bool prefill = call.mKind == RelayCallKind::Prefill;
-    const bool succeeded = outcome.IsSuccess() && (aEnd.mIsVerified || prefill);
-    mLoads.Outcomes().OnOutcome(call.mUpstream, !succeeded, aNow);
-  }
   if (!outcome.mMayHaveBeenSent) {
     OnNotSent(state, call, aEnd);
   } else if (outcome.mEnd == CallEnd::Whole && aEnd.mNotRun) {
@@ -117,6 +111,34 @@
   DispatchWaiting();
 }
 
+/// Counts how a call to an upstream ended. A request that two upstreams answer
+/// with an error of their own is likely to be the cause itself, so the second
+/// error does not count.
+void
+RelayStateMachine::CountOutcome(State& aState,
+                                const Call& aCall,
+                                const RelayCallEnd& aEnd)
+{
+  const CallResult& outcome = aEnd.mOutcome;
+  const bool counted = outcome.mMayHaveBeenSent && !aEnd.mNotRun &&
+                       aCall.mKind != RelayCallKind::Reserve;
+  if (!counted) {
+    return;
+  }
+  const bool isServerError = outcome.mEnd == CallEnd::Whole &&
+                             aEnd.mIsVerified &&
+                             aEnd.mResponse.mStatus >= kServerError;
+  if (isServerError && std::exchange(aState.mHadServerError, true)) {
+    return;
+  }
+  const bool isPrefill = aCall.mKind == RelayCallKind::Prefill;
+  const bool succeeded = outcome.IsSuccess() && (aEnd.mIsVerified || isPrefill);
+  mLoads.Outcomes().OnOutcome(aCall.mUpstream, !succeeded, mNow);
+  if (succeeded && !isPrefill) {
+    mCallTimes[aState.mRequest.mService].Add(mNow - aCall.mStartedAt);
+  }
+}
+
 RelayStateMachine::Call
 RelayStateMachine::CloseCall(State& aState)
 {
--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -1,11 +1,9 @@
 /// The part of RelayStateMachine that places requests on upstreams: it chooses
-/// the upstream, decides whether a prefill engine reads the prompt, and queues
-/// requests until there is capacity.
+/// the upstream and decides whether a prefill engine reads the prompt.
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/RelayStateMachine.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace peridothoist {
 
@@ -174,6 +172,7 @@
   const bool isReserve = aKind == RelayCallKind::Reserve;
   call.mTokens =
     isReserve ? 0 : request.mMemoryTokens; // HoldMemory() counted it.
+  call.mStartedAt = mNow;
   call.mLastActivity = mNow;
   call.mUsesHandle = aKind == RelayCallKind::Stream && !aState.mHandle.empty();
 
@@ -214,111 +213,6 @@
   return true;
 }
 
-void
-RelayStateMachine::OnNoUpstreamChosen(State& aState, NoChoiceReason aReason)
-{
-  const AdmittedRequest& request = aState.mRequest;
-  if (aReason == NoChoiceReason::NoUpstream) {
-    Refuse(aState,
-           aState.mTriedUpstreams.empty() ? RefusalKind::NoUpstream
-                                          : RefusalKind::UpstreamFailed);
-    return;
-  }
-  if (!aState.mWaitDeadline) {
-    const auto wait = std::chrono::duration_cast<Duration>(
-      request.mCallerTimeout * mSettings.mMaxWaitFraction);
-    aState.mWaitDeadline =
-      std::min(request.mArrivedAt + wait, request.mDeadline);
-    mTimers.Add(*aState.mWaitDeadline, { TimerKind::Dispatch, request.mId, 0 });
-  }
-  if (mNow >= *aState.mWaitDeadline) {
-    Refuse(aState, RefusalKind::TooLate);
-    return;
-  }
-  mWaiting.insert({ request.mPriority, request.mId });
-}
-
-/// Starts waiting requests while there is capacity. Requests that can no longer
-/// meet their target latency are started only when none that still can is
-/// waiting, at this VM or another. Each group is ordered by priority and then
-/// by arrival.
-void
-RelayStateMachine::DispatchWaiting()
-{
-  std::vector<std::uint64_t> inTime;
-  std::vector<std::uint64_t> late;
-  for (const auto& entry : mWaiting) {
-    const State* state = Find(entry.second);
-    if (state != nullptr && !state->mCall) {
-      (IsLate(*state) ? late : inTime).push_back(entry.second);
-    }
-  }
-  const WaitingRequests others = mLoads.PeersWaiting();
-  const auto fractionOf = [](std::size_t aOwn, std::size_t aOthers) {
-    return static_cast<double>(aOwn) /
-           static_cast<double>(std::max<std::size_t>(1, aOwn + aOthers));
-  };
-  DispatchWithinFraction(inTime, fractionOf(inTime.size(), others.mInTime));
-  if (others.mInTime == 0 && mWaiting.size() <= late.size()) {
-    DispatchWithinFraction(late, fractionOf(late.size(), others.mLate));
-  }
-}
-
-/// Starts requests in order, within aFraction of the capacity. All VMs see the
-/// same free capacity at the same time, so each may use only its own fraction
-/// of it. A fractional number of requests is rounded up or down at random.
-void
-RelayStateMachine::DispatchWithinFraction(
-  const std::vector<std::uint64_t>& aRequests,
-  double aFraction)
-{
-  if (aRequests.empty()) {
-    return;
-  }
-  const State& first = *Find(aRequests.front());
-  const RelayStage stage = first.mRequest.mRoute->mKind == RouteKind::Stream
-                             ? RelayStage::Decode
-                             : RelayStage::Plain;
-  const double capacity = mChooser.CapacityFor(QueryFor(first, stage), mNow);
-  const double share = std::max(capacity, 0.0) * aFraction;
-  const double whole = std::floor(share);
-  double startsLeft =
-    whole + (mRandom->UniformFraction() < share - whole ? 1 : 0);
-  for (const std::uint64_t id : aRequests) {
-    State* state = Find(id);
-    if (startsLeft < 1) {
-      return;
-    }
-    if (state != nullptr && !state->mCall) {
-      startsLeft -= 1;
-      PlaceRequest(*state);
-    }
-  }
-}
-
-WaitingRequests
-RelayStateMachine::ClassifyWaiting(TimePoint aNow)
-{
-  mNow = std::max(mNow, aNow);
-  WaitingRequests waiting;
-  for (const auto& entry : mWaiting) {
-    const State* state = Find(entry.second);
-    if (state != nullptr) {
-      ++(IsLate(*state) ? waiting.mLate : waiting.mInTime);
-    }
-  }
-  return waiting;
-}
-
-bool
-RelayStateMachine::IsLate(const State& aState) const
-{
-  const AdmittedRequest& request = aState.mRequest;
-  const bool stream = request.mRoute->mKind == RouteKind::Stream;
-  const Duration start = stream ? mSettings.mTypicalStartTime : Duration(0);
-  return mNow + start - request.mArrivedAt >= request.mRoute->mTargetLatency;
-}
-
 bool
 RelayStateMachine::MayStillSend(std::uint64_t aId,
                                 std::uint32_t aAttempt,
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -236,19 +236,36 @@
 }
 
 void
-RelayStateMachine::OnListRead(std::vector<RelayUpstream> aUpstreams,
-                              TimePoint aNow,
-                              RelayCommands& aOut)
+RelayStateMachine::OnUpstreamsLost(const std::vector<UpstreamLoss>& aLost)
 {
-  mNow = aNow;
-  mOut = &aOut;
-  for (const UpstreamLoss& it :
-       mUpstreamList.OnListRead(std::move(aUpstreams), aNow)) {
+  for (const UpstreamLoss& it : aLost) {
     if (!it.mWasLeaving) {
       OnUpstreamLost(it.mId);
     }
     mLoads.Forget(it.mId);
   }
+}
+
+void
+RelayStateMachine::OnListRead(std::vector<RelayUpstream> aUpstreams,
+                              TimePoint aNow,
+                              RelayCommands& aOut)
+{
+  mNow = aNow;
+  mOut = &aOut;
+  OnUpstreamsLost(mUpstreamList.OnListRead(std::move(aUpstreams), aNow));
+  DispatchWaiting();
+}
+
+void
+RelayStateMachine::OnPeerList(std::vector<UpstreamList::Entry> aEntries,
+                              TimePoint aConfirmedAt,
+                              TimePoint aNow,
+                              RelayCommands& aOut)
+{
+  mNow = aNow;
+  mOut = &aOut;
+  OnUpstreamsLost(mUpstreamList.OnPeerList(std::move(aEntries), aConfirmedAt));
   DispatchWaiting();
 }
 
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -17,6 +17,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Core/Random.h>
 #include <Peridothoist/Relay/BrokenCallTracker.h>
+#include <Peridothoist/Relay/CallTimeEstimate.h>
 #include <Peridothoist/Relay/PrefillPlanner.h>
 #include <Peridothoist/Relay/RelayCommand.h>
 #include <Peridothoist/Relay/RelayRetryBudget.h>
@@ -158,6 +159,16 @@
   void OnListRead(std::vector<RelayUpstream> aUpstreams,
                   TimePoint aNow,
                   RelayCommands& aOut);
+  /// Replaces the list by that of a peer, which was confirmed at aConfirmedAt.
+  void OnPeerList(std::vector<UpstreamList::Entry> aEntries,
+                  TimePoint aConfirmedAt,
+                  TimePoint aNow,
+                  RelayCommands& aOut);
+  /// Sets the engines at home in this VM's cell.
+  void SetHomeEngines(std::set<std::string> aIds)
+  {
+    mChooser.SetHomeEngines(std::move(aIds));
+  }
   /// Replaces what another VM reported of its work.
   void OnPeerWork(const std::string& aVm,
                   const WorkByUpstream& aWork,
@@ -177,9 +188,9 @@
   std::size_t OpenRequestCount() const { return mRequests.size(); }
   /// Returns the number of requests that wait for upstream capacity.
   std::size_t WaitingRequestCount() const { return mWaiting.size(); }
-  /// Returns the numbers of waiting requests that can still be in time and of
-  /// those that are late.
-  WaitingRequests ClassifyWaiting(TimePoint aNow);
+  /// Returns, by service, the numbers of waiting requests that can still be in
+  /// time and of those that are late.
+  WaitingByService ClassifyWaiting(TimePoint aNow);
   const RelayCounters& Counters() const { return mCounters; }
 
 private:
@@ -192,7 +203,8 @@
     RelayCallKind mKind = RelayCallKind::Whole;
     std::uint64_t mTokens = 0; ///< KV memory counted in mLoads.
     bool mMayHaveBeenSent = false;
-    bool mHasEvent = false;  ///< Stream: an event was received.
+    bool mHasEvent = false; ///< Stream: an event was received.
+    TimePoint mStartedAt;
     TimePoint mLastActivity; ///< Start, or the last event.
     RelayResponse mHead;     ///< Stream: status and headers.
     bool mUsesHandle = false;
@@ -213,6 +225,8 @@
     RunVerdictTracker mVerdict;
     /// The next send counts as a retry, even if mTriedUpstreams is empty.
     bool mNextSendIsRetry = false;
+    /// An upstream ran it and responded with an error of its own.
+    bool mHadServerError = false;
     bool mHeadSent = false;
     std::uint64_t mLastEventId = 0;
     bool mSkipPrefill = false; ///< The decode engine must read the prompt.
@@ -249,9 +263,21 @@
   bool ChargeRetry(State& aState);
   void OnNoUpstreamChosen(State& aState, NoChoiceReason aReason);
   UpstreamQuery QueryFor(const State& aState, RelayStage aStage) const;
+
+  // Waiting for capacity
+  /// Waiting requests of one service, by priority and then by arrival.
+  struct WaitingGroup
+  {
+    std::vector<std::uint64_t> mInTime;
+    std::vector<std::uint64_t> mLate;
+  };
+  bool StartWaiting(State& aState);
+  Duration ExpectedWait(const State& aState) const;
   void DispatchWaiting();
+  void DispatchGroup(const std::string& aService, WaitingGroup aGroup);
   void DispatchWithinFraction(const std::vector<std::uint64_t>& aRequests,
                               double aFraction);
+  RelayStage RunningStage(const State& aState) const;
   bool IsLate(const State& aState) const;
   const EngineLimits* EnginesOf(const State& aState) const;
 
@@ -259,6 +285,7 @@
   using CallEndHandler = void (RelayStateMachine::*)(State&,
                                                      const Call&,
                                                      RelayCallEnd&);
+  void CountOutcome(State& aState, const Call& aCall, const RelayCallEnd& aEnd);
   void OnWholeCallEnd(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnPrefillCallEnd(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnPrefillFailed(State& aState, const Call& aCall);
@@ -289,6 +316,7 @@
 
   // Crashes
   void OnUpstreamLost(const std::string& aUpstream);
+  void OnUpstreamsLost(const std::vector<UpstreamLoss>& aLost);
 
   // Timers
   void OnDeadline(State& aState);
@@ -314,6 +342,7 @@
   PrefillPlanner mPlanner;
   SuspectTable mSuspects;
   std::map<std::string, RelayRetryBudget> mRetryBudgets; ///< By service.
+  std::map<std::string, CallTimeEstimate> mCallTimes;    ///< By service.
   std::unordered_map<std::uint64_t, State> mRequests;
   /// Requests that wait for capacity, by priority and then by id.
   std::set<std::pair<std::uint32_t, std::uint64_t>> mWaiting;
--- /dev/null
+++ b/Peridothoist/Relay/RelayWaiting.cpp
@@ -0,0 +1,184 @@
+/// The part of RelayStateMachine that queues requests while the upstreams of
+/// their service have no capacity. Services wait apart from each other: short
+/// calls never wait behind streams.
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/RelayStateMachine.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridothoist {
+
+void
+RelayStateMachine::OnNoUpstreamChosen(State& aState, NoChoiceReason aReason)
+{
+  if (aReason == NoChoiceReason::NoUpstream) {
+    Refuse(aState,
+           aState.mTriedUpstreams.empty() ? RefusalKind::NoUpstream
+                                          : RefusalKind::UpstreamFailed);
+    return;
+  }
+  const bool mayWait =
+    aState.mWaitDeadline ? mNow < *aState.mWaitDeadline : StartWaiting(aState);
+  if (!mayWait) {
+    Refuse(aState, RefusalKind::TooLate);
+    return;
+  }
+  mWaiting.insert({ aState.mRequest.mPriority, aState.mRequest.mId });
+}
+
+/// Sets the end of a request's wait. Returns false if it is expected to wait
+/// longer than that, so that it is better refused at once.
+bool
+RelayStateMachine::StartWaiting(State& aState)
+{
+  const AdmittedRequest& request = aState.mRequest;
+  const auto wait = std::chrono::duration_cast<Duration>(
+    request.mCallerTimeout * mSettings.mMaxWaitFraction);
+  aState.mWaitDeadline = std::min(request.mArrivedAt + wait, request.mDeadline);
+  mTimers.Add(*aState.mWaitDeadline, { TimerKind::Dispatch, request.mId, 0 });
+  return mNow + ExpectedWait(aState) < *aState.mWaitDeadline;
+}
+
+RelayStage
+RelayStateMachine::RunningStage(const State& aState) const
+{
+  return aState.mRequest.mRoute->mKind == RouteKind::Stream ? RelayStage::Decode
+                                                            : RelayStage::Plain;
+}
+
+/// Returns how long a request that starts to wait now is likely to wait, at all
+/// VMs' rate of ended calls: the requests that wait already, divided by those
+/// that run, times the time of a call. Returns 0 if that is not known.
+Duration
+RelayStateMachine::ExpectedWait(const State& aState) const
+{
+  const std::string& service = aState.mRequest.mService;
+  const auto time = mCallTimes.find(service);
+  const double running = mChooser.RunningAt(service, RunningStage(aState));
+  if (time == mCallTimes.end() || running < 1) {
+    return Duration(0);
+  }
+  double waiting = static_cast<double>(mLoads.PeersWaiting(service).All());
+  for (const auto& entry : mWaiting) {
+    const auto it = mRequests.find(entry.second);
+    const bool isSame =
+      it != mRequests.end() && it->second.mRequest.mService == service;
+    waiting += isSame ? 1 : 0;
+  }
+  return std::chrono::duration_cast<Duration>(time->second.Typical() *
+                                              (waiting / running));
+}
+
+/// Starts waiting requests while there is capacity.
+void
+RelayStateMachine::DispatchWaiting()
+{
+  if (mWaiting.empty()) {
+    return;
+  }
+  std::map<std::string, WaitingGroup> groups;
+  for (const auto& entry : mWaiting) {
+    const State* state = Find(entry.second);
+    if (state != nullptr && !state->mCall) {
+      WaitingGroup& group = groups[state->mRequest.mService];
+      (IsLate(*state) ? group.mLate : group.mInTime).push_back(entry.second);
+    }
+  }
+  for (auto& [service, group] : groups) {
+    DispatchGroup(service, std::move(group));
+  }
+}
+
+/// Starts waiting requests of one service. Requests that can no longer meet
+/// their target latency are started only when none that still can is waiting,
+/// at this VM or another. Each group is ordered by priority and then by
+/// arrival. While some are late already, the newest go first among equals: in
+/// order of arrival, each would be started just before it is late.
+void
+RelayStateMachine::DispatchGroup(const std::string& aService,
+                                 WaitingGroup aGroup)
+{
+  const WaitingRequests others = mLoads.PeersWaiting(aService);
+  const auto fractionOf = [](std::size_t aOwn, std::size_t aOthers) {
+    return static_cast<double>(aOwn) /
+           static_cast<double>(std::max<std::size_t>(1, aOwn + aOthers));
+  };
+  if (!aGroup.mLate.empty() || others.mLate > 0) {
+    std::stable_sort(aGroup.mInTime.begin(),
+                     aGroup.mInTime.end(),
+                     [this](std::uint64_t aOne, std::uint64_t aTwo) {
+                       const std::uint32_t one = Find(aOne)->mRequest.mPriority;
+                       const std::uint32_t two = Find(aTwo)->mRequest.mPriority;
+                       return one != two ? one < two : aOne > aTwo;
+                     });
+  }
+  const bool hasInTime = !aGroup.mInTime.empty() || others.mInTime > 0;
+  DispatchWithinFraction(aGroup.mInTime,
+                         fractionOf(aGroup.mInTime.size(), others.mInTime));
+  if (!hasInTime) {
+    DispatchWithinFraction(aGroup.mLate,
+                           fractionOf(aGroup.mLate.size(), others.mLate));
+  }
+}
+
+/// Starts requests in order, within aFraction of the capacity. All VMs see the
+/// same free capacity at the same time, so each may use only its own fraction
+/// of it. A fractional number of requests is rounded up or down at random.
+void
+RelayStateMachine::DispatchWithinFraction(
+  const std::vector<std::uint64_t>& aRequests,
+  double aFraction)
+{
+  if (aRequests.empty()) {
+    return;
+  }
+  const State& first = *Find(aRequests.front());
+  const double capacity =
+    mChooser.CapacityFor(QueryFor(first, RunningStage(first)), mNow);
+  const double share = std::max(capacity, 0.0) * aFraction;
+  const double whole = std::floor(share);
+  double startsLeft =
+    whole + (mRandom->UniformFraction() < share - whole ? 1 : 0);
+  for (const std::uint64_t id : aRequests) {
+    State* state = Find(id);
+    if (startsLeft < 1) {
+      return;
+    }
+    if (state != nullptr && !state->mCall) {
+      startsLeft -= 1;
+      PlaceRequest(*state);
+    }
+  }
+}
+
+WaitingByService
+RelayStateMachine::ClassifyWaiting(TimePoint aNow)
+{
+  mNow = std::max(mNow, aNow);
+  WaitingByService waiting;
+  for (const auto& entry : mWaiting) {
+    const State* state = Find(entry.second);
+    if (state != nullptr) {
+      WaitingRequests& counts = waiting[state->mRequest.mService];
+      ++(IsLate(*state) ? counts.mLate : counts.mInTime);
+    }
+  }
+  return waiting;
+}
+
+/// Returns whether a request that starts now is likely to miss its target
+/// latency: that of a stream counts to its first event, any other's to its end.
+bool
+RelayStateMachine::IsLate(const State& aState) const
+{
+  const AdmittedRequest& request = aState.mRequest;
+  Duration start = mSettings.mTypicalStartTime;
+  if (request.mRoute->mKind != RouteKind::Stream) {
+    const auto it = mCallTimes.find(request.mService);
+    start = it == mCallTimes.end() ? Duration(0) : it->second.Typical();
+  }
+  return mNow + start - request.mArrivedAt >= request.mRoute->mTargetLatency;
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Relay/UpstreamChooser.cpp
+++ b/Peridothoist/Relay/UpstreamChooser.cpp
@@ -119,6 +119,19 @@
   return CapacityAt(aUpstream, aQuery, aNow) < 1;
 }
 
+double
+UpstreamChooser::RunningAt(const std::string& aService, RelayStage aStage) const
+{
+  double running = 0;
+  for (const auto& [id, entry] : mUpstreamList->All()) {
+    const RelayUpstream& upstream = entry.mUpstream;
+    const bool counts =
+      upstream.mService == aService && upstream.mStage == aStage;
+    running += counts ? mLoads->Work(id).mRequests : 0;
+  }
+  return running;
+}
+
 double
 UpstreamChooser::CapacityFor(const UpstreamQuery& aQuery, TimePoint aNow) const
 {
@@ -147,6 +160,12 @@
                ? mSettings.mPlainZonePreference
                : mSettings.mEngineZonePreference;
   }
+  const bool isElsewhereAtHome = !mHomeEngines.empty() &&
+                                 aUpstream.mStage != RelayStage::Plain &&
+                                 mHomeEngines.count(aUpstream.mId) == 0;
+  if (isElsewhereAtHome) {
+    score += mSettings.mHomePreference;
+  }
   score += mSettings.mFailureWeight *
            mLoads->Outcomes().FailureRate(aUpstream.mId, aNow);
   if (mUpstreamList->IsMissing(aUpstream.mId)) {
--- a/Peridothoist/Relay/UpstreamChooser.h
+++ b/Peridothoist/Relay/UpstreamChooser.h
@@ -50,6 +50,9 @@
   /// another zone and still be preferred, for plain upstreams and for engines.
   double mPlainZonePreference = 3.0;
   double mEngineZonePreference = 1.5;
+  /// How many more requests an engine at home in this VM's cell may have than
+  /// one at home in another and still be preferred.
+  double mHomePreference = 1.0;
   /// Requests added to the score of an upstream that fails all its calls.
   double mFailureWeight = 8;
   /// In a large fleet the load reports of peers are old. For each second of
@@ -79,6 +82,17 @@
 
   Choice Choose(const UpstreamQuery& aQuery, TimePoint aNow);
 
+  /// Sets the engines at home in this VM's cell; none if the fleet has a single
+  /// cell.
+  void SetHomeEngines(std::set<std::string> aIds)
+  {
+    mHomeEngines = std::move(aIds);
+  }
+
+  /// Returns the requests that run at the upstreams of a service and stage, as
+  /// far as this VM knows.
+  double RunningAt(const std::string& aService, RelayStage aStage) const;
+
   /// Returns how many such requests all upstreams together can still take.
   double CapacityFor(const UpstreamQuery& aQuery, TimePoint aNow) const;
 
@@ -97,6 +111,7 @@
   const UpstreamList* mUpstreamList;
   const UpstreamLoadTracker* mLoads;
   Random* mRandom;
+  std::set<std::string> mHomeEngines;
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Relay/UpstreamList.cpp
+++ b/Peridothoist/Relay/UpstreamList.cpp
@@ -46,28 +46,48 @@
     mKeepMissingUntil = aNow + mSettings.mMissingGracePeriod;
   }
   mListedAt = aNow;
-  std::vector<UpstreamLoss> lost;
   std::map<std::string, Entry> entries;
   for (RelayUpstream& it : aUpstreams) {
-    const RelayUpstream* known = Find(it.mId);
-    if (known != nullptr && known->mIncarnationId != it.mIncarnationId) {
-      lost.push_back({ it.mId, known->mIsLeaving });
-    }
     const std::string id = it.mId;
     entries[id] = { std::move(it), false };
   }
-  for (auto& [id, entry] : mEntries) {
-    if (entries.count(id) > 0) {
-      continue;
+  for (const auto& [id, entry] : mEntries) {
+    if (entries.count(id) == 0 && aNow < mKeepMissingUntil) {
+      entries[id] = { entry.mUpstream, true };
     }
-    if (aNow < mKeepMissingUntil) {
-      entry.mIsMissing = true;
-      entries[id] = std::move(entry);
-      continue;
+  }
+  return Replace(std::move(entries));
+}
+
+std::vector<UpstreamLoss>
+UpstreamList::OnPeerList(std::vector<Entry> aEntries, TimePoint aConfirmedAt)
+{
+  mUnreachable = false;
+  mListedAt = std::max(mListedAt.value_or(aConfirmedAt), aConfirmedAt);
+  std::map<std::string, Entry> entries;
+  for (Entry& it : aEntries) {
+    const std::string id = it.mUpstream.mId;
+    entries[id] = std::move(it);
+  }
+  return Replace(std::move(entries));
+}
+
+/// Replaces the entries. Returns the upstreams that are gone, or that were
+/// restarted under the same id.
+std::vector<UpstreamLoss>
+UpstreamList::Replace(std::map<std::string, Entry> aEntries)
+{
+  std::vector<UpstreamLoss> lost;
+  for (const auto& [id, entry] : mEntries) {
+    const auto now = aEntries.find(id);
+    const bool remains =
+      now != aEntries.end() &&
+      now->second.mUpstream.mIncarnationId == entry.mUpstream.mIncarnationId;
+    if (!remains) {
+      lost.push_back({ id, entry.mUpstream.mIsLeaving });
     }
-    lost.push_back({ id, entry.mUpstream.mIsLeaving });
   }
-  mEntries = std::move(entries);
+  mEntries = std::move(aEntries);
   mDigest = DigestOf(mEntries);
   return lost;
 }
--- a/Peridothoist/Relay/UpstreamList.h
+++ b/Peridothoist/Relay/UpstreamList.h
@@ -61,6 +61,18 @@
   std::vector<UpstreamLoss> OnListRead(std::vector<RelayUpstream> aUpstreams,
                                        TimePoint aNow);
 
+  /// An upstream that is listed or kept after an outage.
+  struct Entry
+  {
+    RelayUpstream mUpstream;
+    bool mIsMissing = false; ///< Missing from the last list.
+  };
+
+  /// Replaces the list by that of a peer, which was confirmed at aConfirmedAt.
+  /// Returns the lost upstreams.
+  std::vector<UpstreamLoss> OnPeerList(std::vector<Entry> aEntries,
+                                       TimePoint aConfirmedAt);
+
   /// Called when a read of the list failed; the last list stays in use.
   void OnUnreachable() { mUnreachable = true; }
 
@@ -78,12 +90,6 @@
   /// still kept.
   bool IsMissing(const std::string& aId) const;
 
-  /// An upstream that is listed or kept after an outage.
-  struct Entry
-  {
-    RelayUpstream mUpstream;
-    bool mIsMissing = false; ///< Missing from the last list.
-  };
   /// Returns all entries by id.
   const std::map<std::string, Entry>& All() const { return mEntries; }
 
@@ -102,6 +108,8 @@
   std::optional<TimePoint> ListedAt() const { return mListedAt; }
 
 private:
+  std::vector<UpstreamLoss> Replace(std::map<std::string, Entry> aEntries);
+
   Settings mSettings;
   std::map<std::string, Entry> mEntries;
   std::optional<TimePoint> mListedAt;
--- a/Peridothoist/Relay/UpstreamLoadTracker.cpp
+++ b/Peridothoist/Relay/UpstreamLoadTracker.cpp
@@ -32,9 +32,23 @@
 UpstreamLoadTracker::PeersWaiting() const
 {
   WaitingRequests waiting;
-  for (const auto& [peer, count] : mPeersWaiting) {
-    waiting.mInTime += count.mInTime;
-    waiting.mLate += count.mLate;
+  for (const auto& [peer, byService] : mPeersWaiting) {
+    for (const auto& [service, counts] : byService) {
+      waiting += counts;
+    }
+  }
+  return waiting;
+}
+
+WaitingRequests
+UpstreamLoadTracker::PeersWaiting(const std::string& aService) const
+{
+  WaitingRequests waiting;
+  for (const auto& [peer, byService] : mPeersWaiting) {
+    for (const std::string& service : { aService, std::string() }) {
+      const auto it = byService.find(service);
+      waiting += it == byService.end() ? WaitingRequests() : it->second;
+    }
   }
   return waiting;
 }
--- a/Peridothoist/Relay/UpstreamLoadTracker.h
+++ b/Peridothoist/Relay/UpstreamLoadTracker.h
@@ -47,8 +47,19 @@
   std::size_t mLate = 0;   ///< Can no longer meet it.
 
   std::size_t All() const { return mInTime + mLate; }
+
+  WaitingRequests& operator+=(const WaitingRequests& aOther)
+  {
+    mInTime += aOther.mInTime;
+    mLate += aOther.mLate;
+    return *this;
+  }
 };
 
+/// Waiting requests by service, as VMs report them to each other. The empty
+/// name stands for any service, in reports of builds that do not tell which.
+using WaitingByService = std::map<std::string, WaitingRequests>;
+
 /// Settings of UpstreamLoadTracker.
 struct UpstreamLoadTrackerSettings
 {
@@ -97,11 +108,14 @@
     return std::chrono::duration<double>(mPeerLoadAge).count();
   }
   /// Replaces what another VM reported of its waiting requests.
-  void OnPeerWaiting(const std::string& aPeer, const WaitingRequests& aWaiting)
+  void OnPeerWaiting(const std::string& aPeer, const WaitingByService& aWaiting)
   {
     mPeersWaiting[aPeer] = aWaiting;
   }
+  /// Returns all requests that wait at other VMs.
   WaitingRequests PeersWaiting() const;
+  /// Returns the requests for a service that wait at other VMs.
+  WaitingRequests PeersWaiting(const std::string& aService) const;
   void ForgetPeer(const std::string& aPeer);
 
   /// Called when a call to the upstream failed or was rejected.
@@ -161,11 +175,11 @@
   WorkByUpstream mOwn;
   std::uint64_t mRevision = 0;
   Duration mPeerLoadAge{ 0 };
-  std::map<std::string, WorkByUpstream> mPeers;         ///< By peer.
-  WorkByUpstream mPeerTotals;                           ///< Sum over mPeers.
-  std::map<std::string, WaitingRequests> mPeersWaiting; ///< By peer.
-  std::map<std::string, Stated> mStated;                ///< By upstream.
-  std::map<std::string, Failures> mFailures;            ///< By upstream.
+  std::map<std::string, WorkByUpstream> mPeers;          ///< By peer.
+  WorkByUpstream mPeerTotals;                            ///< Sum over mPeers.
+  std::map<std::string, WaitingByService> mPeersWaiting; ///< By peer.
+  std::map<std::string, Stated> mStated;                 ///< By upstream.
+  std::map<std::string, Failures> mFailures;             ///< By upstream.
   CallOutcomeTracker mOutcomes;
 };
 
--- a/Peridothoist/Relay/ViewExchange.h
+++ b/Peridothoist/Relay/ViewExchange.h
@@ -28,6 +28,9 @@
   Duration mConfigurationAge{ 0 }; ///< Time since it was confirmed.
   std::uint64_t mListDigest = 0;   ///< Digest of the peer's upstream list.
   Duration mListAge{ 0 };          ///< Time since that was confirmed.
+  std::uint64_t mVmDigest = 0; ///< Digest of the registered VMs; 0: not known.
+  /// Where the peer's view can be read, "ip:port"; empty: nowhere.
+  std::string mViewAddress;
 };
 
 /// States which reads of the store a response makes necessary.
--- a/Peridothoist/Relay/WorkspaceRateLimiter.cpp
+++ b/Peridothoist/Relay/WorkspaceRateLimiter.cpp
@@ -166,7 +166,7 @@
   mGranted[aWorkspace] -= static_cast<std::int64_t>(aTokens);
 }
 
-void
+GrantedTokens
 WorkspaceRateLimiter::OnPeerGranted(const std::string& aInstance,
                                     const GrantedTokens& aGranted,
                                     TimePoint aNow)
@@ -174,20 +174,26 @@
   const auto known = mPeers.find(aInstance);
   if (known == mPeers.end()) {
     mPeers[aInstance] = aGranted;
-    return;
+    return {};
   }
+  GrantedTokens added;
   for (const auto& [workspace, granted] : aGranted) {
     const auto before = known->second.find(workspace);
     const std::int64_t delta =
       granted - (before == known->second.end() ? 0 : before->second);
+    if (delta == 0) {
+      continue;
+    }
+    added[workspace] = delta;
     Account* account = FindLimitedAccount(workspace);
-    if (account != nullptr && delta != 0) {
+    if (account != nullptr) {
       DropExpired(*account, aNow);
       Refill(*account, aNow);
       AddGrant(*account, static_cast<double>(delta), aNow);
     }
   }
   known->second = aGranted;
+  return added;
 }
 
 std::map<std::string, double>
--- a/Peridothoist/Relay/WorkspaceRateLimiter.h
+++ b/Peridothoist/Relay/WorkspaceRateLimiter.h
@@ -67,10 +67,11 @@
   void Refund(const std::string& aWorkspace, double aTokens, TimePoint aNow);
 
   /// Records what another VM's instance has granted since its start. The first
-  /// report of an instance is the baseline and is not charged.
-  void OnPeerGranted(const std::string& aInstance,
-                     const GrantedTokens& aGranted,
-                     TimePoint aNow);
+  /// report of an instance is the baseline and is not charged. Returns what was
+  /// granted since the last report.
+  GrantedTokens OnPeerGranted(const std::string& aInstance,
+                              const GrantedTokens& aGranted,
+                              TimePoint aNow);
 
   /// Forgets the baseline of an instance that is gone.
   void ForgetPeer(const std::string& aInstance) { mPeers.erase(aInstance); }
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -141,9 +141,9 @@
     settings.mDirectoryListen = ip + ":8220";
     settings.mMetricsListen = ip + ":7601";
     settings.mPeerListen = ip + ":7600";
-    settings.mPoller.mConfigurationInterval = 20ms;
-    settings.mPoller.mUpstreamInterval = 20ms;
-    settings.mPoller.mRetryInterval = 10ms;
+    settings.mViews.mPoller.mConfigurationInterval = 20ms;
+    settings.mViews.mPoller.mUpstreamInterval = 20ms;
+    settings.mViews.mPoller.mRetryInterval = 10ms;
     settings.mView = { 1500ms, 200ms, 0.5 };
     settings.mLeavingAcceptPeriod = 50ms;
     settings.mLeavingStreamPeriod = aLeavingStreamPeriod;
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE PlatformProtocol
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/GossipCodec.h>
+#include <Peridothoist/Node/ViewCodec.h>
 #include <platform/Base64.h>
 #include <platform/HeaderParsing.h>
 #include <platform/PlatformCallerProtocol.h>
@@ -453,7 +454,7 @@
   message.mWork = { { "u", { 3, 400 } } };
   message.mGoneUpstreams = { "x" };
   message.mFailingUpstreams = { { "y", { 1.5, 0.25 } } };
-  message.mWaiting = { 4, 2 };
+  message.mWaiting = { { "s", { 4, 2 } } };
   message.mCrashReports = { { "d", 2, true, Duration(9) } };
   const std::string bytes = EncodeGossipMessage(message);
   const auto decoded = DecodeGossipMessage(bytes);
@@ -466,7 +467,53 @@
   RC_ASSERT(!DecodeGossipMessage(query).has_value());
   DecodeViewQuery(Corrupt(query));
   const std::string response =
-    EncodeViewResponse({ 5, 6, Duration(7), 8, Duration(9) });
+    EncodeViewResponse({ 5, 6, Duration(7), 8, Duration(9), 10, "10.0.0.1:1" });
   RC_ASSERT(DecodeViewResponse(response)->mListDigest == 8U);
+  RC_ASSERT(DecodeViewResponse(response)->mVmDigest == 10U);
   DecodeViewResponse(Corrupt(response));
 }
+
+RC_BOOST_PROP(SummaryRoundTripAndCorruptionDoesNotCrash, ())
+{
+  GossipSummary summary;
+  summary.mVm = "vm";
+  summary.mInstance = "vm-1";
+  summary.mSequence = 7;
+  summary.mCell = CellId{ "z", 3 };
+  summary.mReachableVms = 15;
+  summary.mGranted = { { "w", -5 } };
+  summary.mWork = { { "u", { 3, 400 } } };
+  summary.mGoneUpstreams = { "x" };
+  summary.mFailingUpstreams = { { "y", { 1.5, 0.25 } } };
+  summary.mCallers = { { "z", "10.0.0.1:80", ServingState::Everything } };
+  const std::string bytes = EncodeGossipSummary(summary);
+  const auto decoded = DecodeGossipSummary(bytes);
+  RC_ASSERT(decoded.has_value());
+  RC_ASSERT(EncodeGossipSummary(*decoded) == bytes);
+  RC_ASSERT(!DecodeGossipMessage(bytes).has_value());
+  RC_ASSERT(!DecodeViewResponse(bytes).has_value());
+  DecodeGossipSummary(Corrupt(bytes));
+}
+
+RC_BOOST_PROP(SharedViewsRoundTripAndCorruptionDoesNotCrash, ())
+{
+  SharedUpstreams list;
+  list.mAge = Duration(5);
+  RelayUpstream upstream;
+  upstream.mId = "u";
+  upstream.mStage = RelayStage::Decode;
+  upstream.mIncarnationId = 9;
+  list.mEntries.push_back({ upstream, true });
+  const std::string listBytes = EncodeSharedUpstreams(list);
+  const auto decodedList = DecodeSharedUpstreams(listBytes);
+  RC_ASSERT(decodedList.has_value());
+  RC_ASSERT(EncodeSharedUpstreams(*decodedList) == listBytes);
+  DecodeSharedUpstreams(Corrupt(listBytes));
+  const SharedConfiguration configuration{ Duration(5), { { "k", "v", 3 } } };
+  const std::string bytes = EncodeSharedConfiguration(configuration);
+  RC_ASSERT(DecodeSharedConfiguration(bytes)->mRows.front().mValue == "v");
+  DecodeSharedConfiguration(Corrupt(bytes));
+  const VmRecords vms = { { "a", { "a", "z", "10.0.0.1:1" } } };
+  RC_ASSERT(DecodeVmRecords(EncodeVmRecords(vms)) == vms);
+  DecodeVmRecords(Corrupt(EncodeVmRecords(vms)));
+}
--- a/UnitTests/Platform/ViewPollerTest.cpp
+++ b/UnitTests/Platform/ViewPollerTest.cpp
@@ -40,12 +40,13 @@
 {
   // See: ViewPollerListener
   void OnConfigurationRead(std::shared_ptr<const RelayConfiguration>,
+                           std::vector<StoredRow>,
                            TimePoint) override
   {
   }
   void OnUpstreamsRead(std::vector<RelayUpstream>) override {}
   void OnUpstreamsUnreachable() override {}
-  void OnVmsRead(std::set<std::string>) override {}
+  void OnVmsRead(std::vector<StoredRow>) override {}
 };
 
 struct PollingFixture : ShellFixture
@@ -62,7 +63,7 @@
     UnavailableStore store(mReactor.get());
     Listener listener;
     ViewPoller poller(settings, mReactor.get(), &store, &mDecoder, &listener);
-    poller.SetRole(aReadsForAll, false);
+    poller.SetRole(aReadsForAll, false, false);
     poller.Start();
     BOOST_REQUIRE(Until([&] {
       return store.mReads[mDecoder.UpstreamTable()] >= aUpstreamReads;
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -105,7 +105,7 @@
     request.mPromptTokens = stream ? 3000 : 0;
     request.mMemoryTokens = stream ? 3200 : 0;
     request.mArrivedAt = mNow;
-    request.mCallerTimeout = 14s;
+    request.mCallerTimeout = aRoute->mTimeout;
     request.mDeadline = mNow + aRoute->mTimeout;
     RelayCommands out;
     mMachine.OnArrival(std::move(request), mNow, out);
@@ -159,6 +159,9 @@
     }
   }
 
+  /// Returns the commands since the last call, and forgets them.
+  RelayCommands TakeCommands() { return std::exchange(mCommands, {}); }
+
   std::size_t Count(RelayCommandKind aKind) const
   {
     return static_cast<std::size_t>(
--- a/UnitTests/Relay/RelayStateMachineTest.cpp
+++ b/UnitTests/Relay/RelayStateMachineTest.cpp
@@ -73,6 +73,22 @@
   BOOST_TEST(Count(RelayCommandKind::SendRefusal) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(ARequestThatFailsEverywhereIsNotHeldAgainstTheSecond)
+{
+  // One lookup in seven fails wherever it runs. If each second failure counted,
+  // the upstream that gets mostly second tries would be avoided for good.
+  List(
+    { Upstream("p1", RelayStage::Plain), Upstream("p2", RelayStage::Plain) });
+  const auto id = Arrive(Route(RouteKind::Idempotent, 2));
+  const RelayCommand first = Call(id);
+  End(first, Responded(500));
+  const RelayCommand second = Call(id);
+  End(second, Responded(500));
+  const CallOutcomeTracker& outcomes = mMachine.Loads().Outcomes();
+  BOOST_TEST(outcomes.FailureRate(first.mUpstream, mNow) > 0.0);
+  BOOST_TEST(outcomes.FailureRate(second.mUpstream, mNow) == 0.0);
+}
+
 BOOST_AUTO_TEST_CASE(A503AfterARunIsNotPassedOnAsNotRun)
 {
   List({ Upstream("p1", RelayStage::Plain) });
@@ -315,8 +331,8 @@
   }
   const std::uint64_t late = mLastId;
   Advance(800ms);
-  BOOST_TEST(mMachine.ClassifyWaiting(mNow).mInTime == 0U);
-  mMachine.Loads().OnPeerWaiting("vm2", { 3, 0 });
+  BOOST_TEST(mMachine.ClassifyWaiting(mNow)["engines"].mInTime == 0U);
+  mMachine.Loads().OnPeerWaiting("vm2", { { "engines", { 3, 0 } } });
   End(Call(first), Responded(200));
   BOOST_TEST(mMachine.WaitingRequestCount() == 1U);
   mMachine.Loads().OnPeerWaiting("vm2", {});
@@ -338,7 +354,7 @@
     Arrive(Route(RouteKind::Stream, 1));
   }
   BOOST_TEST(mMachine.WaitingRequestCount() == 10U);
-  mMachine.Loads().OnPeerWaiting("vm2", { 50, 0 });
+  mMachine.Loads().OnPeerWaiting("vm2", { { "engines", { 50, 0 } } });
   mMachine.OnPeerWork("vm2", {}, mNow, out);
   Append(std::move(out));
   BOOST_TEST(mMachine.Loads().OwnWork().at("d1").mRequests <= 3U);
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE RelayView
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/ConfirmedView.h>
+#include <Peridothoist/Relay/CallerDirectory.h>
 #include <Peridothoist/Relay/MembershipTable.h>
 #include <Peridothoist/Relay/RelayAdmission.h>
 #include <Peridothoist/Relay/UpstreamList.h>
@@ -220,8 +221,12 @@
   members.SetRegistered({ "me", "a", "b" }, kNow);
   members.OnGossipMessage(MakeMessage("a", 1), kNow);
   members.OnGossipMessage(MakeMessage("b", 1, ServingState::OpenRoutes), kNow);
+  Random random(1);
+  CallerDirectory directory({}, &random);
   const auto list = [&](ServingState aOwn, TimePoint aNow) {
-    return members.CallerAddresses(aOwn, "me:80", aNow);
+    std::vector<CallerAddress> callers = members.Callers(aNow);
+    callers.push_back({ "", "me:80", aOwn });
+    return directory.Select(callers, "", members.Count(aNow));
   };
   BOOST_TEST(list(ServingState::Everything, kNow).size() == 2U);
   BOOST_TEST(list(ServingState::OpenRoutes, kNow).size() == 1U);
--- a/UnitTests/Relay/WorkspaceRateLimiterTest.cpp
+++ b/UnitTests/Relay/WorkspaceRateLimiterTest.cpp
@@ -260,3 +260,106 @@
   }
   BOOST_TEST(fleet.LargestWindow() > kBound);
 }
+
+namespace {
+
+/// A fleet of many VMs, of which one workspace asks several times its rate.
+/// Each VM learns what all others granted after a delay.
+class BusyWorkspace
+{
+public:
+  BusyWorkspace(std::size_t aVms, int aDelaySteps)
+    : mDelaySteps(aDelaySteps)
+    , mLimiters(aVms, MakeLimiter())
+  {
+  }
+
+  /// Returns the tokens granted in the worst window at aDemand tokens a second.
+  double Play(double aDemand)
+  {
+    constexpr Duration kStep = 50ms;
+    constexpr int kSteps = 400;
+    std::vector<double> grants;
+    const double each = 10;
+    double owed = 0;
+    std::size_t next = 0;
+    for (int step = 0; step < kSteps; ++step) {
+      const TimePoint now = kStart + 20s + step * kStep;
+      Report(step, now);
+      owed += aDemand * 0.05;
+      double granted = 0;
+      for (; owed >= each; owed -= each) {
+        next = (next + 1) % mLimiters.size();
+        const bool isGranted = !mLimiters[next].SpendOrGetWait("w", each, now);
+        granted += isGranted ? each : 0;
+      }
+      grants.push_back(granted);
+    }
+    double worst = 0;
+    const int window = static_cast<int>(kWindow / kStep);
+    for (int first = 0; first + window <= kSteps; ++first) {
+      double sum = 0;
+      for (int n = first; n < first + window; ++n) {
+        sum += grants[static_cast<std::size_t>(n)];
+      }
+      worst = std::max(worst, sum);
+    }
+    return worst;
+  }
+
+private:
+  void Report(int aStep, TimePoint aNow)
+  {
+    mHistory.emplace_back();
+    GrantedTokens all;
+    for (const WorkspaceRateLimiter& it : mLimiters) {
+      mHistory.back().push_back(it.Granted());
+      for (const auto& [workspace, tokens] : it.Granted()) {
+        all[workspace] += tokens;
+      }
+    }
+    mTotals.push_back(all);
+    const std::size_t then =
+      static_cast<std::size_t>(std::max(0, aStep - mDelaySteps));
+    for (std::size_t vm = 0; vm < mLimiters.size(); ++vm) {
+      GrantedTokens others = mTotals[then];
+      for (const auto& [workspace, tokens] : mHistory[then][vm]) {
+        others[workspace] -= tokens;
+      }
+      mLimiters[vm].OnPeerGranted("others", others, aNow);
+    }
+  }
+
+  int mDelaySteps;
+  std::vector<WorkspaceRateLimiter> mLimiters;
+  std::vector<std::vector<GrantedTokens>> mHistory; ///< By step, then VM.
+  std::vector<GrantedTokens> mTotals;               ///< By step.
+};
+
+/// One window's allowance, with a tenth more.
+constexpr double kAllowedWindow = (kRate * 8 + kBurst) * 1.1;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AWorkspaceOverItsRateInALargeFleetStaysNearItsLimit)
+{
+  // One large workspace asks four times its rate at 120 VMs. Reports cross the
+  // fleet in 0.75 s, by way of the leaders of cells.
+  BusyWorkspace fleet(120, 15);
+  const double granted = fleet.Play(4 * kRate);
+  BOOST_TEST(granted <= kAllowedWindow);
+  BOOST_TEST(granted >= kRate * 8 * 0.9); // What it may ask is granted.
+}
+
+BOOST_AUTO_TEST_CASE(GossipInTurnsIsTooLateForALargeFleet)
+{
+  // At a fan-out of 16, 295 VMs hear each other after 4.6 s only.
+  BusyWorkspace fleet(120, 92);
+  BOOST_TEST(fleet.Play(4 * kRate) > kAllowedWindow);
+}
+
+BOOST_AUTO_TEST_CASE(AWorkspaceWithinItsRateIsNotRefusedForLateReports)
+{
+  BusyWorkspace fleet(120, 15);
+  BOOST_TEST(fleet.Play(0.6 * kRate) >= 0.6 * kRate * 8 * 0.98);
+}
