Reserve memory for a stream's whole expected output in large fleets

Cause: a reservation covered the prompt and a quarter of the output. Change: while load reports of other VMs are old, the reservation covers the expected output. The test of the reservation expects the larger amount.

--- a/Peridothoist/Cells/CellMembership.cpp
+++ b/Peridothoist/Cells/CellMembership.cpp
@@ -91,8 +91,8 @@
     return false;
   }
   const auto leaders = mSummaries->Leaders();
-  return std::none_of(leaders.begin(), leaders.end(), [this](const auto* it) {
-    return it->mVm < mSelf.mName;
+  return std::none_of(leaders.begin(), leaders.end(), [this](const auto* aIt) {
+    return aIt->mVm < mSelf.mName;
   });
 }
 
--- a/Peridothoist/Cells/HomeEngines.cpp
+++ b/Peridothoist/Cells/HomeEngines.cpp
@@ -16,11 +16,11 @@
            const std::string& aZone,
            std::size_t aEngines)
 {
-  std::vector<std::size_t> vms;
+  std::vector<std::size_t> vms(aLayout.CellCount(aZone));
   std::size_t total = 0;
-  for (std::uint32_t n = 0; n < aLayout.CellCount(aZone); ++n) {
-    vms.push_back(aLayout.VmsOf({ aZone, n }).size());
-    total += vms.back();
+  for (std::uint32_t n = 0; n < vms.size(); ++n) {
+    vms[n] = aLayout.VmsOf({ aZone, n }).size();
+    total += vms[n];
   }
   std::vector<std::size_t> room;
   for (const std::size_t count : vms) {
--- a/Peridothoist/Relay/CallerDirectory.cpp
+++ b/Peridothoist/Relay/CallerDirectory.cpp
@@ -20,8 +20,8 @@
                         std::size_t aVmCount)
 {
   const auto serves = [&](ServingState aState) {
-    return std::any_of(aCallers.begin(), aCallers.end(), [&](const auto& it) {
-      return it.mServing == aState;
+    return std::any_of(aCallers.begin(), aCallers.end(), [&](const auto& aIt) {
+      return aIt.mServing == aState;
     });
   };
   const ServingState wanted = serves(ServingState::Everything)
--- a/Peridothoist/Relay/RelayAdmission.cpp
+++ b/Peridothoist/Relay/RelayAdmission.cpp
@@ -28,9 +28,10 @@
 /// of the longest one.
 constexpr double kElsewhereFraction = 0.15;
 
-/// Returns the KV memory that a request is likely to need, in tokens.
+/// Returns the KV memory that a request is likely to use when aOutputFraction
+/// of its expected output is generated, in tokens.
 std::uint64_t
-EstimateMemory(const IncomingRequest& aRequest)
+EstimateMemory(const IncomingRequest& aRequest, double aOutputFraction)
 {
   if (!aRequest.mPromptTokens) {
     return 0;
@@ -41,7 +42,7 @@
       ? std::min(maximum, static_cast<double>(*aRequest.mExpectedTokens))
       : maximum * kTypicalOutputFraction;
   return *aRequest.mPromptTokens +
-         static_cast<std::uint64_t>(expected * kInitialOutputFraction);
+         static_cast<std::uint64_t>(expected * aOutputFraction);
 }
 
 Refusal
@@ -121,7 +122,8 @@
   admitted.mPriority = route->mPriority;
   admitted.mPromptTokens = aRequest.mPromptTokens.value_or(0);
   admitted.mTokens = admitted.mPromptTokens + aRequest.mOutputTokens;
-  admitted.mMemoryTokens = EstimateMemory(aRequest);
+  admitted.mMemoryTokens = EstimateMemory(aRequest, kInitialOutputFraction);
+  admitted.mFinalMemoryTokens = EstimateMemory(aRequest, 1);
   if (workspace != nullptr) {
     admitted.mWorkspace = workspace->mName;
     admitted.mKey = aRequest.mKey;
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -16,13 +16,15 @@
 {
   std::uint64_t mId = 0; ///< Chosen by the shell; never reused.
   std::shared_ptr<const RelayRoute> mRoute; ///< Never null.
-  std::string mService;            ///< The target that the route selected.
-  std::string mWorkspace;          ///< Empty on routes that are open to all.
-  std::string mKey;                ///< Empty on routes that are open to all.
-  std::string mDigest;             ///< Of method, target, workspace and body.
-  double mCost = 0;                ///< Charged to the workspace's allowance.
-  std::uint64_t mTokens = 0;       ///< Prompt tokens plus maximum output.
-  std::uint64_t mMemoryTokens = 0; ///< Estimated KV memory, in tokens.
+  std::string mService;      ///< The target that the route selected.
+  std::string mWorkspace;    ///< Empty on routes that are open to all.
+  std::string mKey;          ///< Empty on routes that are open to all.
+  std::string mDigest;       ///< Of method, target, workspace and body.
+  double mCost = 0;          ///< Charged to the workspace's allowance.
+  std::uint64_t mTokens = 0; ///< Prompt tokens plus maximum output.
+  /// Estimated KV memory in tokens, near its start and at its end.
+  std::uint64_t mMemoryTokens = 0;
+  std::uint64_t mFinalMemoryTokens = 0;
   std::uint64_t mPromptTokens = 0; ///< 0: not stated.
   std::uint32_t mPriority = 5;     ///< 0 is the highest.
   std::uint64_t mLastEventId = 0;  ///< Last event the caller already has.
--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -119,6 +119,16 @@
   return StartCallOn(aState, *prefill.mUpstream, RelayCallKind::Prefill);
 }
 
+/// Returns the memory to reserve at a decode engine. While load reports of
+/// other VMs are old, these add streams to the engine that are not counted
+/// here, so that none may rely on memory to be free when it grows.
+std::uint64_t
+RelayStateMachine::TokensToReserve(const AdmittedRequest& aRequest) const
+{
+  return mLoads.PeerLoadAgeSeconds() > 0 ? aRequest.mFinalMemoryTokens
+                                         : aRequest.mMemoryTokens;
+}
+
 bool
 RelayStateMachine::HasReservationAt(const State& aState,
                                     const std::string& aUpstream) const
@@ -198,7 +208,7 @@
     aState.mReservation.clear();
   }
   if (isReserve) {
-    command.mMemoryTokens = request.mMemoryTokens;
+    command.mMemoryTokens = TokensToReserve(request);
     command.mReservationLifetime = mSettings.mReservationLifetime;
   } else if (aKind == RelayCallKind::Prefill) {
     command.mTimeLeft = std::min(command.mTimeLeft, mSettings.mPrefillTimeout);
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -303,6 +303,7 @@
   void CancelCall(State& aState);
   void ReleaseHandle(State& aState);
   void ReleaseReservation(State& aState);
+  std::uint64_t TokensToReserve(const AdmittedRequest& aRequest) const;
   bool HasReservationAt(const State& aState,
                         const std::string& aUpstream) const;
   void HoldMemory(State& aState, const std::string& aUpstream);
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -104,6 +104,7 @@
     request.mDigest = aDigest;
     request.mPromptTokens = stream ? 3000 : 0;
     request.mMemoryTokens = stream ? 3200 : 0;
+    request.mFinalMemoryTokens = stream ? 4000 : 0;
     request.mArrivedAt = mNow;
     request.mCallerTimeout = aRoute->mTimeout;
     request.mDeadline = mNow + aRoute->mTimeout;
--- a/UnitTests/Relay/RelayStateMachineTest.cpp
+++ b/UnitTests/Relay/RelayStateMachineTest.cpp
@@ -371,7 +371,7 @@
   const auto id = Arrive(Route(RouteKind::Stream, 1));
   const RelayCommand first = Call(id);
   BOOST_TEST((first.mCallKind == RelayCallKind::Reserve));
-  BOOST_TEST(first.mMemoryTokens == 3200U);
+  BOOST_TEST(first.mMemoryTokens == 4000U); // With its whole output.
   End(first, Responded(503)); // Other VMs' requests took the memory.
   const RelayCommand second = Call(id);
   BOOST_TEST((second.mCallKind == RelayCallKind::Reserve));
