--- a/Peridothoist/Cells/HomeEngines.cpp
+++ b/Peridothoist/Cells/HomeEngines.cpp
@@ -23,6 +23,7 @@
     total += vms[n];
   }
   std::vector<std::size_t> room;
+  room.reserve(vms.size());
   for (const std::size_t count : vms) {
     room.push_back(total == 0 ? aEngines
                               : (aEngines * count + total - 1) / total);
