--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -126,7 +126,11 @@
   }
   mMembers.SetRegistered(names, mReactor->Now());
   const CellId before = Cells().OwnCell();
+  const std::size_t cellsBefore = Cells().Layout().Cells().size();
   mCells.Membership().SetVms(aVms);
+  if (cellsBefore != Cells().Layout().Cells().size()) {
+    mMembers.RestartSilence(mReactor->Now());
+  }
   if (!(before == Cells().OwnCell())) {
     Log::Info("cell_changed")
       .Field("zone", Cells().OwnCell().mZone)
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -85,7 +85,7 @@
               this)
   , mStore(aProtocols.mStore, aReactor, &mMetrics.Registry())
   , mViews(aSettings.mViews,
-           aSettings.mPeerListen,
+           aSettings.Record(),
            aReactor,
            aClient,
            &mStore,
--- a/Peridothoist/Node/ViewUpdater.cpp
+++ b/Peridothoist/Node/ViewUpdater.cpp
@@ -43,7 +43,7 @@
 }
 
 ViewUpdater::ViewUpdater(const Settings& aSettings,
-                         const std::string& aViewAddress,
+                         const VmRecord& aSelf,
                          Reactor* aReactor,
                          HttpClient* aClient,
                          RowStore* aStore,
@@ -52,7 +52,7 @@
                          UpstreamList* aUpstreamList,
                          ViewUpdaterListener* aListener)
   : mSettings(aSettings)
-  , mViewAddress(aViewAddress)
+  , mSelf(aSelf)
   , mReactor(aReactor)
   , mDecoder(aDecoder)
   , mView(aView)
@@ -127,7 +127,7 @@
   auto response = mExchange.MakeResponse(aQuery, Reactor::ReadClock());
   if (response) {
     response->mVmDigest = mVmDigest;
-    response->mViewAddress = mViewAddress;
+    response->mViewAddress = mSelf.mPeerAddress;
   }
   return response;
 }
@@ -154,12 +154,22 @@
     FetchUpstreams(aResponse.mViewAddress);
   }
   if (aResponse.mVmDigest != 0 && aResponse.mVmDigest == mVmDigest) {
-    mVmsConfirmedAt = now;
+    ConfirmVms();
   } else if (aResponse.mVmDigest != 0) {
     FetchVms(aResponse.mViewAddress);
   }
 }
 
+/// Called when a peer has stated that the known registrations are current. A VM
+/// that is missing in them goes on reading the store until it is registered.
+void
+ViewUpdater::ConfirmVms()
+{
+  if (mVms && mVms->count(mSelf.mName) > 0) {
+    mVmsConfirmedAt = Reactor::ReadClock();
+  }
+}
+
 void
 ViewUpdater::FetchConfiguration(const std::string& aPeer)
 {
@@ -237,7 +247,7 @@
     if (aVms) {
       mVms = std::move(*aVms);
       mVmDigest = DigestOf(*mVms);
-      mVmsConfirmedAt = Reactor::ReadClock();
+      ConfirmVms();
       mListener->OnVms(*mVms, false);
     }
   });
--- a/Peridothoist/Node/ViewUpdater.h
+++ b/Peridothoist/Node/ViewUpdater.h
@@ -71,10 +71,10 @@
 public:
   using Settings = ViewUpdaterSettings;
 
-  /// aViewAddress: "ip:port" at which peers read this VM's view. None of the
-  /// pointers is owned.
+  /// aSelf: this VM, whose peer address is also where peers read its view. None
+  /// of the pointers is owned.
   ViewUpdater(const Settings& aSettings,
-              const std::string& aViewAddress,
+              const VmRecord& aSelf,
               Reactor* aReactor,
               HttpClient* aClient,
               RowStore* aStore,
@@ -119,6 +119,7 @@
 
 private:
   void Update();
+  void ConfirmVms();
   Duration Age() const;
   Duration MaxAge(const ViewRole& aRole) const;
   void SendQuery(const ViewRole& aRole);
@@ -128,7 +129,7 @@
   void OnPeerConfiguration(const SharedConfiguration& aPart, TimePoint aSentAt);
 
   Settings mSettings;
-  std::string mViewAddress;
+  VmRecord mSelf;
   Reactor* mReactor;
   const ViewDecoder* mDecoder;
   ConfirmedView* mView;
--- a/Peridothoist/Relay/MembershipTable.cpp
+++ b/Peridothoist/Relay/MembershipTable.cpp
@@ -50,6 +50,14 @@
   mRegisteredSince = std::move(since);
 }
 
+void
+MembershipTable::RestartSilence(TimePoint aNow)
+{
+  for (auto& [name, since] : mRegisteredSince) {
+    since = aNow;
+  }
+}
+
 bool
 MembershipTable::IsReachable(const std::string& aVm, TimePoint aNow) const
 {
--- a/Peridothoist/Relay/MembershipTable.h
+++ b/Peridothoist/Relay/MembershipTable.h
@@ -78,6 +78,10 @@
   /// Replaces the names of the registered VMs.
   void SetRegistered(const std::set<std::string>& aNames, TimePoint aNow);
 
+  /// Counts the silence of all registered VMs from aNow on. Called when this VM
+  /// starts to hear others than before, which it can't expect to have heard.
+  void RestartSilence(TimePoint aNow);
+
   /// Returns whether a message of the VM arrived within the silence timeout.
   bool IsReachable(const std::string& aVm, TimePoint aNow) const;
 
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -255,6 +255,17 @@
   BOOST_TEST(reported.size() == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(VmsOfANewLayoutAreNotTakenForSilent)
+{
+  // A VM registered long ago moves into this VM's cell. Its registration must
+  // not be removed because it was not heard before.
+  MembershipTable members({ 1s }, "me");
+  members.SetRegistered({ "me", "a" }, kNow);
+  members.RestartSilence(kNow + 60s);
+  BOOST_TEST(members.RegisteredButSilent(30s, kNow + 61s).empty());
+  BOOST_TEST(members.RegisteredButSilent(30s, kNow + 91s).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(VmsSilentForTooLongAreFound)
 {
   MembershipTable members({ 1s }, "me");
