Log why calls are given up and why streams end incomplete

Now call_cancelled states the reason and for how long the upstream had been silent, stream_aborted states the inputs of the decision, and the HTTP server logs response_cut and connection_closed. Counters: calls cancelled by reason, streams aborted by type. No decision is changed.

--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -91,6 +91,16 @@
                  aCounters.mRefused[n],
                  { { "type", ToName(static_cast<RefusalKind>(n)) } });
     }
+    if (aCounters.mAborted[n] > 0) {
+      SetCounter("peridothoist_streams_aborted_total",
+                 aCounters.mAborted[n],
+                 { { "type", ToName(static_cast<RefusalKind>(n)) } });
+    }
+  }
+  for (std::size_t n = 0; n < kCancelReasons; ++n) {
+    SetCounter("peridothoist_calls_cancelled_total",
+               aCounters.mCancelled[n],
+               { { "reason", ToName(static_cast<CancelReason>(n)) } });
   }
 }
 
--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -355,7 +355,9 @@
   Log::Info("call_cancelled")
     .Field("request", aCommand.mId)
     .Field("attempt", aCommand.mAttempt)
-    .Field("upstream", aCommand.mUpstream);
+    .Field("upstream", aCommand.mUpstream)
+    .Field("reason", ToName(aCommand.mCancelReason))
+    .Field("silent_ms", ToMillis(aCommand.mSilence));
   aRequest.mUpstreamCall->Detach();
   mClient->Cancel(aRequest.mCallId);
   aRequest.mUpstreamCall.reset();
@@ -431,10 +433,20 @@
   const Refusal& refusal = *aCommand.mRefusal;
   aRequest.mSummary.mStatus = refusal.Status();
   aRequest.mSummary.mOutcome = ToName(refusal.mKind);
+  LogLine line = Log::Info("request_refused");
+  AddRefusalFields(line, aCommand);
+  Refuse(*aRequest.mExchange, refusal);
+}
+
+/// Adds the inputs of a refusal to a log line.
+void
+RelayExecutor::AddRefusalFields(LogLine& aLine,
+                                const RelayCommand& aCommand) const
+{
+  const Refusal& refusal = *aCommand.mRefusal;
   const TimePoint now = mReactor->Now();
   const auto listedAt = mMachine->ListedUpstreams().ListedAt();
-  Log::Info("request_refused")
-    .Field("request", aCommand.mId)
+  aLine.Field("request", aCommand.mId)
     .Field("type", ToName(refusal.mKind))
     .Field("run", ToName(refusal.mVerdict))
     .Field("retry_after_ms", ToMillis(refusal.mRetryAfter))
@@ -443,7 +455,6 @@
     .Field("upstreams", mMachine->ListedUpstreams().All().size())
     .Field("found_gone", mMachine->Loads().GoneUpstreams(now).size())
     .Field("list_age_ms", ToMillis(now - listedAt.value_or(now)));
-  Refuse(*aRequest.mExchange, refusal);
 }
 
 void
@@ -456,8 +467,12 @@
 void
 RelayExecutor::AbortStream(const RelayCommand& aCommand, Request& aRequest)
 {
-  aRequest.mSummary.mOutcome =
-    aCommand.mRefusal ? ToName(aCommand.mRefusal->mKind) : "aborted";
+  const RelayRequestSummary& summary = aRequest.mSummary;
+  aRequest.mSummary.mOutcome = ToName(aCommand.mRefusal->mKind);
+  LogLine line = Log::Info("stream_aborted");
+  AddRefusalFields(line, aCommand);
+  line.Field("events", summary.mEventCount)
+    .Field("since_event_ms", ToMillis(mReactor->Now() - summary.mLastEventAt));
   aRequest.mExchange->AbortStream();
 }
 
--- a/Peridothoist/Node/RelayExecutor.h
+++ b/Peridothoist/Node/RelayExecutor.h
@@ -6,6 +6,7 @@
 #include <Peridothoist/Node/CallerProtocol.h>
 #include <Peridothoist/Node/UpstreamProtocol.h>
 #include <Peridothoist/Relay/RelayStateMachine.h>
+#include <Peridothoist/Shell/Log.h>
 #include <Peridothoist/Shell/Reactor.h>
 
 namespace peridothoist {
@@ -110,6 +111,7 @@
   void SendEvent(const RelayCommand& aCommand, Request& aRequest);
   void SendResponse(const RelayCommand& aCommand, Request& aRequest);
   void SendRefusal(const RelayCommand& aCommand, Request& aRequest);
+  void AddRefusalFields(LogLine& aLine, const RelayCommand& aCommand) const;
   void EndStream(const RelayCommand& aCommand, Request& aRequest);
   void AbortStream(const RelayCommand& aCommand, Request& aRequest);
   void Forget(const RelayCommand& aCommand, Request& aRequest);
--- a/Peridothoist/Relay/RelayCommand.cpp
+++ b/Peridothoist/Relay/RelayCommand.cpp
@@ -16,6 +16,15 @@
   return kNames[static_cast<std::size_t>(aKind)];
 }
 
+const char*
+ToName(CancelReason aReason)
+{
+  static constexpr std::array<const char*, kCancelReasons> kNames = {
+    "caller_gone", "deadline_passed", "silent"
+  };
+  return kNames[static_cast<std::size_t>(aReason)];
+}
+
 const char*
 ToName(RelayCallKind aKind)
 {
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -52,6 +52,19 @@
 const char*
 ToName(RelayCommandKind aKind);
 
+/// Why a call was cancelled.
+enum class CancelReason
+{
+  CallerGone,     ///< The caller disconnected.
+  DeadlinePassed, ///< The request's deadline passed.
+  Silent          ///< The upstream sent nothing for too long.
+};
+
+constexpr std::size_t kCancelReasons = 3; ///< Count of CancelReason.
+
+const char*
+ToName(CancelReason aReason);
+
 /// The purpose of a call to an upstream.
 enum class RelayCallKind
 {
@@ -100,6 +113,8 @@
   std::string mWorkspace;
   std::uint32_t mPriority = 5;
   Duration mTimeLeft{ 0 }; ///< StartCall: time until the deadline.
+  CancelReason mCancelReason = CancelReason::CallerGone;
+  Duration mSilence{ 0 }; ///< CancelCall: since the upstream last sent.
 
   // Responses to the caller
   RelayResponse mResponse;         ///< SendHead, SendResponse.
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -123,13 +123,13 @@
     return;
   }
   ++mCounters.mCallersGone;
-  CancelCall(*state);
+  CancelCall(*state, CancelReason::CallerGone);
   Finish(*state);
   DispatchWaiting();
 }
 
 void
-RelayStateMachine::CancelCall(State& aState)
+RelayStateMachine::CancelCall(State& aState, CancelReason aReason)
 {
   if (!aState.mCall) {
     return;
@@ -138,6 +138,9 @@
   RelayCommand& command = Command(RelayCommandKind::CancelCall, aState);
   command.mAttempt = call.mAttempt;
   command.mUpstream = call.mUpstream;
+  command.mCancelReason = aReason;
+  command.mSilence = mNow - call.mLastActivity;
+  ++mCounters.mCancelled[static_cast<std::size_t>(aReason)];
   if (call.mMayHaveBeenSent && RunsRequest(call.mKind)) {
     aState.mVerdict.Advance(RunVerdict::MayHaveRun);
   }
@@ -182,6 +185,8 @@
 RelayStateMachine::Refuse(State& aState, RefusalKind aKind)
 {
   ++mCounters.mRefused[static_cast<std::size_t>(aKind)];
+  mCounters.mAborted[static_cast<std::size_t>(aKind)] +=
+    aState.mHeadSent ? 1 : 0;
   const Refusal refusal =
     Refusal::Make(aKind, aState.mVerdict, ChooseRetryAfter(aState, aKind));
   Command(aState.mHeadSent ? RelayCommandKind::AbortStream
@@ -310,7 +315,7 @@
 void
 RelayStateMachine::OnDeadline(State& aState)
 {
-  CancelCall(aState);
+  CancelCall(aState, CancelReason::DeadlinePassed);
   Refuse(aState, RefusalKind::DeadlinePassed);
   DispatchWaiting();
 }
@@ -358,7 +363,7 @@
     return; // The upstream may still respond.
   }
   const std::string upstream = call.mUpstream;
-  CancelCall(aState);
+  CancelCall(aState, CancelReason::Silent);
   mLoads.OnFailure(upstream, mNow);
   aState.mExcludedUpstreams.insert(upstream);
   aState.mSkipPrefill = true;
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -106,6 +106,9 @@
   std::uint64_t mCallersGone = 0;
   std::uint64_t mQuarantined = 0;
   std::array<std::uint64_t, kRefusalKinds> mRefused{}; ///< By RefusalKind.
+  /// Streams that were ended incomplete, by RefusalKind. Included in mRefused.
+  std::array<std::uint64_t, kRefusalKinds> mAborted{};
+  std::array<std::uint64_t, kCancelReasons> mCancelled{}; ///< By CancelReason.
 };
 
 /// Decides how relayed requests are handled.
@@ -300,7 +303,7 @@
   void RetryOrRefuse(State& aState, RefusalKind aRefusal);
   bool MayRetry(const State& aState) const;
   Call CloseCall(State& aState);
-  void CancelCall(State& aState);
+  void CancelCall(State& aState, CancelReason aReason);
   void ReleaseHandle(State& aState);
   void ReleaseReservation(State& aState);
   std::uint64_t TokensToReserve(const AdmittedRequest& aRequest) const;
--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include <Peridothoist/Shell/CallerDisconnectMonitor.h>
 #include <Peridothoist/Shell/HttpDaemon.h>
 #include <Peridothoist/Shell/HttpServer.h>
+#include <Peridothoist/Shell/Log.h>
 #include <Peridothoist/Shell/RequestReader.h>
 #include <Peridothoist/Shell/ServerConnection.h>
 #include <Peridothoist/Shell/ServerExchange.h>
@@ -12,6 +13,7 @@
 #include <microhttpd.h>
 #include <unistd.h>
 
+#include <array>
 #include <cstring>
 #include <unordered_set>
 
@@ -93,6 +95,8 @@
   void RunDaemon();
   void ScheduleRunWithin(Duration aDelay);
   void CloseStaleConnections();
+  static void LogUnsentResponse(const detail::ServerConnection& aConnection,
+                                MHD_RequestTerminationCode aCode);
 
   Reactor& mReactor;
   const Settings mSettings;
@@ -124,6 +128,16 @@
   return *static_cast<detail::ServerConnection*>(info->socket_context);
 }
 
+const char*
+ToName(MHD_RequestTerminationCode aCode)
+{
+  static constexpr std::array<const char*, 6> kNames = {
+    "completed",       "connection_error", "timeout",
+    "server_shutdown", "read_error",       "caller_gone"
+  };
+  return kNames[static_cast<std::size_t>(aCode)];
+}
+
 } // namespace
 
 HttpServer::Impl::~Impl()
@@ -246,13 +260,14 @@
 HttpServer::Impl::OnCompleted(void* aSelf,
                               MHD_Connection* aConnection,
                               void** /*aRequest*/,
-                              MHD_RequestTerminationCode /*aCode*/)
+                              MHD_RequestTerminationCode aCode)
 {
   auto& self = *static_cast<Impl*>(aSelf);
   detail::ServerConnection& connection = ConnectionOf(aConnection);
   self.mDisconnectMonitor->Remove(connection.Descriptor());
   if (connection.Phase() == detail::ConnectionPhase::Responding) {
     --self.mOpenExchangeCount;
+    LogUnsentResponse(connection, aCode);
   }
   connection.EnterPhase(detail::ConnectionPhase::Idle, self.mReactor.Now());
   connection.mIsBodyTooLarge = false;
@@ -283,6 +298,22 @@
   self.mConnections.erase(connection.get());
 }
 
+/// Logs the end of a connection on which a completely received request has no
+/// complete response, unless the caller or the handler ended it.
+void
+HttpServer::Impl::LogUnsentResponse(const detail::ServerConnection& aConnection,
+                                    MHD_RequestTerminationCode aCode)
+{
+  const auto& exchange = aConnection.mExchange;
+  const bool isCut = aCode != MHD_REQUEST_TERMINATED_COMPLETED_OK &&
+                     exchange != nullptr && exchange->AwaitsDelivery();
+  if (isCut) {
+    Log::Warning("response_cut")
+      .Field("target", aConnection.mTarget)
+      .Field("cause", ToName(aCode));
+  }
+}
+
 /// Called when the head of a request has been received. Rejects the request or
 /// accepts its body.
 MHD_Result
@@ -388,8 +419,11 @@
   for (detail::ServerConnection* connection : mConnections) {
     const bool isIdle = connection->Phase() == detail::ConnectionPhase::Idle &&
                         !connection->HasPartialRequest();
-    if (connection->HasRequestTimedOut(mSettings, now) ||
-        (mIsDraining && isIdle)) {
+    const bool isSlow = connection->HasRequestTimedOut(mSettings, now);
+    if (isSlow) {
+      Log::Info("connection_closed").Field("cause", "request_timeout");
+    }
+    if (isSlow || (mIsDraining && isIdle)) {
       connection->ShutDown();
     }
   }
--- a/Peridothoist/Shell/ServerExchange.h
+++ b/Peridothoist/Shell/ServerExchange.h
@@ -56,6 +56,13 @@
   /// Called when the caller has closed its side of the connection.
   void OnHangUp();
 
+  /// Returns whether the caller still waits for a response, or the rest of one,
+  /// that the handler has not aborted.
+  bool AwaitsDelivery() const
+  {
+    return !mIsCallerDisconnected && mResponseState != ResponseState::Aborted;
+  }
+
   /// Called when libmicrohttpd has finished the request. The connection must
   /// not be used afterwards.
   void OnCompleted();
