Give a silent upstream up only once another one has taken over

Cause: after 0.9 s without an event the call was cancelled first, and another engine was called afterwards. If that engine had no capacity or was gone, no attempt was left; if a change of the configuration had withdrawn the key, the retry was refused. Either way the caller's stream was aborted, although its engine would have continued.

Now the silent call stays open. For a stream, capacity is reserved at another engine first; only when it is granted, and the stream is still silent, the call is cancelled and the stream moves. A refusal leaves the stream where it is and another engine is tried later. The same cause stood in the retry of idempotent requests whose upstream does not respond: a rejected retry turned a late response into a refusal. There the retry now runs beside the first call, and the first response is passed on.

AnUnresponsiveIdempotentRequestIsRetriedElsewhere asserted that the first call is cancelled when the retry starts, which was the fault; it now asserts that nothing is cancelled before the retry's response, that there is one response, and that the late end of the cancelled call is ignored. The random workload now checks each cancelled call, that no call is open at the end of a request, and which second calls may be open.

--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -80,6 +80,7 @@
   /// Stops all further reports to the relay state machine.
   void Detach() { mIsDetached = true; }
   void SetCallId(HttpClient::CallId aCallId) { mCallId = aCallId; }
+  HttpClient::CallId CallId() const { return mCallId; }
 
   // See: HttpCallListener
   bool OnBeforeSend() override
@@ -235,8 +236,8 @@
   mReactor->CancelTimer(mTickTimer);
   for (auto& [id, request] : mRequests) {
     request.mExchange->SetListener(nullptr);
-    if (request.mUpstreamCall) {
-      request.mUpstreamCall->Detach();
+    for (const auto& [attempt, call] : request.mUpstreamCalls) {
+      call->Detach();
     }
   }
 }
@@ -341,12 +342,11 @@
     .Field("address", aCommand.mAddress)
     .Field("call", ToName(aCommand.mCallKind))
     .Field("left_ms", ToMillis(aCommand.mTimeLeft));
-  aRequest.mUpstreamCall =
+  const auto call =
     std::make_shared<UpstreamCall>(*this, aCommand, aRequest.mExchange);
-  aRequest.mCallId = mClient->Start(
-    mUpstreams->MakeCall(aCommand, aRequest.mExchange->Request()),
-    aRequest.mUpstreamCall);
-  aRequest.mUpstreamCall->SetCallId(aRequest.mCallId);
+  aRequest.mUpstreamCalls[aCommand.mAttempt] = call;
+  call->SetCallId(mClient->Start(
+    mUpstreams->MakeCall(aCommand, aRequest.mExchange->Request()), call));
 }
 
 void
@@ -358,10 +358,10 @@
     .Field("upstream", aCommand.mUpstream)
     .Field("reason", ToName(aCommand.mCancelReason))
     .Field("silent_ms", ToMillis(aCommand.mSilence));
-  aRequest.mUpstreamCall->Detach();
-  mClient->Cancel(aRequest.mCallId);
-  aRequest.mUpstreamCall.reset();
-  aRequest.mCallId = 0;
+  const auto it = aRequest.mUpstreamCalls.find(aCommand.mAttempt);
+  PH_ASSERT(it != aRequest.mUpstreamCalls.end());
+  it->second->Detach();
+  mClient->Cancel(it->second->CallId());
 }
 
 void
--- a/Peridothoist/Node/RelayExecutor.h
+++ b/Peridothoist/Node/RelayExecutor.h
@@ -97,8 +97,8 @@
     std::shared_ptr<HttpExchange> mExchange;
     std::unique_ptr<CallerListener> mCallerListener;
     RelayRequestSummary mSummary;
-    HttpClient::CallId mCallId = 0; ///< 0: no call is open.
-    std::shared_ptr<UpstreamCall> mUpstreamCall;
+    /// By attempt. Ended calls stay until the request ends.
+    std::map<std::uint32_t, std::shared_ptr<UpstreamCall>> mUpstreamCalls;
   };
 
   using CommandHandler = void (RelayExecutor::*)(const RelayCommand&, Request&);
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -13,7 +13,6 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
-constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 
 /// Returns whether the status tells a caller that its request was not run.
@@ -95,13 +94,19 @@
     return; // It was cancelled.
   }
   State& state = *Find(aId);
-  const Call call = CloseCall(state);
+  const bool isSecond =
+    state.mSecondCall && state.mSecondCall->mAttempt == aAttempt;
+  const Call call = CloseCall(isSecond ? state.mSecondCall : state.mCall);
   if (aEnd.mLoad) {
     mLoads.OnLoadStated(call.mUpstream, *aEnd.mLoad, aNow);
   }
   CountOutcome(state, call, aEnd);
   const CallResult& outcome = aEnd.mOutcome;
-  if (!outcome.mMayHaveBeenSent) {
+  if (isSecond) {
+    OnSecondCallEnd(state, call, aEnd);
+  } else if (ContinueWithSecondCall(state, call, aEnd)) {
+    // The other call decides.
+  } else if (!outcome.mMayHaveBeenSent) {
     OnNotSent(state, call, aEnd);
   } else if (outcome.mEnd == CallEnd::Whole && aEnd.mNotRun) {
     OnRejected(state, call, aEnd.mIsWrongProcess);
@@ -127,7 +132,7 @@
   }
   const bool isServerError = outcome.mEnd == CallEnd::Whole &&
                              aEnd.mIsVerified &&
-                             aEnd.mResponse.mStatus >= kServerError;
+                             outcome.mStatus >= kServerErrorStatus;
   if (isServerError && std::exchange(aState.mHadServerError, true)) {
     return;
   }
@@ -140,11 +145,11 @@
 }
 
 RelayStateMachine::Call
-RelayStateMachine::CloseCall(State& aState)
+RelayStateMachine::CloseCall(std::optional<Call>& aCall)
 {
-  PH_ASSERT(aState.mCall);
-  Call call = std::move(*aState.mCall);
-  aState.mCall.reset();
+  PH_ASSERT(aCall);
+  Call call = std::move(*aCall);
+  aCall.reset();
   mLoads.OnDone(call.mUpstream, call.mTokens);
   return call;
 }
@@ -235,13 +240,7 @@
                              const Call& aCall,
                              const RelayCallEnd& aEnd)
 {
-  ++mCounters.mUnsent;
-  if (aEnd.mOutcome.mEnd != CallEnd::Withheld) {
-    mLoads.OnGone(aCall.mUpstream, mNow);
-    OnUpstreamLost(aCall.mUpstream);
-  }
-  aState.mTriedUpstreams.erase(aCall.mUpstream);
-  aState.mExcludedUpstreams.insert(aCall.mUpstream);
+  OnUpstreamNotReached(aState, aCall, aEnd);
   ReclaimHandle(aState, aCall);
   if (aCall.mKind == RelayCallKind::Prefill) {
     ReleaseMemory(aState);
@@ -351,6 +350,22 @@
     OnNotReserved(aState, aCall);
     return;
   }
+  KeepReservation(aState, aCall, aEnd);
+  const RelayUpstream* decode = mUpstreamList.Find(aCall.mUpstream);
+  if (decode == nullptr || decode->mIsLeaving) {
+    ReleaseMemory(aState);
+    PlaceRequest(aState);
+    return;
+  }
+  PlacePrefill(aState, *decode);
+}
+
+/// Keeps a reservation for the call that will use it.
+void
+RelayStateMachine::KeepReservation(State& aState,
+                                   const Call& aCall,
+                                   const RelayCallEnd& aEnd)
+{
   ++mCounters.mReserved;
   ReleaseReservation(aState);
   aState.mReservation = aEnd.mReservation;
@@ -359,13 +374,6 @@
   aState.mReservationExpiresAt = aCall.mLastActivity +
                                  mSettings.mReservationLifetime -
                                  mSettings.mHandleExpiryMargin;
-  const RelayUpstream* decode = mUpstreamList.Find(aCall.mUpstream);
-  if (decode == nullptr || decode->mIsLeaving) {
-    ReleaseMemory(aState);
-    PlaceRequest(aState);
-    return;
-  }
-  PlacePrefill(aState, *decode);
 }
 
 /// Handles an engine's refusal of a reservation: tries another engine, or waits
@@ -395,7 +403,7 @@
   }
   aState.mVerdict.Advance(RunVerdict::Ran);
   mSuspects.OnFinished(aState.mRequest.mDigest);
-  const bool failed = aEnd.mResponse.mStatus >= kServerError;
+  const bool failed = aEnd.mOutcome.mStatus >= kServerErrorStatus;
   if (!failed) {
     mLoads.OnSuccess(aCall.mUpstream);
   }
--- a/Peridothoist/Relay/RelayCommand.cpp
+++ b/Peridothoist/Relay/RelayCommand.cpp
@@ -20,7 +20,7 @@
 ToName(CancelReason aReason)
 {
   static constexpr std::array<const char*, kCancelReasons> kNames = {
-    "caller_gone", "deadline_passed", "silent"
+    "caller_gone", "deadline_passed", "silent", "not_needed"
   };
   return kNames[static_cast<std::size_t>(aReason)];
 }
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -57,10 +57,11 @@
 {
   CallerGone,     ///< The caller disconnected.
   DeadlinePassed, ///< The request's deadline passed.
-  Silent          ///< The upstream sent nothing for too long.
+  Silent,         ///< The upstream sent nothing for too long.
+  NotNeeded       ///< Another call of the request succeeded.
 };
 
-constexpr std::size_t kCancelReasons = 3; ///< Count of CancelReason.
+constexpr std::size_t kCancelReasons = 4; ///< Count of CancelReason.
 
 const char*
 ToName(CancelReason aReason);
@@ -124,9 +125,20 @@
 
 using RelayCommands = std::vector<RelayCommand>;
 
+/// The lowest status with which an upstream reports an error of its own.
+constexpr int kServerErrorStatus = 500;
+
 /// How a call ended.
 struct RelayCallEnd
 {
+  /// Returns whether the upstream ran the request and responded without an
+  /// error of its own.
+  bool IsResult() const
+  {
+    return mOutcome.mEnd == CallEnd::Whole && mIsVerified && !mNotRun &&
+           mOutcome.mStatus < kServerErrorStatus;
+  }
+
   CallResult mOutcome;
   /// The upstream stated that it has not run the request and never will.
   bool mNotRun = false;
--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -121,12 +121,16 @@
 
 /// Returns the memory to reserve at a decode engine. While load reports of
 /// other VMs are old, these add streams to the engine that are not counted
-/// here, so that none may rely on memory to be free when it grows.
+/// here, so that none may rely on memory to be free when it grows. A stream
+/// that runs already may have generated most of its output.
 std::uint64_t
-RelayStateMachine::TokensToReserve(const AdmittedRequest& aRequest) const
+RelayStateMachine::TokensToReserve(const State& aState) const
 {
-  return mLoads.PeerLoadAgeSeconds() > 0 ? aRequest.mFinalMemoryTokens
-                                         : aRequest.mMemoryTokens;
+  const bool runs =
+    aState.mCall && aState.mCall->mKind == RelayCallKind::Stream;
+  return runs || mLoads.PeerLoadAgeSeconds() > 0
+           ? aState.mRequest.mFinalMemoryTokens
+           : aState.mRequest.mMemoryTokens;
 }
 
 bool
@@ -173,6 +177,17 @@
     Refuse(aState, RefusalKind::UpstreamFailed);
     return false;
   }
+  aState.mCall = StartCall(aState, aUpstream, aKind);
+  ArmInactivityTimer(aState);
+  return true;
+}
+
+/// Issues the command for a call and returns the call's state.
+RelayStateMachine::Call
+RelayStateMachine::StartCall(State& aState,
+                             const RelayUpstream& aUpstream,
+                             RelayCallKind aKind)
+{
   const AdmittedRequest& request = aState.mRequest;
   Call call;
   call.mAttempt = aState.mNextAttempt++;
@@ -208,7 +223,7 @@
     aState.mReservation.clear();
   }
   if (isReserve) {
-    command.mMemoryTokens = TokensToReserve(request);
+    command.mMemoryTokens = TokensToReserve(aState);
     command.mReservationLifetime = mSettings.mReservationLifetime;
   } else if (aKind == RelayCallKind::Prefill) {
     command.mTimeLeft = std::min(command.mTimeLeft, mSettings.mPrefillTimeout);
@@ -218,9 +233,7 @@
     aState.mTriedUpstreams.insert(aUpstream.mId);
   }
   mLoads.OnSent(call.mUpstream, call.mTokens);
-  aState.mCall = std::move(call);
-  ArmInactivityTimer(aState);
-  return true;
+  return call;
 }
 
 bool
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -53,9 +53,15 @@
 RelayStateMachine::FindCall(std::uint64_t aId, std::uint32_t aAttempt)
 {
   State* state = Find(aId);
-  const bool open =
-    state != nullptr && state->mCall && state->mCall->mAttempt == aAttempt;
-  return open ? &*state->mCall : nullptr;
+  if (state == nullptr) {
+    return nullptr;
+  }
+  for (std::optional<Call>* it : { &state->mCall, &state->mSecondCall }) {
+    if (*it && (*it)->mAttempt == aAttempt) {
+      return &**it;
+    }
+  }
+  return nullptr;
 }
 
 RelayCommand&
@@ -131,17 +137,25 @@
 void
 RelayStateMachine::CancelCall(State& aState, CancelReason aReason)
 {
-  if (!aState.mCall) {
-    return;
+  CancelSecondCall(aState, aReason);
+  if (aState.mCall) {
+    Cancel(aState, CloseCall(aState.mCall), aReason);
   }
-  const Call call = CloseCall(aState);
+}
+
+/// Cancels a call that is closed already.
+void
+RelayStateMachine::Cancel(State& aState,
+                          const Call& aCall,
+                          CancelReason aReason)
+{
   RelayCommand& command = Command(RelayCommandKind::CancelCall, aState);
-  command.mAttempt = call.mAttempt;
-  command.mUpstream = call.mUpstream;
+  command.mAttempt = aCall.mAttempt;
+  command.mUpstream = aCall.mUpstream;
   command.mCancelReason = aReason;
-  command.mSilence = mNow - call.mLastActivity;
+  command.mSilence = mNow - aCall.mLastActivity;
   ++mCounters.mCancelled[static_cast<std::size_t>(aReason)];
-  if (call.mMayHaveBeenSent && RunsRequest(call.mKind)) {
+  if (aCall.mMayHaveBeenSent && RunsRequest(aCall.mKind)) {
     aState.mVerdict.Advance(RunVerdict::MayHaveRun);
   }
 }
@@ -219,6 +233,7 @@
 {
   const std::uint64_t id = aState.mRequest.mId;
   PH_ASSERT(!aState.mCall);
+  CancelSecondCall(aState, CancelReason::NotNeeded);
   ReleaseHandle(aState);
   ReleaseReservation(aState);
   ReleaseMemory(aState);
@@ -320,54 +335,4 @@
   DispatchWaiting();
 }
 
-void
-RelayStateMachine::ArmInactivityTimer(State& aState)
-{
-  Call& call = *aState.mCall;
-  const RelayRoute& route = *aState.mRequest.mRoute;
-  if (!route.IsRetryable() || !RunsRequest(call.mKind)) {
-    return;
-  }
-  Duration timeout = mSettings.mFirstEventTimeout;
-  if (call.mKind == RelayCallKind::Whole) {
-    timeout = std::chrono::duration_cast<Duration>(
-      route.mTargetLatency * mSettings.mResponseTimeoutFactor);
-  } else if (call.mHasEvent) {
-    timeout = mSettings.mEventGapTimeout;
-  }
-  call.mInactivityDeadline = call.mLastActivity + timeout;
-  mTimers.Add(call.mInactivityDeadline,
-              { TimerKind::TokenGap, aState.mRequest.mId, call.mAttempt });
-}
-
-void
-RelayStateMachine::OnInactivityTimer(State& aState)
-{
-  const Call& call = *aState.mCall;
-  if (mNow < call.mInactivityDeadline) {
-    return; // A newer timer is armed.
-  }
-  const bool silent = call.mKind == RelayCallKind::Whole || !call.mHasEvent ||
-                      mNow >= call.mLastActivity + mSettings.mEventGapTimeout;
-  if (!silent) {
-    ArmInactivityTimer(aState);
-    return;
-  }
-  UpstreamQuery query =
-    QueryFor(aState,
-             call.mKind == RelayCallKind::Whole ? RelayStage::Plain
-                                                : RelayStage::Decode);
-  query.mExcludedUpstreams.insert(call.mUpstream);
-  const bool hasAlternative = mChooser.Choose(query, mNow).mUpstream != nullptr;
-  if (!hasAlternative || !MayRetry(aState) || !HasRetryBudget(aState)) {
-    return; // The upstream may still respond.
-  }
-  const std::string upstream = call.mUpstream;
-  CancelCall(aState, CancelReason::Silent);
-  mLoads.OnFailure(upstream, mNow);
-  aState.mExcludedUpstreams.insert(upstream);
-  aState.mSkipPrefill = true;
-  RetryOrRefuse(aState, RefusalKind::UpstreamFailed);
-}
-
 } // namespace peridothoist
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -7,7 +7,10 @@
 ///     EndStream or AbortStream), unless the caller disconnected, and then
 ///     Forget.
 ///   - At most one call is open: a new one starts only after the previous one
-///     ended or was cancelled.
+///     ended or was cancelled. Only while its upstream is silent, a second call
+///     may be open beside it: a reservation for a stream, or a retry of an
+///     idempotent request. The first is given up only when the second has
+///     succeeded.
 ///   - A request that must not run twice is sent again only after its upstream
 ///     stated that it has not run it, or if none of its bytes were sent.
 ///   - A refusal states "not run" only if every upstream to which the request
@@ -58,6 +61,9 @@
   double mResponseTimeoutFactor = 3.0;
   Duration mFirstEventTimeout = 2s;  ///< Resumable streams: until first event.
   Duration mEventGapTimeout = 900ms; ///< Resumable streams: between events.
+  /// Time until another upstream is tried for a request whose upstream is
+  /// silent, after one could not take it over.
+  Duration mTakeoverRetryInterval = 200ms;
   /// Typical time from the choice of an idle engine to a stream's first event.
   /// A request with less time left to its target latency counts as late.
   Duration mTypicalStartTime = 250ms;
@@ -221,6 +227,8 @@
   {
     AdmittedRequest mRequest;
     std::optional<Call> mCall;
+    /// Call to another upstream while that of mCall is silent.
+    std::optional<Call> mSecondCall;
     std::uint32_t mNextAttempt = 1;
     std::set<std::string> mTriedUpstreams;    ///< They may have received it.
     std::set<std::string> mExcludedUpstreams; ///< Not to be chosen again.
@@ -262,6 +270,9 @@
   bool StartCallOn(State& aState,
                    const RelayUpstream& aUpstream,
                    RelayCallKind aKind);
+  Call StartCall(State& aState,
+                 const RelayUpstream& aUpstream,
+                 RelayCallKind aKind);
   bool HasRetryBudget(const State& aState);
   bool ChargeRetry(State& aState);
   void OnNoUpstreamChosen(State& aState, NoChoiceReason aReason);
@@ -295,6 +306,9 @@
   void OnStreamCallEnd(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnReserveCallEnd(State& aState, const Call& aCall, RelayCallEnd& aEnd);
   void OnNotReserved(State& aState, const Call& aCall);
+  void KeepReservation(State& aState,
+                       const Call& aCall,
+                       const RelayCallEnd& aEnd);
   void OnRejected(State& aState, const Call& aCall, bool aWrongProcess);
   void OnHandleRefused(State& aState, const Call& aCall);
   bool ReclaimHandle(State& aState, const Call& aCall);
@@ -302,16 +316,41 @@
   void OnCallFailed(State& aState, const Call& aCall, bool aBroken);
   void RetryOrRefuse(State& aState, RefusalKind aRefusal);
   bool MayRetry(const State& aState) const;
-  Call CloseCall(State& aState);
+  Call CloseCall(std::optional<Call>& aCall);
   void CancelCall(State& aState, CancelReason aReason);
+  void Cancel(State& aState, const Call& aCall, CancelReason aReason);
   void ReleaseHandle(State& aState);
   void ReleaseReservation(State& aState);
-  std::uint64_t TokensToReserve(const AdmittedRequest& aRequest) const;
+  std::uint64_t TokensToReserve(const State& aState) const;
   bool HasReservationAt(const State& aState,
                         const std::string& aUpstream) const;
   void HoldMemory(State& aState, const std::string& aUpstream);
   void ReleaseMemory(State& aState);
 
+  // Silent upstreams
+  Duration InactivityTimeout(const State& aState, const Call& aCall) const;
+  void ArmInactivityTimer(State& aState);
+  void SetInactivityDeadline(State& aState, TimePoint aAt);
+  void OnInactivityTimer(State& aState);
+  bool IsSilent(const State& aState) const;
+  bool MayTakeOver(const State& aState);
+  void StartTakeover(State& aState);
+  void RetryTakeoverLater(State& aState);
+  void OnSecondCallEnd(State& aState, const Call& aCall, RelayCallEnd& aEnd);
+  void TakeOverStream(State& aState, const std::string& aUpstream);
+  void GiveUpSilentCall(State& aState);
+  bool ContinueWithSecondCall(State& aState,
+                              const Call& aFirst,
+                              const RelayCallEnd& aEnd);
+  void CountFailedCall(State& aState,
+                       const Call& aCall,
+                       const RelayCallEnd& aEnd);
+  void OnUpstreamNotReached(State& aState,
+                            const Call& aCall,
+                            const RelayCallEnd& aEnd);
+  void OnFailedRun(State& aState, const Call& aCall, const RelayCallEnd& aEnd);
+  void CancelSecondCall(State& aState, CancelReason aReason);
+
   // Responses
   void Respond(State& aState, RelayResponse aResponse);
   void Refuse(State& aState, RefusalKind aKind);
@@ -324,8 +363,6 @@
 
   // Timers
   void OnDeadline(State& aState);
-  void OnInactivityTimer(State& aState);
-  void ArmInactivityTimer(State& aState);
 
   RelayCommand& Command(RelayCommandKind aKind, const State& aState);
   RelayRetryBudget& RetryBudgetOf(const std::string& aService);
--- /dev/null
+++ b/Peridothoist/Relay/RelayTakeover.cpp
@@ -0,0 +1,243 @@
+/// The part of RelayStateMachine that handles upstreams that send nothing for a
+/// while. An upstream in good order may be silent and then continue, so its
+/// call is given up only when another upstream has taken the request over: for
+/// a stream, once capacity is reserved there; for an idempotent request, once
+/// the other upstream has responded.
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/RelayStateMachine.h>
+
+namespace peridothoist {
+
+/// Returns how long the upstream of a call may send nothing until another one
+/// is tried.
+Duration
+RelayStateMachine::InactivityTimeout(const State& aState,
+                                     const Call& aCall) const
+{
+  if (aCall.mKind == RelayCallKind::Whole) {
+    return std::chrono::duration_cast<Duration>(
+      aState.mRequest.mRoute->mTargetLatency *
+      mSettings.mResponseTimeoutFactor);
+  }
+  return aCall.mHasEvent ? mSettings.mEventGapTimeout
+                         : mSettings.mFirstEventTimeout;
+}
+
+void
+RelayStateMachine::ArmInactivityTimer(State& aState)
+{
+  Call& call = *aState.mCall;
+  if (aState.mRequest.mRoute->IsRetryable() && RunsRequest(call.mKind)) {
+    SetInactivityDeadline(aState,
+                          call.mLastActivity + InactivityTimeout(aState, call));
+  }
+}
+
+void
+RelayStateMachine::SetInactivityDeadline(State& aState, TimePoint aAt)
+{
+  Call& call = *aState.mCall;
+  call.mInactivityDeadline = aAt;
+  mTimers.Add(aAt, { TimerKind::TokenGap, aState.mRequest.mId, call.mAttempt });
+}
+
+bool
+RelayStateMachine::IsSilent(const State& aState) const
+{
+  const Call& call = *aState.mCall;
+  return mNow >= call.mLastActivity + InactivityTimeout(aState, call);
+}
+
+void
+RelayStateMachine::OnInactivityTimer(State& aState)
+{
+  if (mNow < aState.mCall->mInactivityDeadline || aState.mSecondCall) {
+    return; // A newer timer is armed, or another upstream is being tried.
+  }
+  if (IsSilent(aState)) {
+    StartTakeover(aState);
+  } else {
+    ArmInactivityTimer(aState);
+  }
+}
+
+/// Returns whether a retry of the request could be sent now.
+bool
+RelayStateMachine::MayTakeOver(const State& aState)
+{
+  return MayRetry(aState) && HasRetryBudget(aState) &&
+         !mPolicy->CheckRelay(aState.mRequest, mNow);
+}
+
+/// Tries another upstream for a request whose upstream is silent.
+void
+RelayStateMachine::StartTakeover(State& aState)
+{
+  const bool isStream = aState.mCall->mKind == RelayCallKind::Stream;
+  UpstreamQuery query =
+    QueryFor(aState, isStream ? RelayStage::Decode : RelayStage::Plain);
+  query.mExcludedUpstreams.insert(aState.mCall->mUpstream);
+  const RelayUpstream* other =
+    MayTakeOver(aState) ? mChooser.Choose(query, mNow).mUpstream : nullptr;
+  if (other == nullptr) {
+    RetryTakeoverLater(aState);
+  } else if (isStream) {
+    HoldMemory(aState, other->mId);
+    aState.mSecondCall = StartCall(aState, *other, RelayCallKind::Reserve);
+  } else if (ChargeRetry(aState)) {
+    aState.mSecondCall = StartCall(aState, *other, RelayCallKind::Whole);
+  }
+}
+
+void
+RelayStateMachine::RetryTakeoverLater(State& aState)
+{
+  if (MayRetry(aState)) {
+    SetInactivityDeadline(aState, mNow + mSettings.mTakeoverRetryInterval);
+  }
+}
+
+/// Handles the end of a call to the other upstream. The first call is open.
+void
+RelayStateMachine::OnSecondCallEnd(State& aState,
+                                   const Call& aCall,
+                                   RelayCallEnd& aEnd)
+{
+  const bool isReserve = aCall.mKind == RelayCallKind::Reserve;
+  if (isReserve && aEnd.IsResult() && !aEnd.mReservation.empty()) {
+    KeepReservation(aState, aCall, aEnd);
+    TakeOverStream(aState, aCall.mUpstream);
+    return;
+  }
+  if (!isReserve && aEnd.IsResult()) {
+    GiveUpSilentCall(aState);
+    OnWholeCallEnd(aState, aCall, aEnd);
+    return;
+  }
+  ReleaseMemory(aState);
+  CountFailedCall(aState, aCall, aEnd);
+  RetryTakeoverLater(aState);
+}
+
+/// Moves a stream to an upstream at which capacity is reserved, unless its
+/// first upstream has continued or a retry is not allowed any more.
+void
+RelayStateMachine::TakeOverStream(State& aState, const std::string& aUpstream)
+{
+  ReleaseMemory(aState);
+  const RelayUpstream* next = mUpstreamList.Find(aUpstream);
+  const bool isSilent = IsSilent(aState);
+  const bool isUsable = next != nullptr && !next->mIsLeaving;
+  if (isSilent && isUsable && MayTakeOver(aState)) {
+    GiveUpSilentCall(aState);
+    aState.mSkipPrefill = true;
+    mCounters.mResumed += aState.mHeadSent ? 1 : 0;
+    StartCallOn(aState, *next, RelayCallKind::Stream);
+    return;
+  }
+  ReleaseReservation(aState);
+  if (isSilent) {
+    RetryTakeoverLater(aState);
+  } else {
+    ArmInactivityTimer(aState);
+  }
+}
+
+void
+RelayStateMachine::GiveUpSilentCall(State& aState)
+{
+  const Call call = CloseCall(aState.mCall);
+  Cancel(aState, call, CancelReason::Silent);
+  mLoads.OnFailure(call.mUpstream, mNow);
+  aState.mExcludedUpstreams.insert(call.mUpstream);
+}
+
+/// Called when the first call has ended. Returns true if it failed and the
+/// second one continues in its place.
+bool
+RelayStateMachine::ContinueWithSecondCall(State& aState,
+                                          const Call& aFirst,
+                                          const RelayCallEnd& aEnd)
+{
+  const bool continues = aState.mSecondCall &&
+                         aState.mSecondCall->mKind == RelayCallKind::Whole &&
+                         !aEnd.IsResult();
+  if (!continues) {
+    CancelSecondCall(aState, CancelReason::NotNeeded);
+    return false;
+  }
+  CountFailedCall(aState, aFirst, aEnd);
+  aState.mCall = std::move(aState.mSecondCall);
+  aState.mSecondCall.reset();
+  ArmInactivityTimer(aState);
+  return true;
+}
+
+/// Records the failure of a call while another call of the request is open.
+void
+RelayStateMachine::CountFailedCall(State& aState,
+                                   const Call& aCall,
+                                   const RelayCallEnd& aEnd)
+{
+  const bool isReserve = aCall.mKind == RelayCallKind::Reserve;
+  const bool isReached =
+    aEnd.mOutcome.mMayHaveBeenSent && !aEnd.mIsWrongProcess;
+  if (!isReached) {
+    OnUpstreamNotReached(aState, aCall, aEnd);
+  } else if (isReserve) {
+    ++mCounters.mReserveRefused;
+    mLoads.OnFull(aCall.mUpstream, mSettings.mFullAvoidance, mNow);
+  } else {
+    OnFailedRun(aState, aCall, aEnd);
+  }
+}
+
+/// Records that a call did not reach its upstream: the upstream is gone, or the
+/// call was withheld.
+void
+RelayStateMachine::OnUpstreamNotReached(State& aState,
+                                        const Call& aCall,
+                                        const RelayCallEnd& aEnd)
+{
+  mCounters.mUnsent += aEnd.mOutcome.mMayHaveBeenSent ? 0 : 1;
+  if (aEnd.mOutcome.mEnd != CallEnd::Withheld) {
+    mLoads.OnGone(aCall.mUpstream, mNow);
+    OnUpstreamLost(aCall.mUpstream);
+  }
+  aState.mTriedUpstreams.erase(aCall.mUpstream);
+  aState.mExcludedUpstreams.insert(aCall.mUpstream);
+}
+
+/// Records that an upstream failed to run the request, or rejected it.
+void
+RelayStateMachine::OnFailedRun(State& aState,
+                               const Call& aCall,
+                               const RelayCallEnd& aEnd)
+{
+  mLoads.OnFailure(aCall.mUpstream, mNow);
+  aState.mExcludedUpstreams.insert(aCall.mUpstream);
+  if (aEnd.mNotRun) {
+    ++mCounters.mRejected;
+    return;
+  }
+  aState.mVerdict.Advance(RunVerdict::MayHaveRun);
+  if (aEnd.mOutcome.mEnd == CallEnd::Broken) {
+    ++mCounters.mBroken;
+    mBrokenCalls.OnCallBroken(aCall.mUpstream, aState.mRequest.mDigest, mNow);
+  }
+}
+
+void
+RelayStateMachine::CancelSecondCall(State& aState, CancelReason aReason)
+{
+  if (!aState.mSecondCall) {
+    return;
+  }
+  const Call call = CloseCall(aState.mSecondCall);
+  Cancel(aState, call, aReason);
+  if (call.mKind == RelayCallKind::Reserve) {
+    ReleaseMemory(aState);
+  }
+}
+
+} // namespace peridothoist
--- a/UnitTests/Relay/RelayStateMachineTest.cpp
+++ b/UnitTests/Relay/RelayStateMachineTest.cpp
@@ -136,10 +136,13 @@
   Advance(3s);
   const RelayCommand second = Call(id);
   BOOST_TEST(first.mUpstream != second.mUpstream);
-  End(first, Responded(200)); // It was cancelled, so its end is ignored.
-  BOOST_TEST(Count(RelayCommandKind::SendResponse) == 0U);
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 0U);
   End(second, Responded(200));
   BOOST_TEST(Count(RelayCommandKind::SendResponse) == 1U);
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 1U);
+  End(first, Responded(200)); // It was cancelled, so its end is ignored.
+  BOOST_TEST(Count(RelayCommandKind::SendResponse) == 1U);
+  BOOST_TEST(Count(RelayCommandKind::Forget) == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(AWithdrawnKeyStopsARequestBeforeItIsSent)
@@ -520,6 +523,7 @@
   {
     const auto n = *rc::gen::inRange<std::size_t>(0, mOpen.size());
     const RelayCommand call = mOpen[n];
+    Drop(call);
     RequestRecord& record = mRecords[call.mId];
     const int how = *rc::gen::inRange(0, 6);
     if (how == 0) {
@@ -527,6 +531,7 @@
       return;
     }
     if (!mMachine.MayStillSend(call.mId, call.mAttempt, mNow)) {
+      mOpen.push_back(call);
       return;
     }
     const bool run = RunsRequest(call.mCallKind);
@@ -562,23 +567,17 @@
 
   void CheckCommand(const RelayCommand& aCommand)
   {
-    const auto drop = [&] {
-      mOpen.erase(std::remove_if(mOpen.begin(),
-                                 mOpen.end(),
-                                 [&](const RelayCommand& aIt) {
-                                   return aIt.mId == aCommand.mId;
-                                 }),
-                  mOpen.end());
-    };
     const RequestRecord& record = mRecords[aCommand.mId];
     switch (aCommand.mKind) {
       case RelayCommandKind::StartCall:
-        drop(); // At most one call is open.
         mOpen.push_back(aCommand);
+        CheckOpenCalls(record, aCommand);
         break;
       case RelayCommandKind::CancelCall:
+        RC_ASSERT(Drop(aCommand));
+        break;
       case RelayCommandKind::Forget:
-        drop();
+        RC_ASSERT(CallsOf(aCommand.mId).empty());
         break;
       case RelayCommandKind::SendRefusal:
         if (aCommand.mRefusal->mVerdict == RunVerdict::NotRun) {
@@ -596,6 +595,48 @@
     }
   }
 
+  /// Checks that a call is the only one of its request, or a second one that
+  /// may be open beside the first.
+  void CheckOpenCalls(const RequestRecord& aRecord, const RelayCommand& aCall)
+  {
+    const std::vector<RelayCommand> open = CallsOf(aCall.mId);
+    if (open.size() == 1) {
+      return;
+    }
+    RC_ASSERT(open.size() == 2U);
+    RC_ASSERT(aRecord.mRoute->IsRetryable());
+    const RelayCallKind first = open[0].mCallKind;
+    const bool isStream = first == RelayCallKind::Stream;
+    RC_ASSERT(isStream || first == RelayCallKind::Whole);
+    RC_ASSERT(aCall.mCallKind ==
+              (isStream ? RelayCallKind::Reserve : RelayCallKind::Whole));
+    RC_ASSERT(open[0].mUpstream != aCall.mUpstream);
+  }
+
+  std::vector<RelayCommand> CallsOf(std::uint64_t aId) const
+  {
+    std::vector<RelayCommand> calls;
+    std::copy_if(mOpen.begin(),
+                 mOpen.end(),
+                 std::back_inserter(calls),
+                 [&](const auto& aIt) { return aIt.mId == aId; });
+    return calls;
+  }
+
+  /// Removes a call from the open ones. Returns whether it was open.
+  bool Drop(const RelayCommand& aCall)
+  {
+    const auto it =
+      std::find_if(mOpen.begin(), mOpen.end(), [&](const auto& aIt) {
+        return aIt.mId == aCall.mId && aIt.mAttempt == aCall.mAttempt;
+      });
+    const bool wasOpen = it != mOpen.end();
+    if (wasOpen) {
+      mOpen.erase(it);
+    }
+    return wasOpen;
+  }
+
   std::map<std::uint64_t, RequestRecord> mRecords;
   std::map<std::uint64_t, int> mFinalCommands;
   std::vector<RelayCommand> mOpen;
--- a/UnitTests/Relay/SilentUpstreamTest.cpp
+++ b/UnitTests/Relay/SilentUpstreamTest.cpp
@@ -1,4 +1,4 @@
-/// Tests streams whose upstream sends nothing for a while. An upstream in good
+/// Tests requests whose upstream sends nothing for a while. An upstream in good
 /// order may be silent for a second or so and then continue.
 #define BOOST_TEST_MODULE SilentUpstream
 #include <Peridothoist/Peridothoist.h>
@@ -102,3 +102,153 @@
   ContinueAtFirst();
   CheckComplete();
 }
+
+// Guards against streams that stay at an engine that is lost without a trace.
+BOOST_FIXTURE_TEST_CASE(ASilentStreamMovesOnceCapacityIsReserved, SilentStream)
+{
+  Advance(1200ms);
+  const RelayCommand reserve = Call(mId);
+  BOOST_TEST((reserve.mCallKind == RelayCallKind::Reserve));
+  BOOST_TEST(reserve.mMemoryTokens == 4000U); // With its whole output.
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 0U);
+  End(reserve, Reserved("k"));
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 1U);
+  const RelayCommand second = Call(mId);
+  BOOST_TEST((second.mCallKind == RelayCallKind::Stream));
+  BOOST_TEST(second.mUpstream != mFirst.mUpstream);
+  BOOST_TEST(second.mReservation == "k");
+  BOOST_TEST(second.mLastEventId == 1U);
+  Event(second, 2);
+  End(second, Responded(200));
+  CheckComplete();
+  BOOST_TEST(mMachine.Loads().OwnWork().empty());
+}
+
+// Guards against two engines generating the same stream.
+BOOST_FIXTURE_TEST_CASE(AStreamStaysIfItContinuesBeforeCapacityIsReserved,
+                        SilentStream)
+{
+  Advance(1200ms);
+  const RelayCommand reserve = Call(mId);
+  Event(mFirst, 2);
+  End(reserve, Reserved("k"));
+  BOOST_TEST(Count(RelayCommandKind::ReleaseReservation) == 1U);
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 0U);
+  BOOST_TEST(mMachine.Counters().mSent == 1U);
+  End(mFirst, Responded(200));
+  CheckComplete();
+  BOOST_TEST(mMachine.Loads().OwnWork().empty());
+}
+
+// Guards against reservations that outlive their stream.
+BOOST_FIXTURE_TEST_CASE(AnOpenReservationEndsWithItsStream, SilentStream)
+{
+  Advance(1200ms);
+  Call(mId);
+  ContinueAtFirst();
+  CheckComplete();
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 1U);
+  BOOST_TEST(mMachine.Loads().OwnWork().empty());
+}
+
+// Guards against streams that are given up after a single refusal elsewhere.
+BOOST_FIXTURE_TEST_CASE(ATakeoverIsTriedAgainAfterARefusal, SilentStream)
+{
+  Advance(1200ms);
+  RefuseAtOther();
+  Advance(500ms);
+  const RelayCommand again = Call(mId);
+  BOOST_TEST((again.mCallKind == RelayCallKind::Reserve));
+  End(again, Reserved("k"));
+  BOOST_TEST((Call(mId).mCallKind == RelayCallKind::Stream));
+  BOOST_TEST(Count(RelayCommandKind::AbortStream) == 0U);
+}
+
+namespace {
+
+/// A lookup whose first upstream is silent and that is retried at a second one.
+class SilentLookup : public RelayFixture
+{
+public:
+  SilentLookup()
+  {
+    List(
+      { Upstream("p1", RelayStage::Plain), Upstream("p2", RelayStage::Plain) });
+    mId = Arrive(Route(RouteKind::Idempotent, 2));
+    mFirst = Call(mId);
+    Advance(3s);
+    mSecond = Call(mId);
+    BOOST_REQUIRE(mSecond.mUpstream != mFirst.mUpstream);
+  }
+
+  void CheckAnswered() const
+  {
+    BOOST_TEST(Count(RelayCommandKind::SendResponse) == 1U);
+    BOOST_TEST(Count(RelayCommandKind::SendRefusal) == 0U);
+    BOOST_TEST(mMachine.OpenRequestCount() == 0U);
+  }
+
+  std::uint64_t mId = 0;
+  RelayCommand mFirst;
+  RelayCommand mSecond;
+};
+
+} // namespace
+
+// Guards against lookups that fail because their retry is rejected, although
+// the first upstream responds.
+BOOST_FIXTURE_TEST_CASE(ASilentLookupSurvivesTheRejectionOfItsRetry,
+                        SilentLookup)
+{
+  End(mSecond, NotRun());
+  BOOST_TEST(Count(RelayCommandKind::SendRefusal) == 0U);
+  End(mFirst, Responded(200));
+  CheckAnswered();
+}
+
+// Guards against lookups that fail because their retry breaks.
+BOOST_FIXTURE_TEST_CASE(ASilentLookupSurvivesItsBrokenRetry, SilentLookup)
+{
+  End(mSecond, Broken());
+  End(mFirst, Responded(200));
+  CheckAnswered();
+}
+
+// Guards against lookups whose second upstream is not waited for.
+BOOST_FIXTURE_TEST_CASE(ALookupContinuesAtItsRetryIfTheFirstBreaks,
+                        SilentLookup)
+{
+  End(mFirst, Broken());
+  BOOST_TEST(Count(RelayCommandKind::SendRefusal) == 0U);
+  End(mSecond, Responded(200));
+  CheckAnswered();
+}
+
+// Guards against two responses to one lookup.
+BOOST_FIXTURE_TEST_CASE(TheFirstResponseOfTwoUpstreamsIsPassedOn, SilentLookup)
+{
+  End(mFirst, Responded(200));
+  CheckAnswered();
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 1U);
+  End(mSecond, Responded(200));
+  CheckAnswered();
+}
+
+// Guards against lookups that are never answered when both upstreams fail.
+BOOST_FIXTURE_TEST_CASE(ALookupThatFailsTwiceIsRefusedOnce, SilentLookup)
+{
+  End(mFirst, Broken());
+  End(mSecond, Broken());
+  BOOST_TEST(OnlyRefusal().Status() == 502);
+  BOOST_TEST(mMachine.OpenRequestCount() == 0U);
+}
+
+// Guards against calls that go on for a caller who has left.
+BOOST_FIXTURE_TEST_CASE(BothCallsEndWhenTheCallerLeaves, SilentLookup)
+{
+  RelayCommands out;
+  mMachine.OnCallerDisconnected(mId, mNow, out);
+  Append(std::move(out));
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 2U);
+  BOOST_TEST(mMachine.OpenRequestCount() == 0U);
+}
