Move a silent stream only when another engine sends an event

- A granted reservation was taken for a refusal.
Responses to reservations carry no seal, so they are never verified, and the new code asked for that.
No silent stream moved, and each grant was left to expire at its engine.
- The stream was given up on a reservation.
The engine could still reject the call, be gone, or the call be withheld, which aborted the stream: the same fault in a smaller form.

Now the resumed stream runs as a second call beside the silent one, and the first is cancelled when the second sends its first event; until then a rejection or a loss of the second leaves the first as it is. If the first continues, the second is cancelled. If the first breaks, the second, also an open reservation, goes on in its place. A retry that is answered with a status that means "not run" does not replace the first call either.

--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -174,10 +174,8 @@
   {
     const bool hasPrefilled =
       mKind == RelayCallKind::Prefill && !aEnd.mHandle.empty();
-    const bool hasReserved =
-      mKind == RelayCallKind::Reserve && !aEnd.mReservation.empty();
-    return aEnd.mOutcome.IsSuccess() &&
-           (aEnd.mIsVerified || hasPrefilled || hasReserved);
+    return aEnd.HasReserved() ||
+           (aEnd.mOutcome.IsSuccess() && (aEnd.mIsVerified || hasPrefilled));
   }
 
   void LogEnd(const RelayCallEnd& aEnd,
@@ -334,7 +332,9 @@
     aRequest.mSummary.mTimeToFirstCall =
       mReactor->Now() - aRequest.mSummary.mArrivedAt;
   }
-  aRequest.mSummary.mUpstream = aCommand.mUpstream;
+  if (aCommand.mCallKind != RelayCallKind::Reserve) {
+    aRequest.mSummary.mUpstream = aCommand.mUpstream;
+  }
   Log::Debug("call_started")
     .Field("request", aCommand.mId)
     .Field("attempt", aCommand.mAttempt)
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -8,23 +8,6 @@
 
 namespace peridothoist {
 
-namespace {
-
-constexpr int kRequestTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
-
-/// Returns whether the status tells a caller that its request was not run.
-bool
-ImpliesNotRun(int aStatus)
-{
-  return aStatus == kTooManyRequests || aStatus == kUnavailable ||
-         aStatus == kRequestTimeout || aStatus == kMisdirected;
-}
-
-} // namespace
-
 void
 RelayStateMachine::OnStreamHead(std::uint64_t aId,
                                 std::uint32_t aAttempt,
@@ -50,6 +33,8 @@
     return;
   }
   State& state = *Find(aId);
+  KeepCallWithEvent(state, aAttempt);
+  call = &*state.mCall;
   call->mLastActivity = aNow;
   if (!call->mHasEvent) {
     call->mHasEvent = true;
@@ -104,7 +89,7 @@
   const CallResult& outcome = aEnd.mOutcome;
   if (isSecond) {
     OnSecondCallEnd(state, call, aEnd);
-  } else if (ContinueWithSecondCall(state, call, aEnd)) {
+  } else if (ContinueAfterFirstCall(state, call, aEnd)) {
     // The other call decides.
   } else if (!outcome.mMayHaveBeenSent) {
     OnNotSent(state, call, aEnd);
@@ -346,7 +331,7 @@
                                     const Call& aCall,
                                     RelayCallEnd& aEnd)
 {
-  if (!aEnd.mOutcome.IsSuccess() || aEnd.mReservation.empty()) {
+  if (!aEnd.HasReserved()) {
     OnNotReserved(aState, aCall);
     return;
   }
--- a/Peridothoist/Relay/RelayCommand.cpp
+++ b/Peridothoist/Relay/RelayCommand.cpp
@@ -5,6 +5,22 @@
 
 namespace peridothoist {
 
+namespace {
+
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+
+} // namespace
+
+bool
+ImpliesNotRun(int aStatus)
+{
+  return aStatus == kTooManyRequests || aStatus == kUnavailable ||
+         aStatus == kRequestTimeout || aStatus == kMisdirected;
+}
+
 const char*
 ToName(RelayCommandKind aKind)
 {
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -128,15 +128,26 @@
 /// The lowest status with which an upstream reports an error of its own.
 constexpr int kServerErrorStatus = 500;
 
+/// Returns whether the status tells a caller that its request was not run.
+bool
+ImpliesNotRun(int aStatus);
+
 /// How a call ended.
 struct RelayCallEnd
 {
-  /// Returns whether the upstream ran the request and responded without an
-  /// error of its own.
+  /// Returns whether the upstream ran the request and gave a response that may
+  /// be passed on and that no other upstream is likely to improve.
   bool IsResult() const
   {
     return mOutcome.mEnd == CallEnd::Whole && mIsVerified && !mNotRun &&
-           mOutcome.mStatus < kServerErrorStatus;
+           mOutcome.mStatus < kServerErrorStatus &&
+           !ImpliesNotRun(mOutcome.mStatus);
+  }
+
+  /// Returns whether capacity was reserved.
+  bool HasReserved() const
+  {
+    return mOutcome.IsSuccess() && !mReservation.empty();
   }
 
   CallResult mOutcome;
--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -112,7 +112,7 @@
   UpstreamQuery query = QueryFor(aState, RelayStage::Prefill);
   query.mZone = aDecode.mZone;
   const Choice prefill = mChooser.Choose(query, mNow);
-  if (prefill.mUpstream == nullptr) {
+  if (prefill.mUpstream == nullptr || aState.mSkipPrefill) {
     ReleaseMemory(aState);
     return StartCallOn(aState, aDecode, RelayCallKind::Stream);
   }
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -232,8 +232,7 @@
 RelayStateMachine::Finish(State& aState)
 {
   const std::uint64_t id = aState.mRequest.mId;
-  PH_ASSERT(!aState.mCall);
-  CancelSecondCall(aState, CancelReason::NotNeeded);
+  PH_ASSERT(!aState.mCall && !aState.mSecondCall);
   ReleaseHandle(aState);
   ReleaseReservation(aState);
   ReleaseMemory(aState);
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -8,9 +8,9 @@
 ///     Forget.
 ///   - At most one call is open: a new one starts only after the previous one
 ///     ended or was cancelled. Only while its upstream is silent, a second call
-///     may be open beside it: a reservation for a stream, or a retry of an
-///     idempotent request. The first is given up only when the second has
-///     succeeded.
+///     may be open beside it: a retry, for a stream after a reservation. The
+///     first is given up only when the retry has responded, for a stream with
+///     an event.
 ///   - A request that must not run twice is sent again only after its upstream
 ///     stated that it has not run it, or if none of its bytes were sent.
 ///   - A refusal states "not run" only if every upstream to which the request
@@ -339,9 +339,11 @@
   void StartTakeover(State& aState);
   void RetryTakeoverLater(State& aState);
   void OnSecondCallEnd(State& aState, const Call& aCall, RelayCallEnd& aEnd);
-  void TakeOverStream(State& aState, const std::string& aUpstream);
+  void StartSecondStream(State& aState, const std::string& aUpstream);
+  void KeepCallWithEvent(State& aState, std::uint32_t aAttempt);
+  void ContinueAtSecondCall(State& aState);
   void GiveUpSilentCall(State& aState);
-  bool ContinueWithSecondCall(State& aState,
+  bool ContinueAfterFirstCall(State& aState,
                               const Call& aFirst,
                               const RelayCallEnd& aEnd);
   void CountFailedCall(State& aState,
--- a/Peridothoist/Relay/RelayTakeover.cpp
+++ b/Peridothoist/Relay/RelayTakeover.cpp
@@ -1,8 +1,8 @@
 /// The part of RelayStateMachine that handles upstreams that send nothing for a
 /// while. An upstream in good order may be silent and then continue, so its
 /// call is given up only when another upstream has taken the request over: for
-/// a stream, once capacity is reserved there; for an idempotent request, once
-/// the other upstream has responded.
+/// a stream, once the other upstream has sent an event; for an idempotent
+/// request, once it has responded.
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/RelayStateMachine.h>
 
@@ -74,6 +74,9 @@
 RelayStateMachine::StartTakeover(State& aState)
 {
   const bool isStream = aState.mCall->mKind == RelayCallKind::Stream;
+  if (isStream && EnginesOf(aState) == nullptr) {
+    return; // Only engines can reserve capacity.
+  }
   UpstreamQuery query =
     QueryFor(aState, isStream ? RelayStage::Decode : RelayStage::Plain);
   query.mExcludedUpstreams.insert(aState.mCall->mUpstream);
@@ -103,44 +106,73 @@
                                    const Call& aCall,
                                    RelayCallEnd& aEnd)
 {
-  const bool isReserve = aCall.mKind == RelayCallKind::Reserve;
-  if (isReserve && aEnd.IsResult() && !aEnd.mReservation.empty()) {
-    KeepReservation(aState, aCall, aEnd);
-    TakeOverStream(aState, aCall.mUpstream);
-    return;
-  }
-  if (!isReserve && aEnd.IsResult()) {
+  if (aCall.mKind == RelayCallKind::Reserve) {
+    ReleaseMemory(aState);
+    if (aEnd.HasReserved()) {
+      KeepReservation(aState, aCall, aEnd);
+      StartSecondStream(aState, aCall.mUpstream);
+      return;
+    }
+  } else if (aEnd.IsResult()) {
     GiveUpSilentCall(aState);
-    OnWholeCallEnd(aState, aCall, aEnd);
+    const CallEndHandler handler = aCall.mKind == RelayCallKind::Stream
+                                     ? &RelayStateMachine::OnStreamCallEnd
+                                     : &RelayStateMachine::OnWholeCallEnd;
+    (this->*handler)(aState, aCall, aEnd);
     return;
   }
-  ReleaseMemory(aState);
   CountFailedCall(aState, aCall, aEnd);
   RetryTakeoverLater(aState);
 }
 
-/// Moves a stream to an upstream at which capacity is reserved, unless its
-/// first upstream has continued or a retry is not allowed any more.
+/// Resumes a silent stream at an upstream at which capacity is reserved, unless
+/// the first upstream has continued or a retry is not allowed any more. The
+/// first call stays open until the other upstream sends an event.
 void
-RelayStateMachine::TakeOverStream(State& aState, const std::string& aUpstream)
+RelayStateMachine::StartSecondStream(State& aState,
+                                     const std::string& aUpstream)
 {
-  ReleaseMemory(aState);
   const RelayUpstream* next = mUpstreamList.Find(aUpstream);
-  const bool isSilent = IsSilent(aState);
   const bool isUsable = next != nullptr && !next->mIsLeaving;
-  if (isSilent && isUsable && MayTakeOver(aState)) {
-    GiveUpSilentCall(aState);
-    aState.mSkipPrefill = true;
-    mCounters.mResumed += aState.mHeadSent ? 1 : 0;
-    StartCallOn(aState, *next, RelayCallKind::Stream);
+  if (!IsSilent(aState)) {
+    ReleaseReservation(aState);
+    ArmInactivityTimer(aState);
+  } else if (isUsable && MayTakeOver(aState) && ChargeRetry(aState)) {
+    aState.mSecondCall = StartCall(aState, *next, RelayCallKind::Stream);
+  } else {
+    ReleaseReservation(aState);
+    RetryTakeoverLater(aState);
+  }
+}
+
+/// Called with an event of either call. The first call that sends one goes on,
+/// and a run at the other upstream is cancelled. A reservation ends by itself.
+void
+RelayStateMachine::KeepCallWithEvent(State& aState, std::uint32_t aAttempt)
+{
+  const bool hasSecondStream =
+    aState.mSecondCall && aState.mSecondCall->mKind == RelayCallKind::Stream;
+  if (!hasSecondStream) {
     return;
   }
-  ReleaseReservation(aState);
-  if (isSilent) {
-    RetryTakeoverLater(aState);
-  } else {
+  if (aState.mSecondCall->mAttempt != aAttempt) {
+    CancelSecondCall(aState, CancelReason::NotNeeded);
     ArmInactivityTimer(aState);
+    return;
   }
+  GiveUpSilentCall(aState);
+  ContinueAtSecondCall(aState);
+}
+
+/// Makes the second call the only one.
+void
+RelayStateMachine::ContinueAtSecondCall(State& aState)
+{
+  aState.mCall = std::move(aState.mSecondCall);
+  aState.mSecondCall.reset();
+  aState.mSkipPrefill = true;
+  mCounters.mResumed += aState.mHeadSent ? 1 : 0;
+  ArmInactivityTimer(aState);
 }
 
 void
@@ -155,21 +187,16 @@
 /// Called when the first call has ended. Returns true if it failed and the
 /// second one continues in its place.
 bool
-RelayStateMachine::ContinueWithSecondCall(State& aState,
+RelayStateMachine::ContinueAfterFirstCall(State& aState,
                                           const Call& aFirst,
                                           const RelayCallEnd& aEnd)
 {
-  const bool continues = aState.mSecondCall &&
-                         aState.mSecondCall->mKind == RelayCallKind::Whole &&
-                         !aEnd.IsResult();
-  if (!continues) {
+  if (!aState.mSecondCall || aEnd.IsResult()) {
     CancelSecondCall(aState, CancelReason::NotNeeded);
     return false;
   }
   CountFailedCall(aState, aFirst, aEnd);
-  aState.mCall = std::move(aState.mSecondCall);
-  aState.mSecondCall.reset();
-  ArmInactivityTimer(aState);
+  ContinueAtSecondCall(aState);
   return true;
 }
 
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -218,9 +218,11 @@
     return end;
   }
 
+  /// Responses to reservations name no request and carry no seal.
   static RelayCallEnd Reserved(const std::string& aReservation)
   {
     RelayCallEnd end = Responded(200);
+    end.mIsVerified = false;
     end.mReservation = aReservation;
     return end;
   }
--- a/UnitTests/Relay/RelayStateMachineTest.cpp
+++ b/UnitTests/Relay/RelayStateMachineTest.cpp
@@ -479,9 +479,11 @@
 public:
   void Step()
   {
-    const int action = *rc::gen::inRange(0, 10);
+    const int action = *rc::gen::inRange(0, 13);
     if (action < 3) {
       ArriveSome();
+    } else if (action >= 10 && !mOpen.empty()) {
+      SendSomeEvent();
     } else if (action < 9 && !mOpen.empty()) {
       EndSome();
     } else if (action == 9) {
@@ -507,6 +509,7 @@
   {
     std::shared_ptr<const RelayRoute> mRoute;
     int mRuns = 0; ///< Sends whose upstream did not state "not run".
+    std::uint64_t mEvents = 0;
   };
 
   void ArriveSome()
@@ -519,6 +522,16 @@
     Arrive(route, "d" + std::to_string(id));
   }
 
+  void SendSomeEvent()
+  {
+    const auto n = *rc::gen::inRange<std::size_t>(0, mOpen.size());
+    const RelayCommand call = mOpen[n];
+    if (call.mCallKind == RelayCallKind::Stream &&
+        mMachine.MayStillSend(call.mId, call.mAttempt, mNow)) {
+      Event(call, ++mRecords[call.mId].mEvents);
+    }
+  }
+
   void EndSome()
   {
     const auto n = *rc::gen::inRange<std::size_t>(0, mOpen.size());
@@ -608,8 +621,9 @@
     const RelayCallKind first = open[0].mCallKind;
     const bool isStream = first == RelayCallKind::Stream;
     RC_ASSERT(isStream || first == RelayCallKind::Whole);
-    RC_ASSERT(aCall.mCallKind ==
-              (isStream ? RelayCallKind::Reserve : RelayCallKind::Whole));
+    const RelayCallKind second = aCall.mCallKind;
+    RC_ASSERT(second == first ||
+              (isStream && second == RelayCallKind::Reserve));
     RC_ASSERT(open[0].mUpstream != aCall.mUpstream);
   }
 
--- a/UnitTests/Relay/SilentUpstreamTest.cpp
+++ b/UnitTests/Relay/SilentUpstreamTest.cpp
@@ -121,7 +121,8 @@
 }
 
 // Guards against streams that stay at an engine that is lost without a trace.
-BOOST_FIXTURE_TEST_CASE(ASilentStreamMovesOnceCapacityIsReserved, SilentStream)
+BOOST_FIXTURE_TEST_CASE(ASilentStreamMovesToAnEngineThatSendsAnEvent,
+                        SilentStream)
 {
   Advance(kLongSilence);
   const RelayCommand reserve = Call(mId);
@@ -129,13 +130,137 @@
   BOOST_TEST(reserve.mMemoryTokens == 4000U); // With its whole output.
   BOOST_TEST(Count(RelayCommandKind::CancelCall) == 0U);
   End(reserve, Reserved("k"));
-  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 1U);
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 0U);
   const RelayCommand second = Call(mId);
   BOOST_TEST((second.mCallKind == RelayCallKind::Stream));
   BOOST_TEST(second.mUpstream != mFirst.mUpstream);
   BOOST_TEST(second.mReservation == "k");
   BOOST_TEST(second.mLastEventId == 1U);
   Event(second, 2);
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 1U);
+  End(second, Responded(200));
+  CheckComplete();
+  BOOST_TEST(mMachine.Loads().OwnWork().empty());
+}
+
+namespace {
+
+/// A silent stream for which another engine has reserved capacity and is
+/// called.
+class ResumedStream : public SilentStream
+{
+public:
+  ResumedStream()
+  {
+    Advance(kLongSilence);
+    End(Call(mId), Reserved("k"));
+    mSecond = Call(mId, false);
+    BOOST_REQUIRE((mSecond.mCallKind == RelayCallKind::Stream));
+  }
+
+  /// Ends the second call after its bytes were sent.
+  void EndSecond(RelayCallEnd aEnd)
+  {
+    BOOST_REQUIRE(mMachine.MayStillSend(mId, mSecond.mAttempt, mNow));
+    End(mSecond, std::move(aEnd));
+  }
+
+  /// Checks that the first engine can continue and end the stream.
+  void CheckFirstContinues()
+  {
+    BOOST_TEST(Count(RelayCommandKind::AbortStream) == 0U);
+    ContinueAtFirst();
+    CheckComplete();
+    BOOST_TEST(mMachine.Loads().OwnWork().empty());
+  }
+
+  RelayCommand mSecond;
+};
+
+} // namespace
+
+// Guards against streams cut because the engine that granted a reservation
+// rejects the stream all the same.
+BOOST_FIXTURE_TEST_CASE(AStreamSurvivesARejectionAfterAReservation,
+                        ResumedStream)
+{
+  EndSecond(NotRun());
+  CheckFirstContinues();
+}
+
+// Guards against streams cut because another process is at the engine's
+// address.
+BOOST_FIXTURE_TEST_CASE(AStreamSurvivesAnotherProcessAtTheOtherEngine,
+                        ResumedStream)
+{
+  EndSecond(NotRun(421));
+  CheckFirstContinues();
+}
+
+// Guards against streams cut because the other engine is gone after all.
+BOOST_FIXTURE_TEST_CASE(AStreamSurvivesTheLossOfTheOtherEngine, ResumedStream)
+{
+  End(mSecond, NotConnected());
+  CheckFirstContinues();
+}
+
+// Guards against streams cut because the other engine breaks the stream off.
+BOOST_FIXTURE_TEST_CASE(AStreamSurvivesABreakAtTheOtherEngine, ResumedStream)
+{
+  EndSecond(Broken());
+  CheckFirstContinues();
+}
+
+// Guards against streams cut because the key is withdrawn before the retry's
+// bytes are sent.
+BOOST_FIXTURE_TEST_CASE(AStreamSurvivesAWithheldRetry, ResumedStream)
+{
+  mPolicy.mRefusal = RefusalKind::KeyWithdrawn;
+  BOOST_TEST(!mMachine.MayStillSend(mId, mSecond.mAttempt, mNow));
+  RelayCallEnd end = NotConnected();
+  end.mOutcome.mEnd = CallEnd::Withheld;
+  End(mSecond, end);
+  CheckFirstContinues();
+}
+
+// Guards against two engines generating the same stream.
+BOOST_FIXTURE_TEST_CASE(ARetryEndsWhenTheFirstEngineContinues, ResumedStream)
+{
+  BOOST_REQUIRE(mMachine.MayStillSend(mId, mSecond.mAttempt, mNow));
+  Event(mFirst, 2);
+  BOOST_TEST(Count(RelayCommandKind::CancelCall) == 1U);
+  Event(mSecond, 2); // It was cancelled, so its event is ignored.
+  End(mFirst, Responded(200));
+  CheckComplete();
+  BOOST_TEST(mMachine.Loads().OwnWork().empty());
+}
+
+// Guards against streams that end with their first engine although the other
+// one has been called.
+BOOST_FIXTURE_TEST_CASE(AStreamContinuesAtItsRetryIfTheFirstBreaks,
+                        ResumedStream)
+{
+  BOOST_REQUIRE(mMachine.MayStillSend(mId, mSecond.mAttempt, mNow));
+  End(mFirst, Broken());
+  Event(mSecond, 2);
+  End(mSecond, Responded(200));
+  CheckComplete();
+  BOOST_TEST(mMachine.Loads().OwnWork().empty());
+}
+
+// Guards against a stream that waits for a reservation of its lost engine's
+// replacement and is placed twice.
+BOOST_FIXTURE_TEST_CASE(AStreamUsesTheReservationMadeBeforeItsEngineBroke,
+                        SilentStream)
+{
+  Advance(kLongSilence);
+  const RelayCommand reserve = Call(mId);
+  End(mFirst, Broken());
+  End(reserve, Reserved("k"));
+  const RelayCommand second = Call(mId);
+  BOOST_TEST((second.mCallKind == RelayCallKind::Stream));
+  BOOST_TEST(second.mReservation == "k");
+  Event(second, 2);
   End(second, Responded(200));
   CheckComplete();
   BOOST_TEST(mMachine.Loads().OwnWork().empty());
@@ -157,7 +282,7 @@
   BOOST_TEST(mMachine.Loads().OwnWork().empty());
 }
 
-// Guards against reservations that outlive their stream.
+// Guards against calls that outlive their stream.
 BOOST_FIXTURE_TEST_CASE(AnOpenReservationEndsWithItsStream, SilentStream)
 {
   Advance(kLongSilence);
@@ -223,6 +348,15 @@
   CheckAnswered();
 }
 
+// Guards against a status that means "not run" in place of the first response.
+BOOST_FIXTURE_TEST_CASE(ASilentLookupSurvivesAFailureOfItsRetry, SilentLookup)
+{
+  End(mSecond, Responded(429));
+  BOOST_TEST(Count(RelayCommandKind::SendRefusal) == 0U);
+  End(mFirst, Responded(200));
+  CheckAnswered();
+}
+
 // Guards against lookups that fail because their retry breaks.
 BOOST_FIXTURE_TEST_CASE(ASilentLookupSurvivesItsBrokenRetry, SilentLookup)
 {
