--- /dev/null
+++ b/Peridothoist/Relay/StreamOriginTable.cpp
@@ -0,0 +1,39 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/StreamOriginTable.h>
+
+namespace peridothoist {
+
+void
+StreamOriginTable::Add(const std::string& aKey,
+                       StreamOrigin aOrigin,
+                       TimePoint aNow)
+{
+  RemoveOld(aNow);
+  const bool isNew = mOrigins.emplace(aKey, std::move(aOrigin)).second;
+  if (isNew) {
+    mByAge.push_back({ aNow, aKey });
+  }
+}
+
+const StreamOrigin*
+StreamOriginTable::Find(const std::string& aKey, TimePoint aNow)
+{
+  RemoveOld(aNow);
+  const auto it = mOrigins.find(aKey);
+  return it == mOrigins.end() ? nullptr : &it->second;
+}
+
+void
+StreamOriginTable::RemoveOld(TimePoint aNow)
+{
+  const auto isOld = [&](const Added& aAdded) {
+    return aAdded.mAt + mSettings.mRetention <= aNow ||
+           mByAge.size() > mSettings.mMaxOrigins;
+  };
+  while (!mByAge.empty() && isOld(mByAge.front())) {
+    mOrigins.erase(mByAge.front().mKey);
+    mByAge.pop_front();
+  }
+}
+
+} // namespace peridothoist
