Read upstreams' software versions and the stream that a caller resumes

Cause: the node reads neither the version in an upstream's entry nor the header with which a caller names the attempt whose stream it resumes.

Change: both are decoded. An entry without a valid version is kept, with an empty one. Lists that VMs read from each other carry the versions, and lists of older builds, which have none, are still read. An admitted request states whether it resumes a stream, and the key of the stream's origin. Nothing decides by these yet.

Ran: PlatformProtocolTest and RelayViewTest, with tests of both decoders, the list's digest, the shared list of an older build and the key.

--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -327,13 +327,16 @@
     if (isNew ||
         known->second.mUpstream.mIsLeaving != entry.mUpstream.mIsLeaving ||
         known->second.mIsMissing != entry.mIsMissing ||
-        known->second.mUpstream.mStage != entry.mUpstream.mStage) {
+        known->second.mUpstream.mStage != entry.mUpstream.mStage ||
+        known->second.mUpstream.mSoftwareVersion !=
+          entry.mUpstream.mSoftwareVersion) {
       Log::Info("upstream_listed")
         .Field("upstream", id)
         .Field("service", entry.mUpstream.mService)
         .Field("address", entry.mUpstream.mAddress)
         .Field("zone", entry.mUpstream.mZone)
         .Field("stage", ToName(entry.mUpstream.mStage))
+        .Field("software", entry.mUpstream.mSoftwareVersion)
         .Field("leaving", entry.mUpstream.mIsLeaving)
         .Field("lapsed", entry.mIsMissing);
     }
--- a/Peridothoist/Node/ViewCodec.cpp
+++ b/Peridothoist/Node/ViewCodec.cpp
@@ -49,6 +49,9 @@
   upstream.mIsLeaving = aValue.at(6).get<bool>();
   upstream.mIncarnationId = aValue.at(7).get<std::uint64_t>();
   entry.mIsMissing = aValue.at(8).get<bool>();
+  if (aValue.size() > 9) { // Older builds don't send it.
+    upstream.mSoftwareVersion = aValue.at(9).get<std::string>();
+  }
   return entry;
 }
 
@@ -108,7 +111,8 @@
                                     upstream.mSlots,
                                     upstream.mIsLeaving,
                                     upstream.mIncarnationId,
-                                    it.mIsMissing }));
+                                    it.mIsMissing,
+                                    upstream.mSoftwareVersion }));
   }
   return ToCbor(json::array({ aPart.mAge.count(), std::move(entries) }));
 }
--- a/Peridothoist/Relay/RelayAdmission.cpp
+++ b/Peridothoist/Relay/RelayAdmission.cpp
@@ -141,6 +141,11 @@
   admitted.mDigest =
     admitted.mWorkspace + '/' + aRequest.mDigest.substr(0, kDigestChars);
   admitted.mLastEventId = aRequest.mLastEventId;
+  admitted.mIsResumed =
+    route->mKind == RouteKind::Stream && aRequest.mLastEventId > 0;
+  admitted.mOriginKey = admitted.mIsResumed && !aRequest.mResumedRequest.empty()
+                          ? aRequest.mResumedRequest
+                          : aRequest.mName;
   admitted.mArrivedAt = aNow;
   admitted.mCallerTimeout = callerTimeout;
   admitted.mDeadline = aNow + route->mTimeout;
--- a/Peridothoist/Relay/RelayAdmission.h
+++ b/Peridothoist/Relay/RelayAdmission.h
@@ -26,6 +26,9 @@
   std::optional<std::uint64_t> mExpectedTokens;
   std::optional<Duration> mCallerTimeout; ///< Total time that the caller waits.
   std::uint64_t mLastEventId = 0; ///< Last event the caller already has.
+  /// Id of the caller's attempt that received the stream's first event; empty:
+  /// not stated.
+  std::string mResumedRequest;
 };
 
 /// Decides whether requests are admitted.
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -28,6 +28,9 @@
   std::uint64_t mPromptTokens = 0; ///< 0: not stated.
   std::uint32_t mPriority = 5;     ///< 0 is the highest.
   std::uint64_t mLastEventId = 0;  ///< Last event the caller already has.
+  /// The caller resumes a stream of an earlier attempt.
+  bool mIsResumed = false;
+  std::string mOriginKey; ///< Key of the stream's origin.
   TimePoint mArrivedAt;
   TimePoint mDeadline; ///< The caller's or the route's, the earlier one.
   Duration mCallerTimeout{ 0 }; ///< Total time that the caller waits.
--- a/Peridothoist/Relay/UpstreamList.cpp
+++ b/Peridothoist/Relay/UpstreamList.cpp
@@ -24,8 +24,11 @@
   std::string text;
   for (const auto& [id, entry] : aEntries) {
     const RelayUpstream& upstream = entry.mUpstream;
-    for (const std::string& part :
-         { id, upstream.mService, upstream.mAddress, upstream.mZone }) {
+    for (const std::string& part : { id,
+                                     upstream.mService,
+                                     upstream.mAddress,
+                                     upstream.mZone,
+                                     upstream.mSoftwareVersion }) {
       text += part + '\n';
     }
     text += std::to_string(static_cast<int>(upstream.mStage)) + ' ' +
--- a/Peridothoist/Relay/UpstreamList.h
+++ b/Peridothoist/Relay/UpstreamList.h
@@ -29,6 +29,7 @@
   std::uint32_t mSlots = 1;         ///< Requests that it runs concurrently.
   bool mIsLeaving = false;          ///< Gets no new requests.
   std::uint64_t mIncarnationId = 0; ///< New with each start; 0: unknown.
+  std::string mSoftwareVersion;     ///< Empty: not stated.
 };
 
 /// An upstream that is gone or was restarted.
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE PlatformProtocol
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/GossipCodec.h>
+#include <Peridothoist/Node/CborMessage.h>
 #include <Peridothoist/Node/ViewCodec.h>
 #include <platform/Base64.h>
 #include <platform/HeaderParsing.h>
@@ -207,6 +208,18 @@
   BOOST_TEST(!DecodeUpstream(value).has_value());
 }
 
+// An entry without a valid version is dropped, or its version is made up.
+BOOST_AUTO_TEST_CASE(AnUpstreamMayStateNoSoftwareVersion)
+{
+  json value = ExampleUpstream();
+  value["version"] = "v1.2";
+  BOOST_TEST(DecodeUpstream(value)->mSoftwareVersion == "v1.2");
+  value["version"] = 12;
+  BOOST_TEST(DecodeUpstream(value)->mSoftwareVersion.empty());
+  value.erase("version");
+  BOOST_TEST(DecodeUpstream(value)->mSoftwareVersion.empty());
+}
+
 BOOST_AUTO_TEST_CASE(DecodesRowsWithBase64Values)
 {
   const auto page = PlatformRowStore::DecodeRows(
@@ -271,6 +284,23 @@
   BOOST_TEST((*parsed->mCallerTimeout == Duration(14s)));
 }
 
+// The stream that a caller resumes is not known, or upstreams don't learn it.
+BOOST_AUTO_TEST_CASE(TheResumedRequestIsParsedAndForwarded)
+{
+  HttpRequest request = ExampleRequest();
+  BOOST_TEST(PlatformCallerProtocol()
+               .ParseRequest(request, nullptr)
+               ->mResumedRequest.empty());
+  request.mHeaders["last-event-id"] = "12";
+  request.mHeaders["resumes"] = "id-0";
+  const auto parsed = PlatformCallerProtocol().ParseRequest(request, nullptr);
+  BOOST_TEST(parsed->mResumedRequest == "id-0");
+  BOOST_TEST(parsed->mLastEventId == 12U);
+  const HttpCall call =
+    PlatformUpstreamProtocol().MakeCall(ExampleCommand(), request);
+  BOOST_TEST(call.mHeaders.at("resumes") == "id-0");
+}
+
 BOOST_AUTO_TEST_CASE(RequestWithoutIdIsRejected)
 {
   HttpRequest request = ExampleRequest();
@@ -495,6 +525,28 @@
   DecodeGossipSummary(Corrupt(bytes));
 }
 
+// A list of a peer loses the software versions, or one of an older build, which
+// states none, is not read.
+BOOST_AUTO_TEST_CASE(SharedListsCarrySoftwareVersions)
+{
+  SharedUpstreams list;
+  RelayUpstream upstream;
+  upstream.mId = "u";
+  upstream.mSoftwareVersion = "v1.2";
+  list.mEntries.push_back({ upstream, true });
+  const auto decoded = DecodeSharedUpstreams(EncodeSharedUpstreams(list));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->mEntries.at(0).mUpstream.mSoftwareVersion == "v1.2");
+  const json old =
+    json::array({ "u", "s", "10.0.0.1:1", "z", 2, 4, false, 9, true });
+  const auto decodedOld = DecodeSharedUpstreams(
+    detail::ToCbor(json::array({ 5, json::array({ old }) })));
+  BOOST_REQUIRE(decodedOld.has_value());
+  BOOST_TEST(decodedOld->mEntries.at(0).mUpstream.mId == "u");
+  BOOST_TEST(decodedOld->mEntries.at(0).mIsMissing);
+  BOOST_TEST(decodedOld->mEntries.at(0).mUpstream.mSoftwareVersion.empty());
+}
+
 RC_BOOST_PROP(SharedViewsRoundTripAndCorruptionDoesNotCrash, ())
 {
   SharedUpstreams list;
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -141,10 +141,56 @@
     (admission.CurrentServingState(kNow + 1h) == ServingState::OpenRoutes));
 }
 
+// A resumed stream is looked up under the id of the new attempt.
+BOOST_AUTO_TEST_CASE(AResumedStreamHasTheKeyOfItsFirstAttempt)
+{
+  ConfirmedView view({ 5s, 700ms });
+  WorkspaceRateLimiter limiter({ 8s }, kNow);
+  Random random(1);
+  RelayAdmission admission(&view, &limiter, &random);
+  auto configuration = std::make_shared<RelayConfiguration>();
+  configuration->AddRoute(MakeRoute("/plain/", true));
+  RelayRoute route = MakeRoute("/stream/", true);
+  route.mKind = RouteKind::Stream;
+  configuration->AddRoute(route);
+  view.OnRead(configuration, kNow);
+  IncomingRequest request;
+  request.mHost = "h";
+  request.mName = "new";
+  const auto keyOf = [&](const std::string& aPath,
+                         std::uint64_t aLastEventId,
+                         const std::string& aResumed) {
+    request.mPath = aPath;
+    request.mLastEventId = aLastEventId;
+    request.mResumedRequest = aResumed;
+    Refusal refusal;
+    const auto admitted = admission.Admit(1, request, kNow, &refusal);
+    return admitted->mOriginKey + (admitted->mIsResumed ? " resumed" : "");
+  };
+  BOOST_TEST(keyOf("/stream/", 0, "") == "new");
+  BOOST_TEST(keyOf("/stream/", 0, "first") == "new");
+  BOOST_TEST(keyOf("/stream/", 3, "first") == "first resumed");
+  BOOST_TEST(keyOf("/stream/", 3, "") == "new resumed");
+  BOOST_TEST(keyOf("/plain/", 3, "first") == "new");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(UpstreamLists)
 
+// VMs with different software versions in their lists take them for equal.
+BOOST_AUTO_TEST_CASE(ListsWithOtherSoftwareVersionsHaveOtherDigests)
+{
+  UpstreamList list({ 2s });
+  RelayUpstream upstream = MakeUpstream("one");
+  upstream.mSoftwareVersion = "v1";
+  list.OnListRead({ upstream }, kNow);
+  const std::uint64_t digest = list.Digest();
+  upstream.mSoftwareVersion = "v2";
+  list.OnListRead({ upstream }, kNow);
+  BOOST_TEST(list.Digest() != digest);
+}
+
 BOOST_AUTO_TEST_CASE(AnUpstreamMissingFromTheListIsLost)
 {
   UpstreamList upstreams({ 2s });
