--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -85,6 +85,12 @@
   SetCounter("peridothoist_unsent_total", aCounters.mUnsent);
   SetCounter("peridothoist_callers_gone_total", aCounters.mCallersGone);
   SetCounter("peridothoist_quarantined_total", aCounters.mQuarantined);
+  SetCounter("peridothoist_origins_announced_total",
+             aCounters.mOriginsAnnounced);
+  SetCounter("peridothoist_origins_looked_up_total",
+             aCounters.mOriginsLookedUp);
+  SetCounter("peridothoist_origins_found_total", aCounters.mOriginsFound);
+  SetCounter("peridothoist_origins_unknown_total", aCounters.mOriginsUnknown);
   for (std::size_t n = 0; n < kRefusalKinds; ++n) {
     if (aCounters.mRefused[n] > 0) {
       SetCounter("peridothoist_refused_total",
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -455,6 +455,7 @@
     .Field("events", aSummary.mEventCount)
     .Field("calls", aSummary.mCallCount)
     .Field("upstream", aSummary.mUpstream)
+    .Field("software", aSummary.mSoftwareVersion)
     .Field("version", mView.Version())
     .Field("gap_ms", ToMillis(aSummary.mMaxEventGap))
     .Field("first_ms", ToMillis(aSummary.mTimeToFirstEvent))
@@ -477,6 +478,21 @@
   }
 }
 
+void
+NodeProcess::OnOriginDecided(const std::string& /*aKey*/,
+                             const StreamOrigin& /*aOrigin*/)
+{
+}
+
+void
+NodeProcess::OnOriginNeeded(const std::string& aKey)
+{
+  mExecutor.Deliver(
+    [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
+      aMachine.OnOriginFound(aKey, std::nullopt, aNow, aOut);
+    });
+}
+
 void
 NodeProcess::OnPeerWork(const std::string& aVm, const WorkByUpstream& aWork)
 {
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -111,6 +111,9 @@
                       bool aSucceeded,
                       Duration aDuration) override;
   void OnWorkChanged() override;
+  void OnOriginDecided(const std::string& aKey,
+                       const StreamOrigin& aOrigin) override;
+  void OnOriginNeeded(const std::string& aKey) override;
   // See: LoopMonitorListener
   void OnLoopLag(Duration aLag) override;
 
--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -311,12 +311,13 @@
 void
 RelayExecutor::Execute(const RelayCommand& aCommand)
 {
-  static constexpr std::array<CommandHandler, 11> kHandlers = {
-    &RelayExecutor::StartCall,    &RelayExecutor::CancelCall,
-    &RelayExecutor::Release,      &RelayExecutor::Release,
-    &RelayExecutor::SendHead,     &RelayExecutor::SendEvent,
-    &RelayExecutor::SendResponse, &RelayExecutor::SendRefusal,
-    &RelayExecutor::EndStream,    &RelayExecutor::AbortStream,
+  static constexpr std::array<CommandHandler, 13> kHandlers = {
+    &RelayExecutor::StartCall,      &RelayExecutor::CancelCall,
+    &RelayExecutor::Release,        &RelayExecutor::Release,
+    &RelayExecutor::SendHead,       &RelayExecutor::SendEvent,
+    &RelayExecutor::SendResponse,   &RelayExecutor::SendRefusal,
+    &RelayExecutor::EndStream,      &RelayExecutor::AbortStream,
+    &RelayExecutor::AnnounceOrigin, &RelayExecutor::FindOrigin,
     &RelayExecutor::Forget
   };
   const auto it = mRequests.find(aCommand.mId);
@@ -461,10 +462,26 @@
   aRequest.mExchange->AbortStream();
 }
 
+void
+RelayExecutor::AnnounceOrigin(const RelayCommand& aCommand,
+                              Request& /*aRequest*/)
+{
+  mListener->OnOriginDecided(aCommand.mOriginKey, *aCommand.mOrigin);
+}
+
+void
+RelayExecutor::FindOrigin(const RelayCommand& aCommand, Request& /*aRequest*/)
+{
+  mListener->OnOriginNeeded(aCommand.mOriginKey);
+}
+
 void
 RelayExecutor::Forget(const RelayCommand& aCommand, Request& aRequest)
 {
   aRequest.mExchange->SetListener(nullptr);
+  if (aCommand.mOrigin) {
+    aRequest.mSummary.mSoftwareVersion = aCommand.mOrigin->mSoftwareVersion;
+  }
   mListener->OnRequestFinished(aRequest.mSummary);
   // May run within a callback of the exchange or the call, so the objects are
   // destroyed in a later iteration of the event loop.
--- a/Peridothoist/Node/RelayExecutor.h
+++ b/Peridothoist/Node/RelayExecutor.h
@@ -28,6 +28,8 @@
   Duration mMaxEventGap{ 0 };    ///< Streams: longest time between two events.
   std::uint32_t mCallCount = 0;  ///< Number of calls to upstreams.
   std::string mUpstream;         ///< Id of the last one called.
+  /// Streams: software version that they are bound to; empty: none.
+  std::string mSoftwareVersion;
   Duration mTimeToFirstEvent{ 0 }; ///< Streams: from arrival.
   Duration mTimeToFirstCall{ 0 };  ///< To an upstream, from arrival.
 };
@@ -49,6 +51,15 @@
 
   /// Called when this VM's open work at engines has changed.
   virtual void OnWorkChanged() = 0;
+
+  /// Called when the origin of the stream with aKey was decided, before its
+  /// first event is sent to the caller.
+  virtual void OnOriginDecided(const std::string& aKey,
+                               const StreamOrigin& aOrigin) = 0;
+
+  /// Called when a request waits for the origin of the stream with aKey. To be
+  /// followed by RelayStateMachine::OnOriginFound().
+  virtual void OnOriginNeeded(const std::string& aKey) = 0;
 };
 
 /// Holds the open requests of one node and connects them with the relay state
@@ -112,6 +123,8 @@
   void SendRefusal(const RelayCommand& aCommand, Request& aRequest);
   void EndStream(const RelayCommand& aCommand, Request& aRequest);
   void AbortStream(const RelayCommand& aCommand, Request& aRequest);
+  void AnnounceOrigin(const RelayCommand& aCommand, Request& aRequest);
+  void FindOrigin(const RelayCommand& aCommand, Request& aRequest);
   void Forget(const RelayCommand& aCommand, Request& aRequest);
   /// Schedules the next tick of the state machine.
   void ArmTick();
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -62,6 +62,7 @@
     return; // The caller already has it.
   }
   if (!state.mHeadSent) {
+    PinOrigin(state, *call);
     state.mHeadSent = true;
     Command(RelayCommandKind::SendHead, state).mResponse = call->mHead;
   }
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -5,6 +5,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/RelayConfiguration.h>
+#include <Peridothoist/Relay/StreamOriginTable.h>
 #include <Peridothoist/Relay/UpstreamList.h>
 #include <Peridothoist/Request/CallResults.h>
 #include <Peridothoist/Request/Refusal.h>
@@ -49,6 +50,8 @@
   SendRefusal,        ///< Send an error response of our own.
   EndStream,          ///< End the caller's stream as complete.
   AbortStream,        ///< End the caller's stream visibly incomplete.
+  AnnounceOrigin,     ///< Tell other VMs where a stream began.
+  FindOrigin,         ///< Ask other VMs; leads to OnOriginFound.
   Forget              ///< The request is over; free its resources.
 };
 
@@ -104,6 +107,10 @@
   std::uint32_t mPriority = 5;
   Duration mTimeLeft{ 0 }; ///< StartCall: time until the deadline.
 
+  std::string mOriginKey; ///< AnnounceOrigin, FindOrigin.
+  /// AnnounceOrigin; Forget, for the log: empty if the stream has none.
+  std::optional<StreamOrigin> mOrigin;
+
   // Responses to the caller
   RelayResponse mResponse;         ///< SendHead, SendResponse.
   std::string mEvent;              ///< SendEvent: as received.
--- /dev/null
+++ b/Peridothoist/Relay/RelayOrigins.cpp
@@ -0,0 +1,175 @@
+/// The part of RelayStateMachine that keeps each stream at the software version
+/// that began it, also when a caller resumes it with a new attempt.
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/RelayStateMachine.h>
+
+namespace peridothoist {
+
+/// Returns whether the upstream may generate events of the request's stream.
+bool
+RelayStateMachine::FitsOrigin(const State& aState,
+                              const RelayUpstream& aUpstream) const
+{
+  return !aState.mOrigin ||
+         (aState.mOrigin->mService == aUpstream.mService &&
+          aState.mOrigin->mSoftwareVersion == aUpstream.mSoftwareVersion);
+}
+
+/// Returns whether the list still states the software version that the upstream
+/// of a stream's call had when the call started.
+bool
+RelayStateMachine::HasCallVersion(const Call& aCall) const
+{
+  if (aCall.mKind != RelayCallKind::Stream) {
+    return true;
+  }
+  const RelayUpstream* upstream = mUpstreamList.Find(aCall.mUpstream);
+  return upstream != nullptr &&
+         upstream->mSoftwareVersion == aCall.mSoftwareVersion;
+}
+
+/// Returns the software version to which the request is bound; nullopt: none.
+std::optional<std::string>
+RelayStateMachine::VersionOf(const State& aState)
+{
+  return aState.mOrigin
+           ? std::optional<std::string>(aState.mOrigin->mSoftwareVersion)
+           : std::nullopt;
+}
+
+/// Called before the first event of a stream goes to the caller. Binds the
+/// stream to the software version that generated it.
+void
+RelayStateMachine::PinOrigin(State& aState, const Call& aCall)
+{
+  const AdmittedRequest& request = aState.mRequest;
+  if (aState.mOrigin || request.mIsResumed || !request.mRoute->mIsResumable) {
+    return;
+  }
+  aState.mOrigin = StreamOrigin{ request.mService, aCall.mSoftwareVersion };
+  mOrigins.Add(request.mOriginKey, *aState.mOrigin, mNow);
+  ++mCounters.mOriginsAnnounced;
+  RelayCommand& command = Command(RelayCommandKind::AnnounceOrigin, aState);
+  command.mOriginKey = request.mOriginKey;
+  command.mOrigin = aState.mOrigin;
+}
+
+/// Places a stream that the caller resumes, once its origin is known.
+void
+RelayStateMachine::PlaceResumed(State& aState)
+{
+  const std::string& key = aState.mRequest.mOriginKey;
+  const StreamOrigin* origin = mOrigins.Find(key, mNow);
+  if (origin != nullptr) {
+    ContinueAt(aState, *origin);
+    return;
+  }
+  const std::uint64_t id = aState.mRequest.mId;
+  aState.mAwaitsOrigin = true;
+  mAwaitingOrigin[key].insert(id);
+  mTimers.Add(mNow + mSettings.mOriginLookupTimeout,
+              { TimerKind::Dispatch, id, 0 });
+  ++mCounters.mOriginsLookedUp;
+  Command(RelayCommandKind::FindOrigin, aState).mOriginKey = key;
+}
+
+void
+RelayStateMachine::OnOriginFound(const std::string& aKey,
+                                 std::optional<StreamOrigin> aOrigin,
+                                 TimePoint aNow,
+                                 RelayCommands& aOut)
+{
+  mNow = aNow;
+  mOut = &aOut;
+  if (aOrigin) {
+    mOrigins.Add(aKey, *aOrigin, aNow);
+  }
+  const auto waiting = mAwaitingOrigin.find(aKey);
+  if (waiting == mAwaitingOrigin.end()) {
+    return;
+  }
+  const std::set<std::uint64_t> ids = waiting->second;
+  for (const std::uint64_t id : ids) {
+    State* state = Find(id);
+    if (state == nullptr) {
+      continue;
+    }
+    StopAwaitingOrigin(*state);
+    if (aOrigin) {
+      ++mCounters.mOriginsFound;
+      ContinueAt(*state, *aOrigin);
+    } else {
+      ContinueAtSoleVersion(*state);
+    }
+  }
+  DispatchWaiting();
+}
+
+void
+RelayStateMachine::StopAwaitingOrigin(State& aState)
+{
+  if (!std::exchange(aState.mAwaitsOrigin, false)) {
+    return;
+  }
+  const auto it = mAwaitingOrigin.find(aState.mRequest.mOriginKey);
+  it->second.erase(aState.mRequest.mId);
+  if (it->second.empty()) {
+    mAwaitingOrigin.erase(it);
+  }
+}
+
+/// Handles the end of a wait, for the origin of a stream or for capacity.
+void
+RelayStateMachine::OnWaitTimer(State& aState)
+{
+  if (aState.mAwaitsOrigin) {
+    StopAwaitingOrigin(aState);
+    ContinueAtSoleVersion(aState);
+    return;
+  }
+  // The timer of a lookup that has ended must not place a request out of turn.
+  const bool hasWaited = aState.mWaitDeadline && mNow >= *aState.mWaitDeadline;
+  if (!aState.mCall && hasWaited) {
+    PlaceRequest(aState);
+  }
+}
+
+void
+RelayStateMachine::ContinueAt(State& aState, const StreamOrigin& aOrigin)
+{
+  if (!aState.mRequest.mRoute->LeadsTo(aOrigin.mService)) {
+    RefuseUnknownOrigin(aState);
+    return;
+  }
+  aState.mOrigin = aOrigin;
+  aState.mRequest.mService = aOrigin.mService;
+  PlaceRequest(aState);
+}
+
+/// Continues a stream of unknown origin if it can only have begun at one
+/// version: its route leads to one service, of which no other version was
+/// listed recently.
+void
+RelayStateMachine::ContinueAtSoleVersion(State& aState)
+{
+  const AdmittedRequest& request = aState.mRequest;
+  const auto version =
+    request.mRoute->mTargets.size() == 1
+      ? mUpstreamList.SoleVersion(
+          request.mService, mNow - mSettings.mSoleVersionPeriod, mNow)
+      : std::nullopt;
+  if (!version) {
+    RefuseUnknownOrigin(aState);
+    return;
+  }
+  ContinueAt(aState, { request.mService, *version });
+}
+
+void
+RelayStateMachine::RefuseUnknownOrigin(State& aState)
+{
+  ++mCounters.mOriginsUnknown;
+  Refuse(aState, RefusalKind::OriginUnknown);
+}
+
+} // namespace peridothoist
--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -37,6 +37,7 @@
   query.mZone = mSettings.mZone;
   query.mNeededTokens = aState.mRequest.mMemoryTokens;
   query.mExcludedUpstreams = aState.mExcludedUpstreams;
+  query.mSoftwareVersion = VersionOf(aState);
   const EngineLimits* engines = EnginesOf(aState);
   query.mEngineMemoryTokens = engines == nullptr ? 0 : engines->mMemoryTokens;
   return query;
@@ -169,6 +170,12 @@
                                const RelayUpstream& aUpstream,
                                RelayCallKind aKind)
 {
+  if (RunsRequest(aKind) && !FitsOrigin(aState, aUpstream)) {
+    // It was restarted with another version while memory was reserved or the
+    // prompt was read.
+    PlaceRequest(aState);
+    return false;
+  }
   if (RunsRequest(aKind) && !ChargeRetry(aState)) {
     Refuse(aState, RefusalKind::UpstreamFailed);
     return false;
@@ -178,6 +185,7 @@
   call.mAttempt = aState.mNextAttempt++;
   call.mUpstream = aUpstream.mId;
   call.mAddress = aUpstream.mAddress;
+  call.mSoftwareVersion = aUpstream.mSoftwareVersion;
   call.mKind = aKind;
   const bool isReserve = aKind == RelayCallKind::Reserve;
   call.mTokens =
@@ -235,6 +243,7 @@
   const AdmittedRequest& request = Find(aId)->mRequest;
   const bool maySend = aNow < request.mDeadline &&
                        mUpstreamList.AcceptsRequests(call->mUpstream) &&
+                       HasCallVersion(*call) &&
                        !mPolicy->CheckRelay(request, aNow);
   call->mMayHaveBeenSent = call->mMayHaveBeenSent || maySend;
   return maySend;
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -21,6 +21,7 @@
   , mPlanner(aSettings.mPlanner)
   , mSuspects(aSettings.mSuspects)
   , mBrokenCalls(aSettings.mCrashWindow)
+  , mOrigins(aSettings.mOrigins)
 {
 }
 
@@ -106,6 +107,10 @@
     Refuse(state, RefusalKind::Quarantined);
     return;
   }
+  if (state.mRequest.mIsResumed && state.mRequest.mRoute->mIsResumable) {
+    PlaceResumed(state);
+    return;
+  }
   PlaceRequest(state);
 }
 
@@ -221,7 +226,8 @@
     mPolicy->Refund(aState.mRequest, mNow);
   }
   mWaiting.erase({ aState.mRequest.mPriority, id });
-  Command(RelayCommandKind::Forget, aState);
+  StopAwaitingOrigin(aState);
+  Command(RelayCommandKind::Forget, aState).mOrigin = aState.mOrigin;
   mRequests.erase(id);
 }
 
@@ -301,8 +307,8 @@
       if (current) {
         OnInactivityTimer(*state);
       }
-    } else if (!state->mCall) {
-      PlaceRequest(*state);
+    } else {
+      OnWaitTimer(*state);
     }
   }
 }
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -6,6 +6,9 @@
 ///   - It ends with exactly one final command (SendResponse, SendRefusal,
 ///     EndStream or AbortStream), unless the caller disconnected, and then
 ///     Forget.
+///   - All events that its caller receives, over all of the caller's attempts
+///   at
+///     a resumable stream, are of one software version.
 ///   - At most one call is open: a new one starts only after the previous one
 ///     ended or was cancelled.
 ///   - A request that must not run twice is sent again only after its upstream
@@ -21,6 +24,7 @@
 #include <Peridothoist/Relay/PrefillPlanner.h>
 #include <Peridothoist/Relay/RelayCommand.h>
 #include <Peridothoist/Relay/RelayRetryBudget.h>
+#include <Peridothoist/Relay/StreamOriginTable.h>
 #include <Peridothoist/Relay/UpstreamChooser.h>
 #include <Peridothoist/Request/TimerQueue.h>
 #include <Peridothoist/Routing/SuspectTable.h>
@@ -81,12 +85,19 @@
   /// A call that broke up to this long before its upstream was found gone
   /// counts as present at the crash.
   Duration mCrashWindow = 6s;
+  /// Resumed streams: maximum wait for other VMs to state the origin.
+  Duration mOriginLookupTimeout = 300ms;
+  /// A resumed stream of unknown origin continues if only one software version
+  /// of its service was listed for this time; longer than a stream of an
+  /// upstream that is gone is resumed.
+  Duration mSoleVersionPeriod = 30s;
   SuspectTableSettings mSuspects;
   RelayRetryBudgetSettings mRetryBudget;
   PrefillPlannerSettings mPlanner;
   UpstreamChooserSettings mChooser;
   UpstreamLoadTrackerSettings mLoads;
   UpstreamListSettings mUpstreamList;
+  StreamOriginTableSettings mOrigins;
 };
 
 /// Counters for metrics.
@@ -105,6 +116,11 @@
   std::uint64_t mUnsent = 0;         ///< Calls of which no byte was sent.
   std::uint64_t mCallersGone = 0;
   std::uint64_t mQuarantined = 0;
+  // Software versions that began streams
+  std::uint64_t mOriginsAnnounced = 0;
+  std::uint64_t mOriginsLookedUp = 0; ///< At other VMs.
+  std::uint64_t mOriginsFound = 0;    ///< Of those looked up.
+  std::uint64_t mOriginsUnknown = 0;  ///< Streams refused for that.
   std::array<std::uint64_t, kRefusalKinds> mRefused{}; ///< By RefusalKind.
 };
 
@@ -151,6 +167,13 @@
                  TimePoint aNow,
                  RelayCommands& aOut);
 
+  /// Called when other VMs stated the origin of the stream with aKey, or that
+  /// it is not known.
+  void OnOriginFound(const std::string& aKey,
+                     std::optional<StreamOrigin> aOrigin,
+                     TimePoint aNow,
+                     RelayCommands& aOut);
+
   /// Returns whether the bytes of a call may be sent. Called immediately before
   /// they are sent.
   bool MayStillSend(std::uint64_t aId, std::uint32_t aAttempt, TimePoint aNow);
@@ -200,6 +223,7 @@
     std::uint32_t mAttempt = 0;
     std::string mUpstream;
     std::string mAddress;
+    std::string mSoftwareVersion; ///< As listed when the call started.
     RelayCallKind mKind = RelayCallKind::Whole;
     std::uint64_t mTokens = 0; ///< KV memory counted in mLoads.
     bool mMayHaveBeenSent = false;
@@ -229,7 +253,10 @@
     bool mHadServerError = false;
     bool mHeadSent = false;
     std::uint64_t mLastEventId = 0;
-    bool mSkipPrefill = false; ///< The decode engine must read the prompt.
+    /// Resumable streams: where the stream began, once that is known.
+    std::optional<StreamOrigin> mOrigin;
+    bool mAwaitsOrigin = false; ///< Listed in mAwaitingOrigin.
+    bool mSkipPrefill = false;  ///< The decode engine must read the prompt.
     // A prefill result that is not used yet.
     std::string mHandle;
     std::string mHandleAddress;
@@ -264,6 +291,18 @@
   void OnNoUpstreamChosen(State& aState, NoChoiceReason aReason);
   UpstreamQuery QueryFor(const State& aState, RelayStage aStage) const;
 
+  // Software versions of streams
+  bool FitsOrigin(const State& aState, const RelayUpstream& aUpstream) const;
+  bool HasCallVersion(const Call& aCall) const;
+  static std::optional<std::string> VersionOf(const State& aState);
+  void PinOrigin(State& aState, const Call& aCall);
+  void PlaceResumed(State& aState);
+  void ContinueAt(State& aState, const StreamOrigin& aOrigin);
+  void ContinueAtSoleVersion(State& aState);
+  void RefuseUnknownOrigin(State& aState);
+  void StopAwaitingOrigin(State& aState);
+  void OnWaitTimer(State& aState);
+
   // Waiting for capacity
   /// Waiting requests of one service, by priority and then by arrival.
   struct WaitingGroup
@@ -277,6 +316,7 @@
   void DispatchGroup(const std::string& aService, WaitingGroup aGroup);
   void DispatchWithinFraction(const std::vector<std::uint64_t>& aRequests,
                               double aFraction);
+  double ChooseStarts(const UpstreamQuery& aQuery, double aFraction);
   RelayStage RunningStage(const State& aState) const;
   bool IsLate(const State& aState) const;
   const EngineLimits* EnginesOf(const State& aState) const;
@@ -349,6 +389,9 @@
   std::set<std::pair<std::uint32_t, std::uint64_t>> mWaiting;
   TimerQueue mTimers;
   BrokenCallTracker mBrokenCalls;
+  StreamOriginTable mOrigins;
+  /// Resumed streams that wait for their origin, by its key.
+  std::map<std::string, std::set<std::uint64_t>> mAwaitingOrigin;
   RelayCounters mCounters;
 };
 
--- a/Peridothoist/Relay/RelayWaiting.cpp
+++ b/Peridothoist/Relay/RelayWaiting.cpp
@@ -130,28 +130,35 @@
   const std::vector<std::uint64_t>& aRequests,
   double aFraction)
 {
-  if (aRequests.empty()) {
-    return;
-  }
-  const State& first = *Find(aRequests.front());
-  const double capacity =
-    mChooser.CapacityFor(QueryFor(first, RunningStage(first)), mNow);
-  const double share = std::max(capacity, 0.0) * aFraction;
-  const double whole = std::floor(share);
-  double startsLeft =
-    whole + (mRandom->UniformFraction() < share - whole ? 1 : 0);
+  // By the software version that requests are bound to; nullopt: any version.
+  std::map<std::optional<std::string>, double> startsLeft;
   for (const std::uint64_t id : aRequests) {
     State* state = Find(id);
-    if (startsLeft < 1) {
-      return;
+    if (state == nullptr || state->mCall) {
+      continue;
     }
-    if (state != nullptr && !state->mCall) {
-      startsLeft -= 1;
+    const auto added = startsLeft.emplace(VersionOf(*state), 0);
+    double& left = added.first->second;
+    if (added.second) {
+      left = ChooseStarts(QueryFor(*state, RunningStage(*state)), aFraction);
+    }
+    if (left >= 1) {
+      left -= 1;
       PlaceRequest(*state);
     }
   }
 }
 
+/// Returns how many of such requests to start within aFraction of the capacity.
+double
+RelayStateMachine::ChooseStarts(const UpstreamQuery& aQuery, double aFraction)
+{
+  const double capacity = mChooser.CapacityFor(aQuery, mNow);
+  const double share = std::max(capacity, 0.0) * aFraction;
+  const double whole = std::floor(share);
+  return whole + (mRandom->UniformFraction() < share - whole ? 1 : 0);
+}
+
 WaitingByService
 RelayStateMachine::ClassifyWaiting(TimePoint aNow)
 {
--- a/Peridothoist/Relay/UpstreamChooser.cpp
+++ b/Peridothoist/Relay/UpstreamChooser.cpp
@@ -16,6 +16,23 @@
   return kNames[static_cast<std::size_t>(aReason)];
 }
 
+namespace {
+
+/// Returns whether the upstream serves such requests.
+bool
+Serves(const RelayUpstream& aUpstream, const UpstreamQuery& aQuery)
+{
+  // What prefill engines write is used by decode engines of any version.
+  const bool fitsVersion =
+    !aQuery.mSoftwareVersion || aQuery.mStage == RelayStage::Prefill ||
+    aUpstream.mSoftwareVersion == *aQuery.mSoftwareVersion;
+  return aUpstream.mService == aQuery.mService &&
+         aUpstream.mStage == aQuery.mStage && !aUpstream.mIsLeaving &&
+         fitsVersion;
+}
+
+} // namespace
+
 UpstreamChooser::UpstreamChooser(const Settings& aSettings,
                                  const UpstreamList* aUpstreamList,
                                  const UpstreamLoadTracker* aLoads,
@@ -37,10 +54,8 @@
   std::uint64_t ties = 0;
   for (const auto& [id, entry] : mUpstreamList->All()) {
     const RelayUpstream& upstream = entry.mUpstream;
-    const bool fits = upstream.mService == aQuery.mService &&
-                      upstream.mStage == aQuery.mStage &&
-                      !upstream.mIsLeaving &&
-                      aQuery.mExcludedUpstreams.count(id) == 0;
+    const bool fits =
+      Serves(upstream, aQuery) && aQuery.mExcludedUpstreams.count(id) == 0;
     if (!fits) {
       continue;
     }
@@ -138,10 +153,7 @@
   double capacity = 0;
   for (const auto& [id, entry] : mUpstreamList->All()) {
     const RelayUpstream& upstream = entry.mUpstream;
-    const bool fits = upstream.mService == aQuery.mService &&
-                      upstream.mStage == aQuery.mStage &&
-                      !upstream.mIsLeaving && !mLoads->IsAvoided(id, aNow);
-    if (fits) {
+    if (Serves(upstream, aQuery) && !mLoads->IsAvoided(id, aNow)) {
       capacity += std::max(0.0, std::floor(CapacityAt(upstream, aQuery, aNow)));
     }
   }
--- a/Peridothoist/Relay/UpstreamChooser.h
+++ b/Peridothoist/Relay/UpstreamChooser.h
@@ -22,6 +22,8 @@
   /// KV memory of one engine; 0: not limited.
   std::uint64_t mEngineMemoryTokens = 0;
   std::set<std::string> mExcludedUpstreams; ///< Ids not to be chosen.
+  /// Only upstreams of this software version generate the output.
+  std::optional<std::string> mSoftwareVersion;
 };
 
 /// Why no upstream was chosen.
--- a/Peridothoist/Relay/UpstreamList.cpp
+++ b/Peridothoist/Relay/UpstreamList.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <set>
 
 namespace peridothoist {
 
@@ -48,7 +49,7 @@
     mUnreachable = false;
     mKeepMissingUntil = aNow + mSettings.mMissingGracePeriod;
   }
-  mListedAt = aNow;
+  OnConfirmed(aNow);
   std::map<std::string, Entry> entries;
   for (RelayUpstream& it : aUpstreams) {
     const std::string id = it.mId;
@@ -66,7 +67,7 @@
 UpstreamList::OnPeerList(std::vector<Entry> aEntries, TimePoint aConfirmedAt)
 {
   mUnreachable = false;
-  mListedAt = std::max(mListedAt.value_or(aConfirmedAt), aConfirmedAt);
+  OnConfirmed(aConfirmedAt);
   std::map<std::string, Entry> entries;
   for (Entry& it : aEntries) {
     const std::string id = it.mUpstream.mId;
@@ -90,11 +91,59 @@
       lost.push_back({ id, entry.mUpstream.mIsLeaving });
     }
   }
+  RememberVersions();
   mEntries = std::move(aEntries);
   mDigest = DigestOf(mEntries);
   return lost;
 }
 
+void
+UpstreamList::OnConfirmed(TimePoint aAt)
+{
+  if (!mListedAt || aAt > *mListedAt + mSettings.mMaxConfirmationGap) {
+    mKnownSince = aAt;
+  }
+  mListedAt = std::max(mListedAt.value_or(aAt), aAt);
+}
+
+/// Notes the software versions in the list that is about to be replaced.
+void
+UpstreamList::RememberVersions()
+{
+  for (const auto& [id, entry] : mEntries) {
+    const RelayUpstream& upstream = entry.mUpstream;
+    mVersionsBefore[upstream.mService][upstream.mSoftwareVersion] = *mListedAt;
+  }
+}
+
+std::optional<std::string>
+UpstreamList::SoleVersion(const std::string& aService,
+                          TimePoint aSince,
+                          TimePoint aNow) const
+{
+  const bool isKnown = mListedAt && mKnownSince <= aSince &&
+                       aNow <= *mListedAt + mSettings.mMaxConfirmationGap;
+  if (!isKnown) {
+    return std::nullopt;
+  }
+  std::set<std::string> versions;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.mUpstream.mService == aService) {
+      versions.insert(entry.mUpstream.mSoftwareVersion);
+    }
+  }
+  const auto before = mVersionsBefore.find(aService);
+  if (before != mVersionsBefore.end()) {
+    for (const auto& [version, listedAt] : before->second) {
+      if (listedAt >= aSince) {
+        versions.insert(version);
+      }
+    }
+  }
+  return versions.size() == 1 ? std::optional<std::string>(*versions.begin())
+                              : std::nullopt;
+}
+
 const RelayUpstream*
 UpstreamList::Find(const std::string& aId) const
 {
--- a/Peridothoist/Relay/UpstreamList.h
+++ b/Peridothoist/Relay/UpstreamList.h
@@ -45,6 +45,9 @@
   /// Entries that expired during an outage of the list are written again within
   /// this time after its end; upstreams still missing then are gone.
   Duration mMissingGracePeriod = 2s;
+  /// After a longer time without confirmation of the list, upstreams may have
+  /// served that were never in it.
+  Duration mMaxConfirmationGap = 5s;
 };
 
 /// Holds the upstream list.
@@ -98,10 +101,17 @@
   void Confirm(TimePoint aAt)
   {
     if (mListedAt) {
-      mListedAt = std::max(*mListedAt, aAt);
+      OnConfirmed(aAt);
     }
   }
 
+  /// Returns the software version of the service's upstreams if all that were
+  /// listed since aSince state the same one; nullopt if they don't, or if it is
+  /// not known what was listed for all of that time.
+  std::optional<std::string> SoleVersion(const std::string& aService,
+                                         TimePoint aSince,
+                                         TimePoint aNow) const;
+
   /// Returns a digest of the list; equal lists have equal digests.
   std::uint64_t Digest() const { return mDigest; }
 
@@ -110,10 +120,16 @@
 
 private:
   std::vector<UpstreamLoss> Replace(std::map<std::string, Entry> aEntries);
+  void OnConfirmed(TimePoint aAt);
+  void RememberVersions();
 
   Settings mSettings;
   std::map<std::string, Entry> mEntries;
   std::optional<TimePoint> mListedAt;
+  TimePoint mKnownSince; ///< No longer gap between confirmations since then.
+  /// When each software version of a service was last listed, among the lists
+  /// that were replaced.
+  std::map<std::string, std::map<std::string, TimePoint>> mVersionsBefore;
   std::uint64_t mDigest = 0;
   bool mUnreachable = false;   ///< The last read failed.
   TimePoint mKeepMissingUntil; ///< mMissingGracePeriod after the last outage.
--- a/Peridothoist/Request/Refusal.cpp
+++ b/Peridothoist/Request/Refusal.cpp
@@ -53,6 +53,10 @@
     503,
     502,
     "This VM is shutting down; another VM can serve the request." },
+  { "origin_unknown",
+    503,
+    502,
+    "The software version that began the stream is not known here." },
 } };
 
 const RefusalText&
--- a/Peridothoist/Request/Refusal.h
+++ b/Peridothoist/Request/Refusal.h
@@ -27,14 +27,15 @@
   NoRoute,                ///< No route of the host matches the path.
   OverAllowance,          ///< The workspace's allowance is used up.
   BadRequest,             ///< The request is malformed.
-  Leaving                 ///< This VM shuts down before it could respond.
+  Leaving,                ///< This VM shuts down before it could respond.
+  OriginUnknown           ///< The version that began the stream is not known.
 };
 
 /// Returns the name of a kind as used in JSON bodies and metrics.
 const char*
 ToName(RefusalKind aKind);
 
-constexpr std::size_t kRefusalKinds = 18; ///< Count of RefusalKind.
+constexpr std::size_t kRefusalKinds = 19; ///< Count of RefusalKind.
 
 /// A refusal as sent to the caller.
 struct Refusal
--- a/UnitTests/Relay/SoftwareVersionTest.cpp
+++ b/UnitTests/Relay/SoftwareVersionTest.cpp
@@ -4,6 +4,10 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Relay/RelayFixture.h>
 
+#include <rapidcheck/boost_test.h>
+
+#include <array>
+
 using namespace peridothoist;
 using namespace peridothoist::test;
 
@@ -75,6 +79,35 @@
     return mLastId;
   }
 
+  /// Passes the origin of aKey to the machine, as stated by other VMs.
+  void FindOrigin(const std::string& aKey, std::optional<StreamOrigin> aOrigin)
+  {
+    RelayCommands out;
+    mMachine.OnOriginFound(aKey, std::move(aOrigin), mNow, out);
+    Append(std::move(out));
+  }
+
+  /// Lists engines of one version every second for aTime.
+  void ListOnly(const std::string& aVersion, Duration aTime)
+  {
+    for (Duration time{ 0 }; time <= aTime; time += 1s) {
+      List({ Engine("d1", "a", aVersion), Engine("d3", "b", aVersion) });
+      Advance(1s);
+    }
+  }
+
+  /// Checks that the only response so far is a refusal which states that the
+  /// request was not run and that another try may help.
+  void CheckRefused(RefusalKind aKind)
+  {
+    const Refusal refusal = OnlyRefusal();
+    BOOST_TEST(ToName(refusal.mKind) == ToName(aKind));
+    BOOST_TEST(refusal.Status() == 503);
+    BOOST_TEST((refusal.mVerdict == RunVerdict::NotRun));
+    BOOST_TEST((refusal.mRetryAfter > Duration(0)));
+    BOOST_TEST(Called().empty());
+  }
+
   /// Returns the upstreams of the calls that were started since TakeCommands().
   std::vector<std::string> Called() const
   {
@@ -100,6 +133,8 @@
 
 using Ids = std::vector<std::string>;
 
+const StreamOrigin kV1{ "engines", "v1" };
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(OneVm, VersionFixture)
@@ -147,4 +182,538 @@
   BOOST_TEST(Called() == Ids{ "d3" }, boost::test_tools::per_element());
 }
 
+// The origin is announced after the caller has events, or with each event.
+BOOST_AUTO_TEST_CASE(TheOriginIsAnnouncedOnceBeforeTheHead)
+{
+  const auto call = Call(ArriveStream("a"));
+  TakeCommands();
+  Event(call, 1);
+  Event(call, 2);
+  BOOST_REQUIRE(mCommands.size() == 4U);
+  BOOST_TEST((mCommands[0].mKind == RelayCommandKind::AnnounceOrigin));
+  BOOST_TEST(mCommands[0].mOriginKey == "a");
+  BOOST_TEST((mCommands[0].mOrigin == kV1));
+  BOOST_TEST((mCommands[1].mKind == RelayCommandKind::SendHead));
+  BOOST_TEST(mMachine.Counters().mOriginsAnnounced == 1U);
+}
+
+// Streams that nobody may resume fill the tables of all VMs.
+BOOST_AUTO_TEST_CASE(AStreamThatIsNotResumableHasNoOrigin)
+{
+  const auto call =
+    Call(ArriveStream("a", 0, Route(RouteKind::Stream, 1, false)));
+  Event(call, 1);
+  BOOST_TEST(Count(RelayCommandKind::AnnounceOrigin) == 0U);
+  BOOST_TEST(Count(RelayCommandKind::SendEvent) == 1U);
+}
+
+// The stream is bound to the version that an upstream's entry states when the
+// first event arrives, and not to the one that generates it.
+BOOST_AUTO_TEST_CASE(TheVersionAtTheStartOfTheCallCounts)
+{
+  const auto call = Call(ArriveStream("a"));
+  List({ Engine("d1", "a", "v2"),
+         Engine("d2", "b", "v2"),
+         Engine("d3", "b", "v1") });
+  Event(call, 1);
+  TakeCommands();
+  End(call, Broken());
+  BOOST_TEST(Called() == Ids{ "d3" }, boost::test_tools::per_element());
+}
+
+// The entry changes between the choice of an upstream and the send, so that the
+// version that runs the request is not the one that was chosen.
+BOOST_AUTO_TEST_CASE(AnUpstreamWithAnotherVersionIsNotSentTheRequest)
+{
+  const auto call = Call(ArriveStream("a"), false);
+  List({ Engine("d1", "a", "v2") });
+  BOOST_TEST(!mMachine.MayStillSend(call.mId, call.mAttempt, mNow));
+}
+
+// The log does not show the version to which a stream was bound.
+BOOST_AUTO_TEST_CASE(TheEndOfARequestStatesItsOrigin)
+{
+  BreakStream("a");
+  BOOST_REQUIRE((mCommands.back().mKind == RelayCommandKind::Forget));
+  BOOST_TEST((mCommands.back().mOrigin == kV1));
+}
+
+// A resumed stream takes an upstream of any version if its own has none.
+BOOST_AUTO_TEST_CASE(AResumedStreamWithoutUpstreamsIsRefusedAtOnce)
+{
+  BreakStream("a");
+  ListEngines({ "d1", "d3" });
+  TakeCommands();
+  ArriveStream("a", 2);
+  CheckRefused(RefusalKind::NoUpstream);
+}
+
+// Requests bound to a version that is full keep others from starting, or are
+// started elsewhere.
+BOOST_AUTO_TEST_CASE(RequestsOfAFullVersionWaitApart)
+{
+  List({ Engine("d1", "a", "v1"), Engine("d2", "a", "v2") });
+  for (int n = 0; n < 64; ++n) {
+    mMachine.Loads().OnSent("d1", 0);
+    mMachine.Loads().OnSent("d2", 0);
+  }
+  TakeCommands();
+  const auto resumed = ArriveStream("a", 2);
+  FindOrigin("a", kV1);
+  const auto fresh = ArriveStream("b");
+  BOOST_TEST(mMachine.WaitingRequestCount() == 2U);
+  mMachine.Loads().OnDone("d2", 0);
+  Advance(1ms);
+  ListEngines({ "d3" });
+  BOOST_TEST(Called() == Ids{ "d2" }, boost::test_tools::per_element());
+  BOOST_TEST(Call(fresh).mUpstream == "d2");
+  mMachine.Loads().OnDone("d1", 0);
+  ListEngines({ "d3" });
+  BOOST_TEST(Call(resumed).mUpstream == "d1");
+  BOOST_TEST(mMachine.WaitingRequestCount() == 0U);
+}
+
+// A prefill result can't be used because its engine runs another version.
+BOOST_AUTO_TEST_CASE(PrefillEnginesOfAnyVersionAreUsed)
+{
+  UpstreamQuery query;
+  query.mService = "engines";
+  query.mSoftwareVersion = "v1";
+  UpstreamList list({ 2s });
+  UpstreamLoadTracker loads{ UpstreamLoadTrackerSettings() };
+  RelayUpstream prefill = Upstream("f2", RelayStage::Prefill);
+  prefill.mSoftwareVersion = "v2";
+  list.OnListRead({ prefill, Engine("d2", "a", "v2") }, mNow);
+  UpstreamChooser chooser(UpstreamChooserSettings(), &list, &loads, &mRandom);
+  query.mStage = RelayStage::Prefill;
+  BOOST_TEST(chooser.Choose(query, mNow).mUpstream != nullptr);
+  query.mStage = RelayStage::Decode;
+  BOOST_TEST(
+    (chooser.Choose(query, mNow).mReason == NoChoiceReason::NoUpstream));
+  BOOST_TEST(chooser.CapacityFor(query, mNow) == 0);
+}
+
+// Plain upstreams serve whole streams too, of any version.
+BOOST_AUTO_TEST_CASE(StreamsAtPlainUpstreamsKeepTheirVersion)
+{
+  const auto plain = [](const std::string& aId, const std::string& aVersion) {
+    RelayUpstream upstream = Upstream(aId, RelayStage::Plain);
+    upstream.mService = "engines";
+    upstream.mSoftwareVersion = aVersion;
+    return upstream;
+  };
+  List({ plain("p1", "v1") });
+  const auto call = Call(ArriveStream("a"));
+  Event(call, 1);
+  List({ plain("p1", "v1"), plain("p2", "v2") });
+  TakeCommands();
+  End(call, Broken());
+  BOOST_TEST(Called().empty());
+  BOOST_TEST(Count(RelayCommandKind::AbortStream) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(OriginsOfOtherVms, VersionFixture)
+
+// A stream that began at another VM is resumed at any version.
+BOOST_AUTO_TEST_CASE(AResumedStreamWaitsForItsOrigin)
+{
+  ListEngines({ "d1" });
+  ArriveStream("a", 2);
+  BOOST_TEST(Called().empty());
+  BOOST_REQUIRE(Count(RelayCommandKind::FindOrigin) == 1U);
+  BOOST_TEST(mCommands.back().mOriginKey == "a");
+  FindOrigin("a", kV1);
+  BOOST_TEST(Called() == Ids{ "d3" }, boost::test_tools::per_element());
+  BOOST_TEST(mMachine.Counters().mOriginsLookedUp == 1U);
+  BOOST_TEST(mMachine.Counters().mOriginsFound == 1U);
+}
+
+// Only one of several requests that wait for a key continues, or one of another
+// key does; or a later one asks again.
+BOOST_AUTO_TEST_CASE(AllRequestsOfAKeyContinue)
+{
+  ListEngines({ "d1" });
+  ArriveStream("a", 2);
+  ArriveStream("a", 2);
+  const auto other = ArriveStream("b", 2);
+  FindOrigin("a", kV1);
+  BOOST_TEST(Called() == (Ids{ "d3", "d3" }), boost::test_tools::per_element());
+  TakeCommands();
+  ArriveStream("a", 2);
+  BOOST_TEST(Called() == Ids{ "d3" }, boost::test_tools::per_element());
+  BOOST_TEST(Count(RelayCommandKind::FindOrigin) == 0U);
+  TakeCommands();
+  FindOrigin("b", std::nullopt);
+  CheckRefused(RefusalKind::OriginUnknown);
+  BOOST_TEST(mCommands.front().mId == other);
+}
+
+// A resumed stream whose origin no VM knows continues at a guessed version.
+BOOST_AUTO_TEST_CASE(AnUnknownOriginIsRefused)
+{
+  ArriveStream("a", 2);
+  FindOrigin("a", std::nullopt);
+  CheckRefused(RefusalKind::OriginUnknown);
+  BOOST_TEST(mMachine.Counters().mOriginsUnknown == 1U);
+  BOOST_TEST(mPolicy.mRefunds == 1);
+}
+
+// A lookup without an answer keeps the caller waiting until its deadline, or a
+// late answer is given to a request that is over.
+BOOST_AUTO_TEST_CASE(ALookupWithoutAnAnswerEnds)
+{
+  ArriveStream("a", 2);
+  Advance(299ms);
+  BOOST_TEST(Count(RelayCommandKind::SendRefusal) == 0U);
+  Advance(1ms);
+  CheckRefused(RefusalKind::OriginUnknown);
+  TakeCommands();
+  FindOrigin("a", kV1);
+  BOOST_TEST(mCommands.empty());
+}
+
+// An answer for a caller that has left starts a call.
+BOOST_AUTO_TEST_CASE(ACallerThatLeftIsNotPlaced)
+{
+  const auto id = ArriveStream("a", 2);
+  RelayCommands out;
+  mMachine.OnCallerDisconnected(id, mNow, out);
+  FindOrigin("a", kV1);
+  Advance(1s);
+  BOOST_TEST(Called().empty());
+  BOOST_TEST(mMachine.OpenRequestCount() == 0U);
+}
+
+// The timer of a lookup that was answered starts a request that waits for
+// capacity, before its turn.
+BOOST_AUTO_TEST_CASE(TheTimerOfALookupStartsNothingElse)
+{
+  List({ Engine("d1", "a", "v1") });
+  for (int n = 0; n < 64; ++n) {
+    mMachine.Loads().OnSent("d1", 0);
+  }
+  ArriveStream("a", 2);
+  FindOrigin("a", kV1);
+  BOOST_TEST(mMachine.WaitingRequestCount() == 1U);
+  mMachine.Loads().OnDone("d1", 0);
+  Advance(400ms);
+  BOOST_TEST(Called().empty());
+  BOOST_TEST(mMachine.WaitingRequestCount() == 1U);
+}
+
+// A stream continues at a service that its route does not lead to.
+BOOST_AUTO_TEST_CASE(AnOriginOutsideOfTheRouteIsRefused)
+{
+  ArriveStream("a", 2);
+  FindOrigin("a", StreamOrigin{ "registry", "v1" });
+  CheckRefused(RefusalKind::OriginUnknown);
+}
+
+// A route leads to two services, and a resumed stream continues at the one that
+// the new attempt selects.
+BOOST_AUTO_TEST_CASE(AStreamContinuesAtItsService)
+{
+  RelayRoute route = *StreamRoute();
+  route.mTargets.push_back({ "others", 1 });
+  RelayUpstream other = Engine("e1", "b", "v1");
+  other.mService = "others";
+  List({ Engine("d1", "a", "v1"), other });
+  ArriveStream("a", 2, std::make_shared<const RelayRoute>(route));
+  FindOrigin("a", StreamOrigin{ "others", "v1" });
+  BOOST_TEST(Called() == Ids{ "e1" }, boost::test_tools::per_element());
+}
+
+// A route that is not resumable waits for an origin that nobody announces.
+BOOST_AUTO_TEST_CASE(StreamsOfOtherRoutesAreNotLookedUp)
+{
+  ArriveStream("a", 2, Route(RouteKind::Stream, 1, false));
+  BOOST_TEST(Called() == Ids{ "d1" }, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(SoleVersions, VersionFixture)
+
+// Resumed streams of unknown origin are refused although only one version of
+// the service serves.
+BOOST_AUTO_TEST_CASE(TheOnlyVersionOfAServiceIsUsed)
+{
+  ListOnly("v1", 40s);
+  ArriveStream("a", 2);
+  FindOrigin("a", std::nullopt);
+  BOOST_TEST(Called() == Ids{ "d1" }, boost::test_tools::per_element());
+  TakeCommands();
+  ArriveStream("b", 2);
+  Advance(300ms);
+  BOOST_TEST(Called().size() == 1U);
+}
+
+// A version that served until a moment ago is taken for one that never did.
+BOOST_AUTO_TEST_CASE(AVersionThatIsGoneCountsForATime)
+{
+  ListOnly("v1", 40s);
+  ListOnly("v2", 25s);
+  ArriveStream("a", 2);
+  FindOrigin("a", std::nullopt);
+  CheckRefused(RefusalKind::OriginUnknown);
+  TakeCommands();
+  ListOnly("v2", 10s);
+  ArriveStream("a", 2);
+  FindOrigin("a", std::nullopt);
+  BOOST_TEST(Called().size() == 1U);
+}
+
+// A VM that has just started, or was cut off, takes the version that it sees
+// for the only one.
+BOOST_AUTO_TEST_CASE(VersionsListedUnseenAreNotRuledOut)
+{
+  UpstreamList list({ 2s });
+  const auto upstream = Engine("d1", "a", "v1");
+  const auto sole = [&] {
+    return list.SoleVersion("engines", mNow - 30s, mNow).value_or("unknown");
+  };
+  const auto read = [&](int aSeconds) {
+    for (int n = 0; n < aSeconds; ++n) {
+      mNow += 1s;
+      list.OnListRead({ upstream }, mNow);
+    }
+  };
+  BOOST_TEST(sole() == "unknown");
+  read(30);
+  BOOST_TEST(sole() == "unknown");
+  read(1);
+  BOOST_TEST(sole() == "v1");
+  mNow += 6s;
+  BOOST_TEST(sole() == "unknown");
+  list.Confirm(mNow); // By a peer; what was listed meanwhile is not known.
+  BOOST_TEST(sole() == "unknown");
+  read(29);
+  BOOST_TEST(sole() == "unknown");
+  read(1);
+  BOOST_TEST(sole() == "v1");
+}
+
+// The version of one service stands for that of another.
+BOOST_AUTO_TEST_CASE(ARouteWithTwoServicesHasNoSoleVersion)
+{
+  ListOnly("v1", 40s);
+  RelayRoute route = *StreamRoute();
+  route.mTargets.push_back({ "others", 1 });
+  ArriveStream("a", 2, std::make_shared<const RelayRoute>(route));
+  FindOrigin("a", std::nullopt);
+  CheckRefused(RefusalKind::OriginUnknown);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// Plays streams that break and are resumed by their callers at one of two VMs,
+/// while engines of two versions come, go and are restarted.
+class RandomStreams
+{
+public:
+  void Step()
+  {
+    switch (*rc::gen::inRange(0, 8)) {
+      case 0:
+      case 1:
+        StartSome();
+        break;
+      case 2:
+        BreakSome();
+        break;
+      case 3:
+        ListSome();
+        break;
+      case 4:
+        AnswerSome();
+        break;
+      case 5:
+        AdvanceAll(std::chrono::milliseconds(*rc::gen::inRange(1, 1500)));
+        break;
+      default:
+        SendSome();
+    }
+  }
+
+private:
+  struct Stream
+  {
+    std::uint64_t mLastEventId = 0;  ///< That the caller has.
+    std::set<std::string> mVersions; ///< Of all events that it has.
+    bool mIsOpen = false;
+  };
+
+  struct OpenCall
+  {
+    RelayCommand mCommand;
+    std::string mVersion; ///< Of the process that runs it.
+    std::uint64_t mNextEvent = 1;
+  };
+
+  struct Vm
+  {
+    VersionFixture mFixture;
+    std::map<std::uint64_t, std::string> mKeys; ///< By request.
+    std::map<std::uint64_t, OpenCall> mCalls;   ///< By request.
+    std::vector<std::string> mNeeded;           ///< Keys that are looked up.
+  };
+
+  Vm& SomeVm() { return mVms[*rc::gen::inRange<std::size_t>(0, 2)]; }
+
+  static OpenCall* SomeCall(Vm& aVm)
+  {
+    if (aVm.mCalls.empty()) {
+      return nullptr;
+    }
+    auto it = aVm.mCalls.begin();
+    std::advance(it, *rc::gen::inRange<std::size_t>(0, aVm.mCalls.size()));
+    return &it->second;
+  }
+
+  void StartSome()
+  {
+    Vm& vm = SomeVm();
+    const std::string key = std::to_string(*rc::gen::inRange(0, 6));
+    Stream& stream = mStreams[key];
+    if (stream.mIsOpen) {
+      return;
+    }
+    stream.mIsOpen = true;
+    // A stream of which nothing was received begins anew, with a new id.
+    mAttempts += stream.mLastEventId == 0 ? 1 : 0;
+    auto& name = mNames[key];
+    name =
+      stream.mLastEventId == 0 ? key + "/" + std::to_string(mAttempts) : name;
+    const auto id = vm.mFixture.mLastId + 1;
+    vm.mKeys[id] = key;
+    vm.mFixture.ArriveStream(name, stream.mLastEventId);
+    Collect(vm);
+  }
+
+  void SendSome()
+  {
+    Vm& vm = SomeVm();
+    OpenCall* call = SomeCall(vm);
+    if (call != nullptr && IsSent(vm, *call)) {
+      vm.mFixture.Event(call->mCommand, call->mNextEvent++);
+      Collect(vm);
+    }
+  }
+
+  void BreakSome()
+  {
+    Vm& vm = SomeVm();
+    OpenCall* call = SomeCall(vm);
+    if (call != nullptr && IsSent(vm, *call)) {
+      vm.mFixture.End(RelayCommand(call->mCommand), RelayFixture::Broken());
+      Collect(vm);
+    }
+  }
+
+  static bool IsSent(Vm& aVm, const OpenCall& aCall)
+  {
+    return aCall.mNextEvent > aCall.mCommand.mLastEventId + 1 ||
+           aVm.mFixture.mMachine.MayStillSend(
+             aCall.mCommand.mId, aCall.mCommand.mAttempt, aVm.mFixture.mNow);
+  }
+
+  /// Lists some engines at one VM; the other may still see the former ones.
+  void ListSome()
+  {
+    std::vector<RelayUpstream> engines;
+    for (const char* id : { "d1", "d2", "d3", "d4" }) {
+      const int version = *rc::gen::inRange(0, 4);
+      if (version > 0) {
+        engines.push_back(
+          VersionFixture::Engine(id, "a", version == 1 ? "v2" : "v1"));
+      }
+    }
+    Vm& vm = SomeVm();
+    vm.mFixture.List(std::move(engines));
+    Collect(vm);
+  }
+
+  void AnswerSome()
+  {
+    Vm& vm = SomeVm();
+    for (const std::string& key : std::exchange(vm.mNeeded, {})) {
+      const auto it = mAnnounced.find(key);
+      const bool isFound =
+        it != mAnnounced.end() && *rc::gen::inRange(0, 4) > 0;
+      vm.mFixture.FindOrigin(
+        key, isFound ? std::optional<StreamOrigin>(it->second) : std::nullopt);
+      Collect(vm);
+    }
+  }
+
+  void AdvanceAll(Duration aTime)
+  {
+    for (Vm& vm : mVms) {
+      vm.mFixture.Advance(aTime);
+      Collect(vm);
+    }
+  }
+
+  void Collect(Vm& aVm)
+  {
+    for (const RelayCommand& it : aVm.mFixture.TakeCommands()) {
+      OnCommand(aVm, it);
+    }
+  }
+
+  void OnCommand(Vm& aVm, const RelayCommand& aCommand)
+  {
+    Stream& stream = mStreams[aVm.mKeys.at(aCommand.mId)];
+    switch (aCommand.mKind) {
+      case RelayCommandKind::StartCall:
+        aVm.mCalls[aCommand.mId] = { aCommand,
+                                     aVm.mFixture.mMachine.ListedUpstreams()
+                                       .Find(aCommand.mUpstream)
+                                       ->mSoftwareVersion,
+                                     aCommand.mLastEventId + 1 };
+        break;
+      case RelayCommandKind::SendEvent:
+        ++stream.mLastEventId;
+        stream.mVersions.insert(aVm.mCalls.at(aCommand.mId).mVersion);
+        RC_ASSERT(stream.mVersions.size() == 1U);
+        break;
+      case RelayCommandKind::AnnounceOrigin:
+        mAnnounced.emplace(aCommand.mOriginKey, *aCommand.mOrigin);
+        break;
+      case RelayCommandKind::FindOrigin:
+        aVm.mNeeded.push_back(aCommand.mOriginKey);
+        break;
+      case RelayCommandKind::CancelCall:
+        aVm.mCalls.erase(aCommand.mId);
+        break;
+      case RelayCommandKind::Forget:
+        aVm.mCalls.erase(aCommand.mId);
+        stream.mIsOpen = false;
+        break;
+      default:
+        break;
+    }
+  }
+
+  std::array<Vm, 2> mVms;
+  std::map<std::string, Stream> mStreams;
+  std::map<std::string, std::string> mNames; ///< Keys of origins, by stream.
+  std::map<std::string, StreamOrigin> mAnnounced;
+  std::uint64_t mAttempts = 0;
+};
+
+} // namespace
+
+// Some order of breaks, restarts and lookups joins two versions.
+RC_BOOST_PROP(NoCallerGetsEventsOfTwoVersions, ())
+{
+  RandomStreams streams;
+  const int steps = *rc::gen::inRange(1, 200);
+  for (int n = 0; n < steps; ++n) {
+    streams.Step();
+  }
+}
--- a/UnitTests/Relay/UpstreamChooserTest.cpp
+++ b/UnitTests/Relay/UpstreamChooserTest.cpp
@@ -105,6 +105,28 @@
   BOOST_TEST(Choose() == "one");
 }
 
+// An upstream of another software version is chosen, or its capacity counts.
+BOOST_FIXTURE_TEST_CASE(OnlyTheAskedForVersionIsConsidered, ChooserFixture)
+{
+  RelayUpstream other = MakeUpstream("other");
+  other.mSoftwareVersion = "v2";
+  RelayUpstream busy = MakeUpstream("busy");
+  busy.mSoftwareVersion = "v1";
+  List({ other, busy });
+  mLoads.OnSent("busy", 0);
+  BOOST_TEST(Choose() == "other");
+  const double all = mChooser.CapacityFor(mQuery, kNow);
+  mQuery.mSoftwareVersion = "v1";
+  BOOST_TEST(Choose() == "busy");
+  BOOST_TEST(mChooser.CapacityFor(mQuery, kNow) < all);
+  mQuery.mExcludedUpstreams = { "busy" };
+  BOOST_TEST(Choose() == "no_upstream");
+  mQuery.mExcludedUpstreams.clear();
+  mQuery.mSoftwareVersion = "v3";
+  BOOST_TEST(Choose() == "no_upstream");
+  BOOST_TEST(mChooser.CapacityFor(mQuery, kNow) == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(MemoryLimitsAnEngine, ChooserFixture)
 {
   RelayUpstream engine = MakeUpstream("e");
