--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -327,13 +327,16 @@
     if (isNew ||
         known->second.mUpstream.mIsLeaving != entry.mUpstream.mIsLeaving ||
         known->second.mIsMissing != entry.mIsMissing ||
-        known->second.mUpstream.mStage != entry.mUpstream.mStage) {
+        known->second.mUpstream.mStage != entry.mUpstream.mStage ||
+        known->second.mUpstream.mSoftwareVersion !=
+          entry.mUpstream.mSoftwareVersion) {
       Log::Info("upstream_listed")
         .Field("upstream", id)
         .Field("service", entry.mUpstream.mService)
         .Field("address", entry.mUpstream.mAddress)
         .Field("zone", entry.mUpstream.mZone)
         .Field("stage", ToName(entry.mUpstream.mStage))
+        .Field("software", entry.mUpstream.mSoftwareVersion)
         .Field("leaving", entry.mUpstream.mIsLeaving)
         .Field("lapsed", entry.mIsMissing);
     }
@@ -452,6 +455,7 @@
     .Field("events", aSummary.mEventCount)
     .Field("calls", aSummary.mCallCount)
     .Field("upstream", aSummary.mUpstream)
+    .Field("software", aSummary.mSoftwareVersion)
     .Field("version", mView.Version())
     .Field("gap_ms", ToMillis(aSummary.mMaxEventGap))
     .Field("first_ms", ToMillis(aSummary.mTimeToFirstEvent))
@@ -474,6 +478,21 @@
   }
 }
 
+void
+NodeProcess::OnOriginDecided(const std::string& /*aKey*/,
+                             const StreamOrigin& /*aOrigin*/)
+{
+}
+
+void
+NodeProcess::OnOriginNeeded(const std::string& aKey)
+{
+  mExecutor.Deliver(
+    [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
+      aMachine.OnOriginFound(aKey, std::nullopt, aNow, aOut);
+    });
+}
+
 void
 NodeProcess::OnPeerWork(const std::string& aVm, const WorkByUpstream& aWork)
 {
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -5,6 +5,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/RelayConfiguration.h>
+#include <Peridothoist/Relay/StreamOriginTable.h>
 #include <Peridothoist/Relay/UpstreamList.h>
 #include <Peridothoist/Request/CallResults.h>
 #include <Peridothoist/Request/Refusal.h>
@@ -28,6 +29,9 @@
   std::uint64_t mPromptTokens = 0; ///< 0: not stated.
   std::uint32_t mPriority = 5;     ///< 0 is the highest.
   std::uint64_t mLastEventId = 0;  ///< Last event the caller already has.
+  /// The caller resumes a stream of an earlier attempt.
+  bool mIsResumed = false;
+  std::string mOriginKey; ///< Key of the stream's origin.
   TimePoint mArrivedAt;
   TimePoint mDeadline; ///< The caller's or the route's, the earlier one.
   Duration mCallerTimeout{ 0 }; ///< Total time that the caller waits.
@@ -46,6 +50,8 @@
   SendRefusal,        ///< Send an error response of our own.
   EndStream,          ///< End the caller's stream as complete.
   AbortStream,        ///< End the caller's stream visibly incomplete.
+  AnnounceOrigin,     ///< Tell other VMs where a stream began.
+  FindOrigin,         ///< Ask other VMs; leads to OnOriginFound.
   Forget              ///< The request is over; free its resources.
 };
 
@@ -117,6 +123,10 @@
   CancelReason mCancelReason = CancelReason::CallerGone;
   Duration mSilence{ 0 }; ///< CancelCall: since the upstream last sent.
 
+  std::string mOriginKey; ///< AnnounceOrigin, FindOrigin.
+  /// AnnounceOrigin; Forget, for the log: empty if the stream has none.
+  std::optional<StreamOrigin> mOrigin;
+
   // Responses to the caller
   RelayResponse mResponse;         ///< SendHead, SendResponse.
   std::string mEvent;              ///< SendEvent: as received.
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -21,6 +21,7 @@
   , mPlanner(aSettings.mPlanner)
   , mSuspects(aSettings.mSuspects)
   , mBrokenCalls(aSettings.mCrashWindow)
+  , mOrigins(aSettings.mOrigins)
 {
 }
 
@@ -112,6 +113,10 @@
     Refuse(state, RefusalKind::Quarantined);
     return;
   }
+  if (state.mRequest.mIsResumed && state.mRequest.mRoute->mIsResumable) {
+    PlaceResumed(state);
+    return;
+  }
   PlaceRequest(state);
 }
 
@@ -240,7 +245,8 @@
     mPolicy->Refund(aState.mRequest, mNow);
   }
   mWaiting.erase({ aState.mRequest.mPriority, id });
-  Command(RelayCommandKind::Forget, aState);
+  StopAwaitingOrigin(aState);
+  Command(RelayCommandKind::Forget, aState).mOrigin = aState.mOrigin;
   mRequests.erase(id);
 }
 
@@ -320,8 +326,8 @@
       if (current) {
         OnInactivityTimer(*state);
       }
-    } else if (!state->mCall) {
-      PlaceRequest(*state);
+    } else {
+      OnWaitTimer(*state);
     }
   }
 }
