--- a/Peridothoist/Node/CborMessage.h
+++ b/Peridothoist/Node/CborMessage.h
@@ -30,4 +30,23 @@
   }
 }
 
+/// Returns whether bytes start as ToCbor() encodes an array that begins with
+/// the text aTag, of up to 23 bytes. A message of another type is told apart by
+/// this without decoding it.
+inline bool
+HasCborTag(std::string_view aBytes, std::string_view aTag)
+{
+  constexpr unsigned char kShortArray = 0x80;
+  constexpr unsigned char kShortText = 0x60;
+  constexpr unsigned char kLengthBits = 0x1f;
+  if (aBytes.size() < aTag.size() + 2) {
+    return false;
+  }
+  const auto array = static_cast<unsigned char>(aBytes[0]);
+  const auto text = static_cast<unsigned char>(aBytes[1]);
+  return (array & ~kLengthBits) == kShortArray &&
+         text == (kShortText | aTag.size()) &&
+         aBytes.substr(2, aTag.size()) == aTag;
+}
+
 } // namespace peridothoist::detail
