--- a/Peridothoist/Node/PeerSocket.h
+++ b/Peridothoist/Node/PeerSocket.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Node/PeerSender.h>
 #include <Peridothoist/Shell/Reactor.h>
 
 #include <ace/SOCK_Dgram.h>
@@ -20,7 +21,9 @@
 };
 
 /// A datagram socket that is registered with the reactor.
-class PeerSocket : public DescriptorListener
+class PeerSocket
+  : public DescriptorListener
+  , public PeerSender
 {
 public:
   /// Listens on aAddress, "ip:port". Returns nullptr if that fails. The
@@ -32,10 +35,8 @@
   PeerSocket(const PeerSocket&) = delete;
   PeerSocket& operator=(const PeerSocket&) = delete;
 
-  /// Sends to aAddress, "ip:port". Drops the datagram if the socket cannot take
-  /// it now.
-  void Send(const std::string& aAddress, const std::string& aBytes);
-
+  // See: PeerSender. Drops the datagram if the socket cannot take it now.
+  void Send(const std::string& aAddress, const std::string& aBytes) override;
   // See: DescriptorListener
   void OnReadable(int aDescriptor) override;
 
