Exchange origins of streams over the socket for gossip

Change: NodeGossip owns the exchange, hands it datagrams first and passes the registered VMs on; the counts are exported. Nothing announces or looks up origins yet.

--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -50,6 +50,12 @@
                 "peer_listen: cannot listen on " + aSettings.mPeerListen);
     return nullptr;
   }
+  gossip->mOrigins =
+    std::make_unique<StreamOriginExchange>(aSettings.mOrigins,
+                                           aSettings.Record(),
+                                           aReactor,
+                                           gossip->mSocket.get(),
+                                           aListener);
   gossip->Tick();
   return gossip;
 }
@@ -125,6 +131,7 @@
     names.insert(name);
   }
   mMembers.SetRegistered(names, mReactor->Now());
+  mOrigins->SetVms(aVms);
   const CellId before = Cells().OwnCell();
   const std::size_t cellsBefore = Cells().Layout().Cells().size();
   mCells.Membership().SetVms(aVms);
@@ -291,6 +298,9 @@
 void
 NodeGossip::OnMessage(std::string_view aBytes)
 {
+  if (mOrigins->OnMessage(aBytes)) {
+    return;
+  }
   if (auto message = DecodeGossipMessage(aBytes)) {
     ApplyMessage(std::move(*message));
   } else if (const auto summary = DecodeGossipSummary(aBytes)) {
--- a/Peridothoist/Node/NodeGossip.h
+++ b/Peridothoist/Node/NodeGossip.h
@@ -6,6 +6,7 @@
 #include <Peridothoist/Node/CellGossip.h>
 #include <Peridothoist/Node/NodeSettings.h>
 #include <Peridothoist/Node/PeerSocket.h>
+#include <Peridothoist/Node/StreamOriginExchange.h>
 #include <Peridothoist/Relay/MembershipTable.h>
 #include <Peridothoist/Relay/RelayStateMachine.h>
 #include <Peridothoist/Relay/WorkspaceRateLimiter.h>
@@ -14,7 +15,9 @@
 namespace peridothoist {
 
 /// Supplies state of the node process and handles gossip events.
-class NodeGossipListener : public PeerReportListener
+class NodeGossipListener
+  : public PeerReportListener
+  , public StreamOriginListener
 {
 public:
   /// Sets what this VM serves and whether it is leaving.
@@ -52,7 +55,12 @@
   const MembershipTable& Members() const { return mMembers; }
   const CellMembership& Cells() const { return mCells.Membership(); }
 
-  /// Replaces the registered VMs, which decide the layout of cells.
+  /// Returns the exchange of stream origins, which uses the socket for gossip.
+  StreamOriginExchange& Origins() { return *mOrigins; }
+  const StreamOriginExchange& Origins() const { return *mOrigins; }
+
+  /// Replaces the registered VMs, which decide the layout of cells and which
+  /// VMs keep the origins of streams.
   void SetVms(const VmRecords& aVms);
 
   /// Returns where all reachable VMs known here accept callers.
@@ -109,7 +117,8 @@
   MembershipTable mMembers;
   CellGossip mCells;
   std::unique_ptr<PeerSocket> mSocket;
-  std::set<std::string> mKnownAddresses; ///< From seeds and gossip.
+  std::unique_ptr<StreamOriginExchange> mOrigins; ///< Uses mSocket.
+  std::set<std::string> mKnownAddresses;          ///< From seeds and gossip.
   std::uint64_t mSequence = 0;
   Reactor::TimerId mPublishTimer = 0;
   Reactor::TimerId mEarlyPublishTimer = 0;
--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -94,6 +94,29 @@
   }
 }
 
+void
+NodeMetrics::UpdateOriginCounts(const StreamOriginCounts& aCounts)
+{
+  const auto set = [this](const char* aName, std::uint64_t aValue) {
+    SetCounter(std::string("peridothoist_origin") + aName + "_total", aValue);
+  };
+  set("s_announced", aCounts.mAnnounced);
+  set("s_received", aCounts.mOriginsReceived);
+  set("_notices_sent", aCounts.mNoticesSent);
+  set("_queries_sent", aCounts.mQueriesSent);
+  set("_queries_received", aCounts.mQueriesReceived);
+  const std::pair<const char*, std::uint64_t> results[] = {
+    { "here", aCounts.mFoundHere },
+    { "peer", aCounts.mFoundAtPeers },
+    { "unknown", aCounts.mUnknown },
+    { "refused", aCounts.mRefused },
+  };
+  for (const auto& [result, count] : results) {
+    SetCounter(
+      "peridothoist_origin_lookups_total", count, { { "result", result } });
+  }
+}
+
 void
 NodeMetrics::UpdateGauges(const NodeGauges& aGauges)
 {
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -3,6 +3,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/RelayExecutor.h>
+#include <Peridothoist/Node/StreamOriginExchange.h>
 #include <Peridothoist/Shell/Log.h>
 #include <Peridothoist/Shell/Metrics.h>
 
@@ -43,6 +44,7 @@
   /// Set the exported values from the current state; called before each
   /// scrape.
   void UpdateCounters(const RelayCounters& aCounters);
+  void UpdateOriginCounts(const StreamOriginCounts& aCounts);
   void UpdateGauges(const NodeGauges& aGauges);
   void UpdateLogLosses(const DroppedLogLines& aLosses);
 
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -495,6 +495,13 @@
   mViews.OnResponse(aResponse);
 }
 
+/// Nothing starts lookups yet.
+void
+NodeProcess::OnOriginFound(const std::string& /*aKey*/,
+                           std::optional<StreamOrigin> /*aOrigin*/)
+{
+}
+
 /// Returns whether this VM is the one that sends stage orders: the first
 /// reachable VM by name, provided that it serves all routes and reaches enough
 /// of the registered VMs.
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -105,6 +105,8 @@
   std::optional<ViewResponse> OnViewQuery(const ViewQuery& aQuery) override;
   void OnViewResponse(const ViewResponse& aResponse) override;
   void OnPeerWork(const std::string& aVm, const WorkByUpstream& aWork) override;
+  void OnOriginFound(const std::string& aKey,
+                     std::optional<StreamOrigin> aOrigin) override;
   // See: RelayExecutorListener
   void OnRequestFinished(const RelayRequestSummary& aSummary) override;
   void OnCallFinished(RelayCallKind aKind,
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -5,6 +5,7 @@
 #include <Peridothoist/Core/Reason.h>
 #include <Peridothoist/Cells/CellMembership.h>
 #include <Peridothoist/Node/StageOrderManager.h>
+#include <Peridothoist/Node/StreamOriginExchange.h>
 #include <Peridothoist/Node/ViewUpdater.h>
 #include <Peridothoist/Relay/CallerDirectory.h>
 #include <Peridothoist/Relay/ConfirmedView.h>
@@ -77,6 +78,7 @@
   WorkspaceRateLimiterSettings mRateLimiter;
   ViewUpdaterSettings mViews;
   RelayStateMachineSettings mMachine;
+  StreamOriginExchangeSettings mOrigins;
 
   /// Returns this VM's registration.
   VmRecord Record() const { return { mVm, mZone, mPeerListen }; }
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -75,6 +75,18 @@
   std::map<std::string, std::map<std::string, std::string>> mTables;
 };
 
+/// Keeps the datagrams that a socket receives.
+struct DatagramRecorder : PeerSocketListener
+{
+  // See: PeerSocketListener
+  void OnMessage(std::string_view aBytes) override
+  {
+    mReceived.emplace_back(aBytes);
+  }
+
+  std::vector<std::string> mReceived;
+};
+
 /// A node with one caller and one upstream.
 struct NodeFixture : ShellFixture
 {
@@ -237,6 +249,32 @@
              UniqueLoopbackAddress() + ":8221");
 }
 
+// Guards against a node that does not handle the messages about origins, or
+// that sends its responses from nowhere.
+BOOST_AUTO_TEST_CASE(PeersGetTheOriginsThatTheNodeKeeps)
+{
+  StartNode();
+  DatagramRecorder peer;
+  const std::string nodeAddress = UniqueLoopbackAddress() + ":7600";
+  const std::string peerAddress = UniqueLoopbackAddress() + ":7609";
+  const auto socket = PeerSocket::Create(peerAddress, mReactor.get(), &peer);
+  BOOST_REQUIRE(socket != nullptr);
+  const StreamOrigin origin{ "s", "v1" };
+  socket->Send(nodeAddress, "no message");
+  socket->Send(nodeAddress, EncodeOriginNotice({ { { "id-1", origin } } }));
+  socket->Send(nodeAddress, EncodeOriginQuery({ 1, "id-1", peerAddress }));
+  socket->Send(nodeAddress, EncodeOriginQuery({ 2, "id-2", peerAddress }));
+  BOOST_REQUIRE(Until([&] { return peer.mReceived.size() == 2; }));
+  const auto known = DecodeOriginResponse(peer.mReceived[0]);
+  const auto unknown = DecodeOriginResponse(peer.mReceived[1]);
+  BOOST_REQUIRE((known && unknown));
+  BOOST_TEST((known->mId == 1 && known->mOrigin == origin));
+  BOOST_TEST((unknown->mId == 2 && !unknown->mOrigin));
+  const auto metrics = CallAndWait(MakeGet(7601, "/metrics"))->mBody;
+  BOOST_TEST(metrics.find("peridothoist_origins_received_total 1") !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(WithdrawnKeyIsRejected)
 {
   StartNode();
