Name the counters of the exchange of origins after it

Cause: the state machine counts the origins of its own streams, and its names would be the same. Change: the prefix peridothoist_origin_exchange_. Run: NodeProcessTest (10 cases pass); clang-format and clang-tidy clean.

--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -98,13 +98,14 @@
 NodeMetrics::UpdateOriginCounts(const StreamOriginCounts& aCounts)
 {
   const auto set = [this](const char* aName, std::uint64_t aValue) {
-    SetCounter(std::string("peridothoist_origin") + aName + "_total", aValue);
+    SetCounter(std::string("peridothoist_origin_exchange_") + aName + "_total",
+               aValue);
   };
-  set("s_announced", aCounts.mAnnounced);
-  set("s_received", aCounts.mOriginsReceived);
-  set("_notices_sent", aCounts.mNoticesSent);
-  set("_queries_sent", aCounts.mQueriesSent);
-  set("_queries_received", aCounts.mQueriesReceived);
+  set("announced", aCounts.mAnnounced);
+  set("received", aCounts.mOriginsReceived);
+  set("notices_sent", aCounts.mNoticesSent);
+  set("queries_sent", aCounts.mQueriesSent);
+  set("queries_received", aCounts.mQueriesReceived);
   const std::pair<const char*, std::uint64_t> results[] = {
     { "here", aCounts.mFoundHere },
     { "peer", aCounts.mFoundAtPeers },
@@ -112,8 +113,9 @@
     { "refused", aCounts.mRefused },
   };
   for (const auto& [result, count] : results) {
-    SetCounter(
-      "peridothoist_origin_lookups_total", count, { { "result", result } });
+    SetCounter("peridothoist_origin_exchange_lookups_total",
+               count,
+               { { "result", result } });
   }
 }
 
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -271,7 +271,7 @@
   BOOST_TEST((known->mId == 1 && known->mOrigin == origin));
   BOOST_TEST((unknown->mId == 2 && !unknown->mOrigin));
   const auto metrics = CallAndWait(MakeGet(7601, "/metrics"))->mBody;
-  BOOST_TEST(metrics.find("peridothoist_origins_received_total 1") !=
+  BOOST_TEST(metrics.find("peridothoist_origin_exchange_received_total 1") !=
              std::string::npos);
 }
 
