--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -110,6 +110,31 @@
   }
 }
 
+void
+NodeMetrics::UpdateOriginCounts(const StreamOriginCounts& aCounts)
+{
+  const auto set = [this](const char* aName, std::uint64_t aValue) {
+    SetCounter(std::string("peridothoist_origin_exchange_") + aName + "_total",
+               aValue);
+  };
+  set("announced", aCounts.mAnnounced);
+  set("received", aCounts.mOriginsReceived);
+  set("notices_sent", aCounts.mNoticesSent);
+  set("queries_sent", aCounts.mQueriesSent);
+  set("queries_received", aCounts.mQueriesReceived);
+  const std::pair<const char*, std::uint64_t> results[] = {
+    { "here", aCounts.mFoundHere },
+    { "peer", aCounts.mFoundAtPeers },
+    { "unknown", aCounts.mUnknown },
+    { "refused", aCounts.mRefused },
+  };
+  for (const auto& [result, count] : results) {
+    SetCounter("peridothoist_origin_exchange_lookups_total",
+               count,
+               { { "result", result } });
+  }
+}
+
 void
 NodeMetrics::UpdateGauges(const NodeGauges& aGauges)
 {
