Let the soak find streams that a node cuts

Change: "pause" is one of the faults of an upstream, and a new fault, pause_engines, makes one decode engine pause while all others pause too or refuse. The new invariant CUT reports a stream that a connected node ended incomplete before its deadline, although the run that ended last was whole or was closed by the node at an upstream that neither failed nor left.

--- a/SystemTests/soak/faults.py
+++ b/SystemTests/soak/faults.py
@@ -34,6 +34,7 @@
             self.kill, self.kill_all, self.suspend, self.rolling_restart,
             self.change_settings, self.disturb_store_connection,
             self.disturb_store, self.crash, self.drain, self.disturb_upstream,
+            self.pause_engines,
         ]
         for _ in range(count):
             self.rng.choice(kinds)(self.rng.uniform(1, seconds))
@@ -217,10 +218,10 @@
         )
 
     def disturb_upstream(self, start_time):
-        """Makes an upstream fail in one way for some seconds."""
+        """Makes an upstream fail in one way, or pause, for some seconds."""
         upstream = self.rng.choice(self.cluster.upstreams)
         kind = self.rng.choice(
-            ["lost", "half", "errors", "hang", "shed", "slow", "crossed"]
+            ["lost", "half", "errors", "hang", "shed", "slow", "crossed", "pause"]
         )
         seconds = self.rng.choice([0.5, 2, 5])
         if not self._reserve(upstream, start_time, seconds + 0.2):
@@ -236,3 +237,28 @@
             start_time + seconds, f"{upstream.address} fault is over",
             lambda: set_fault(None)
         )
+
+    def pause_engines(self, start_time):
+        """Makes one decode engine pause for some seconds while all others pause too
+        or refuse requests."""
+        engines = [it for it in self.cluster.upstreams if it.service == "lm"]
+        number = self.rng.randrange(len(engines))
+        other_kind = self.rng.choice(["pause", "shed"])
+        seconds = self.rng.choice([0.5, 2, 5])
+        engines = [
+            it for it in engines if self._reserve(it, start_time, seconds + 0.2)
+        ]
+
+        def start_fault():
+            # Engines change their stage, so it is known only now which ones decode.
+            decodes = [it for it in engines if it.stage == "decode"]
+            for n, engine in enumerate(decodes):
+                is_first = n == number % len(decodes)
+                engine.fault = "pause" if is_first else other_kind
+
+        def end_fault():
+            for engine in engines:
+                engine.fault = None
+
+        self._schedule(start_time, f"pause engines, others {other_kind}", start_fault)
+        self._schedule(start_time + seconds, "engines no longer pause", end_fault)
--- a/SystemTests/soak/invariants.py
+++ b/SystemTests/soak/invariants.py
@@ -9,12 +9,20 @@
 import bisect
 from collections import Counter, defaultdict
 
+from users_platform.upstreams import BROKEN
+
 # Longest time for which a withdrawn key may still be used: --revoke_limit_ms.
 MAX_REVOKE_SECONDS = 5.0
 # Longest time for which a leaving upstream may still get new requests.
 MAX_LEAVING_SECONDS = 2.0
 RECONNECT_SECONDS = 3.0  # Recovery time of a node after the end of a fault.
 RESPONSE_SLACK_SECONDS = 1.0  # Time for a response after the caller timeout.
+ROUTE_TIMEOUT_SECONDS = 4.0  # timeoutMs of all routes.
+# Time before its deadline from which the end of a stream may be due to the deadline.
+DEADLINE_SLACK_SECONDS = 0.5
+# Longest time until an upstream in good order records that a node has closed the
+# connection of a run.
+CLOSE_NOTICE_SECONDS = 0.5
 # Retry budget of a service: a fraction of the requests of the window, and a fixed
 # number of retries besides.
 RETRY_RATIO, RETRY_FIXED_COUNT, RETRY_WINDOW_SECONDS = 0.2, 50, 10.0
@@ -81,6 +89,7 @@
             self._check_response(attempt)
             self._check_not_run(attempt, runs)
             self._check_completion(attempt, runs)
+        self._check_streams(received_requests)
         for it in received_requests:
             self._check_upstream_request(it, runs)
         self._check_orders()
@@ -138,6 +147,49 @@
                 f"broken off when {attempt.node} was terminated"
             )
 
+    def _check_streams(self, received_requests):
+        """Checks that no connected node ends a stream that its last upstream would
+        have continued or has sent whole."""
+        runs_by_id = defaultdict(list)
+        for it in received_requests:
+            if it.ran:
+                runs_by_id[it.request_id].append(it)
+        for attempt in list(self.record.ended):
+            if self._was_cut(attempt, runs_by_id[attempt.request_id]):
+                last = max(runs_by_id[attempt.request_id], key=lambda it: it.ended_at)
+                duration = attempt.ended_at - attempt.sent_at
+                events = attempt.response_body.count(b"\n\n")
+                text = f"sent at {attempt.sent_at:.3f} to {attempt.node}, ended after "
+                text += f"{duration:.3f} s with {events} of {attempt.events} events; "
+                text += f"run at {last.upstream}: {last.end}"
+                self._report("CUT", attempt.request_id, text)
+
+    def _was_cut(self, attempt, runs):
+        """Returns whether the stream certainly ended incomplete by a decision of its
+        node alone."""
+        if attempt.kind != "stream" or attempt.status != 200 or attempt.is_complete:
+            return False
+        timeout = min(attempt.caller_timeout, ROUTE_TIMEOUT_SECONDS)
+        if attempt.ended_at > attempt.sent_at + timeout - DEADLINE_SLACK_SECONDS:
+            return False
+        if not self.record.was_connected(
+            attempt.node, attempt.sent_at, attempt.ended_at
+        ):
+            return False
+        if not runs or any(not it.end for it in runs):
+            return False  # The last run is not known, or not yet.
+        last_end = max(it.ended_at for it in runs)
+        # The node may have closed another run shortly before that is recorded.
+        return not any(
+            it.ended_at >= last_end - CLOSE_NOTICE_SECONDS
+            and (
+                it.end == BROKEN
+                or it.is_at_fault
+                or it.upstream in self.record.left_at
+            )
+            for it in runs
+        )
+
     def _check_upstream_request(self, received, runs):
         attempt = self.record.attempts.get(received.request_id)
         if attempt is None:
--- /dev/null
+++ b/SystemTests/test_upstream_standins.py
@@ -0,0 +1,185 @@
+"""Tests of the stand-ins for the users' upstreams and of the invariant that the soak
+checks on their records, without any process of the product."""
+
+import json
+import os
+import time
+import unittest
+
+from harness.caller import call
+from harness.process import wait_until
+from harness.tcp_proxy import ProxyLoop
+from soak.invariants import InvariantChecker, Record
+from users_platform.callers import RequestAttempt
+from users_platform.store import Store
+from users_platform.upstreams import (
+    BROKEN, CLOSED, PAUSE_SECONDS, WHOLE, ReceivedRequest, SharedState, Upstream,
+)
+
+NETWORK = f"127.{90 + os.getpid() // 250 % 20}.{1 + os.getpid() % 250}"
+SLOTS = 2
+
+
+class UpstreamTest(unittest.TestCase):
+    def setUp(self):
+        loop = ProxyLoop()
+        self.addCleanup(loop.stop)
+        self.shared_state = SharedState(Store(f"{NETWORK}.2:8226"))
+        self.upstream = Upstream(
+            self.shared_state, "lm", "zone-a", f"{NETWORK}.3:9000", slots=SLOTS
+        )
+        loop.run(self.upstream.start())
+        self.addCleanup(lambda: loop.run(self.upstream.crash()))
+
+    def send(self, method, path, body="", headers=None, timeout=4):
+        return call(
+            self.upstream.address, method, path, body, headers or {}, timeout=timeout
+        )
+
+    def reserve(self, lifetime_ms=5000):
+        """Returns the status, and the id of the reservation if there is one."""
+        body = json.dumps({"tokens": 10, "ttlMs": lifetime_ms})
+        response = self.send("POST", "/-/hold-take", body)
+        name = json.loads(response.body)["hold"] if response.status == 200 else None
+        return response.status, name
+
+    def stream(self, request_id, events=6, headers=None, timeout=4):
+        headers = {
+            "Request-Id": request_id, "Token-Count": f"10,{events}", **(headers or {})
+        }
+        return self.send("POST", "/stream/x", "", headers, timeout)
+
+    def last_run(self):
+        return [it for it in self.shared_state.received_requests if it.ran][-1]
+
+    def wait_for_end(self):
+        """Returns how the last run ended. The stand-in records that just after the
+        caller can read the response."""
+        return wait_until(lambda: self.last_run().end, 1, "the run has ended")
+
+    # Guards against tests that pass because a full engine accepts reservations.
+    def test_reservations_take_slots_until_used_dropped_or_expired(self):
+        names = [self.reserve()[1] for _ in range(SLOTS)]
+        self.assertEqual(len(set(names)), SLOTS)
+        self.assertEqual(self.reserve()[0], 503)
+        self.send("DELETE", f"/-/hold-drop/{names[0]}")
+        status, name = self.reserve(lifetime_ms=200)
+        self.assertEqual(status, 200)
+        self.assertEqual(self.reserve()[0], 503)
+        time.sleep(0.3)
+        self.assertEqual(self.reserve()[0], 200)
+        self.assertEqual(self.reserve()[0], 503)
+        used = self.stream("r1", headers={"Kv-Hold": names[1]})
+        self.assertEqual(used.status, 200)
+        self.assertEqual(self.wait_for_end(), WHOLE)
+        wait_until(lambda: not self.upstream.open_runs, 1, "the slot is free")
+        self.assertEqual(self.reserve()[0], 200)
+
+    # Guards against tests in which an engine sheds requests, yet reserves.
+    def test_shedding_upstream_refuses_reservations(self):
+        self.upstream.fault = "shed"
+        self.assertEqual(self.reserve()[0], 503)
+
+    # Guards against tests whose faults do not happen, and against wrong records.
+    def test_paused_stream_is_whole_and_late(self):
+        self.upstream.fault = "pause"
+        started = time.monotonic()
+        self.assertEqual(self.stream("r1").body.count(b"\n\n"), 6)
+        duration = time.monotonic() - started
+        self.assertGreater(duration, PAUSE_SECONDS)
+        self.assertLess(duration, 2 * PAUSE_SECONDS)
+        self.assertEqual(self.wait_for_end(), WHOLE)
+
+    def test_record_states_how_runs_ended(self):
+        self.upstream.fault = "half"
+        self.stream("r1")
+        self.assertEqual(self.wait_for_end(), BROKEN)
+        self.upstream.fault = "pause"
+        self.stream("r2", timeout=0.5)
+        self.assertEqual(self.wait_for_end(), CLOSED)
+        self.assertFalse(self.last_run().is_at_fault)
+        self.upstream.fault = "stall"
+        self.stream("r3", timeout=0.5)
+        self.assertTrue(self.last_run().is_at_fault)
+
+
+class CutInvariantTest(unittest.TestCase):
+    """Each test changes one thing about a stream that was cut."""
+
+    def setUp(self):
+        self.record = Record(SharedState(None), {})
+        self.record.workspaces = {"k": "w"}
+        self.attempt = RequestAttempt(
+            "r", "stream", "vm-0", "k", b"", 6, caller_timeout=5.0, sent_at=100.0,
+            ended_at=101.0, status=200, headers={"request-id": "r"},
+        )
+        self.add_run("i-1", 100.0, CLOSED, 101.0)
+        self.record.attempts["r"] = self.attempt
+        self.record.ended.append(self.attempt)
+
+    def add_run(self, upstream, received_at, end, ended_at):
+        self.record.shared_state.received_requests.append(
+            ReceivedRequest(
+                received_at, "r", upstream, "lm", {"tenant-id": "w"}, ran=True,
+                end=end, ended_at=ended_at,
+            )
+        )
+
+    def first_run(self):
+        return self.record.shared_state.received_requests[0]
+
+    def check(self, is_violation):
+        checker = InvariantChecker(self.record)
+        checker.check()
+        kinds = [it.split(":")[0] for it in checker.violations]
+        self.assertEqual(kinds, ["CUT"] if is_violation else [])
+
+    def test_stream_closed_by_its_node_is_cut(self):
+        self.check(True)
+
+    def test_stream_sent_whole_by_its_upstream_is_cut(self):
+        self.first_run().end = WHOLE
+        self.check(True)
+
+    def test_stream_whose_retry_was_closed_is_cut(self):
+        self.first_run().end = BROKEN
+        self.add_run("i-2", 101.1, CLOSED, 102.1)
+        self.attempt.ended_at = 102.1
+        self.check(True)
+
+    def test_complete_stream_is_not_cut(self):
+        self.attempt.is_complete = True
+        self.attempt.response_body = self.attempt.expected
+        self.check(False)
+
+    def test_stream_broken_by_its_upstream_is_not_cut(self):
+        self.first_run().end = BROKEN
+        self.check(False)
+
+    def test_stream_of_failing_upstream_is_not_cut(self):
+        self.first_run().is_at_fault = True
+        self.check(False)
+
+    def test_stream_of_leaving_upstream_is_not_cut(self):
+        self.record.left_at["i-1"] = 99.0
+        self.check(False)
+
+    def test_stream_that_still_runs_is_not_cut_yet(self):
+        self.first_run().end = ""
+        self.check(False)
+
+    def test_stream_broken_after_another_run_was_closed_is_not_cut(self):
+        self.add_run("i-2", 100.5, BROKEN, 100.9)
+        self.check(False)
+
+    def test_stream_of_disconnected_node_is_not_cut(self):
+        self.record.mark_disconnected("vm-0", 100.5)
+        self.check(False)
+
+    def test_stream_at_its_deadline_is_not_cut(self):
+        self.attempt.ended_at = self.first_run().ended_at = 104.0
+        self.check(False)
+
+
+if __name__ == "__main__":
+    unittest.main()
