--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -479,18 +479,16 @@
 }
 
 void
-NodeProcess::OnOriginDecided(const std::string& /*aKey*/,
-                             const StreamOrigin& /*aOrigin*/)
+NodeProcess::OnOriginDecided(const std::string& aKey,
+                             const StreamOrigin& aOrigin)
 {
+  mGossip->Origins().Announce(aKey, aOrigin);
 }
 
 void
 NodeProcess::OnOriginNeeded(const std::string& aKey)
 {
-  mExecutor.Deliver(
-    [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
-      aMachine.OnOriginFound(aKey, std::nullopt, aNow, aOut);
-    });
+  mGossip->Origins().Find(aKey);
 }
 
 void
@@ -514,11 +512,14 @@
   mViews.OnResponse(aResponse);
 }
 
-/// Nothing starts lookups yet.
 void
-NodeProcess::OnOriginFound(const std::string& /*aKey*/,
-                           std::optional<StreamOrigin> /*aOrigin*/)
+NodeProcess::OnOriginFound(const std::string& aKey,
+                           std::optional<StreamOrigin> aOrigin)
 {
+  mExecutor.Deliver(
+    [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
+      aMachine.OnOriginFound(aKey, std::move(aOrigin), aNow, aOut);
+    });
 }
 
 /// Returns whether this VM is the one that sends stage orders: the first
--- a/Peridothoist/Relay/RelayAdmission.cpp
+++ b/Peridothoist/Relay/RelayAdmission.cpp
@@ -143,9 +143,12 @@
   admitted.mLastEventId = aRequest.mLastEventId;
   admitted.mIsResumed =
     route->mKind == RouteKind::Stream && aRequest.mLastEventId > 0;
-  admitted.mOriginKey = admitted.mIsResumed && !aRequest.mResumedRequest.empty()
-                          ? aRequest.mResumedRequest
-                          : aRequest.mName;
+  // Callers of two workspaces may use the same id.
+  const bool namesOrigin =
+    admitted.mIsResumed && !aRequest.mResumedRequest.empty();
+  admitted.mOriginKey =
+    admitted.mWorkspace + '/' +
+    (namesOrigin ? aRequest.mResumedRequest : aRequest.mName);
   admitted.mArrivedAt = aNow;
   admitted.mCallerTimeout = callerTimeout;
   admitted.mDeadline = aNow + route->mTimeout;
--- a/Peridothoist/Relay/RelayTakeover.cpp
+++ b/Peridothoist/Relay/RelayTakeover.cpp
@@ -133,7 +133,8 @@
                                      const std::string& aUpstream)
 {
   const RelayUpstream* next = mUpstreamList.Find(aUpstream);
-  const bool isUsable = next != nullptr && !next->mIsLeaving;
+  const bool isUsable =
+    next != nullptr && !next->mIsLeaving && FitsOrigin(aState, *next);
   if (!IsSilent(aState)) {
     ReleaseReservation(aState);
     ArmInactivityTimer(aState);
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -167,11 +167,11 @@
     const auto admitted = admission.Admit(1, request, kNow, &refusal);
     return admitted->mOriginKey + (admitted->mIsResumed ? " resumed" : "");
   };
-  BOOST_TEST(keyOf("/stream/", 0, "") == "new");
-  BOOST_TEST(keyOf("/stream/", 0, "first") == "new");
-  BOOST_TEST(keyOf("/stream/", 3, "first") == "first resumed");
-  BOOST_TEST(keyOf("/stream/", 3, "") == "new resumed");
-  BOOST_TEST(keyOf("/plain/", 3, "first") == "new");
+  BOOST_TEST(keyOf("/stream/", 0, "") == "/new");
+  BOOST_TEST(keyOf("/stream/", 0, "first") == "/new");
+  BOOST_TEST(keyOf("/stream/", 3, "first") == "/first resumed");
+  BOOST_TEST(keyOf("/stream/", 3, "") == "/new resumed");
+  BOOST_TEST(keyOf("/plain/", 3, "first") == "/new");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Relay/SoftwareVersionTest.cpp
+++ b/UnitTests/Relay/SoftwareVersionTest.cpp
@@ -156,10 +156,33 @@
   const auto call = Call(ArriveStream("a"));
   Event(call, 1);
   TakeCommands();
-  Advance(1s);
+  Advance(MakeSettings().mEventGapTimeout + 100ms);
+  BOOST_TEST(Called() == Ids{ "d3" }, boost::test_tools::per_element());
+  const RelayCommand reserve = Call(call.mId);
+  BOOST_TEST((reserve.mCallKind == RelayCallKind::Reserve));
+  TakeCommands();
+  End(reserve, Reserved("k"));
   BOOST_TEST(Called() == Ids{ "d3" }, boost::test_tools::per_element());
 }
 
+// An engine is restarted with another version between the reservation and the
+// call of a stream that it takes over.
+BOOST_AUTO_TEST_CASE(AReservationOfAnotherVersionIsNotUsed)
+{
+  const auto call = Call(ArriveStream("a"));
+  Event(call, 1);
+  TakeCommands();
+  Advance(MakeSettings().mEventGapTimeout + 100ms);
+  const RelayCommand reserve = Call(call.mId);
+  BOOST_REQUIRE(reserve.mUpstream == "d3");
+  List({ Engine("d1", "a", "v1"), Engine("d3", "a", "v2") });
+  TakeCommands();
+  End(reserve, Reserved("k"));
+  BOOST_TEST(Called().empty());
+  BOOST_TEST(Count(RelayCommandKind::ReleaseReservation) == 1U);
+  BOOST_TEST(Count(RelayCommandKind::AbortStream) == 0U);
+}
+
 // Without a second engine of its version a broken stream goes on at another.
 BOOST_AUTO_TEST_CASE(ABrokenStreamWithoutItsVersionIsAborted)
 {
@@ -558,8 +581,9 @@
   {
     VersionFixture mFixture;
     std::map<std::uint64_t, std::string> mKeys; ///< By request.
-    std::map<std::uint64_t, OpenCall> mCalls;   ///< By request.
-    std::vector<std::string> mNeeded;           ///< Keys that are looked up.
+    /// By request and attempt.
+    std::map<std::pair<std::uint64_t, std::uint32_t>, OpenCall> mCalls;
+    std::vector<std::string> mNeeded; ///< Keys that are looked up.
   };
 
   Vm& SomeVm() { return mVms[*rc::gen::inRange<std::size_t>(0, 2)]; }
@@ -598,7 +622,10 @@
   {
     Vm& vm = SomeVm();
     OpenCall* call = SomeCall(vm);
-    if (call != nullptr && IsSent(vm, *call)) {
+    const bool isStream =
+      call != nullptr && call->mCommand.mCallKind == RelayCallKind::Stream;
+    if (isStream && IsSent(vm, *call)) {
+      mSentVersion = call->mVersion;
       vm.mFixture.Event(call->mCommand, call->mNextEvent++);
       Collect(vm);
     }
@@ -609,7 +636,13 @@
     Vm& vm = SomeVm();
     OpenCall* call = SomeCall(vm);
     if (call != nullptr && IsSent(vm, *call)) {
-      vm.mFixture.End(RelayCommand(call->mCommand), RelayFixture::Broken());
+      const RelayCommand command = call->mCommand;
+      vm.mCalls.erase({ command.mId, command.mAttempt });
+      const bool isReserved = command.mCallKind == RelayCallKind::Reserve &&
+                              *rc::gen::inRange(0, 4) > 0;
+      vm.mFixture.End(command,
+                      isReserved ? RelayFixture::Reserved("k")
+                                 : RelayFixture::Broken());
       Collect(vm);
     }
   }
@@ -670,15 +703,17 @@
     Stream& stream = mStreams[aVm.mKeys.at(aCommand.mId)];
     switch (aCommand.mKind) {
       case RelayCommandKind::StartCall:
-        aVm.mCalls[aCommand.mId] = { aCommand,
-                                     aVm.mFixture.mMachine.ListedUpstreams()
-                                       .Find(aCommand.mUpstream)
-                                       ->mSoftwareVersion,
-                                     aCommand.mLastEventId + 1 };
+        aVm.mCalls[{ aCommand.mId, aCommand.mAttempt }] = {
+          aCommand,
+          aVm.mFixture.mMachine.ListedUpstreams()
+            .Find(aCommand.mUpstream)
+            ->mSoftwareVersion,
+          aCommand.mLastEventId + 1
+        };
         break;
       case RelayCommandKind::SendEvent:
         ++stream.mLastEventId;
-        stream.mVersions.insert(aVm.mCalls.at(aCommand.mId).mVersion);
+        stream.mVersions.insert(mSentVersion);
         RC_ASSERT(stream.mVersions.size() == 1U);
         break;
       case RelayCommandKind::AnnounceOrigin:
@@ -688,10 +723,9 @@
         aVm.mNeeded.push_back(aCommand.mOriginKey);
         break;
       case RelayCommandKind::CancelCall:
-        aVm.mCalls.erase(aCommand.mId);
+        aVm.mCalls.erase({ aCommand.mId, aCommand.mAttempt });
         break;
       case RelayCommandKind::Forget:
-        aVm.mCalls.erase(aCommand.mId);
         stream.mIsOpen = false;
         break;
       default:
@@ -704,6 +738,7 @@
   std::map<std::string, std::string> mNames; ///< Keys of origins, by stream.
   std::map<std::string, StreamOrigin> mAnnounced;
   std::uint64_t mAttempts = 0;
+  std::string mSentVersion; ///< Of the call that sent the last event.
 };
 
 } // namespace
