Resume streams at the software version that began them, at every VM

The VM at which a caller resumes a stream did not know where it began.

Origins are sent again when VMs become known, since a VM that has just started has not read the others' registrations; peers heard by gossip count as well.

--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -131,10 +131,10 @@
     names.insert(name);
   }
   mMembers.SetRegistered(names, mReactor->Now());
-  mOrigins->SetVms(aVms);
   const CellId before = Cells().OwnCell();
   const std::size_t cellsBefore = Cells().Layout().Cells().size();
   mCells.Membership().SetVms(aVms);
+  UpdateOriginReplicas();
   if (cellsBefore != Cells().Layout().Cells().size()) {
     mMembers.RestartSilence(mReactor->Now());
   }
@@ -148,6 +148,19 @@
   }
 }
 
+/// Lets origins of streams be kept by the registered VMs and by peers whose
+/// registration has not been read yet.
+void
+NodeGossip::UpdateOriginReplicas()
+{
+  VmRecords vms = Cells().Layout().Vms();
+  for (const auto& [name, member] : mMembers.Members()) {
+    const GossipMessage& message = member.mLastMessage;
+    vms.emplace(name, VmRecord{ name, message.mZone, message.mPeerAddress });
+  }
+  mOrigins->SetVms(vms);
+}
+
 std::vector<CallerAddress>
 NodeGossip::Callers() const
 {
@@ -361,6 +374,7 @@
       .Field("peer", copy.mVm)
       .Field("instance", copy.mInstance)
       .Field("leaving", copy.mIsLeaving);
+    UpdateOriginReplicas();
   }
   const GrantedTokens added =
     mRateLimiter->OnPeerGranted(copy.mInstance, copy.mGranted, now);
--- a/Peridothoist/Node/NodeGossip.h
+++ b/Peridothoist/Node/NodeGossip.h
@@ -99,6 +99,7 @@
                    const std::string& aBytes);
   GossipMessage MakeMessage();
   std::vector<std::string> AddressesInTurns() const;
+  void UpdateOriginReplicas();
   void LearnAddresses(const GossipMessage& aMessage);
   void ApplyMessage(GossipMessage aMessage);
   void Redirect(const GossipMessage& aMessage);
--- a/Peridothoist/Node/StreamOriginExchange.cpp
+++ b/Peridothoist/Node/StreamOriginExchange.cpp
@@ -57,8 +57,39 @@
   }
   ++mCounts.mAnnounced;
   Learn(aKey, aOrigin);
-  for (const std::string& address : mReplicas.PeerAddressesOf(aKey)) {
-    AddToBatch(address, { aKey, aOrigin });
+  RemoveOldAnnouncements();
+  mAnnouncements.push_back({ mReactor->Now(), { aKey, aOrigin }, {} });
+  SendToReplicas(mAnnouncements.back());
+}
+
+void
+StreamOriginExchange::SetVms(const VmRecords& aVms)
+{
+  mReplicas.SetVms(aVms);
+  RemoveOldAnnouncements();
+  for (Announcement& it : mAnnouncements) {
+    SendToReplicas(it);
+  }
+}
+
+/// Sends an origin to the VMs that are to keep it and have not been sent it.
+void
+StreamOriginExchange::SendToReplicas(Announcement& aAnnouncement)
+{
+  const KeyedStreamOrigin& origin = aAnnouncement.mOrigin;
+  for (const std::string& address : mReplicas.PeerAddressesOf(origin.mKey)) {
+    if (aAnnouncement.mSentTo.insert(address).second) {
+      AddToBatch(address, origin);
+    }
+  }
+}
+
+void
+StreamOriginExchange::RemoveOldAnnouncements()
+{
+  const TimePoint oldest = mReactor->Now() - mSettings.mReannouncePeriod;
+  while (!mAnnouncements.empty() && mAnnouncements.front().mAt < oldest) {
+    mAnnouncements.pop_front();
   }
 }
 
--- a/Peridothoist/Node/StreamOriginExchange.h
+++ b/Peridothoist/Node/StreamOriginExchange.h
@@ -11,6 +11,7 @@
 #include <Peridothoist/Relay/StreamOriginTable.h>
 #include <Peridothoist/Shell/Reactor.h>
 
+#include <deque>
 #include <set>
 #include <unordered_map>
 
@@ -38,6 +39,9 @@
   Duration mRetryInterval = 60ms;  ///< Between queries to the same VM.
   Duration mLookupTimeout = 250ms; ///< From Find() to the result "unknown".
   std::size_t mMaxLookups = 10000; ///< Open ones; others find nothing.
+  /// VMs that become replicas of a key receive its origin from the VM that
+  /// announced it, up to this time after the announcement.
+  Duration mReannouncePeriod = 30s;
   StreamOriginTableSettings mTable;
 };
 
@@ -71,8 +75,9 @@
   StreamOriginExchange(const StreamOriginExchange&) = delete;
   StreamOriginExchange& operator=(const StreamOriginExchange&) = delete;
 
-  /// Replaces the registered VMs.
-  void SetVms(const VmRecords& aVms) { mReplicas.SetVms(aVms); }
+  /// Replaces the registered VMs. Sends recent origins of this VM to those that
+  /// are to keep them now.
+  void SetVms(const VmRecords& aVms);
 
   /// Keeps the origin of a stream that began here, and sends it to the VMs that
   /// are to keep it.
@@ -98,6 +103,16 @@
     Reactor::TimerId mTimer = 0;
   };
 
+  /// An origin that this VM has announced.
+  struct Announcement
+  {
+    TimePoint mAt;
+    KeyedStreamOrigin mOrigin;
+    std::set<std::string> mSentTo; ///< Addresses.
+  };
+
+  void SendToReplicas(Announcement& aAnnouncement);
+  void RemoveOldAnnouncements();
   void AddToBatch(const std::string& aAddress,
                   const KeyedStreamOrigin& aOrigin);
   void SendBatches();
@@ -117,6 +132,7 @@
   StreamOriginListener* mListener;
   StreamOriginReplicas mReplicas;
   StreamOriginTable mTable;
+  std::deque<Announcement> mAnnouncements;      ///< Oldest first.
   std::map<std::string, OriginNotice> mBatches; ///< By address.
   Reactor::TimerId mBatchTimer = 0;
   std::unordered_map<std::string, Lookup> mLookups; ///< By key.
--- a/UnitTests/Node/StreamOriginExchangeTest.cpp
+++ b/UnitTests/Node/StreamOriginExchangeTest.cpp
@@ -300,6 +300,27 @@
   }
 }
 
+// Guards against origins that are lost because their VM did not know the others
+// yet when the stream began.
+BOOST_FIXTURE_TEST_CASE(OriginsAreSentOnceTheVmsAreKnown, FleetFixture)
+{
+  Start();
+  Vm& first = *mVms.at("vm-0");
+  first.mExchange.SetVms({});
+  Announce(first);
+  first.mExchange.SetVms(mRecords);
+  RunFor(mSettings.mBatchDelay + 10ms);
+  const std::size_t sent = mNetwork.mSent.size();
+  BOOST_TEST(sent > 0U);
+  first.mExchange.SetVms(mRecords); // They have been sent it already.
+  RunFor(mSettings.mBatchDelay + 10ms);
+  BOOST_TEST(mNetwork.mSent.size() == sent);
+  Kill("vm-0");
+  for (const auto& [name, vm] : mVms) {
+    BOOST_TEST((Find(*vm) == kOrigin));
+  }
+}
+
 // Guards against a wait until the timeout although all VMs have responded.
 BOOST_FIXTURE_TEST_CASE(AllNegativeResponsesEndALookup, FleetFixture)
 {
