--- a/UnitTests/Request/FakeCluster.h
+++ b/UnitTests/Request/FakeCluster.h
@@ -148,6 +148,14 @@
     QueueNotices(aUpstream, EventKind::Dead, DeathKind::Unreachable);
   }
 
+  /// Makes an upstream silent: it counts as unreachable and new connections to
+  /// it fail, but its open calls continue when they are stepped.
+  void Silence(const std::string& aUpstream)
+  {
+    mEngines[aUpstream].mIsReachable = false;
+    QueueNotices(aUpstream, EventKind::Dead, DeathKind::Unreachable);
+  }
+
   /// Restarts a crashed upstream, or reconnects a disconnected one.
   void Recover(const std::string& aUpstream)
   {
