End work at a silent upstream of the entry only once it has started elsewhere

Cause: all attempts at an upstream that does not respond to two polls, and streams at the token gap, were ended before a retry was looked for. Without retry budget, further attempt or free upstream the work was lost.

Why it works: that an upstream is unreachable does not prove that it stopped. Its attempts now continue. Whenever requests are dispatched, one attempt after the other moves: only if a retry is allowed and other upstreams can take it at this moment is an attempt started there, and then the first is ended. So no more attempts end than others can take. Other calls end by their own time limits or the deadline. A withdrawn key or a quarantine leaves the first attempt as it is. A suspect moves only to isolated upstreams. Crashed upstreams are handled as before.

Not covered: the engine of the replacement may still refuse the reservation; the request then waits in the queue. An upstream on which nothing can run any more, but which gives no evidence of that, delays refusals and retries that were immediate before.

Evidence: EntrySilentUpstreamTest passes in all nine cases; on the code before, six of them fail, among them the new OnlyAsManyStreamsMoveAsOthersCanTake. The other new case, a move at the token gap, passes on both.

Not run: sanitizers, the other tests.

--- a/Peridothoist/Request/EntryCore.cpp
+++ b/Peridothoist/Request/EntryCore.cpp
@@ -41,6 +41,7 @@
   {
     while (mContext.mDispatchNeeded) {
       mContext.mDispatchNeeded = false;
+      mUpstreamHealth.MoveOneFromUnreachable();
       mDispatcher.DispatchWaiting();
     }
     for (std::uint64_t id : mContext.mFinishedRequests) {
--- a/UnitTests/Request/FakeCluster.h
+++ b/UnitTests/Request/FakeCluster.h
@@ -152,7 +152,11 @@
   /// it fail, but its open calls continue when they are stepped.
   void Silence(const std::string& aUpstream)
   {
-    mEngines[aUpstream].mIsReachable = false;
+    Engine& engine = mEngines[aUpstream];
+    if (!engine.mIsAlive || !engine.mIsReachable) {
+      return;
+    }
+    engine.mIsReachable = false;
     QueueNotices(aUpstream, EventKind::Dead, DeathKind::Unreachable);
   }
 
