--- a/SystemTests/test_silent_upstreams.py
+++ b/SystemTests/test_silent_upstreams.py
@@ -4,12 +4,15 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
 from harness.process import wait_until
 from test_nodes import NodeClusterTest
+from users_platform import upstreams
 
 EVENTS = 80  # Takes more than a second without a fault.
 BEGIN_SECONDS = 0.3  # Time for which a stream has run when the faults set in.
+LONG_PAUSE_SECONDS = 1.9  # Longer than a node waits until it tries another engine.
 
 
 class SilentUpstreamsTest(NodeClusterTest):
@@ -63,6 +66,14 @@
         attempt, _ = self.stream_with_faults("pause", "shed")
         self.check_whole(attempt)
 
+    # Guards against streams cut when no other engine takes them over in a pause
+    # that is long enough for the node to try.
+    def test_stream_survives_long_pause_while_the_other_engine_refuses(self):
+        with mock.patch.object(upstreams, "PAUSE_SECONDS", LONG_PAUSE_SECONDS):
+            attempt, runs = self.stream_with_faults("pause", "shed")
+        self.check_whole(attempt)
+        self.assertEqual(len(runs), 1)
+
     # Guards against streams that wait for an engine that is silent for good.
     def test_stream_of_stalled_engine_continues_at_the_other_engine(self):
         attempt, runs = self.stream_with_faults("stall", None)
