Keep conversions of durations in one place, and the node's change logs apart

ToMillis and ToSeconds stood in six files; they are in Core/DurationUnits.h now. No behaviour is changed.

--- /dev/null
+++ b/Peridothoist/Node/NodeLog.h
@@ -0,0 +1,21 @@
+/// Log lines about changes of what a node knows of workspaces and upstreams.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/RelayConfiguration.h>
+#include <Peridothoist/Relay/UpstreamList.h>
+
+namespace peridothoist {
+
+/// Logs the limits of workspaces whose limits changed. aOld: null if there was
+/// no configuration before.
+void
+LogChangedLimits(const RelayConfiguration* aOld,
+                 const RelayConfiguration& aNew);
+
+/// Logs which upstreams came, went or changed.
+void
+LogListChanges(const std::map<std::string, UpstreamList::Entry>& aBefore,
+               const std::map<std::string, UpstreamList::Entry>& aAfter);
+
+} // namespace peridothoist
--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -1,17 +1,9 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/NodeMetrics.h>
 
-namespace peridothoist {
-
-namespace {
-
-double
-ToSeconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
+#include <Peridothoist/Core/DurationUnits.h>
 
-} // namespace
+namespace peridothoist {
 
 void
 NodeMetrics::ObserveRequest(const RelayRequestSummary& aSummary,
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -1,6 +1,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/NodeProcess.h>
 
+#include <Peridothoist/Core/DurationUnits.h>
+#include <Peridothoist/Node/NodeLog.h>
 #include <Peridothoist/Relay/RetryTimes.h>
 #include <Peridothoist/Shell/FlagsFromEnvironment.h>
 #include <Peridothoist/Shell/Log.h>
@@ -22,12 +24,6 @@
 /// Minimum lag of the event loop for which a warning is logged.
 constexpr Duration kLoopLagWarningThreshold = 100ms;
 
-double
-ToMillis(Duration aDuration)
-{
-  return std::chrono::duration<double, std::milli>(aDuration).count();
-}
-
 std::uint64_t
 RandomSeed()
 {
@@ -211,26 +207,6 @@
   return Refusal::Make(RefusalKind::Leaving, RunVerdictTracker(), wait);
 }
 
-/// Logs the limits of workspaces whose limits changed.
-void
-NodeProcess::LogChangedLimits(const RelayConfiguration* aOld,
-                              const RelayConfiguration& aNew) const
-{
-  for (const auto& [name, workspace] : aNew.Workspaces()) {
-    const bool isKnown = aOld != nullptr && aOld->Workspaces().count(name) > 0;
-    const bool isSame =
-      isKnown && aOld->Workspaces().at(name).HasSameLimit(workspace);
-    if (!isSame) {
-      Log::Info("workspace_limit")
-        .Field("workspace", name)
-        .Field("tokens_per_s", workspace.mTokensPerSecond)
-        .Field("burst_tokens", workspace.mBurstTokens)
-        .Field("plain_tokens", workspace.mPlainTokens)
-        .Field("version", aNew.mVersion);
-    }
-  }
-}
-
 /// Logs a refusal on arrival together with the inputs of the decision.
 void
 NodeProcess::LogRefusal(const std::optional<IncomingRequest>& aRequest,
@@ -288,7 +264,7 @@
     [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
       aMachine.OnListRead(std::move(aUpstreams), aNow, aOut);
     });
-  LogListChanges(before);
+  LogListChanges(before, mMachine.ListedUpstreams().All());
   UpdateHomeEngines();
 }
 
@@ -301,7 +277,7 @@
     [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
       aMachine.OnPeerList(std::move(aEntries), aConfirmedAt, aNow, aOut);
     });
-  LogListChanges(before);
+  LogListChanges(before, mMachine.ListedUpstreams().All());
   UpdateHomeEngines();
 }
 
@@ -315,41 +291,6 @@
   }
 }
 
-/// Logs which upstreams came, went or changed since aBefore.
-void
-NodeProcess::LogListChanges(
-  const std::map<std::string, UpstreamList::Entry>& aBefore) const
-{
-  const auto& after = mMachine.ListedUpstreams().All();
-  for (const auto& [id, entry] : after) {
-    const auto known = aBefore.find(id);
-    const bool isNew = known == aBefore.end();
-    if (isNew ||
-        known->second.mUpstream.mIsLeaving != entry.mUpstream.mIsLeaving ||
-        known->second.mIsMissing != entry.mIsMissing ||
-        known->second.mUpstream.mStage != entry.mUpstream.mStage ||
-        known->second.mUpstream.mSoftwareVersion !=
-          entry.mUpstream.mSoftwareVersion) {
-      Log::Info("upstream_listed")
-        .Field("upstream", id)
-        .Field("service", entry.mUpstream.mService)
-        .Field("address", entry.mUpstream.mAddress)
-        .Field("zone", entry.mUpstream.mZone)
-        .Field("stage", ToName(entry.mUpstream.mStage))
-        .Field("software", entry.mUpstream.mSoftwareVersion)
-        .Field("leaving", entry.mUpstream.mIsLeaving)
-        .Field("lapsed", entry.mIsMissing);
-    }
-  }
-  for (const auto& [id, entry] : aBefore) {
-    if (after.count(id) == 0) {
-      Log::Info("upstream_gone")
-        .Field("upstream", id)
-        .Field("was_leaving", entry.mUpstream.mIsLeaving);
-    }
-  }
-}
-
 void
 NodeProcess::OnUpstreamsUnreachable()
 {
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -74,8 +74,6 @@
   NodeGauges Gauges();
   std::string RenderMetrics();
   void CheckLeaveProgress();
-  void LogChangedLimits(const RelayConfiguration* aOld,
-                        const RelayConfiguration& aNew) const;
   void LogRefusal(const std::optional<IncomingRequest>& aRequest,
                   const Refusal& aRefusal,
                   const Reason& aReason);
@@ -84,8 +82,6 @@
   void UpdateStageOrders();
   void UpdateHomeEngines();
   void RemoveSilentVms();
-  void LogListChanges(
-    const std::map<std::string, UpstreamList::Entry>& aBefore) const;
 
   // See: HttpRequestHandler
   void OnRequest(std::shared_ptr<HttpExchange> aExchange) override;
--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -1,6 +1,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/RelayExecutor.h>
 
+#include <Peridothoist/Core/DurationUnits.h>
 #include <Peridothoist/Core/EventSplitter.h>
 #include <Peridothoist/Shell/Log.h>
 
@@ -15,12 +16,6 @@
 /// Maximum size of a response that is not streamed.
 constexpr std::size_t kMaxResponseBytes = 16u << 20;
 
-double
-ToMillis(Duration aDuration)
-{
-  return std::chrono::duration<double, std::milli>(aDuration).count();
-}
-
 /// Converts the HTTP client's result to the type used by the relay state
 /// machine.
 CallEnd
--- a/Peridothoist/Node/StreamOriginExchange.cpp
+++ b/Peridothoist/Node/StreamOriginExchange.cpp
@@ -1,6 +1,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/StreamOriginExchange.h>
 
+#include <Peridothoist/Core/DurationUnits.h>
 #include <Peridothoist/Shell/FlagsFromEnvironment.h>
 #include <Peridothoist/Shell/Log.h>
 
@@ -8,16 +9,6 @@
 
 namespace peridothoist {
 
-namespace {
-
-double
-ToMillis(Duration aDuration)
-{
-  return std::chrono::duration<double, std::milli>(aDuration).count();
-}
-
-} // namespace
-
 // Query ids start at the time, so that responses to queries of a former process
 // at this address match none of this one.
 StreamOriginExchange::StreamOriginExchange(const Settings& aSettings,
--- a/Peridothoist/Queueing/ServiceRateEstimator.cpp
+++ b/Peridothoist/Queueing/ServiceRateEstimator.cpp
@@ -1,6 +1,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Queueing/ServiceRateEstimator.h>
 
+#include <Peridothoist/Core/DurationUnits.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -10,12 +12,6 @@
 
 constexpr double kFirstByteWeight = 0.1; ///< Weight of a new value.
 
-double
-ToSeconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 } // namespace
 
 void
--- a/Peridothoist/Relay/WorkspaceRateLimiter.cpp
+++ b/Peridothoist/Relay/WorkspaceRateLimiter.cpp
@@ -1,6 +1,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/WorkspaceRateLimiter.h>
 
+#include <Peridothoist/Core/DurationUnits.h>
+
 #include <algorithm>
 
 namespace peridothoist {
@@ -11,12 +13,6 @@
 /// returned waits are bounded.
 constexpr double kMinReachableFraction = 0.01;
 
-double
-ToSeconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 } // namespace
 
 WorkspaceRateLimiter::WorkspaceRateLimiter(const Settings& aSettings,
