--- a/Peridothoist/Request/UpstreamHealthTracker.cpp
+++ b/Peridothoist/Request/UpstreamHealthTracker.cpp
@@ -144,16 +144,11 @@
 void
 UpstreamHealthTracker::MoveOneFromUnreachable()
 {
-  for (auto it = mUnreachable.begin(); it != mUnreachable.end();) {
-    const UpstreamState* upstream = mContext.mUpstreams.Find(*it);
-    if (upstream == nullptr) {
-      it = mUnreachable.erase(it);
-      continue;
-    }
-    if (upstream->mDead && MoveOneFrom(*upstream)) {
+  for (const std::string& name : mUnreachable) {
+    const UpstreamState* upstream = mContext.mUpstreams.Find(name);
+    if (upstream != nullptr && upstream->mDead && MoveOneFrom(*upstream)) {
       return;
     }
-    ++it;
   }
 }
 
