--- a/Peridothoist/Request/AttemptStateMachine.cpp
+++ b/Peridothoist/Request/AttemptStateMachine.cpp
@@ -13,9 +13,6 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 
-/// Delay until it is tried again to move a stream beyond its token gap.
-constexpr Duration kMoveRetryDelay = 500ms;
-
 /// Returns the attempt failure that corresponds to how a call ended.
 AttemptFailure
 ToAttemptFailure(const CallResult& aCall)
@@ -326,19 +323,6 @@
        aCrashed ? AttemptFailure::Broken : AttemptFailure::TimedOut);
 }
 
-bool
-AttemptStateMachine::MoveFrom(RequestState& aRequest,
-                              std::uint32_t aAttempt,
-                              const std::string& aUpstream)
-{
-  const Attempt* attempt = aRequest.FindAttempt(aAttempt);
-  if (attempt == nullptr || !mListener->StartReplacement(aRequest, *attempt)) {
-    return false;
-  }
-  OnUpstreamLost(aRequest, aAttempt, aUpstream, false);
-  return true;
-}
-
 void
 AttemptStateMachine::OnReserve(RequestState& aRequest,
                                Attempt& aAttempt,
@@ -478,18 +462,7 @@
       limit, { TimerKind::TokenGap, aRequest.mArrival.mId, aAttempt.mNumber });
     return;
   }
-  const TimePoint end = aAttempt.mLastTokenAt + mContext.mSettings.mMaxSilence;
-  if (mContext.mNow >= end) {
-    Fail(aRequest, aAttempt, AttemptFailure::TimedOut);
-    return;
-  }
-  const std::uint32_t number = aAttempt.mNumber;
-  const std::string upstream = aAttempt.mDecode.mUpstream;
-  if (!MoveFrom(aRequest, number, upstream)) {
-    mContext.mTimers.Add(
-      std::min(end, mContext.mNow + kMoveRetryDelay),
-      { TimerKind::TokenGap, aRequest.mArrival.mId, number });
-  }
+  Fail(aRequest, aAttempt, AttemptFailure::TimedOut);
 }
 
 void
--- a/Peridothoist/Request/AttemptStateMachine.h
+++ b/Peridothoist/Request/AttemptStateMachine.h
@@ -40,12 +40,6 @@
   /// and content of the request may have been sent.
   virtual void OnCallBroken(RequestState& aRequest,
                             const std::string& aUpstream) = 0;
-
-  /// Called when an attempt makes no progress, but may still do so. Returns
-  /// whether it is not needed any more: an attempt on other upstreams was
-  /// started in its place, or all tokens were received.
-  virtual bool StartReplacement(RequestState& aRequest,
-                                const Attempt& aAttempt) = 0;
 };
 
 /// The upstreams chosen for an attempt.
@@ -83,13 +77,6 @@
                       const std::string& aUpstream,
                       bool aCrashed);
 
-  /// Moves an attempt away from an upstream that is unreachable but may still
-  /// run. The attempt continues if no replacement can be started now. Returns
-  /// whether it was moved.
-  bool MoveFrom(RequestState& aRequest,
-                std::uint32_t aAttempt,
-                const std::string& aUpstream);
-
   // Results of calls; aAttempt is an open attempt of aRequest.
   void OnReserve(RequestState& aRequest,
                  Attempt& aAttempt,
--- a/Peridothoist/Request/Dispatcher.cpp
+++ b/Peridothoist/Request/Dispatcher.cpp
@@ -11,18 +11,6 @@
 /// for suspects.
 constexpr std::size_t kUpstreamsPerReserved = 2;
 
-/// Returns whether an open attempt of the request is at the upstream.
-bool
-HasAttemptOf(UpstreamState& aUpstream, const RequestState& aRequest)
-{
-  return std::any_of(aRequest.mAttempts.begin(),
-                     aRequest.mAttempts.end(),
-                     [&](const Attempt& aIt) {
-                       return aUpstream.FindAttempt(aRequest.Key(aIt)) !=
-                              nullptr;
-                     });
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(EntryContext& aContext, AttemptStateMachine& aAttempts)
@@ -298,7 +286,7 @@
   mCandidates.clear();
   for (UpstreamState* it : mContext.mUpstreams.InPool(aPool)) {
     if (it->AcceptsRequests(mContext.mNow) && !it->IsReservedForIsolation() &&
-        !HasAttemptOf(*it, aRequest) && HasCapacity(*it, aRequest)) {
+        HasCapacity(*it, aRequest)) {
       mCandidates.push_back(it);
     }
   }
@@ -376,64 +364,28 @@
 
 bool
 Dispatcher::StartSuspect(PoolQueue& aPool, RequestState& aRequest)
-{
-  const std::optional<Placement> placement =
-    ChooseIsolatedPlacement(aPool, aRequest);
-  if (!placement) {
-    return false;
-  }
-  const std::uint64_t id = aRequest.mArrival.mId;
-  aPool.mSuspects.erase(
-    std::find(aPool.mSuspects.begin(), aPool.mSuspects.end(), id));
-  placement->mDecode->mClearingForIsolation = false;
-  if (placement->mPrefill != nullptr) {
-    placement->mPrefill->mClearingForIsolation = false;
-  }
-  StartAttempt(aRequest, *placement);
-  return true;
-}
-
-std::optional<Placement>
-Dispatcher::ChooseIsolatedPlacement(const PoolQueue& aPool,
-                                    const RequestState& aRequest)
 {
   Placement placement;
   placement.mIsIsolated = true;
   if (!aPool.mPrefillPool.empty()) {
     placement.mPrefill = FindIdle(aPool.mPrefillPool, aRequest);
     if (placement.mPrefill == nullptr) {
-      return std::nullopt;
+      return false;
     }
   }
   placement.mDecode = FindIdle(aPool.mDecodePool, aRequest);
   if (placement.mDecode == nullptr) {
-    return std::nullopt;
-  }
-  return placement;
-}
-
-std::optional<Placement>
-Dispatcher::ChooseReplacement(const RequestState& aRequest)
-{
-  const PoolQueue& pool = QueueFor(aRequest);
-  if (!mContext.mSuspects.IsSuspect(aRequest.mDigest, mContext.mNow)) {
-    return ChoosePlacement(pool, aRequest);
-  }
-  const bool isReady =
-    mContext.mRunningDigests[aRequest.mDigest] == 1 &&
-    !mContext.mSuspects.MustDefer(aRequest.mDigest, mContext.mNow);
-  return isReady ? ChooseIsolatedPlacement(pool, aRequest) : std::nullopt;
-}
-
-bool
-Dispatcher::StartReplacement(RequestState& aRequest)
-{
-  if (!mContext.mRetryBudget.CanTakeRetry()) {
     return false;
   }
-  const std::optional<Placement> placement = ChooseReplacement(aRequest);
-  return placement && StartAttempt(aRequest, *placement) &&
-         mContext.mRetryBudget.TryTakeRetry();
+  const std::uint64_t id = aRequest.mArrival.mId;
+  aPool.mSuspects.erase(
+    std::find(aPool.mSuspects.begin(), aPool.mSuspects.end(), id));
+  placement.mDecode->mClearingForIsolation = false;
+  if (placement.mPrefill != nullptr) {
+    placement.mPrefill->mClearingForIsolation = false;
+  }
+  StartAttempt(aRequest, placement);
+  return true;
 }
 
 UpstreamState*
--- a/Peridothoist/Request/Dispatcher.h
+++ b/Peridothoist/Request/Dispatcher.h
@@ -71,11 +71,6 @@
   /// false if no other upstream is idle or the retry budget is used up.
   bool StartHedge(RequestState& aRequest);
 
-  /// Starts an attempt on other upstreams beside the only one of a request,
-  /// which it replaces. Returns false if they can't take it now or the retry
-  /// budget is used up.
-  bool StartReplacement(RequestState& aRequest);
-
   /// Records the time from an attempt's start to its first byte.
   void OnFirstByte(const RequestState& aRequest, Duration aDuration);
 
@@ -107,12 +102,6 @@
   /// Moves a queued request to the waiting suspects if it is one.
   bool MoveIfSuspect(PoolQueue& aPool, std::uint64_t aId);
   bool StartSuspect(PoolQueue& aPool, RequestState& aRequest);
-  /// Chooses upstreams on which no other request of this entry runs.
-  std::optional<Placement> ChooseIsolatedPlacement(
-    const PoolQueue& aPool,
-    const RequestState& aRequest);
-  /// Chooses upstreams for a replacement; those of a suspect are isolated.
-  std::optional<Placement> ChooseReplacement(const RequestState& aRequest);
   /// Returns whether the suspect may run: no attempt with the same digest is
   /// running, and SuspectTable::MustDefer() is false.
   bool IsSuspectReady(const RequestState& aRequest) const;
--- a/Peridothoist/Request/EntryCore.cpp
+++ b/Peridothoist/Request/EntryCore.cpp
@@ -41,7 +41,6 @@
   {
     while (mContext.mDispatchNeeded) {
       mContext.mDispatchNeeded = false;
-      mUpstreamHealth.MoveOneFromUnreachable();
       mDispatcher.DispatchWaiting();
     }
     for (std::uint64_t id : mContext.mFinishedRequests) {
--- a/Peridothoist/Request/EntryCoreSettings.h
+++ b/Peridothoist/Request/EntryCoreSettings.h
@@ -19,10 +19,7 @@
   // Attempts
   std::uint32_t mMaxAttempts = 4; ///< Per request, including hedges.
   double mRetryBurst = 40;        ///< Maximum that the retry budget saves up.
-  Duration mMaxTokenGap = 5s;     ///< Time without a token after which a stream
-                                  ///< moves to another engine.
-  Duration mMaxSilence = 30s;     ///< Time without a token after which a stream
-                                  ///< that could not move is ended.
+  Duration mMaxTokenGap = 5s;     ///< Timeout between tokens of a stream.
   Duration mImportRetryDelay = 20ms; ///< After 503 (link busy).
   Duration mMinRetryAfter = 1s;      ///< Minimum Retry-After of refusals.
   Duration mOutcomeTimeout = 60s;    ///< How long the outcome of a claimed
--- a/Peridothoist/Request/RequestStateMachine.cpp
+++ b/Peridothoist/Request/RequestStateMachine.cpp
@@ -19,14 +19,6 @@
          aArrival.mRequestDigest;
 }
 
-/// Returns whether the maximum number of tokens was received.
-bool
-HasAllTokens(const RequestState& aRequest)
-{
-  return aRequest.mTokens > 0 &&
-         aRequest.mTokens >= aRequest.mArrival.mMaxTokens;
-}
-
 /// Returns whether the response is a gateway error. Another upstream may
 /// respond without one.
 bool
@@ -327,7 +319,8 @@
   if (!aRequest.mAttempts.empty()) {
     return; // The other attempt of a hedged pair continues.
   }
-  if (HasAllTokens(aRequest)) {
+  const std::uint32_t maxTokens = aRequest.mArrival.mMaxTokens;
+  if (aRequest.mTokens > 0 && aRequest.mTokens >= maxTokens) {
     OnCompletion(aRequest, aAttempt, "length");
     return;
   }
@@ -338,44 +331,16 @@
   RefuseAfterFailure(aRequest, aFailure);
 }
 
-bool
-RequestStateMachine::StartReplacement(RequestState& aRequest,
-                                      const Attempt& aAttempt)
-{
-  if (aRequest.mPhase != RequestPhase::Running ||
-      aRequest.mAttempts.size() != 1) {
-    return false;
-  }
-  if (HasAllTokens(aRequest)) {
-    return true;
-  }
-  // A request that must not run twice keeps its call from when its content may
-  // be sent: its response may still be received.
-  const bool mayRunAgain =
-    aRequest.IsIdempotent() || aAttempt.Step() == AttemptStep::Reserve;
-  if (!mayRunAgain || !IsRetryAllowed(aRequest) ||
-      aRequest.mCountedAttempts >= mContext.mSettings.mMaxAttempts ||
-      !mDispatcher.StartReplacement(aRequest)) {
-    return false;
-  }
-  ++mContext.mCounters.mRetries;
-  ExtendDeadline(aRequest);
-  return true;
-}
-
-bool
-RequestStateMachine::IsRetryAllowed(const RequestState& aRequest) const
-{
-  const bool mayRun = aRequest.IsIdempotent() || !aRequest.mMayHaveBeenSent;
-  return mayRun && mContext.mNow < aRequest.mDeadline &&
-         !mContext.mSuspects.QuarantinedUntil(aRequest.mDigest, mContext.mNow);
-}
-
 bool
 RequestStateMachine::MayRetry(const RequestState& aRequest,
                               AttemptFailure aFailure)
 {
-  if (aFailure == AttemptFailure::Withdrawn || !IsRetryAllowed(aRequest)) {
+  if (!aRequest.IsIdempotent() && aRequest.mMayHaveBeenSent) {
+    return false;
+  }
+  if (aFailure == AttemptFailure::Withdrawn ||
+      mContext.mNow >= aRequest.mDeadline ||
+      mContext.mSuspects.QuarantinedUntil(aRequest.mDigest, mContext.mNow)) {
     return false;
   }
   if (aFailure == AttemptFailure::Full) {
@@ -395,19 +360,12 @@
   } else {
     ++mContext.mCounters.mRetries;
   }
-  ExtendDeadline(aRequest);
-  mDispatcher.Requeue(aRequest);
-}
-
-void
-RequestStateMachine::ExtendDeadline(RequestState& aRequest)
-{
-  if (!aRequest.mHeadSent) {
-    return;
+  if (aRequest.mHeadSent) {
+    aRequest.mDeadline = mContext.mNow + aRequest.mArrival.mRoute->mDeadline;
+    mContext.mTimers.Add(aRequest.mDeadline,
+                         { TimerKind::Deadline, aRequest.mArrival.mId, 0 });
   }
-  aRequest.mDeadline = mContext.mNow + aRequest.mArrival.mRoute->mDeadline;
-  mContext.mTimers.Add(aRequest.mDeadline,
-                       { TimerKind::Deadline, aRequest.mArrival.mId, 0 });
+  mDispatcher.Requeue(aRequest);
 }
 
 void
--- a/Peridothoist/Request/RequestStateMachine.h
+++ b/Peridothoist/Request/RequestStateMachine.h
@@ -56,8 +56,6 @@
                        PlainResult aResult) override;
   void OnCallBroken(RequestState& aRequest,
                     const std::string& aUpstream) override;
-  bool StartReplacement(RequestState& aRequest,
-                        const Attempt& aAttempt) override;
 
   // See: DispatchListener
   bool OnBeforeStart(RequestState& aRequest) override;
@@ -83,12 +81,7 @@
   void RefusePastDeadline(RequestState& aRequest);
 
   // Retry
-  /// Returns whether the request may have another attempt, apart from the
-  /// number of attempts and the retry budget.
-  bool IsRetryAllowed(const RequestState& aRequest) const;
   bool MayRetry(const RequestState& aRequest, AttemptFailure aFailure);
-  /// Gives a stream that has begun a new deadline for its retry.
-  void ExtendDeadline(RequestState& aRequest);
   void Retry(RequestState& aRequest,
              const Attempt& aAttempt,
              AttemptFailure aFailure);
--- a/Peridothoist/Request/UpstreamHealthTracker.cpp
+++ b/Peridothoist/Request/UpstreamHealthTracker.cpp
@@ -2,6 +2,7 @@
 #include <Peridothoist/Request/UpstreamHealthTracker.h>
 
 #include <algorithm>
+#include <set>
 
 namespace peridothoist {
 
@@ -19,17 +20,6 @@
   return aUpstream.mConfig.mIsLeaving || !aUpstream.mListed;
 }
 
-/// Returns the keys of the attempts at an upstream.
-std::vector<AttemptKey>
-ListAttempts(const UpstreamState& aUpstream)
-{
-  std::vector<AttemptKey> keys;
-  for (const auto& [key, usage] : aUpstream.Attempts()) {
-    keys.push_back(key);
-  }
-  return keys;
-}
-
 } // namespace
 
 void
@@ -121,48 +111,32 @@
       mContext.mSuspects.OnCrash(FindPresentDigests(*upstream), mContext.mNow);
   }
   mBrokenCalls.erase(aUpstream);
-  if (isCrash) {
-    EndAttempts(*upstream);
-  } else {
-    mUnreachable.insert(aUpstream);
-  }
+  EndAttempts(*upstream, isCrash);
   return quarantined;
 }
 
 void
-UpstreamHealthTracker::EndAttempts(UpstreamState& aUpstream)
+UpstreamHealthTracker::EndAttempts(UpstreamState& aUpstream, bool aCrashed)
 {
-  for (const AttemptKey& key : ListAttempts(aUpstream)) {
+  std::vector<AttemptKey> keys;
+  for (const auto& [key, usage] : aUpstream.Attempts()) {
+    keys.push_back(key);
+  }
+  for (const AttemptKey& key : keys) {
     RequestState* request = mContext.Find(key.mId);
-    if (request != nullptr) {
-      mAttempts.OnUpstreamLost(
-        *request, key.mAttempt, aUpstream.mConfig.mName, true);
+    if (request == nullptr) {
+      continue;
     }
-  }
-}
-
-void
-UpstreamHealthTracker::MoveOneFromUnreachable()
-{
-  for (const std::string& name : mUnreachable) {
-    const UpstreamState* upstream = mContext.mUpstreams.Find(name);
-    if (upstream != nullptr && upstream->mDead && MoveOneFrom(*upstream)) {
-      return;
+    // A request that must not run twice keeps its call while the upstream may
+    // still run: its response may still be received.
+    if (!aCrashed && !request->IsIdempotent() && request->mMayHaveBeenSent) {
+      continue;
     }
+    mAttempts.OnUpstreamLost(
+      *request, key.mAttempt, aUpstream.mConfig.mName, aCrashed);
   }
 }
 
-bool
-UpstreamHealthTracker::MoveOneFrom(const UpstreamState& aUpstream)
-{
-  const std::vector<AttemptKey> keys = ListAttempts(aUpstream);
-  return std::any_of(keys.begin(), keys.end(), [&](const AttemptKey& aKey) {
-    RequestState* request = mContext.Find(aKey.mId);
-    return request != nullptr &&
-           mAttempts.MoveFrom(*request, aKey.mAttempt, aUpstream.mConfig.mName);
-  });
-}
-
 void
 UpstreamHealthTracker::OnAlive(const std::string& aUpstream)
 {
@@ -175,7 +149,6 @@
     return;
   }
   upstream->mDead = false;
-  mUnreachable.erase(aUpstream);
   upstream->mBackoffUntil = mContext.mNow;
   mContext.mDispatchNeeded = true;
   mContext.mCancels.ResendAll(aUpstream, mContext.mNow, *mContext.mCommands);
--- a/Peridothoist/Request/UpstreamHealthTracker.h
+++ b/Peridothoist/Request/UpstreamHealthTracker.h
@@ -7,8 +7,6 @@
 #include <Peridothoist/Request/AttemptStateMachine.h>
 #include <Peridothoist/Request/EntryContext.h>
 
-#include <set>
-
 namespace peridothoist {
 
 /// Handles failures and load reports of upstreams.
@@ -32,10 +30,6 @@
   std::vector<std::string> OnDead(const std::string& aUpstream,
                                   DeathKind aKind);
 
-  /// Moves one attempt from an unreachable upstream to others that can take it
-  /// now. All others continue: the upstream may still run and respond.
-  void MoveOneFromUnreachable();
-
   /// Called when an upstream responds again.
   void OnAlive(const std::string& aUpstream);
 
@@ -53,16 +47,12 @@
   /// Returns the digests that were executing at a crash or whose calls broke
   /// shortly before.
   std::vector<std::string> FindPresentDigests(const UpstreamState& aUpstream);
-  /// Ends the attempts at an upstream that has crashed.
-  void EndAttempts(UpstreamState& aUpstream);
-  /// Moves one attempt from an unreachable upstream. Returns false if none can
-  /// move.
-  bool MoveOneFrom(const UpstreamState& aUpstream);
+  /// Ends the attempts at an upstream that has failed.
+  void EndAttempts(UpstreamState& aUpstream, bool aCrashed);
 
   EntryContext& mContext;
   AttemptStateMachine& mAttempts;
   std::map<std::string, std::vector<BrokenCall>> mBrokenCalls; ///< By upstream.
-  std::set<std::string> mUnreachable; ///< Dead without evidence of a crash.
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Routing/RetryBudget.h
+++ b/Peridothoist/Routing/RetryBudget.h
@@ -31,9 +31,6 @@
       mTokens + mRetryFraction < mBurst ? mTokens + mRetryFraction : mBurst;
   }
 
-  /// Returns whether TryTakeRetry() would succeed.
-  bool CanTakeRetry() const { return mTokens >= 1.0; }
-
   /// Takes one token for a retry. Returns false when the budget is exhausted.
   bool TryTakeRetry() { return TryTake(1.0); }
 
--- a/UnitTests/Request/ChaosTest.cpp
+++ b/UnitTests/Request/ChaosTest.cpp
@@ -24,7 +24,6 @@
   AdvanceTime,
   Crash,
   Disconnect,
-  Silence,
   Recover,
   ReportLoad,
   CallerGone,
@@ -48,7 +47,6 @@
                                                   { 6, Action::AdvanceTime },
                                                   { 1, Action::Crash },
                                                   { 1, Action::Disconnect },
-                                                  { 1, Action::Silence },
                                                   { 2, Action::Recover },
                                                   { 3, Action::ReportLoad },
                                                   { 1, Action::CallerGone },
@@ -98,9 +96,6 @@
       case Action::Disconnect:
         aCluster.Disconnect(upstream);
         break;
-      case Action::Silence:
-        aCluster.Silence(upstream);
-        break;
       case Action::Recover:
         aCluster.Recover(upstream);
         break;
--- a/UnitTests/Request/EntrySilentUpstreamTest.cpp
+++ b/UnitTests/Request/EntrySilentUpstreamTest.cpp
@@ -179,40 +179,6 @@
   fixture.CheckComplete(caller, 2);
 }
 
-// Guards against streams that are all ended for one free place elsewhere.
-BOOST_AUTO_TEST_CASE(OnlyAsManyStreamsMoveAsOthersCanTake)
-{
-  Fixture fixture;
-  fixture.mCluster.SetLeaving("dec1", true);
-  const FakeCluster::Caller& one = fixture.Send({ "chat", "1", "", true, "a" });
-  const FakeCluster::Caller& two = fixture.Send({ "chat", "2", "", true, "a" });
-  while (one.mTokens == 0 || two.mTokens == 0) {
-    fixture.mCluster.StepAll();
-  }
-  fixture.mCluster.SetLeaving("dec1", false);
-  fixture.mCluster.SetLeaving("dec0", true);
-  for (int n = 1; n < kRequestsPerEngine; ++n) {
-    fixture.Send({ "chat", "other" + std::to_string(n), "", true, "a" });
-  }
-  fixture.BeSilent("dec0");
-  BOOST_TEST(fixture.Counters().mResumed == 1U);
-  fixture.CheckComplete(one, 2);
-  fixture.CheckComplete(two, 1);
-}
-
-// Guards against streams that stay at an engine beyond the token gap, although
-// another one is free.
-BOOST_AUTO_TEST_CASE(AStreamMovesAtTheTokenGapToAnotherEngine)
-{
-  Fixture fixture;
-  const FakeCluster::Caller& caller = fixture.SendStream();
-  const std::string silent = fixture.BusyUpstream("dec");
-  fixture.mCluster.AdvanceTime(EntryCoreSettings().mMaxTokenGap + 100ms);
-  const std::string other = silent == "dec0" ? "dec1" : "dec0";
-  BOOST_TEST(fixture.mRouter->Core().InFlight(other) == 1U);
-  fixture.CheckComplete(caller, 2);
-}
-
 // Guards against streams that never end because their engine stays silent.
 BOOST_AUTO_TEST_CASE(AStreamThatStaysSilentIsAborted)
 {
--- a/UnitTests/Request/FakeCluster.h
+++ b/UnitTests/Request/FakeCluster.h
@@ -152,11 +152,7 @@
   /// it fail, but its open calls continue when they are stepped.
   void Silence(const std::string& aUpstream)
   {
-    Engine& engine = mEngines[aUpstream];
-    if (!engine.mIsAlive || !engine.mIsReachable) {
-      return;
-    }
-    engine.mIsReachable = false;
+    mEngines[aUpstream].mIsReachable = false;
     QueueNotices(aUpstream, EventKind::Dead, DeathKind::Unreachable);
   }
 
