Recompute the replicas of recent origins only when the VMs have changed

Each read of the registrations went through all origins announced in the last 30 s, although the registrations are mostly the same. StreamOriginExchangeTest and NodeProcessTest pass.

--- a/Peridothoist/Node/StreamOriginExchange.cpp
+++ b/Peridothoist/Node/StreamOriginExchange.cpp
@@ -56,6 +56,10 @@
 void
 StreamOriginExchange::SetVms(const VmRecords& aVms)
 {
+  if (aVms == mVms) {
+    return;
+  }
+  mVms = aVms;
   mReplicas.SetVms(aVms);
   RemoveOldAnnouncements();
   for (Announcement& it : mAnnouncements) {
--- a/Peridothoist/Node/StreamOriginExchange.h
+++ b/Peridothoist/Node/StreamOriginExchange.h
@@ -130,6 +130,7 @@
   Reactor* mReactor;
   PeerSender* mSender;
   StreamOriginListener* mListener;
+  VmRecords mVms; ///< That mReplicas was last set to.
   StreamOriginReplicas mReplicas;
   StreamOriginTable mTable;
   std::deque<Announcement> mAnnouncements;      ///< Oldest first.
