--- a/SystemTests/test_upstream_standins.py
+++ b/SystemTests/test_upstream_standins.py
@@ -57,6 +57,19 @@
         caller can read the response."""
         return wait_until(lambda: self.last_run().end, 1, "the run has ended")
 
+    # Guards against an engine that takes an order to the one that had its address
+    # before.
+    def test_order_to_another_instance_is_not_taken(self):
+        self.upstream.stage = "prefill"
+        order = {"op": "stage", "stage": "decode", "holder": "vm", "fence": 1}
+        body = json.dumps(order)
+        other = self.send("POST", "/-/order", body, {"Expect-Instance": "i-other"})
+        self.assertEqual(other.status, 421)
+        self.assertEqual(self.shared_state.orders, [])
+        own = self.send("POST", "/-/order", body, {"Expect-Instance": self.upstream.id})
+        self.assertEqual(own.status, 202)
+        self.assertEqual(len(self.shared_state.orders), 1)
+
     # Guards against tests that pass because a full engine accepts reservations.
     def test_reservations_take_slots_until_used_dropped_or_expired(self):
         names = [self.reserve()[1] for _ in range(SLOTS)]
