--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -383,6 +383,7 @@
   mMetrics.ObserveRequest(aSummary, duration);
   const bool succeeded = aSummary.mStatus >= 200 && aSummary.mStatus < 300 &&
                          std::string_view(aSummary.mOutcome) == "answered";
+  const std::vector<std::string>& parts = aSummary.mSharedPromptParts;
   (succeeded ? Log::Routine("request_done") : Log::Info("request_done"))
     .Field("id", aSummary.mCallerRequestId)
     .Field("request", aSummary.mId)
@@ -393,6 +394,7 @@
     .Field("status", aSummary.mStatus)
     .Field("prompt", aSummary.mPromptTokens)
     .Field("tokens", aSummary.mMaxTokens)
+    .Field("parts", fmt::format("{}", fmt::join(parts, ",")))
     .Field("events", aSummary.mEventCount)
     .Field("calls", aSummary.mCallCount)
     .Field("upstream", aSummary.mUpstream)
--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -112,6 +112,9 @@
     }
     const bool isWithinLimit =
       mSplitter.Feed(aData, [this](std::string_view aEvent) {
+        if (++mEventCount == 1) {
+          mFirstEventAt = mExecutor.mReactor->Now();
+        }
         RelayEvent event{ EventSplitter::ParseEventId(aEvent),
                           std::string(aEvent) };
         mExecutor.Deliver([&](RelayStateMachine& aMachine,
@@ -177,6 +180,9 @@
               const HttpCallResult& aResult,
               bool aSucceeded) const
   {
+    const TimePoint now = mExecutor.mReactor->Now();
+    const Duration writing =
+      mEventCount > 0 ? now - mFirstEventAt : Duration(0);
     (aSucceeded ? Log::Debug("call_ended") : Log::Info("call_ended"))
       .Field("request", mId)
       .Field("attempt", mAttempt)
@@ -187,7 +193,9 @@
       .Field("sent", aEnd.mOutcome.mMayHaveBeenSent)
       .Field("not_run", aEnd.mNotRun)
       .Field("sound", aEnd.mIsVerified)
-      .Field("ms", ToMillis(mExecutor.mReactor->Now() - mStartedAt))
+      .Field("events", mEventCount)
+      .Field("writing_ms", ToMillis(writing))
+      .Field("ms", ToMillis(now - mStartedAt))
       .Field("reason", aResult.mReason);
   }
 
@@ -206,6 +214,8 @@
   bool mIsStreaming = false; ///< The body is forwarded as events.
   bool mIsTooLarge = false;
   EventSplitter mSplitter;
+  std::uint64_t mEventCount = 0;
+  TimePoint mFirstEventAt;
   std::string mBody;
 };
 
@@ -253,6 +263,7 @@
   request.mSummary.mArrivedAt = aAdmitted.mArrivedAt;
   request.mSummary.mPromptTokens = aAdmitted.mPromptTokens;
   request.mSummary.mMaxTokens = aAdmitted.mTokens;
+  request.mSummary.mSharedPromptParts = aAdmitted.mSharedPromptParts;
   Deliver(
     [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
       aMachine.OnArrival(std::move(aAdmitted), aNow, aOut);
--- a/Peridothoist/Node/RelayExecutor.h
+++ b/Peridothoist/Node/RelayExecutor.h
@@ -23,7 +23,8 @@
   int mStatus = 0;               ///< 0: the caller left before a response.
   const char* mOutcome = "left"; ///< Refusal type, or how it ended.
   std::uint64_t mPromptTokens = 0;
-  std::uint64_t mMaxTokens = 0;  ///< Prompt plus maximum output.
+  std::vector<std::string> mSharedPromptParts; ///< Of the prompt; ids.
+  std::uint64_t mMaxTokens = 0;                ///< Prompt plus maximum output.
   std::uint32_t mEventCount = 0; ///< Streams: number of events sent.
   TimePoint mLastEventAt;        ///< Streams: time of the last event.
   Duration mMaxEventGap{ 0 };    ///< Streams: longest time between two events.
--- a/Peridothoist/Relay/RelayAdmission.cpp
+++ b/Peridothoist/Relay/RelayAdmission.cpp
@@ -140,6 +140,7 @@
   }
   admitted.mDigest =
     admitted.mWorkspace + '/' + aRequest.mDigest.substr(0, kDigestChars);
+  admitted.mSharedPromptParts = aRequest.mSharedPromptParts;
   admitted.mLastEventId = aRequest.mLastEventId;
   admitted.mIsResumed =
     route->mKind == RouteKind::Stream && aRequest.mLastEventId > 0;
--- a/Peridothoist/Relay/RelayAdmission.h
+++ b/Peridothoist/Relay/RelayAdmission.h
@@ -22,6 +22,8 @@
   std::string mDigest; ///< Of method, target and body.
   std::optional<std::uint64_t> mPromptTokens;
   std::uint64_t mOutputTokens = 0; ///< Maximum number of output tokens.
+  /// Ids of the parts of its prompt that other requests may share.
+  std::vector<std::string> mSharedPromptParts;
   /// Number of output tokens that the caller expects.
   std::optional<std::uint64_t> mExpectedTokens;
   std::optional<Duration> mCallerTimeout; ///< Total time that the caller waits.
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -21,6 +21,8 @@
   std::string mWorkspace;    ///< Empty on routes that are open to all.
   std::string mKey;          ///< Empty on routes that are open to all.
   std::string mDigest;       ///< Of method, target, workspace and body.
+  /// Ids of the parts of its prompt that other requests may share.
+  std::vector<std::string> mSharedPromptParts;
   double mCost = 0;          ///< Charged to the workspace's allowance.
   std::uint64_t mTokens = 0; ///< Prompt tokens plus maximum output.
   /// Estimated KV memory in tokens, near its start and at its end.
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -301,6 +301,30 @@
   BOOST_TEST(call.mHeaders.at("resumes") == "id-0");
 }
 
+// Guards against prompt parts that are lost or misread, so that requests that
+// share one can't be told from others.
+BOOST_AUTO_TEST_CASE(SharedPromptPartsAreAllButTheLast)
+{
+  const auto partsOf = [](const std::string& aHeader) {
+    HttpRequest request = ExampleRequest();
+    request.mHeaders["prompt-prefix"] = aHeader;
+    const auto parsed = PlatformCallerProtocol().ParseRequest(request, nullptr);
+    BOOST_REQUIRE(parsed.has_value());
+    return parsed->mSharedPromptParts;
+  };
+  const std::vector<std::string> two = { "5c1e07a2", "91bd3f06" };
+  BOOST_TEST(partsOf("5c1e07a2:800,91bd3f06:410,e4402b7d:250") == two);
+  BOOST_TEST(partsOf("5c1e07a2:800, 91bd3f06:410 ,e4402b7d:250") == two);
+  for (const char* none : { "",
+                            "e4402b7d:250",
+                            "5c1e07a2,e4402b7d:250",
+                            ":1,a:2",
+                            "a:x,b:1",
+                            "," }) {
+    BOOST_TEST(partsOf(none).empty(), none);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RequestWithoutIdIsRejected)
 {
   HttpRequest request = ExampleRequest();
