--- a/SystemTests/test_nodes.py
+++ b/SystemTests/test_nodes.py
@@ -17,16 +17,18 @@
 class NodeClusterTest(unittest.TestCase):
     """Base of tests that start a cluster and a caller each."""
 
+    NODES = 3
     ENGINES = {"prefills": 1, "decodes": 2}
 
     def setUp(self):
-        self.cluster = NodeCluster(nodes=3, ledgers=2, **self.ENGINES)
+        self.cluster = NodeCluster(nodes=self.NODES, ledgers=2, **self.ENGINES)
         self.addCleanup(self.cluster.stop)
         self.cluster.start()
         self.caller = Caller("c")
         self.addCleanup(lambda: self.cluster.loop.run(self.caller.close()))
         wait_until(
-            lambda: self.listed_node_count() == 3, 10, "the directory lists all nodes"
+            lambda: self.listed_node_count() == self.NODES, 10,
+            "the directory lists all nodes"
         )
 
     def listed_node_count(self):
@@ -95,7 +97,7 @@
         self.assertEqual(self.send("post").status, 200)
         self.cluster.nodes[2].process.start()
         wait_until(
-            lambda: self.listed_node_count() == 3, 10,
+            lambda: self.listed_node_count() == self.NODES, 10,
             "the directory lists the restarted node"
         )
         self.assertEqual(self.send("post", node=2).status, 200)
