Quarantine the parts of prompts that crash upstreams, by what all VMs saw

Cause: a crash was attributed to whole requests only, by a digest that no two of these requests share. Two more faults of the same class, a view of one VM taken for that of all: crash counts of several VMs were not added up (the largest was kept), and a request alone at its VM counted as alone at the upstream.

Change: evidence is kept by content, a shared prompt part or a request's digest, as a set of sightings that any number of VMs merge in any order. A content is quarantined after three crashes in a row; a run that was sent for a second, or ended, excuses it; overlapping crashes count once; crashes that a content outside of the request explains as well don't count; one workspace's crashes don't refuse another's requests. A quarantine of 30 s, four times as long with each further crash, ends in trials, about one in the fleet. The quarantine holds on arrival, for waiting requests, before prefills, decodes, retries and takeovers, and right before bytes are sent. An upstream whose calls break is asked at once whether it is gone. A stream that ends inside an event counts as broken off.

In RelayStateMachineTest, RelayViewTest and PlatformProtocolTest the old table's names and fields are replaced; their checks are the same.

--- a/Peridothoist/Node/CellGossip.cpp
+++ b/Peridothoist/Node/CellGossip.cpp
@@ -58,7 +58,7 @@
   loads.OnPeerFoundGone(aSummary.mGoneUpstreams, aNow);
   loads.Outcomes().OnPeerCounts(key, aSummary.mFailingUpstreams);
   loads.OnPeerWaiting(key, aSummary.mWaiting);
-  ApplyCrashReports(aSummary.mCrashReports, mMachine->Suspects(), aNow);
+  mMachine->Crashes().Apply(aSummary.mCrashReports, aNow);
   mMembers->SetReachableElsewhere(mSummaries.ReachableVms());
   mListener->OnPeerWork(key, aSummary.mWork);
 }
--- a/Peridothoist/Node/GossipCodec.cpp
+++ b/Peridothoist/Node/GossipCodec.cpp
@@ -3,6 +3,7 @@
 
 #include <Peridothoist/Node/CborMessage.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace peridothoist {
@@ -36,6 +37,8 @@
 constexpr const char* kReachable = "r";
 constexpr const char* kCallers = "o";
 
+constexpr Duration kMaxAge = 24h; ///< Longer than any evidence is kept.
+
 /// Call counts are encoded as integers in hundredths.
 constexpr double kCountScale = 100;
 constexpr const char* kKnownPeers = "k";
@@ -54,9 +57,21 @@
 EncodeCrashes(const std::vector<CrashReport>& aCrashes)
 {
   json crashes = json::array();
-  for (const CrashReport& it : aCrashes) {
-    crashes.push_back(
-      { it.mDigest, it.mCrashes, it.mIsQuarantined, it.mRemaining.count() });
+  for (const CrashReport& report : aCrashes) {
+    json sightings = json::array();
+    for (const ReportedSighting& it : report.mSightings) {
+      sightings.push_back({ it.mCrash,
+                            it.mWorkspace,
+                            it.mAge.count(),
+                            it.mRunTime.count(),
+                            it.mIsExcused });
+    }
+    // Builds that know no sightings read the first four elements.
+    crashes.push_back({ report.mContent,
+                        report.OpenCrashes(),
+                        false,
+                        0,
+                        std::move(sightings) });
   }
   return crashes;
 }
@@ -129,15 +144,31 @@
   return waiting;
 }
 
+/// Decodes a time that has passed; later ones count as the maximum.
+Duration
+DecodeAge(const json& aValue)
+{
+  const Duration age(aValue.get<std::int64_t>());
+  return std::clamp(age, Duration(0), kMaxAge);
+}
+
 std::vector<CrashReport>
 DecodeCrashes(const json& aValue)
 {
   std::vector<CrashReport> crashes;
-  for (const json& it : aValue) {
-    crashes.push_back({ it.at(0).get<std::string>(),
-                        it.at(1).get<std::uint32_t>(),
-                        it.at(2).get<bool>(),
-                        Duration(it.at(3).get<std::int64_t>()) });
+  for (const json& report : aValue) {
+    if (report.size() < 5) {
+      continue; // Of a build that knows no sightings.
+    }
+    CrashReport decoded{ report.at(0).get<std::string>(), {} };
+    for (const json& it : report.at(4)) {
+      decoded.mSightings.push_back({ it.at(0).get<std::uint64_t>(),
+                                     it.at(1).get<std::uint64_t>(),
+                                     DecodeAge(it.at(2)),
+                                     DecodeAge(it.at(3)),
+                                     it.at(4).get<bool>() });
+    }
+    crashes.push_back(std::move(decoded));
   }
   return crashes;
 }
--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -110,6 +110,7 @@
 NodeGossip::Tick()
 {
   RemoveSilentPeers();
+  mMachine->Crashes().DropExpired(mReactor->Now());
   Publish(mSettings.mGossipFanOut);
   UpdateMaxGossipAge();
   mListener->OnMembersChanged();
@@ -292,10 +293,8 @@
   message.mGoneUpstreams = mMachine->Loads().GoneUpstreams(now);
   message.mFailingUpstreams =
     mMachine->Loads().Outcomes().FailingUpstreams(now);
-  message.mCrashReports =
-    SelectCrashReports(MakeCrashReports(mMachine->Suspects(), now),
-                       mSettings.mMaxCrashReports,
-                       mSequence);
+  message.mCrashReports = SelectCrashReports(
+    mMachine->Crashes().Reports(now), mSettings.mMaxCrashReports, mSequence);
   // Each message carries one random peer address: over time all VMs learn all
   // addresses while messages stay small.
   const std::set<std::string> peers = mMembers.PeerAddresses();
@@ -383,7 +382,7 @@
   }
   mMachine->Loads().OnPeerFoundGone(copy.mGoneUpstreams, now);
   mMachine->Loads().Outcomes().OnPeerCounts(copy.mVm, copy.mFailingUpstreams);
-  ApplyCrashReports(copy.mCrashReports, mMachine->Suspects(), now);
+  mMachine->Crashes().Apply(copy.mCrashReports, now);
   mListener->OnMembersChanged();
   mMachine->Loads().OnPeerWaiting(copy.mVm, copy.mWaiting);
   mListener->OnPeerWork(copy.mVm, copy.mWork);
--- a/Peridothoist/Node/NodeLog.cpp
+++ b/Peridothoist/Node/NodeLog.cpp
@@ -1,6 +1,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/NodeLog.h>
 
+#include <Peridothoist/Core/DurationUnits.h>
 #include <Peridothoist/Shell/Log.h>
 
 namespace peridothoist {
@@ -56,4 +57,21 @@
   }
 }
 
+void
+CrashEvidenceLog::OnContentQuarantined(const std::string& aContent,
+                                       std::size_t aCrashes,
+                                       Duration aRemaining)
+{
+  Log::Warning("content_quarantined")
+    .Field("content", aContent)
+    .Field("crashes", aCrashes)
+    .Field("remaining_ms", ToMillis(aRemaining));
+}
+
+void
+CrashEvidenceLog::OnContentExcused(const std::string& aContent)
+{
+  Log::Info("content_excused").Field("content", aContent);
+}
+
 } // namespace peridothoist
--- a/Peridothoist/Node/NodeLog.h
+++ b/Peridothoist/Node/NodeLog.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/CrashEvidence.h>
 #include <Peridothoist/Relay/RelayConfiguration.h>
 #include <Peridothoist/Relay/UpstreamList.h>
 
@@ -18,4 +19,15 @@
 LogListChanges(const std::map<std::string, UpstreamList::Entry>& aBefore,
                const std::map<std::string, UpstreamList::Entry>& aAfter);
 
+/// Logs which contents of requests are quarantined.
+class CrashEvidenceLog : public CrashEvidenceListener
+{
+public:
+  // See: CrashEvidenceListener
+  void OnContentQuarantined(const std::string& aContent,
+                            std::size_t aCrashes,
+                            Duration aRemaining) override;
+  void OnContentExcused(const std::string& aContent) override;
+};
+
 } // namespace peridothoist
--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -76,7 +76,8 @@
   SetCounter("peridothoist_broken_total", aCounters.mBroken);
   SetCounter("peridothoist_unsent_total", aCounters.mUnsent);
   SetCounter("peridothoist_callers_gone_total", aCounters.mCallersGone);
-  SetCounter("peridothoist_quarantined_total", aCounters.mQuarantined);
+  SetCounter("peridothoist_upstream_checks_total", aCounters.mUpstreamChecks);
+  SetCounter("peridothoist_trials_total", aCounters.mTrials);
   SetCounter("peridothoist_origins_announced_total",
              aCounters.mOriginsAnnounced);
   SetCounter("peridothoist_origins_looked_up_total",
@@ -102,6 +103,14 @@
   }
 }
 
+void
+NodeMetrics::UpdateCrashEvidence(const CrashEvidence& aEvidence)
+{
+  SetCounter("peridothoist_quarantined_total", aEvidence.QuarantineCount());
+  mMetrics.GetGauge("peridothoist_crash_suspects")
+    .Set(static_cast<double>(aEvidence.Size()));
+}
+
 void
 NodeMetrics::UpdateOriginCounts(const StreamOriginCounts& aCounts)
 {
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -44,6 +44,7 @@
   /// Set the exported values from the current state; called before each
   /// scrape.
   void UpdateCounters(const RelayCounters& aCounters);
+  void UpdateCrashEvidence(const CrashEvidence& aEvidence);
   void UpdateOriginCounts(const StreamOriginCounts& aCounts);
   void UpdateGauges(const NodeGauges& aGauges);
   void UpdateLogLosses(const DroppedLogLines& aLosses);
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -2,7 +2,6 @@
 #include <Peridothoist/Node/NodeProcess.h>
 
 #include <Peridothoist/Core/DurationUnits.h>
-#include <Peridothoist/Node/NodeLog.h>
 #include <Peridothoist/Relay/RetryTimes.h>
 #include <Peridothoist/Shell/FlagsFromEnvironment.h>
 #include <Peridothoist/Shell/Log.h>
@@ -102,6 +101,7 @@
                  aProtocols.mUpstreams,
                  &mMachine)
 {
+  mMachine.Crashes().SetListener(&mCrashLog);
 }
 
 NodeProcess::~NodeProcess()
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -7,6 +7,7 @@
 #include <Peridothoist/Cells/HomeEngines.h>
 #include <Peridothoist/Node/CallerProtocol.h>
 #include <Peridothoist/Node/InstrumentedRowStore.h>
+#include <Peridothoist/Node/NodeLog.h>
 #include <Peridothoist/Node/NodeMetrics.h>
 #include <Peridothoist/Node/NodeGossip.h>
 #include <Peridothoist/Node/NodeSettings.h>
@@ -124,6 +125,7 @@
   ConfirmedView mView;
   WorkspaceRateLimiter mRateLimiter;
   RelayAdmission mAdmission;
+  CrashEvidenceLog mCrashLog;
   RelayStateMachine mMachine;
   CallerDirectory mDirectory;
   NodeMetrics mMetrics;
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -112,6 +112,7 @@
 NodeProcess::RenderMetrics()
 {
   mMetrics.UpdateCounters(mMachine.Counters());
+  mMetrics.UpdateCrashEvidence(mMachine.Crashes());
   mMetrics.UpdateOriginCounts(mGossip->Origins().Counts());
   mMetrics.UpdateGauges(Gauges());
   mMetrics.UpdateLogLosses(Log::DroppedLines());
--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -141,8 +141,11 @@
     end.mOutcome.mStatus = aResult.mStatus;
     end.mNotRun = mHead.mNotRun;
     end.mIsWrongProcess = mHead.mIsWrongProcess;
-    // A stream that ends in the middle of an event is incomplete.
-    end.mIsVerified = mHead.mIsVerified && mSplitter.PartialBytes() == 0;
+    end.mIsVerified = mHead.mIsVerified;
+    const bool endsInsideEvent = mSplitter.PartialBytes() > 0;
+    if (endsInsideEvent && end.mOutcome.mEnd == CallEnd::Whole) {
+      end.mOutcome.mEnd = CallEnd::Broken;
+    }
     end.mResponse = std::move(mHead.mResponse);
     end.mResponse.mBody = std::move(mBody);
     end.mLoad = mHead.mLoad;
@@ -316,14 +319,14 @@
 void
 RelayExecutor::Execute(const RelayCommand& aCommand)
 {
-  static constexpr std::array<CommandHandler, 13> kHandlers = {
+  static constexpr std::array<CommandHandler, 14> kHandlers = {
     &RelayExecutor::StartCall,      &RelayExecutor::CancelCall,
     &RelayExecutor::Release,        &RelayExecutor::Release,
     &RelayExecutor::SendHead,       &RelayExecutor::SendEvent,
     &RelayExecutor::SendResponse,   &RelayExecutor::SendRefusal,
     &RelayExecutor::EndStream,      &RelayExecutor::AbortStream,
     &RelayExecutor::AnnounceOrigin, &RelayExecutor::FindOrigin,
-    &RelayExecutor::Forget
+    &RelayExecutor::CheckUpstream,  &RelayExecutor::Forget
   };
   const auto it = mRequests.find(aCommand.mId);
   PH_ASSERT(it != mRequests.end());
@@ -496,6 +499,31 @@
   mListener->OnOriginNeeded(aCommand.mOriginKey);
 }
 
+/// Asks the upstream for its state. A process that has crashed refuses the
+/// connection, and another one at its address says so.
+void
+RelayExecutor::CheckUpstream(const RelayCommand& aCommand,
+                             Request& /*aRequest*/)
+{
+  const std::string upstream = aCommand.mUpstream;
+  mClient->Fetch(
+    mUpstreams->MakeCheck(aCommand),
+    [this, upstream](const HttpCallResult& aResult, const std::string&) {
+      const bool isGone = aResult.mFailure == CallFailure::NotConnected ||
+                          mUpstreams->IsWrongProcess(aResult.mStatus);
+      Log::Info("upstream_checked")
+        .Field("upstream", upstream)
+        .Field("gone", isGone)
+        .Field("end", ToName(aResult.mFailure))
+        .Field("status", aResult.mStatus)
+        .Field("reason", aResult.mReason);
+      Deliver(
+        [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
+          aMachine.OnUpstreamChecked(upstream, isGone, aNow, aOut);
+        });
+    });
+}
+
 void
 RelayExecutor::Forget(const RelayCommand& aCommand, Request& aRequest)
 {
--- a/Peridothoist/Node/RelayExecutor.h
+++ b/Peridothoist/Node/RelayExecutor.h
@@ -128,6 +128,7 @@
   void AbortStream(const RelayCommand& aCommand, Request& aRequest);
   void AnnounceOrigin(const RelayCommand& aCommand, Request& aRequest);
   void FindOrigin(const RelayCommand& aCommand, Request& aRequest);
+  void CheckUpstream(const RelayCommand& aCommand, Request& aRequest);
   void Forget(const RelayCommand& aCommand, Request& aRequest);
   /// Schedules the next tick of the state machine.
   void ArmTick();
--- a/Peridothoist/Node/UpstreamProtocol.h
+++ b/Peridothoist/Node/UpstreamProtocol.h
@@ -50,6 +50,14 @@
                                   const std::string& aHolder,
                                   std::uint64_t aFencingNumber) const = 0;
 
+  /// Returns the call for a CheckUpstream command. It is answered by the
+  /// upstream without running anything.
+  virtual HttpCall MakeCheck(const RelayCommand& aCommand) const = 0;
+
+  /// Returns whether a response with this status came from another process than
+  /// the intended one.
+  virtual bool IsWrongProcess(int aStatus) const = 0;
+
   /// Returns the call for a ReleaseHandle or ReleaseReservation command.
   virtual HttpCall MakeRelease(const RelayCommand& aCommand) const = 0;
 };
--- a/Peridothoist/Relay/BrokenCallTracker.cpp
+++ b/Peridothoist/Relay/BrokenCallTracker.cpp
@@ -5,34 +5,38 @@
 
 namespace peridothoist {
 
-void
+bool
 BrokenCallTracker::OnCallBroken(const std::string& aUpstream,
-                                const std::string& aDigest,
-                                TimePoint aNow)
+                                BrokenCall aCall,
+                                Duration aInterval)
 {
-  std::vector<Break>& breaks = mBreaks[aUpstream];
-  const auto isExpired = [&](const Break& aBreak) {
-    return aNow - aBreak.mAt > mWindow;
+  const TimePoint now = aCall.mBrokenAt;
+  std::vector<BrokenCall>& calls = mCalls[aUpstream];
+  const auto isExpired = [&](const BrokenCall& aIt) {
+    return now - aIt.mBrokenAt > mWindow;
   };
-  breaks.erase(std::remove_if(breaks.begin(), breaks.end(), isExpired),
-               breaks.end());
-  breaks.push_back({ aDigest, aNow });
+  calls.erase(std::remove_if(calls.begin(), calls.end(), isExpired),
+              calls.end());
+  const bool isFirst =
+    calls.empty() || now - calls.back().mBrokenAt >= aInterval;
+  calls.push_back(std::move(aCall));
+  return isFirst;
 }
 
-std::vector<std::string>
+std::vector<BrokenCall>
 BrokenCallTracker::OnLost(const std::string& aUpstream, TimePoint aNow)
 {
-  std::vector<std::string> present;
-  const auto it = mBreaks.find(aUpstream);
-  if (it == mBreaks.end()) {
+  std::vector<BrokenCall> present;
+  const auto it = mCalls.find(aUpstream);
+  if (it == mCalls.end()) {
     return present;
   }
-  for (const Break& each : it->second) {
-    if (aNow - each.mAt <= mWindow) {
-      present.push_back(each.mDigest);
+  for (BrokenCall& each : it->second) {
+    if (aNow - each.mBrokenAt <= mWindow) {
+      present.push_back(std::move(each));
     }
   }
-  mBreaks.erase(it);
+  mCalls.erase(it);
   return present;
 }
 
--- a/Peridothoist/Relay/BrokenCallTracker.h
+++ b/Peridothoist/Relay/BrokenCallTracker.h
@@ -1,11 +1,22 @@
-/// Remembers the requests whose calls broke recently, by upstream, so that they
-/// become suspects when the upstream turns out to have crashed.
+/// Remembers the calls that broke recently, by upstream, so that the contents
+/// of their requests become suspects when the upstream turns out to have
+/// crashed.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
 
 namespace peridothoist {
 
+/// A call that broke before its response was complete.
+struct BrokenCall
+{
+  std::uint64_t mProcess = 0;         ///< Identifies the upstream's process.
+  std::vector<std::string> mContents; ///< That may have caused a crash.
+  std::uint64_t mWorkspace = 0;       ///< Digest of the workspace's name.
+  TimePoint mStartedAt;
+  TimePoint mBrokenAt;
+};
+
 /// Recently broken calls, by upstream.
 class BrokenCallTracker
 {
@@ -17,24 +28,19 @@
   {
   }
 
-  /// Called when a call of this request broke at the upstream.
-  void OnCallBroken(const std::string& aUpstream,
-                    const std::string& aDigest,
-                    TimePoint aNow);
+  /// Called when a call broke at the upstream. Returns whether it is the first
+  /// one within aInterval, so that the upstream is worth a check.
+  bool OnCallBroken(const std::string& aUpstream,
+                    BrokenCall aCall,
+                    Duration aInterval);
 
-  /// Called when the upstream is gone. Returns the digests of the requests that
-  /// were present at the crash, and forgets its broken calls.
-  std::vector<std::string> OnLost(const std::string& aUpstream, TimePoint aNow);
+  /// Called when the upstream is gone. Returns the calls that broke at the
+  /// crash, and forgets them.
+  std::vector<BrokenCall> OnLost(const std::string& aUpstream, TimePoint aNow);
 
 private:
-  struct Break
-  {
-    std::string mDigest;
-    TimePoint mAt;
-  };
-
   Duration mWindow;
-  std::map<std::string, std::vector<Break>> mBreaks; ///< By upstream.
+  std::map<std::string, std::vector<BrokenCall>> mCalls; ///< By upstream.
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Relay/CrashReports.cpp
+++ b/Peridothoist/Relay/CrashReports.cpp
@@ -2,9 +2,60 @@
 #include <Peridothoist/Relay/CrashReports.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace peridothoist {
 
+namespace {
+
+constexpr std::string_view kPromptPartPrefix = "part:";
+
+/// Orders reports by how much other VMs need them, the first most.
+bool
+IsMoreUrgent(const CrashReport& aOne, const CrashReport& aTwo)
+{
+  const auto rankOf = [](const CrashReport& aIt) {
+    return std::make_tuple(-static_cast<std::ptrdiff_t>(aIt.OpenCrashes()),
+                           !IsPromptPartKey(aIt.mContent),
+                           aIt.Age(),
+                           aIt.mContent);
+  };
+  return rankOf(aOne) < rankOf(aTwo);
+}
+
+} // namespace
+
+std::string
+PromptPartKey(const std::string& aService, const std::string& aPart)
+{
+  return std::string(kPromptPartPrefix) + aService + '/' + aPart;
+}
+
+bool
+IsPromptPartKey(const std::string& aContent)
+{
+  return aContent.compare(0, kPromptPartPrefix.size(), kPromptPartPrefix) == 0;
+}
+
+std::size_t
+CrashReport::OpenCrashes() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mSightings.begin(), mSightings.end(), [](const ReportedSighting& aIt) {
+      return !aIt.mIsExcused;
+    }));
+}
+
+Duration
+CrashReport::Age() const
+{
+  Duration age = Duration::max();
+  for (const ReportedSighting& it : mSightings) {
+    age = std::min(age, it.mAge);
+  }
+  return age;
+}
+
 std::vector<CrashReport>
 SelectCrashReports(std::vector<CrashReport> aAll,
                    std::size_t aMaxReports,
@@ -13,11 +64,7 @@
   if (aAll.size() <= aMaxReports) {
     return aAll;
   }
-  std::stable_sort(aAll.begin(),
-                   aAll.end(),
-                   [](const CrashReport& aOne, const CrashReport& aTwo) {
-                     return aOne.mCrashes > aTwo.mCrashes;
-                   });
+  std::sort(aAll.begin(), aAll.end(), &IsMoreUrgent);
   const std::size_t first = aMaxReports / 2;
   const std::size_t rest = aAll.size() - first;
   std::vector<CrashReport> chosen(
@@ -29,38 +76,4 @@
   return chosen;
 }
 
-std::vector<CrashReport>
-MakeCrashReports(const SuspectTable& aSuspects, TimePoint aNow)
-{
-  std::vector<CrashReport> all;
-  const auto add = [&](const SuspectSummary& aSummary, bool aQuarantined) {
-    all.push_back({ aSummary.mDigest,
-                    aSummary.mCrashes,
-                    aQuarantined,
-                    aSummary.mExpiresAt - aNow });
-  };
-  for (const SuspectSummary& it : aSuspects.ListQuarantined(aNow)) {
-    add(it, true);
-  }
-  for (const SuspectSummary& it : aSuspects.ListSuspects(aNow)) {
-    add(it, false);
-  }
-  return all;
-}
-
-void
-ApplyCrashReports(const std::vector<CrashReport>& aReports,
-                  SuspectTable& aSuspects,
-                  TimePoint aNow)
-{
-  for (const CrashReport& it : aReports) {
-    const TimePoint until = aNow + it.mRemaining;
-    if (it.mIsQuarantined) {
-      aSuspects.AddQuarantine(it.mDigest, until, aNow);
-    } else {
-      aSuspects.AddSuspect(it.mDigest, until, aNow, it.mCrashes);
-    }
-  }
-}
-
 } // namespace peridothoist
--- a/Peridothoist/Relay/CrashReports.h
+++ b/Peridothoist/Relay/CrashReports.h
@@ -1,38 +1,58 @@
-/// Reports about requests that were present at crashes of upstreams, as VMs
-/// send them to each other.
+/// What VMs tell each other about the contents of requests that were present
+/// when upstreams crashed.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
-#include <Peridothoist/Routing/SuspectTable.h>
 
 namespace peridothoist {
 
-/// Reports that a request, named by its digest, was present at upstream
-/// crashes.
+/// Returns the key of a shared part of prompts as a content. A part may be
+/// sound at one service and crash the upstreams of another.
+std::string
+PromptPartKey(const std::string& aService, const std::string& aPart);
+
+bool
+IsPromptPartKey(const std::string& aContent);
+
+/// One crash of an upstream at which a content was present.
+struct CrashSighting
+{
+  std::uint64_t mCrash = 0;     ///< Identifies the process that crashed.
+  std::uint64_t mWorkspace = 0; ///< Digest of the requesting workspace's name.
+  TimePoint mAt;
+  Duration mRunTime{ 0 };  ///< From the start of the call to the crash.
+  bool mIsExcused = false; ///< The content ran soundly since.
+};
+
+/// A sighting as it is sent, independent of the sender's clock.
+struct ReportedSighting
+{
+  std::uint64_t mCrash = 0;
+  std::uint64_t mWorkspace = 0;
+  Duration mAge{ 0 }; ///< Time since the crash.
+  Duration mRunTime{ 0 };
+  bool mIsExcused = false;
+};
+
+/// All sightings of one content.
 struct CrashReport
 {
-  std::string mDigest;
-  std::uint32_t mCrashes = 0; ///< Crashes at which it was present.
-  bool mIsQuarantined = false;
-  Duration mRemaining{ 0 }; ///< Remaining lifetime of the report.
+  std::string mContent;
+  std::vector<ReportedSighting> mSightings;
+
+  /// Returns the number of crashes from which the content is not excused.
+  std::size_t OpenCrashes() const;
+  /// Returns the time since the newest crash.
+  Duration Age() const;
 };
 
-/// Returns at most aMaxReports reports for one message: half of them those with
-/// the most crashes, the others in rotation, so that each is sent within a few
-/// messages. aMessageNumber goes up by one with each message.
+/// Returns at most aMaxReports reports for the message of this number: those
+/// with the most open crashes, of these the ones about prompt parts and the
+/// newest, and the others in rotation, so that each is sent within a few
+/// messages.
 std::vector<CrashReport>
 SelectCrashReports(std::vector<CrashReport> aAll,
                    std::size_t aMaxReports,
                    std::uint64_t aMessageNumber);
 
-/// Returns a report for each suspect and each quarantined request.
-std::vector<CrashReport>
-MakeCrashReports(const SuspectTable& aSuspects, TimePoint aNow);
-
-/// Adds what a peer reported.
-void
-ApplyCrashReports(const std::vector<CrashReport>& aReports,
-                  SuspectTable& aSuspects,
-                  TimePoint aNow);
-
 } // namespace peridothoist
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -38,9 +38,11 @@
   call->mLastActivity = aNow;
   if (!call->mHasEvent) {
     call->mHasEvent = true;
+    call->mFirstEventAt = aNow;
     mLoads.OnSuccess(call->mUpstream);
     ArmInactivityTimer(state);
   }
+  ExcusePartsOf(state, *call);
   state.mVerdict.Advance(RunVerdict::MayHaveRun);
   if (aEvent.mEventId && *aEvent.mEventId <= state.mLastEventId) {
     return; // The caller already has it.
@@ -309,8 +311,7 @@
     return;
   }
   if (aEnd.mOutcome.mEnd == CallEnd::Broken) {
-    ++mCounters.mBroken;
-    mBrokenCalls.OnCallBroken(aCall.mUpstream, aState.mRequest.mDigest, mNow);
+    OnCallBroken(aState, aCall);
   }
   OnPrefillFailed(aState, aCall);
 }
@@ -388,7 +389,7 @@
     return;
   }
   aState.mVerdict.Advance(RunVerdict::Ran);
-  mSuspects.OnFinished(aState.mRequest.mDigest);
+  ExcuseContentsOf(aState);
   const bool failed = aEnd.mOutcome.mStatus >= kServerErrorStatus;
   if (!failed) {
     mLoads.OnSuccess(aCall.mUpstream);
@@ -429,7 +430,7 @@
     return;
   }
   mLoads.OnSuccess(aCall.mUpstream);
-  mSuspects.OnFinished(aState.mRequest.mDigest);
+  ExcuseContentsOf(aState);
   if (!aState.mHeadSent) {
     aState.mHeadSent = true;
     Command(RelayCommandKind::SendHead, aState).mResponse = aCall.mHead;
@@ -446,8 +447,7 @@
   aState.mExcludedUpstreams.insert(aCall.mUpstream);
   aState.mSkipPrefill = true;
   if (aBroken) {
-    ++mCounters.mBroken;
-    mBrokenCalls.OnCallBroken(aCall.mUpstream, aState.mRequest.mDigest, mNow);
+    OnCallBroken(aState, aCall);
   }
   if (!aState.mRequest.mRoute->IsRetryable()) {
     Refuse(aState, RefusalKind::UpstreamFailed);
@@ -461,7 +461,8 @@
 {
   return aState.mTriedUpstreams.size() < aState.mRequest.mRoute->mMaxAttempts &&
          mNow + mSettings.mMinTimeLeft < aState.mRequest.mDeadline &&
-         !mSuspects.QuarantinedUntil(aState.mRequest.mDigest, mNow);
+         mCrashEvidence.Check(aState.mContents, mNow) ==
+           ContentVerdict::Allowed;
 }
 
 void
--- a/Peridothoist/Relay/RelayCommand.cpp
+++ b/Peridothoist/Relay/RelayCommand.cpp
@@ -24,11 +24,11 @@
 const char*
 ToName(RelayCommandKind aKind)
 {
-  static constexpr std::array<const char*, 13> kNames = {
-    "start_call", "cancel_call",  "release_handle",  "release_reservation",
-    "send_head",  "send_event",   "send_answer",     "send_refusal",
-    "end_stream", "abort_stream", "announce_origin", "find_origin",
-    "forget"
+  static constexpr std::array<const char*, 14> kNames = {
+    "start_call",     "cancel_call",  "release_handle",  "release_reservation",
+    "send_head",      "send_event",   "send_answer",     "send_refusal",
+    "end_stream",     "abort_stream", "announce_origin", "find_origin",
+    "check_upstream", "forget"
   };
   return kNames[static_cast<std::size_t>(aKind)];
 }
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -17,10 +17,10 @@
 {
   std::uint64_t mId = 0; ///< Chosen by the shell; never reused.
   std::shared_ptr<const RelayRoute> mRoute; ///< Never null.
-  std::string mService;      ///< The target that the route selected.
-  std::string mWorkspace;    ///< Empty on routes that are open to all.
-  std::string mKey;          ///< Empty on routes that are open to all.
-  std::string mDigest;       ///< Of method, target, workspace and body.
+  std::string mService;   ///< The target that the route selected.
+  std::string mWorkspace; ///< Empty on routes that are open to all.
+  std::string mKey;       ///< Empty on routes that are open to all.
+  std::string mDigest;    ///< Of method, target, workspace and body.
   /// Ids of the parts of its prompt that other requests may share.
   std::vector<std::string> mSharedPromptParts;
   double mCost = 0;          ///< Charged to the workspace's allowance.
@@ -54,6 +54,7 @@
   AbortStream,        ///< End the caller's stream visibly incomplete.
   AnnounceOrigin,     ///< Tell other VMs where a stream began.
   FindOrigin,         ///< Ask other VMs; leads to OnOriginFound.
+  CheckUpstream,      ///< Ask whether it is gone; leads to OnUpstreamChecked.
   Forget              ///< The request is over; free its resources.
 };
 
@@ -108,7 +109,7 @@
   std::uint64_t mId = 0;
   std::uint32_t mAttempt = 0; ///< From 1; identifies a call of the request.
 
-  // StartCall, CancelCall, ReleaseHandle, ReleaseReservation
+  // StartCall, CancelCall, ReleaseHandle, ReleaseReservation, CheckUpstream
   std::string mUpstream; ///< Id.
   std::string mAddress;  ///< "ip:port".
   RelayCallKind mCallKind = RelayCallKind::Whole;
--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -21,6 +21,10 @@
     Refuse(aState, *refusal);
     return;
   }
+  if (IsQuarantined(aState, mNow)) {
+    Refuse(aState, RefusalKind::Quarantined);
+    return;
+  }
   if (request.mRoute->mKind == RouteKind::Stream) {
     PlaceStream(aState);
   } else {
@@ -174,6 +178,10 @@
                                const RelayUpstream& aUpstream,
                                RelayCallKind aKind)
 {
+  if (IsQuarantined(aState, mNow)) {
+    Refuse(aState, RefusalKind::Quarantined);
+    return false;
+  }
   if (RunsRequest(aKind) && !FitsOrigin(aState, aUpstream)) {
     // It was restarted with another version while memory was reserved or the
     // prompt was read.
@@ -201,6 +209,7 @@
   call.mUpstream = aUpstream.mId;
   call.mAddress = aUpstream.mAddress;
   call.mSoftwareVersion = aUpstream.mSoftwareVersion;
+  call.mIncarnationId = aUpstream.mIncarnationId;
   call.mKind = aKind;
   const bool isReserve = aKind == RelayCallKind::Reserve;
   call.mTokens =
@@ -253,11 +262,12 @@
   if (call == nullptr) {
     return false;
   }
-  const AdmittedRequest& request = Find(aId)->mRequest;
-  const bool maySend = aNow < request.mDeadline &&
-                       mUpstreamList.AcceptsRequests(call->mUpstream) &&
-                       HasCallVersion(*call) &&
-                       !mPolicy->CheckRelay(request, aNow);
+  State& state = *Find(aId);
+  const AdmittedRequest& request = state.mRequest;
+  const bool maySend =
+    aNow < request.mDeadline && !IsQuarantined(state, aNow) &&
+    mUpstreamList.AcceptsRequests(call->mUpstream) && HasCallVersion(*call) &&
+    !mPolicy->CheckRelay(request, aNow);
   call->mMayHaveBeenSent = call->mMayHaveBeenSent || maySend;
   return maySend;
 }
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -19,7 +19,7 @@
   , mLoads(aSettings.mLoads)
   , mChooser(aSettings.mChooser, &mUpstreamList, &mLoads, aRandom)
   , mPlanner(aSettings.mPlanner)
-  , mSuspects(aSettings.mSuspects)
+  , mCrashEvidence(aSettings.mCrashEvidence)
   , mBrokenCalls(aSettings.mCrashWindow)
   , mOrigins(aSettings.mOrigins)
 {
@@ -107,9 +107,10 @@
   State& state = mRequests[id];
   state.mLastEventId = aRequest.mLastEventId;
   state.mRequest = std::move(aRequest);
+  state.mContents = ContentsOf(state.mRequest);
   mTimers.Add(state.mRequest.mDeadline, { TimerKind::Deadline, id, 0 });
   RetryBudgetOf(state.mRequest.mService).OnRequest(aNow);
-  if (mSuspects.QuarantinedUntil(state.mRequest.mDigest, aNow)) {
+  if (IsQuarantined(state, aNow)) {
     Refuse(state, RefusalKind::Quarantined);
     return;
   }
@@ -250,16 +251,6 @@
   mRequests.erase(id);
 }
 
-/// Called when an upstream is gone without having announced that it leaves.
-void
-RelayStateMachine::OnUpstreamLost(const std::string& aUpstream)
-{
-  const auto present = mBrokenCalls.OnLost(aUpstream, mNow);
-  if (!present.empty()) {
-    mCounters.mQuarantined += mSuspects.OnCrash(present, mNow).size();
-  }
-}
-
 void
 RelayStateMachine::OnUpstreamsLost(const std::vector<UpstreamLoss>& aLost)
 {
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -16,6 +16,7 @@
 ///     an event.
 ///   - A request that must not run twice is sent again only after its upstream
 ///     stated that it has not run it, or if none of its bytes were sent.
+///   - A request with a content that is quarantined is not sent to an upstream.
 ///   - A refusal states "not run" only if every upstream to which the request
 ///     was sent stated that it has not run it.
 #pragma once
@@ -24,13 +25,13 @@
 #include <Peridothoist/Core/Random.h>
 #include <Peridothoist/Relay/BrokenCallTracker.h>
 #include <Peridothoist/Relay/CallTimeEstimate.h>
+#include <Peridothoist/Relay/CrashEvidence.h>
 #include <Peridothoist/Relay/PrefillPlanner.h>
 #include <Peridothoist/Relay/RelayCommand.h>
 #include <Peridothoist/Relay/RelayRetryBudget.h>
 #include <Peridothoist/Relay/StreamOriginTable.h>
 #include <Peridothoist/Relay/UpstreamChooser.h>
 #include <Peridothoist/Request/TimerQueue.h>
-#include <Peridothoist/Routing/SuspectTable.h>
 
 #include <array>
 #include <set>
@@ -99,7 +100,12 @@
   /// of its service was listed for this time; longer than a stream of an
   /// upstream that is gone is resumed.
   Duration mSoleVersionPeriod = 30s;
-  SuspectTableSettings mSuspects;
+  /// A stream that has been sent for this long shows that the parts of its
+  /// prompt did not crash the upstream.
+  Duration mSoundWritingTime = 1s;
+  /// Minimum time between checks of an upstream whose calls break.
+  Duration mUpstreamCheckInterval = 1s;
+  CrashEvidenceSettings mCrashEvidence;
   RelayRetryBudgetSettings mRetryBudget;
   PrefillPlannerSettings mPlanner;
   UpstreamChooserSettings mChooser;
@@ -123,7 +129,8 @@
   std::uint64_t mBroken = 0;         ///< Calls that broke without a response.
   std::uint64_t mUnsent = 0;         ///< Calls of which no byte was sent.
   std::uint64_t mCallersGone = 0;
-  std::uint64_t mQuarantined = 0;
+  std::uint64_t mUpstreamChecks = 0; ///< Of upstreams whose calls broke.
+  std::uint64_t mTrials = 0; ///< Requests with quarantined contents, on trial.
   // Software versions that began streams
   std::uint64_t mOriginsAnnounced = 0;
   std::uint64_t mOriginsLookedUp = 0; ///< At other VMs.
@@ -212,7 +219,14 @@
   const UpstreamList& ListedUpstreams() const { return mUpstreamList; }
   UpstreamList& ListedUpstreams() { return mUpstreamList; }
   UpstreamLoadTracker& Loads() { return mLoads; }
-  SuspectTable& Suspects() { return mSuspects; }
+  CrashEvidence& Crashes() { return mCrashEvidence; }
+
+  /// Called with the result of a CheckUpstream command. aIsGone: nothing or
+  /// another process answers at its address.
+  void OnUpstreamChecked(const std::string& aUpstream,
+                         bool aIsGone,
+                         TimePoint aNow,
+                         RelayCommands& aOut);
 
   /// Handles expired timers. To be called at NextTick().
   void OnTick(TimePoint aNow, RelayCommands& aOut);
@@ -234,14 +248,17 @@
     std::uint32_t mAttempt = 0;
     std::string mUpstream;
     std::string mAddress;
-    std::string mSoftwareVersion; ///< As listed when the call started.
+    std::string mSoftwareVersion;     ///< As listed when the call started.
+    std::uint64_t mIncarnationId = 0; ///< The same.
     RelayCallKind mKind = RelayCallKind::Whole;
     std::uint64_t mTokens = 0; ///< KV memory counted in mLoads.
     bool mMayHaveBeenSent = false;
     bool mHasEvent = false; ///< Stream: an event was received.
     TimePoint mStartedAt;
-    TimePoint mLastActivity; ///< Start, or the last event.
-    RelayResponse mHead;     ///< Stream: status and headers.
+    TimePoint mFirstEventAt;   ///< With mHasEvent.
+    TimePoint mPartsExcusedAt; ///< See ExcusePartsOf().
+    TimePoint mLastActivity;   ///< Start, or the last event.
+    RelayResponse mHead;       ///< Stream: status and headers.
     bool mUsesHandle = false;
     std::string mHandle; ///< The prefill result that it uses.
     std::string mHandleAddress;
@@ -252,6 +269,9 @@
   struct State
   {
     AdmittedRequest mRequest;
+    RequestContents mContents;
+    /// Set when a content is first found on trial: whether it may be sent.
+    std::optional<bool> mIsOnTrial;
     std::optional<Call> mCall;
     /// Call to another upstream while that of mCall is silent.
     std::optional<Call> mSecondCall;
@@ -402,6 +422,13 @@
   void Finish(State& aState);
 
   // Crashes
+  static RequestContents ContentsOf(const AdmittedRequest& aRequest);
+  bool IsQuarantined(State& aState, TimePoint aNow);
+  void RefuseQuarantined();
+  bool HasJustBegun(const Call& aCall) const;
+  void OnCallBroken(const State& aState, const Call& aCall);
+  void ExcusePartsOf(const State& aState, Call& aCall);
+  void ExcuseContentsOf(const State& aState);
   void OnUpstreamLost(const std::string& aUpstream);
   void OnUpstreamsLost(const std::vector<UpstreamLoss>& aLost);
 
@@ -425,7 +452,7 @@
   UpstreamLoadTracker mLoads;
   UpstreamChooser mChooser;
   PrefillPlanner mPlanner;
-  SuspectTable mSuspects;
+  CrashEvidence mCrashEvidence;
   std::map<std::string, RelayRetryBudget> mRetryBudgets; ///< By service.
   std::map<std::string, CallTimeEstimate> mCallTimes;    ///< By service.
   std::unordered_map<std::uint64_t, State> mRequests;
--- a/Peridothoist/Relay/RelayTakeover.cpp
+++ b/Peridothoist/Relay/RelayTakeover.cpp
@@ -250,8 +250,7 @@
   }
   aState.mVerdict.Advance(RunVerdict::MayHaveRun);
   if (aEnd.mOutcome.mEnd == CallEnd::Broken) {
-    ++mCounters.mBroken;
-    mBrokenCalls.OnCallBroken(aCall.mUpstream, aState.mRequest.mDigest, mNow);
+    OnCallBroken(aState, aCall);
   }
 }
 
--- a/Peridothoist/Relay/RelayWaiting.cpp
+++ b/Peridothoist/Relay/RelayWaiting.cpp
@@ -74,6 +74,7 @@
 void
 RelayStateMachine::DispatchWaiting()
 {
+  RefuseQuarantined();
   if (mWaiting.empty()) {
     return;
   }
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -509,7 +509,9 @@
   message.mGoneUpstreams = { "x" };
   message.mFailingUpstreams = { { "y", { 1.5, 0.25 } } };
   message.mWaiting = { { "s", { 4, 2 } } };
-  message.mCrashReports = { { "d", 2, true, Duration(9) } };
+  message.mCrashReports = { { "d",
+                              { { 1, 2, Duration(9), Duration(3), true },
+                                { 4, 2, 5s, 1s, false } } } };
   const std::string bytes = EncodeGossipMessage(message);
   const auto decoded = DecodeGossipMessage(bytes);
   RC_ASSERT(decoded.has_value());
--- a/UnitTests/Relay/RelayStateMachineTest.cpp
+++ b/UnitTests/Relay/RelayStateMachineTest.cpp
@@ -191,7 +191,7 @@
     End(Call(other), Broken());
     End(call, Broken());
     List({}); // The upstream is gone without having announced that it leaves.
-    mMachine.Suspects().OnFinished("other");
+    mMachine.Crashes().OnSoundRun("other", mNow);
   }
   mCommands.clear();
   List({ Upstream("p9", RelayStage::Plain) });
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -287,15 +287,19 @@
   // reports must not make messages large, and each must still be sent.
   std::vector<CrashReport> all;
   for (int n = 0; n < 200; ++n) {
-    all.push_back({ std::to_string(n), n == 150 ? 2U : 1U, false, 1s });
+    CrashReport report{ std::to_string(n), { { 1, 0, 1s, 1ms, false } } };
+    if (n == 150) {
+      report.mSightings.push_back({ 2, 0, 1s, 1ms, false });
+    }
+    all.push_back(report);
   }
   std::set<std::string> reported;
   for (std::uint64_t messageNumber = 0; messageNumber < 60; ++messageNumber) {
     const auto some = SelectCrashReports(all, 8, messageNumber);
     BOOST_TEST(some.size() == 8U);
-    BOOST_TEST(some[0].mDigest == "150");
+    BOOST_TEST(some[0].mContent == "150");
     for (const CrashReport& it : some) {
-      reported.insert(it.mDigest);
+      reported.insert(it.mContent);
     }
   }
   BOOST_TEST(reported.size() == 200U);
