--- a/SystemTests/test_crashing_prompt_parts.py
+++ b/SystemTests/test_crashing_prompt_parts.py
@@ -7,7 +7,7 @@
 import unittest
 
 from test_nodes import NodeClusterTest
-from users_platform.callers import Caller
+from users_platform.load import Load
 from users_platform.upstreams import shared_parts
 
 CONTACT_SECONDS = 3.0  # For which VMs in touch may not know of a crash.
@@ -28,37 +28,18 @@
 
     def setUp(self):
         super().setUp()
-        self.attempts = []
-        self.nodes = itertools.cycle(self.cluster.nodes)
-
-    async def send_one(self, parts):
-        node = next(self.nodes)
-        caller = Caller(f"p{len(self.attempts)}")
-        attempt = await caller.send(
-            node.name, node.address(), "stream", "k1", 4.0, EVENTS, parts=parts,
-            before_send=self.attempts.append,
-        )
-        await caller.close()
-        return attempt
-
-    async def send_at_intervals(self, parts, interval, seconds):
-        """Sends requests whose parts are the next ones of an iterator."""
-        pending = []
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            pending.append(asyncio.ensure_future(self.send_one(next(parts))))
-            await asyncio.sleep(interval)
-        await asyncio.gather(*pending)
+        self.sound = Load(self.cluster, "stream", events=EVENTS)
+        self.bad = Load(self.cluster, "stream", events=EVENTS)
 
     async def run_load(self, bad_parts):
-        sound = itertools.repeat((COMMON, "50044d01"))
         total = BEFORE_SECONDS + BAD_SECONDS
+        sound_parts = itertools.repeat((COMMON, "50044d01"))
         running = asyncio.ensure_future(
-            self.send_at_intervals(sound, SOUND_INTERVAL_SECONDS, total)
+            self.sound.send_at_intervals(SOUND_INTERVAL_SECONDS, total, sound_parts)
         )
         await asyncio.sleep(BEFORE_SECONDS)
         self.cluster.shared_state.crashing_part = BAD
-        await self.send_at_intervals(bad_parts, BAD_INTERVAL_SECONDS, BAD_SECONDS)
+        await self.bad.send_at_intervals(BAD_INTERVAL_SECONDS, BAD_SECONDS, bad_parts)
         await running
 
     def late_sends(self):
@@ -76,20 +57,14 @@
 
     def served_fraction(self, since, until):
         """Returns the fraction of the sound requests of this time that were served."""
-        sent = [
-            it
-            for it in self.attempts
-            if BAD not in it.parts and since <= it.sent_at < until
-        ]
+        sent = self.sound.sent_between(since, until)
         served = [it for it in sent if it.status == 200]
         self.assertGreater(len(sent), 10)
         return len(served) / len(sent)
 
     def check(self, bad_parts):
         started_at = time.monotonic()
-        asyncio.run_coroutine_threadsafe(
-            self.run_load(bad_parts), self.cluster.loop.loop
-        ).result(60)
+        self.sound.run(self.run_load(bad_parts))
         crashes = self.cluster.shared_state.crash_times
         late = self.late_sends()
         self.assertLessEqual(
--- a/SystemTests/test_nodes.py
+++ b/SystemTests/test_nodes.py
@@ -18,10 +18,11 @@
     """Base of tests that start a cluster and a caller each."""
 
     NODES = 3
+    LEDGERS = 2
     ENGINES = {"prefills": 1, "decodes": 2}
 
     def setUp(self):
-        self.cluster = NodeCluster(nodes=self.NODES, ledgers=2, **self.ENGINES)
+        self.cluster = NodeCluster(nodes=self.NODES, ledgers=self.LEDGERS, **self.ENGINES)
         self.addCleanup(self.cluster.stop)
         self.cluster.start()
         self.caller = Caller("c")
