--- a/Peridothoist/Cells/CellMembership.cpp
+++ b/Peridothoist/Cells/CellMembership.cpp
@@ -1,6 +1,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Cells/CellMembership.h>
 
+#include <Peridothoist/Membership/Rendezvous.h>
+
 #include <algorithm>
 
 namespace peridothoist {
@@ -223,6 +225,7 @@
   aSummary.mGoneUpstreams.insert(aSummary.mGoneUpstreams.end(),
                                  aMessage.mGoneUpstreams.begin(),
                                  aMessage.mGoneUpstreams.end());
+  MergeLimits(aSummary.mLimits, aMessage.mLimits);
   const SummaryTableSettings& limits = mSummaries->GetSettings();
   const bool isFull = aZone != mSelf.mZone &&
                       aSummary.mCallers.size() >= limits.mCallersForOtherZones;
@@ -266,4 +269,31 @@
   return summary;
 }
 
+std::vector<std::string>
+CellMembership::CandidatesFor(const std::string& aUpstream) const
+{
+  std::set<std::string> names;
+  if (IsSingleCell()) {
+    names.insert(mSelf.mName);
+    for (const auto& [name, vm] : mLayout.Vms()) {
+      names.insert(name);
+    }
+    for (const auto& [name, member] : mMembers->Members()) {
+      names.insert(name);
+    }
+    return { names.begin(), names.end() };
+  }
+  std::map<std::string, CellId> cells;
+  std::vector<std::string> keys;
+  for (const CellId& cell : mLayout.Cells()) {
+    keys.push_back(cell.mZone + '/' + std::to_string(cell.mNumber));
+    cells[keys.back()] = cell;
+  }
+  const auto home = TopRendezvousNodes(aUpstream, keys, 1);
+  for (const VmRecord& vm : mLayout.VmsOf(cells[home.front()])) {
+    names.insert(vm.mName);
+  }
+  return { names.begin(), names.end() };
+}
+
 } // namespace peridothoist
--- a/Peridothoist/Cells/CellMembership.h
+++ b/Peridothoist/Cells/CellMembership.h
@@ -44,7 +44,7 @@
 };
 
 /// The place of this VM in the fleet.
-class CellMembership
+class CellMembership : public LimitSharers
 {
 public:
   using Settings = CellMembershipSettings;
@@ -107,6 +107,10 @@
                               const std::string& aZone,
                               TimePoint aNow) const;
 
+  // See: LimitSharers. In a fleet with cells, the VMs of one cell.
+  std::vector<std::string> CandidatesFor(
+    const std::string& aUpstream) const override;
+
 private:
   ViewRole RoleInSingleCell(bool aIsLeaving, TimePoint aNow) const;
   ViewRole RoleOfLeader() const;
--- a/Peridothoist/Cells/GossipSummary.h
+++ b/Peridothoist/Cells/GossipSummary.h
@@ -30,6 +30,7 @@
   std::vector<std::string> mGoneUpstreams;
   CountsByUpstream mFailingUpstreams;
   std::vector<CrashReport> mCrashReports;
+  LimitsByUpstream mLimits; ///< As upstreams stated them to these VMs.
   std::vector<CallerAddress> mCallers;
 };
 
--- a/Peridothoist/Cells/SummaryTable.cpp
+++ b/Peridothoist/Cells/SummaryTable.cpp
@@ -125,6 +125,7 @@
       aSum.mFailingUpstreams[id].mSucceeded += counts.mSucceeded;
     }
     gone.insert(it.mGoneUpstreams.begin(), it.mGoneUpstreams.end());
+    MergeLimits(aSum.mLimits, it.mLimits);
   }
   aSum.mGoneUpstreams.assign(gone.begin(), gone.end());
   aSum.mFailingUpstreams = WorstFailing(std::move(aSum.mFailingUpstreams),
--- a/Peridothoist/Node/CellGossip.cpp
+++ b/Peridothoist/Node/CellGossip.cpp
@@ -59,6 +59,7 @@
   loads.Outcomes().OnPeerCounts(key, aSummary.mFailingUpstreams);
   loads.OnPeerWaiting(key, aSummary.mWaiting);
   mMachine->Crashes().Apply(aSummary.mCrashReports, aNow);
+  mMachine->OnPeerLimits(aSummary.mLimits, aNow);
   mMembers->SetReachableElsewhere(mSummaries.ReachableVms());
   mListener->OnPeerWork(key, aSummary.mWork);
 }
--- a/Peridothoist/Node/GossipCodec.cpp
+++ b/Peridothoist/Node/GossipCodec.cpp
@@ -31,6 +31,8 @@
 constexpr const char* kGone = "x";
 constexpr const char* kFailing = "f";
 constexpr const char* kCrashes = "c";
+constexpr const char* kLimits = "m";
+constexpr const char* kDemand = "h";
 
 // Further keys of a summary.
 constexpr const char* kCell = "e";
@@ -38,6 +40,7 @@
 constexpr const char* kCallers = "o";
 
 constexpr Duration kMaxAge = 24h; ///< Longer than any evidence is kept.
+constexpr double kMaxRate = 1e9;  ///< Requests a second.
 
 /// Call counts are encoded as integers in hundredths.
 constexpr double kCountScale = 100;
@@ -76,6 +79,27 @@
   return crashes;
 }
 
+json
+EncodeLimits(const LimitsByUpstream& aLimits)
+{
+  json limits = json::object();
+  for (const auto& [id, it] : aLimits) {
+    const json perSecond = it.mPerSecond ? json(*it.mPerSecond) : json();
+    limits[id] = { perSecond, it.mAge.count() };
+  }
+  return limits;
+}
+
+json
+EncodeDemand(const DemandByService& aDemand)
+{
+  json demand = json::object();
+  for (const auto& [service, perSecond] : aDemand) {
+    demand[service] = std::llround(perSecond * kCountScale);
+  }
+  return demand;
+}
+
 json
 EncodeFailing(const CountsByUpstream& aFailing)
 {
@@ -173,6 +197,37 @@
   return crashes;
 }
 
+/// Builds that know no limits send none.
+LimitsByUpstream
+DecodeLimits(const json& aBody)
+{
+  LimitsByUpstream limits;
+  if (!aBody.contains(kLimits)) {
+    return limits;
+  }
+  for (const auto& [id, it] : aBody.at(kLimits).items()) {
+    ReportedLimit limit;
+    if (!it.at(0).is_null()) {
+      limit.mPerSecond = std::clamp(it.at(0).get<double>(), 0.0, kMaxRate);
+    }
+    limit.mAge = DecodeAge(it.at(1));
+    limits[id] = limit;
+  }
+  return limits;
+}
+
+DemandByService
+DecodeDemand(const json& aBody)
+{
+  DemandByService demand;
+  if (aBody.contains(kDemand)) {
+    for (const auto& [service, it] : aBody.at(kDemand).items()) {
+      demand[service] = it.get<std::uint32_t>() / kCountScale;
+    }
+  }
+  return demand;
+}
+
 GossipMessage
 DecodeMessage(const json& aValue)
 {
@@ -195,6 +250,8 @@
   message.mGoneUpstreams = aValue.at(kGone).get<std::vector<std::string>>();
   message.mFailingUpstreams = DecodeFailing(aValue.at(kFailing));
   message.mCrashReports = DecodeCrashes(aValue.at(kCrashes));
+  message.mLimits = DecodeLimits(aValue);
+  message.mDemand = DecodeDemand(aValue);
   message.mPeers = aValue.at(kKnownPeers).get<std::vector<std::string>>();
   message.mIsRedirect = aValue.value(kRedirect, false);
   return message;
@@ -256,6 +313,7 @@
   summary.mGoneUpstreams = body.at(kGone).get<std::vector<std::string>>();
   summary.mFailingUpstreams = DecodeFailing(body.at(kFailing));
   summary.mCrashReports = DecodeCrashes(body.at(kCrashes));
+  summary.mLimits = DecodeLimits(body);
   summary.mCallers = DecodeCallers(body.at(kCallers));
   return summary;
 }
@@ -298,24 +356,31 @@
   for (const auto& [service, it] : aMessage.mWaiting) {
     waiting += it;
   }
-  return ToCbor(
-    { { kVm, aMessage.mVm },
-      { kZone, aMessage.mZone },
-      { kInstance, aMessage.mInstance },
-      { kSequence, aMessage.mSequence },
-      { kCallerAddress, aMessage.mCallerAddress },
-      { kPeerAddress, aMessage.mPeerAddress },
-      { kServing, static_cast<int>(aMessage.mServing) },
-      { kLeaving, aMessage.mIsLeaving },
-      { kRedirect, aMessage.mIsRedirect },
-      { kGranted, aMessage.mGranted },
-      { kWork, EncodeWork(aMessage.mWork) },
-      { kWaiting, { waiting.mInTime, waiting.mLate } },
-      { kWaitingByService, EncodeWaitingByService(aMessage.mWaiting) },
-      { kGone, aMessage.mGoneUpstreams },
-      { kFailing, EncodeFailing(aMessage.mFailingUpstreams) },
-      { kCrashes, EncodeCrashes(aMessage.mCrashReports) },
-      { kKnownPeers, aMessage.mPeers } });
+  json body = { { kVm, aMessage.mVm },
+                { kZone, aMessage.mZone },
+                { kInstance, aMessage.mInstance },
+                { kSequence, aMessage.mSequence },
+                { kCallerAddress, aMessage.mCallerAddress },
+                { kPeerAddress, aMessage.mPeerAddress },
+                { kServing, static_cast<int>(aMessage.mServing) },
+                { kLeaving, aMessage.mIsLeaving },
+                { kRedirect, aMessage.mIsRedirect },
+                { kGranted, aMessage.mGranted },
+                { kWork, EncodeWork(aMessage.mWork) },
+                { kWaiting, { waiting.mInTime, waiting.mLate } },
+                { kWaitingByService,
+                  EncodeWaitingByService(aMessage.mWaiting) },
+                { kGone, aMessage.mGoneUpstreams },
+                { kFailing, EncodeFailing(aMessage.mFailingUpstreams) },
+                { kCrashes, EncodeCrashes(aMessage.mCrashReports) },
+                { kKnownPeers, aMessage.mPeers } };
+  if (!aMessage.mLimits.empty()) {
+    body[kLimits] = EncodeLimits(aMessage.mLimits);
+  }
+  if (!aMessage.mDemand.empty()) {
+    body[kDemand] = EncodeDemand(aMessage.mDemand);
+  }
+  return ToCbor(body);
 }
 
 std::optional<GossipMessage>
@@ -340,6 +405,9 @@
                 { kFailing, EncodeFailing(aSummary.mFailingUpstreams) },
                 { kCrashes, EncodeCrashes(aSummary.mCrashReports) },
                 { kCallers, EncodeCallers(aSummary.mCallers) } };
+  if (!aSummary.mLimits.empty()) {
+    body[kLimits] = EncodeLimits(aSummary.mLimits);
+  }
   if (aSummary.mCell) {
     body[kCell] = { aSummary.mCell->mZone, aSummary.mCell->mNumber };
   }
--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -83,6 +83,7 @@
            aRateLimiter,
            aListener)
 {
+  mMachine->Limits().SetSharers(&mCells.Membership(), mSettings.mVm);
   AddSeeds(aSettings.mSeeds);
 }
 
@@ -102,6 +103,7 @@
 
 NodeGossip::~NodeGossip()
 {
+  mMachine->Limits().SetSharers(nullptr, mSettings.mVm);
   mReactor->CancelTimer(mPublishTimer);
   mReactor->CancelTimer(mEarlyPublishTimer);
 }
@@ -295,6 +297,8 @@
     mMachine->Loads().Outcomes().FailingUpstreams(now);
   message.mCrashReports = SelectCrashReports(
     mMachine->Crashes().Reports(now), mSettings.mMaxCrashReports, mSequence);
+  message.mLimits = mMachine->Limits().OwnLimits(now);
+  message.mDemand = mMachine->Limits().ReportDemand(now);
   // Each message carries one random peer address: over time all VMs learn all
   // addresses while messages stay small.
   const std::set<std::string> peers = mMembers.PeerAddresses();
@@ -383,6 +387,8 @@
   mMachine->Loads().OnPeerFoundGone(copy.mGoneUpstreams, now);
   mMachine->Loads().Outcomes().OnPeerCounts(copy.mVm, copy.mFailingUpstreams);
   mMachine->Crashes().Apply(copy.mCrashReports, now);
+  mMachine->OnPeerLimits(copy.mLimits, now);
+  mMachine->Limits().OnPeerDemand(copy.mVm, copy.mDemand);
   mListener->OnMembersChanged();
   mMachine->Loads().OnPeerWaiting(copy.mVm, copy.mWaiting);
   mListener->OnPeerWork(copy.mVm, copy.mWork);
--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -164,6 +164,8 @@
   set("peridothoist_open_requests", static_cast<double>(aGauges.mOpenRequests));
   set("peridothoist_waiting_requests",
       static_cast<double>(aGauges.mWaitingRequests));
+  set("peridothoist_limited_upstreams",
+      static_cast<double>(aGauges.mLimitedUpstreams));
 }
 
 void
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -20,6 +20,7 @@
   double mReachableFraction = 0; ///< Fraction of mVmCount.
   std::size_t mOpenRequests = 0;
   std::size_t mWaitingRequests = 0;
+  std::size_t mLimitedUpstreams = 0;              ///< That state a limit.
   std::map<std::string, double> mRetryBudgetLeft; ///< By service.
   /// By workspace that has a limit.
   std::map<std::string, double> mAllowanceTokensLeft;
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -103,6 +103,7 @@
   gauges.mReachableFraction = mGossip->Members().ReachableFraction(now);
   gauges.mOpenRequests = mMachine.OpenRequestCount();
   gauges.mWaitingRequests = mMachine.WaitingRequestCount();
+  gauges.mLimitedUpstreams = mMachine.Limits().LimitedCount(mReactor->Now());
   gauges.mRetryBudgetLeft = mMachine.RetriesLeft(now);
   gauges.mAllowanceTokensLeft = mRateLimiter.AvailableTokens(now);
   return gauges;
--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -90,6 +90,9 @@
   {
     mHead = mExecutor.mUpstreams->ParseResponseHead(
       mExchange->Request(), aStatus, aHeaders);
+    if (mHead.mLimit) {
+      mExecutor.OnLimitStated(mUpstream, *mHead.mLimit);
+    }
     mIsStreaming = mKind == RelayCallKind::Stream && mHead.mIsVerified &&
                    aStatus >= 200 && aStatus < 300;
     if (mIsStreaming && !mIsDetached) {
@@ -298,6 +301,21 @@
   ArmTick();
 }
 
+void
+RelayExecutor::OnLimitStated(const std::string& aUpstream,
+                             const StatedLimit& aLimit)
+{
+  const TimePoint now = mReactor->Now();
+  if (!mMachine->OnLimitStated(aUpstream, aLimit, now)) {
+    return;
+  }
+  Log::Info("upstream_limit")
+    .Field("upstream", aUpstream)
+    .Field("limited", aLimit.mPerSecond.has_value())
+    .Field("per_s", aLimit.mPerSecond.value_or(0))
+    .Field("share_per_s", mMachine->Limits().Share(aUpstream, now));
+}
+
 void
 RelayExecutor::ArmTick()
 {
--- a/Peridothoist/Node/RelayExecutor.h
+++ b/Peridothoist/Node/RelayExecutor.h
@@ -130,6 +130,7 @@
   void FindOrigin(const RelayCommand& aCommand, Request& aRequest);
   void CheckUpstream(const RelayCommand& aCommand, Request& aRequest);
   void Forget(const RelayCommand& aCommand, Request& aRequest);
+  void OnLimitStated(const std::string& aUpstream, const StatedLimit& aLimit);
   /// Schedules the next tick of the state machine.
   void ArmTick();
 
--- a/Peridothoist/Node/UpstreamProtocol.h
+++ b/Peridothoist/Node/UpstreamProtocol.h
@@ -4,6 +4,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/RelayCommand.h>
+#include <Peridothoist/Relay/UpstreamLimiter.h>
 #include <Peridothoist/Relay/UpstreamList.h>
 #include <Peridothoist/Shell/HttpClient.h>
 
@@ -18,6 +19,8 @@
   bool mIsVerified = false;        ///< See RelayCallEnd::mIsVerified.
   RelayResponse mResponse;         ///< Without the body.
   std::optional<StatedLoad> mLoad; ///< If stated.
+  /// Nullopt: it can't be told whether the upstream has a limit.
+  std::optional<StatedLimit> mLimit;
 };
 
 /// Builds calls to upstreams and parses their responses.
--- a/Peridothoist/Relay/MembershipTable.h
+++ b/Peridothoist/Relay/MembershipTable.h
@@ -4,6 +4,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/CrashReports.h>
+#include <Peridothoist/Relay/UpstreamLimiter.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/WorkspaceRateLimiter.h>
 
@@ -47,6 +48,8 @@
   std::vector<std::string> mGoneUpstreams; ///< Upstreams that it found gone.
   CountsByUpstream mFailingUpstreams;      ///< Upstreams that fail its calls.
   std::vector<CrashReport> mCrashReports;
+  LimitsByUpstream mLimits;        ///< As upstreams stated them to this VM.
+  DemandByService mDemand;         ///< For services with limited upstreams.
   std::vector<std::string> mPeers; ///< Peer addresses that it knows.
   /// It answers a VM of another cell with the addresses of that VM's cell.
   bool mIsRedirect = false;
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -204,14 +204,18 @@
                                                  : nullptr;
 }
 
-/// Counts the request's memory at the decode engine while a prefill engine
-/// reads the prompt.
+/// Counts the request's memory at the decode engine, and the call there against
+/// its limit, while a prefill engine reads the prompt.
 void
 RelayStateMachine::HoldMemory(State& aState, const std::string& aUpstream)
 {
   ReleaseMemory(aState);
   aState.mDecodeUpstream = aUpstream;
   mLoads.OnSent(aUpstream, aState.mRequest.mMemoryTokens);
+  if (aState.mChargedUpstream != aUpstream) {
+    mLimiter.OnSent(aUpstream, mNow);
+    aState.mChargedUpstream = aUpstream;
+  }
 }
 
 void
--- a/Peridothoist/Relay/RelayCrashes.cpp
+++ b/Peridothoist/Relay/RelayCrashes.cpp
@@ -111,6 +111,7 @@
     command.mUpstream = aCall.mUpstream;
     command.mAddress = aCall.mAddress;
     ++mCounters.mUpstreamChecks;
+    mLimiter.OnSent(aCall.mUpstream, mNow);
   }
 }
 
--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -97,6 +97,7 @@
     const bool peerLoadIsOld = mLoads.PeerLoadAgeSeconds() > 0;
     const bool reserves =
       !HasReservationAt(aState, decode.mUpstream->mId) &&
+      !mLimiter.IsLimited(decode.mUpstream->mId, mNow) &&
       mPlanner.ShouldReserve(
         prefillQuery.mDecodeWork,
         QueryFor(aState, RelayStage::Decode).mEngineMemoryTokens,
@@ -250,6 +251,13 @@
     aState.mTriedUpstreams.insert(aUpstream.mId);
   }
   mLoads.OnSent(call.mUpstream, call.mTokens);
+  const bool isCharged =
+    aKind == RelayCallKind::Stream && aState.mChargedUpstream == call.mUpstream;
+  if (isCharged) {
+    aState.mChargedUpstream.clear();
+  } else {
+    mLimiter.OnSent(call.mUpstream, mNow);
+  }
   return call;
 }
 
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -17,7 +17,8 @@
   , mConfiguration(std::make_shared<const RelayConfiguration>())
   , mUpstreamList(aSettings.mUpstreamList)
   , mLoads(aSettings.mLoads)
-  , mChooser(aSettings.mChooser, &mUpstreamList, &mLoads, aRandom)
+  , mLimiter(aSettings.mLimits)
+  , mChooser(aSettings.mChooser, &mUpstreamList, &mLoads, &mLimiter, aRandom)
   , mPlanner(aSettings.mPlanner)
   , mCrashEvidence(aSettings.mCrashEvidence)
   , mBrokenCalls(aSettings.mCrashWindow)
@@ -110,6 +111,7 @@
   state.mContents = ContentsOf(state.mRequest);
   mTimers.Add(state.mRequest.mDeadline, { TimerKind::Deadline, id, 0 });
   RetryBudgetOf(state.mRequest.mService).OnRequest(aNow);
+  mLimiter.OnRequest(state.mRequest.mService, aNow);
   if (IsQuarantined(state, aNow)) {
     Refuse(state, RefusalKind::Quarantined);
     return;
@@ -172,6 +174,7 @@
   if (aState.mHandle.empty()) {
     return;
   }
+  mLimiter.OnSent(aState.mHandleUpstream, mNow);
   RelayCommand& command = Command(RelayCommandKind::ReleaseHandle, aState);
   command.mHandle = std::move(aState.mHandle);
   command.mHandleAddress = aState.mHandleAddress;
@@ -227,6 +230,13 @@
   const Duration maxWait = MaxRetryWait(left);
   // Another VM may serve the request at once.
   const bool elsewhere = aKind == RefusalKind::ViewStale;
+  const auto limitedWait =
+    aKind == RefusalKind::TooLate ? LimitedWait(aState) : std::nullopt;
+  if (limitedWait && *limitedWait < maxWait) {
+    const auto spread = std::chrono::duration_cast<Duration>(
+      *limitedWait * (1.0 + mRandom->UniformFraction()));
+    return std::min(maxWait, spread);
+  }
   const double minimum = elsewhere ? 0.1 : 0.5;
   const double fraction =
     minimum + (1.0 - minimum) * mRandom->UniformFraction();
@@ -259,9 +269,30 @@
       OnUpstreamLost(it.mId);
     }
     mLoads.Forget(it.mId);
+    mLimiter.Forget(it.mId);
   }
 }
 
+bool
+RelayStateMachine::OnLimitStated(const std::string& aUpstream,
+                                 const StatedLimit& aLimit,
+                                 TimePoint aNow)
+{
+  const RelayUpstream* upstream = mUpstreamList.Find(aUpstream);
+  return upstream != nullptr &&
+         mLimiter.OnStated(aUpstream, upstream->mService, aLimit, aNow);
+}
+
+void
+RelayStateMachine::OnPeerLimits(const LimitsByUpstream& aLimits, TimePoint aNow)
+{
+  const auto serviceOf = [this](const std::string& aId) {
+    const RelayUpstream* upstream = mUpstreamList.Find(aId);
+    return upstream == nullptr ? std::string() : upstream->mService;
+  };
+  mLimiter.OnPeerLimits(aLimits, serviceOf, aNow);
+}
+
 void
 RelayStateMachine::OnListRead(std::vector<RelayUpstream> aUpstreams,
                               TimePoint aNow,
@@ -304,6 +335,10 @@
 {
   mNow = aNow;
   mOut = &aOut;
+  if (mLimitTimerAt && *mLimitTimerAt <= aNow) {
+    mLimitTimerAt.reset();
+    DispatchWaiting();
+  }
   while (const auto timer = mTimers.TakeDue(aNow)) {
     State* state = Find(timer->mId);
     if (state == nullptr) {
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -31,6 +31,7 @@
 #include <Peridothoist/Relay/RelayRetryBudget.h>
 #include <Peridothoist/Relay/StreamOriginTable.h>
 #include <Peridothoist/Relay/UpstreamChooser.h>
+#include <Peridothoist/Relay/UpstreamLimiter.h>
 #include <Peridothoist/Request/TimerQueue.h>
 
 #include <array>
@@ -110,6 +111,7 @@
   PrefillPlannerSettings mPlanner;
   UpstreamChooserSettings mChooser;
   UpstreamLoadTrackerSettings mLoads;
+  UpstreamLimiterSettings mLimits;
   UpstreamListSettings mUpstreamList;
   StreamOriginTableSettings mOrigins;
 };
@@ -220,6 +222,15 @@
   UpstreamList& ListedUpstreams() { return mUpstreamList; }
   UpstreamLoadTracker& Loads() { return mLoads; }
   CrashEvidence& Crashes() { return mCrashEvidence; }
+  UpstreamLimiter& Limits() { return mLimiter; }
+
+  /// Called with what a response of the upstream states about its limit.
+  /// Returns whether the limit has changed.
+  bool OnLimitStated(const std::string& aUpstream,
+                     const StatedLimit& aLimit,
+                     TimePoint aNow);
+  /// Called with what other VMs were told about limits.
+  void OnPeerLimits(const LimitsByUpstream& aLimits, TimePoint aNow);
 
   /// Called with the result of a CheckUpstream command. aIsGone: nothing or
   /// another process answers at its address.
@@ -304,6 +315,8 @@
     /// The decode engine at which the request's memory is counted during the
     /// prefill; empty: none.
     std::string mDecodeUpstream;
+    /// The upstream whose limit was charged for a stream that is not sent yet.
+    std::string mChargedUpstream;
     /// End of the wait for capacity; set when the request first waits.
     std::optional<TimePoint> mWaitDeadline;
   };
@@ -348,6 +361,9 @@
   };
   bool StartWaiting(State& aState);
   Duration ExpectedWait(const State& aState) const;
+  std::optional<Duration> LimitedWait(const State& aState) const;
+  std::size_t WaitingAtThisVm(const std::string& aService) const;
+  void ArmLimitTimer(const State& aState);
   void DispatchWaiting();
   void DispatchGroup(const std::string& aService, WaitingGroup aGroup);
   void DispatchWithinFraction(const std::vector<std::uint64_t>& aRequests,
@@ -450,12 +466,14 @@
 
   UpstreamList mUpstreamList;
   UpstreamLoadTracker mLoads;
+  UpstreamLimiter mLimiter;
   UpstreamChooser mChooser;
   PrefillPlanner mPlanner;
   CrashEvidence mCrashEvidence;
   std::map<std::string, RelayRetryBudget> mRetryBudgets; ///< By service.
   std::map<std::string, CallTimeEstimate> mCallTimes;    ///< By service.
   std::unordered_map<std::uint64_t, State> mRequests;
+  std::optional<TimePoint> mLimitTimerAt; ///< The earliest that is pending.
   /// Requests that wait for capacity, by priority and then by id.
   std::set<std::pair<std::uint32_t, std::uint64_t>> mWaiting;
   TimerQueue mTimers;
--- a/Peridothoist/Relay/RelayWaiting.cpp
+++ b/Peridothoist/Relay/RelayWaiting.cpp
@@ -9,6 +9,13 @@
 
 namespace peridothoist {
 
+namespace {
+
+/// Shortest wait for an upstream's limit, so that rounding wakes no one early.
+constexpr Duration kMinLimitWait = 5ms;
+
+} // namespace
+
 void
 RelayStateMachine::OnNoUpstreamChosen(State& aState, NoChoiceReason aReason)
 {
@@ -25,6 +32,58 @@
     return;
   }
   mWaiting.insert({ aState.mRequest.mPriority, aState.mRequest.mId });
+  ArmLimitTimer(aState);
+}
+
+/// Wakes the waiting requests when an upstream's limit allows the next one.
+void
+RelayStateMachine::ArmLimitTimer(const State& aState)
+{
+  const auto limits =
+    mChooser.LimitsFor(QueryFor(aState, RunningStage(aState)), mNow);
+  if (!limits || !limits->mUntilNext) {
+    return;
+  }
+  const TimePoint at = mNow + std::max(*limits->mUntilNext, kMinLimitWait);
+  if (!mLimitTimerAt || at < *mLimitTimerAt) {
+    mLimitTimerAt = at;
+    mTimers.Add(at, { TimerKind::Dispatch, 0, 0 });
+  }
+}
+
+/// Returns how long a request that starts to wait now is likely to wait for
+/// this VM's part of the upstreams' limits; nullopt if some upstream has none.
+std::optional<Duration>
+RelayStateMachine::LimitedWait(const State& aState) const
+{
+  const auto limits =
+    mChooser.LimitsFor(QueryFor(aState, RunningStage(aState)), mNow);
+  if (!limits) {
+    return std::nullopt;
+  }
+  if (!limits->mUntilNext) {
+    return aState.mRequest.mCallerTimeout; // This VM has no part of any.
+  }
+  const double ahead =
+    1 + static_cast<double>(WaitingAtThisVm(aState.mRequest.mService));
+  const double seconds =
+    std::max(0.0, ahead - limits->mAvailable) / limits->mPerSecond;
+  return std::min(aState.mRequest.mCallerTimeout,
+                  std::chrono::duration_cast<Duration>(
+                    std::chrono::duration<double>(seconds)));
+}
+
+std::size_t
+RelayStateMachine::WaitingAtThisVm(const std::string& aService) const
+{
+  std::size_t waiting = 0;
+  for (const auto& entry : mWaiting) {
+    const auto it = mRequests.find(entry.second);
+    const bool isSame =
+      it != mRequests.end() && it->second.mRequest.mService == aService;
+    waiting += isSame ? 1 : 0;
+  }
+  return waiting;
 }
 
 /// Sets the end of a request's wait. Returns false if it is expected to wait
@@ -37,7 +96,9 @@
     request.mCallerTimeout * mSettings.mMaxWaitFraction);
   aState.mWaitDeadline = std::min(request.mArrivedAt + wait, request.mDeadline);
   mTimers.Add(*aState.mWaitDeadline, { TimerKind::Dispatch, request.mId, 0 });
-  return mNow + ExpectedWait(aState) < *aState.mWaitDeadline;
+  const Duration left = *aState.mWaitDeadline - mNow;
+  return ExpectedWait(aState) < left &&
+         LimitedWait(aState).value_or(Duration(0)) < left;
 }
 
 RelayStage
@@ -60,12 +121,7 @@
     return Duration(0);
   }
   double waiting = static_cast<double>(mLoads.PeersWaiting(service).All());
-  for (const auto& entry : mWaiting) {
-    const auto it = mRequests.find(entry.second);
-    const bool isSame =
-      it != mRequests.end() && it->second.mRequest.mService == service;
-    waiting += isSame ? 1 : 0;
-  }
+  waiting += static_cast<double>(WaitingAtThisVm(service));
   return std::chrono::duration_cast<Duration>(time->second.Typical() *
                                               (waiting / running));
 }
@@ -89,6 +145,10 @@
   for (auto& [service, group] : groups) {
     DispatchGroup(service, std::move(group));
   }
+  if (!mWaiting.empty()) {
+    const State* first = Find(mWaiting.begin()->second);
+    ArmLimitTimer(*first);
+  }
 }
 
 /// Starts waiting requests of one service. Requests that can no longer meet
@@ -154,8 +214,8 @@
 double
 RelayStateMachine::ChooseStarts(const UpstreamQuery& aQuery, double aFraction)
 {
-  const double capacity = mChooser.CapacityFor(aQuery, mNow);
-  const double share = std::max(capacity, 0.0) * aFraction;
+  const UpstreamCapacity capacity = mChooser.CapacityFor(aQuery, mNow);
+  const double share = capacity.mShared * aFraction + capacity.mOwn;
   const double whole = std::floor(share);
   return whole + (mRandom->UniformFraction() < share - whole ? 1 : 0);
 }
--- a/Peridothoist/Relay/UpstreamChooser.cpp
+++ b/Peridothoist/Relay/UpstreamChooser.cpp
@@ -7,6 +7,13 @@
 
 namespace peridothoist {
 
+namespace {
+
+/// Longer waits for a limit are not told apart.
+constexpr double kMaxLimitWaitSeconds = 3600;
+
+} // namespace
+
 const char*
 ToName(NoChoiceReason aReason)
 {
@@ -16,11 +23,9 @@
   return kNames[static_cast<std::size_t>(aReason)];
 }
 
-namespace {
-
-/// Returns whether the upstream serves such requests.
 bool
-Serves(const RelayUpstream& aUpstream, const UpstreamQuery& aQuery)
+UpstreamChooser::Serves(const RelayUpstream& aUpstream,
+                        const UpstreamQuery& aQuery)
 {
   // What prefill engines write is used by decode engines of any version.
   const bool fitsVersion =
@@ -31,15 +36,15 @@
          fitsVersion;
 }
 
-} // namespace
-
 UpstreamChooser::UpstreamChooser(const Settings& aSettings,
                                  const UpstreamList* aUpstreamList,
                                  const UpstreamLoadTracker* aLoads,
+                                 const UpstreamLimiter* aLimiter,
                                  Random* aRandom)
   : mSettings(aSettings)
   , mUpstreamList(aUpstreamList)
   , mLoads(aLoads)
+  , mLimiter(aLimiter)
   , mRandom(aRandom)
 {
 }
@@ -91,11 +96,22 @@
            0 };
 }
 
-/// Returns how many such requests the upstream can still take; may be negative.
+/// Returns how many such requests the upstream can still take, and its limit
+/// allows; may be negative.
 double
 UpstreamChooser::CapacityAt(const RelayUpstream& aUpstream,
                             const UpstreamQuery& aQuery,
                             TimePoint aNow) const
+{
+  const double byLoad = CapacityByLoad(aUpstream, aQuery, aNow);
+  const auto byLimit = mLimiter->Available(aUpstream.mId, aNow);
+  return byLimit ? std::min(byLoad, *byLimit) : byLoad;
+}
+
+double
+UpstreamChooser::CapacityByLoad(const RelayUpstream& aUpstream,
+                                const UpstreamQuery& aQuery,
+                                TimePoint aNow) const
 {
   UpstreamWork work = mLoads->Work(aUpstream.mId);
   // Requests that it runs but no VM reports, for example after a VM or a link
@@ -147,19 +163,48 @@
   return running;
 }
 
-double
+UpstreamCapacity
 UpstreamChooser::CapacityFor(const UpstreamQuery& aQuery, TimePoint aNow) const
 {
-  double capacity = 0;
+  UpstreamCapacity capacity;
   for (const auto& [id, entry] : mUpstreamList->All()) {
     const RelayUpstream& upstream = entry.mUpstream;
     if (Serves(upstream, aQuery) && !mLoads->IsAvoided(id, aNow)) {
-      capacity += std::max(0.0, std::floor(CapacityAt(upstream, aQuery, aNow)));
+      const bool isLimited = mLimiter->IsLimited(id, aNow);
+      (isLimited ? capacity.mOwn : capacity.mShared) +=
+        std::max(0.0, std::floor(CapacityAt(upstream, aQuery, aNow)));
     }
   }
   return capacity;
 }
 
+std::optional<LimitedCapacity>
+UpstreamChooser::LimitsFor(const UpstreamQuery& aQuery, TimePoint aNow) const
+{
+  std::optional<LimitedCapacity> limits;
+  for (const auto& [id, entry] : mUpstreamList->All()) {
+    if (!Serves(entry.mUpstream, aQuery)) {
+      continue;
+    }
+    const auto available = mLimiter->Available(id, aNow);
+    if (!available) {
+      return std::nullopt;
+    }
+    LimitedCapacity& sum = limits ? *limits : limits.emplace();
+    const double share = mLimiter->Share(id, aNow);
+    if (share <= 0) {
+      continue;
+    }
+    sum.mAvailable += std::max(0.0, std::floor(*available));
+    sum.mPerSecond += share;
+    const double wait = std::max(0.0, 1 - *available) / share;
+    const auto untilNext = std::chrono::ceil<Duration>(
+      std::chrono::duration<double>(std::min(wait, kMaxLimitWaitSeconds)));
+    sum.mUntilNext = std::min(sum.mUntilNext.value_or(untilNext), untilNext);
+  }
+  return limits;
+}
+
 double
 UpstreamChooser::Score(const RelayUpstream& aUpstream,
                        const UpstreamQuery& aQuery,
--- a/Peridothoist/Relay/UpstreamChooser.h
+++ b/Peridothoist/Relay/UpstreamChooser.h
@@ -5,6 +5,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Core/Random.h>
+#include <Peridothoist/Relay/UpstreamLimiter.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/UpstreamList.h>
 
@@ -45,6 +46,22 @@
   double mScore = 0; ///< Lower is better; comparable within a stage.
 };
 
+/// How many requests upstreams can still take.
+struct UpstreamCapacity
+{
+  double mShared = 0; ///< By all VMs together.
+  double mOwn = 0;    ///< By this VM, within its part of upstreams' limits.
+};
+
+/// This VM's parts of the limits of all upstreams that serve a request.
+struct LimitedCapacity
+{
+  double mAvailable = 0; ///< Requests that it may send now.
+  double mPerSecond = 0;
+  /// Time until the next request may be sent; nullopt: never.
+  std::optional<Duration> mUntilNext;
+};
+
 /// Settings of UpstreamChooser.
 struct UpstreamChooserSettings
 {
@@ -80,8 +97,13 @@
   UpstreamChooser(const Settings& aSettings,
                   const UpstreamList* aUpstreamList,
                   const UpstreamLoadTracker* aLoads,
+                  const UpstreamLimiter* aLimiter,
                   Random* aRandom);
 
+  /// Returns whether the upstream serves such requests, if it has capacity.
+  static bool Serves(const RelayUpstream& aUpstream,
+                     const UpstreamQuery& aQuery);
+
   Choice Choose(const UpstreamQuery& aQuery, TimePoint aNow);
 
   /// Sets the engines at home in this VM's cell; none if the fleet has a single
@@ -96,9 +118,18 @@
   double RunningAt(const std::string& aService, RelayStage aStage) const;
 
   /// Returns how many such requests all upstreams together can still take.
-  double CapacityFor(const UpstreamQuery& aQuery, TimePoint aNow) const;
+  UpstreamCapacity CapacityFor(const UpstreamQuery& aQuery,
+                               TimePoint aNow) const;
+
+  /// Returns the limited capacity for such requests; nullopt if some upstream
+  /// that serves them has no limit, or there is none.
+  std::optional<LimitedCapacity> LimitsFor(const UpstreamQuery& aQuery,
+                                           TimePoint aNow) const;
 
 private:
+  double CapacityByLoad(const RelayUpstream& aUpstream,
+                        const UpstreamQuery& aQuery,
+                        TimePoint aNow) const;
   double CapacityAt(const RelayUpstream& aUpstream,
                     const UpstreamQuery& aQuery,
                     TimePoint aNow) const;
@@ -112,6 +143,7 @@
   Settings mSettings;
   const UpstreamList* mUpstreamList;
   const UpstreamLoadTracker* mLoads;
+  const UpstreamLimiter* mLimiter;
   Random* mRandom;
   std::set<std::string> mHomeEngines;
 };
--- /dev/null
+++ b/Peridothoist/Relay/UpstreamLimiter.cpp
@@ -0,0 +1,293 @@
+#include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/UpstreamLimiter.h>
+
+#include <Peridothoist/Core/DurationUnits.h>
+#include <Peridothoist/Membership/Rendezvous.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace peridothoist {
+
+namespace {
+
+/// Returns a number from 0 to 1 that differs between VMs and upstreams. Buckets
+/// that started empty at the same moment would all be full at the same moment.
+double
+InitialTokens(const std::string& aUpstream, const std::string& aVm)
+{
+  return static_cast<double>(RendezvousScore(aUpstream, aVm)) /
+         static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+} // namespace
+
+void
+MergeLimits(LimitsByUpstream& aTo, const LimitsByUpstream& aFrom)
+{
+  for (const auto& [upstream, limit] : aFrom) {
+    const auto added = aTo.emplace(upstream, limit);
+    if (!added.second && limit.mAge < added.first->second.mAge) {
+      added.first->second = limit;
+    }
+  }
+}
+
+void
+UpstreamLimiter::SetSharers(const LimitSharers* aSharers, std::string aSelf)
+{
+  mSharers = aSharers;
+  mSelf = std::move(aSelf);
+}
+
+void
+UpstreamLimiter::OnRequest(const std::string& aService, TimePoint aNow)
+{
+  const double before = DemandFor(aService, aNow);
+  mDemand[aService] = { before + 1 / ToSeconds(mSettings.mDemandPeriod), aNow };
+}
+
+double
+UpstreamLimiter::DemandFor(const std::string& aService, TimePoint aNow) const
+{
+  const auto it = mDemand.find(aService);
+  if (it == mDemand.end()) {
+    return 0;
+  }
+  const double periods =
+    ToSeconds(aNow - it->second.mAt) / ToSeconds(mSettings.mDemandPeriod);
+  return it->second.mPerSecond * std::exp(-periods);
+}
+
+bool
+UpstreamLimiter::OnStated(const std::string& aUpstream,
+                          const std::string& aService,
+                          const StatedLimit& aLimit,
+                          TimePoint aNow)
+{
+  const auto known = mLimits.find(aUpstream);
+  if (known == mLimits.end() && !aLimit.mPerSecond) {
+    return false;
+  }
+  const Limit* before = FindLimited(aUpstream, aNow);
+  const bool isChanged =
+    (before == nullptr ? std::nullopt : before->mPerSecond) !=
+    aLimit.mPerSecond;
+  const bool wasOwn = known != mLimits.end() && known->second.mIsOwn;
+  if (isChanged || !wasOwn || aLimit.mPerSecond) {
+    SetLimit(aUpstream, aService, aLimit.mPerSecond, aNow, aNow);
+    mLimits[aUpstream].mIsOwn = true;
+  }
+  return isChanged;
+}
+
+void
+UpstreamLimiter::SetLimit(const std::string& aUpstream,
+                          const std::string& aService,
+                          std::optional<double> aPerSecond,
+                          TimePoint aStatedAt,
+                          TimePoint aNow)
+{
+  const Limit* before = FindLimited(aUpstream, aNow);
+  const double tokens = before == nullptr ? InitialTokens(aUpstream, mSelf)
+                                          : TokensOf(aUpstream, *before, aNow);
+  Limit& limit = mLimits[aUpstream];
+  limit.mService = aService;
+  limit.mPerSecond = aPerSecond;
+  limit.mStatedAt = aStatedAt;
+  limit.mTokens = tokens;
+  limit.mTokensAt = aNow;
+}
+
+void
+UpstreamLimiter::OnSent(const std::string& aUpstream, TimePoint aNow)
+{
+  const Limit* limit = FindLimited(aUpstream, aNow);
+  if (limit == nullptr) {
+    return;
+  }
+  const double tokens = TokensOf(aUpstream, *limit, aNow) - 1;
+  Limit& changed = mLimits[aUpstream];
+  changed.mTokens = tokens;
+  changed.mTokensAt = aNow;
+}
+
+void
+UpstreamLimiter::OnPeerDemand(const std::string& aVm, DemandByService aDemand)
+{
+  mPeers[aVm] = std::move(aDemand);
+}
+
+void
+UpstreamLimiter::OnPeerLimits(
+  const LimitsByUpstream& aLimits,
+  const std::function<std::string(const std::string&)>& aServiceOf,
+  TimePoint aNow)
+{
+  for (const auto& [upstream, reported] : aLimits) {
+    const TimePoint statedAt = aNow - reported.mAge;
+    const auto known = mLimits.find(upstream);
+    const bool isNewer =
+      known == mLimits.end() || statedAt > known->second.mStatedAt;
+    const std::string service = aServiceOf(upstream);
+    if (isNewer && !service.empty()) {
+      SetLimit(upstream, service, reported.mPerSecond, statedAt, aNow);
+      mLimits[upstream].mIsOwn = false;
+    }
+  }
+}
+
+const DemandByService&
+UpstreamLimiter::ReportDemand(TimePoint aNow)
+{
+  mReportedDemand.clear();
+  for (const auto& [upstream, limit] : mLimits) {
+    if (FindLimited(upstream, aNow) != nullptr) {
+      mReportedDemand[limit.mService] = DemandFor(limit.mService, aNow);
+    }
+  }
+  return mReportedDemand;
+}
+
+LimitsByUpstream
+UpstreamLimiter::OwnLimits(TimePoint aNow) const
+{
+  LimitsByUpstream limits;
+  for (const auto& [upstream, limit] : mLimits) {
+    const Duration age = aNow - limit.mStatedAt;
+    const Duration period = limit.mPerSecond ? mSettings.mStatementLifetime
+                                             : mSettings.mEndReportPeriod;
+    if (limit.mIsOwn && age < period) {
+      limits[upstream] = { limit.mPerSecond, age };
+    }
+  }
+  return limits;
+}
+
+/// Returns null if the upstream has no limit.
+const UpstreamLimiter::Limit*
+UpstreamLimiter::FindLimited(const std::string& aUpstream, TimePoint aNow) const
+{
+  const auto it = mLimits.find(aUpstream);
+  const bool isLimited =
+    it != mLimits.end() && it->second.mPerSecond &&
+    aNow < it->second.mStatedAt + mSettings.mStatementLifetime;
+  return isLimited ? &it->second : nullptr;
+}
+
+std::size_t
+UpstreamLimiter::LimitedCount(TimePoint aNow) const
+{
+  std::size_t count = 0;
+  for (const auto& [upstream, limit] : mLimits) {
+    count += IsLimited(upstream, aNow) ? 1 : 0;
+  }
+  return count;
+}
+
+bool
+UpstreamLimiter::IsLimited(const std::string& aUpstream, TimePoint aNow) const
+{
+  return FindLimited(aUpstream, aNow) != nullptr;
+}
+
+double
+UpstreamLimiter::RateOf(const Limit& aLimit) const
+{
+  return std::max(*aLimit.mPerSecond, mSettings.mMinRate);
+}
+
+double
+UpstreamLimiter::BurstOf(double aShare) const
+{
+  return std::max(1.0, aShare * ToSeconds(mSettings.mBurst));
+}
+
+/// Returns the VMs that may send to the upstream.
+const std::vector<std::string>&
+UpstreamLimiter::SharersOf(const std::string& aUpstream,
+                           const Limit& aLimit,
+                           TimePoint aNow) const
+{
+  const bool isCurrent =
+    aLimit.mSharersAt && aNow < *aLimit.mSharersAt + mSettings.mSharersLifetime;
+  if (!isCurrent) {
+    std::vector<std::string> candidates = { mSelf };
+    if (mSharers != nullptr) {
+      candidates = mSharers->CandidatesFor(aUpstream);
+    }
+    const auto count =
+      mSettings.mMinSharers +
+      static_cast<std::size_t>(RateOf(aLimit) * mSettings.mSharersPerRequest);
+    aLimit.mSharers = TopRendezvousNodes(
+      aUpstream, candidates, std::min(count, candidates.size()));
+    aLimit.mSharersAt = aNow;
+  }
+  return aLimit.mSharers;
+}
+
+/// Divides the limit by demand. A sharer whose demand is not known counts like
+/// the mean of the others.
+double
+UpstreamLimiter::ShareOf(const std::string& aUpstream,
+                         const Limit& aLimit,
+                         TimePoint aNow) const
+{
+  const std::vector<std::string>& sharers = SharersOf(aUpstream, aLimit, aNow);
+  if (std::find(sharers.begin(), sharers.end(), mSelf) == sharers.end()) {
+    return 0;
+  }
+  const auto reported = mReportedDemand.find(aLimit.mService);
+  const double demand = reported == mReportedDemand.end()
+                          ? DemandFor(aLimit.mService, aNow)
+                          : reported->second;
+  const double own = demand + mSettings.mIdleDemand;
+  double known = own;
+  std::size_t knownCount = 1;
+  for (const std::string& vm : sharers) {
+    const auto peer = mPeers.find(vm);
+    if (vm == mSelf || peer == mPeers.end()) {
+      continue;
+    }
+    const auto theirs = peer->second.find(aLimit.mService);
+    if (theirs != peer->second.end()) {
+      known += theirs->second + mSettings.mIdleDemand;
+      ++knownCount;
+    }
+  }
+  const double all = known * static_cast<double>(sharers.size()) /
+                     static_cast<double>(knownCount);
+  return RateOf(aLimit) * own / all;
+}
+
+double
+UpstreamLimiter::TokensOf(const std::string& aUpstream,
+                          const Limit& aLimit,
+                          TimePoint aNow) const
+{
+  const double share = ShareOf(aUpstream, aLimit, aNow);
+  const double refilled =
+    aLimit.mTokens + share * ToSeconds(aNow - aLimit.mTokensAt);
+  return std::min(BurstOf(share), refilled);
+}
+
+std::optional<double>
+UpstreamLimiter::Available(const std::string& aUpstream, TimePoint aNow) const
+{
+  const Limit* limit = FindLimited(aUpstream, aNow);
+  if (limit == nullptr) {
+    return std::nullopt;
+  }
+  const bool isSharer = ShareOf(aUpstream, *limit, aNow) > 0;
+  return isSharer ? TokensOf(aUpstream, *limit, aNow) : 0;
+}
+
+double
+UpstreamLimiter::Share(const std::string& aUpstream, TimePoint aNow) const
+{
+  const Limit* limit = FindLimited(aUpstream, aNow);
+  return limit == nullptr ? 0 : ShareOf(aUpstream, *limit, aNow);
+}
+
+} // namespace peridothoist
--- /dev/null
+++ b/Peridothoist/Relay/UpstreamLimiter.h
@@ -0,0 +1,173 @@
+/// Keeps all VMs together to the limits that upstreams state for their
+/// requests.
+///
+/// A limit is divided over a few VMs, its sharers, which are the same wherever
+/// they are computed. Each has a token bucket, whose rate is the sharer's part
+/// of the limit by its demand as the sharers tell each other. In any window of
+/// W seconds an upstream with a limit of L requests a second gets at most L *
+/// (W + mBurst) + the number of sharers, which grows with L only, whatever the
+/// number of VMs is. The other VMs send it nothing.
+///
+/// Sharers that are not heard may be serving callers: their part stays theirs.
+#pragma once
+
+#include <Peridothoist/Peridothoist.h>
+
+namespace peridothoist {
+
+/// Settings of UpstreamLimiter.
+struct UpstreamLimiterSettings
+{
+  /// Burst of a sharer's bucket, in time at its rate; at least one request.
+  Duration mBurst = 500ms;
+  std::size_t mMinSharers = 2;
+  double mSharersPerRequest = 1; ///< Further sharers per request a second.
+  /// Rate in requests a second that is used for a lower limit as well, so that
+  /// its end is noticed.
+  double mMinRate = 0.5;
+  /// Demand in requests a second that each sharer has at least, so that an idle
+  /// one can start to send.
+  double mIdleDemand = 0.5;
+  Duration mDemandPeriod = 2s; ///< Over which the demand is averaged.
+  /// A limit that was not stated again for this long has ended.
+  Duration mStatementLifetime = 30s;
+  /// The end of a limit is reported to other VMs for this long.
+  Duration mEndReportPeriod = 5s;
+  Duration mSharersLifetime = 1s; ///< Time until sharers are looked up again.
+};
+
+/// What an upstream states with a response; nullopt: no limit.
+struct StatedLimit
+{
+  std::optional<double> mPerSecond; ///< Requests a second, from all VMs.
+};
+
+/// A statement as it is sent, independent of the sender's clock.
+struct ReportedLimit
+{
+  std::optional<double> mPerSecond;
+  Duration mAge{ 0 }; ///< Time since the upstream stated it.
+};
+
+using LimitsByUpstream = std::map<std::string, ReportedLimit>;
+
+/// Requests a second that a VM receives, by service.
+using DemandByService = std::map<std::string, double>;
+
+/// Adds the statements of aFrom to aTo; of two about one upstream the newer
+/// one.
+void
+MergeLimits(LimitsByUpstream& aTo, const LimitsByUpstream& aFrom);
+
+/// Tells which VMs may share the limit of an upstream.
+class LimitSharers
+{
+public:
+  virtual ~LimitSharers() = default;
+
+  /// Returns the names of VMs that tell each other their demand, registered or
+  /// heard; the same at each of them.
+  virtual std::vector<std::string> CandidatesFor(
+    const std::string& aUpstream) const = 0;
+};
+
+/// Holds the limits of all upstreams, for one VM.
+class UpstreamLimiter
+{
+public:
+  using Settings = UpstreamLimiterSettings;
+
+  explicit UpstreamLimiter(const Settings& aSettings)
+    : mSettings(aSettings)
+  {
+  }
+
+  /// aSharers is not owned; null: this VM is alone. aSelf: its name.
+  void SetSharers(const LimitSharers* aSharers, std::string aSelf);
+
+  /// Called when a request for the service arrived.
+  void OnRequest(const std::string& aService, TimePoint aNow);
+  /// Called with each response of an upstream of the service. Returns whether
+  /// the limit differs from the one known before.
+  bool OnStated(const std::string& aUpstream,
+                const std::string& aService,
+                const StatedLimit& aLimit,
+                TimePoint aNow);
+  /// Called when a request was sent to the upstream.
+  void OnSent(const std::string& aUpstream, TimePoint aNow);
+  /// Called when the upstream is gone or was restarted.
+  void Forget(const std::string& aUpstream) { mLimits.erase(aUpstream); }
+
+  // Other VMs
+  void OnPeerDemand(const std::string& aVm, DemandByService aDemand);
+  /// aServiceOf returns the service of an upstream; "" if it is not listed.
+  void OnPeerLimits(
+    const LimitsByUpstream& aLimits,
+    const std::function<std::string(const std::string&)>& aServiceOf,
+    TimePoint aNow);
+  /// Returns the demand for the services that have limited upstreams, to report
+  /// to other VMs. This VM's parts follow from what it reported last: its
+  /// newest demand beside older ones of the others would give all of them too
+  /// much while the demand rises.
+  const DemandByService& ReportDemand(TimePoint aNow);
+  /// Returns what upstreams stated to this VM itself.
+  LimitsByUpstream OwnLimits(TimePoint aNow) const;
+
+  /// Returns the number of upstreams that have a limit.
+  std::size_t LimitedCount(TimePoint aNow) const;
+  bool IsLimited(const std::string& aUpstream, TimePoint aNow) const;
+  /// Returns how many requests this VM may send to the upstream now; nullopt if
+  /// it has no limit.
+  std::optional<double> Available(const std::string& aUpstream,
+                                  TimePoint aNow) const;
+  /// Returns this VM's part of the upstream's limit in requests a second.
+  double Share(const std::string& aUpstream, TimePoint aNow) const;
+
+private:
+  struct Limit
+  {
+    std::string mService;
+    std::optional<double> mPerSecond;
+    TimePoint mStatedAt;
+    bool mIsOwn = false; ///< It was stated to this VM.
+    double mTokens = 0;  ///< At mTokensAt; may be negative.
+    TimePoint mTokensAt;
+    // The sharers as of mSharersAt.
+    mutable std::vector<std::string> mSharers;
+    mutable std::optional<TimePoint> mSharersAt;
+  };
+  struct Demand
+  {
+    double mPerSecond = 0; ///< At mAt; decays since.
+    TimePoint mAt;
+  };
+
+  const Limit* FindLimited(const std::string& aUpstream, TimePoint aNow) const;
+  void SetLimit(const std::string& aUpstream,
+                const std::string& aService,
+                std::optional<double> aPerSecond,
+                TimePoint aStatedAt,
+                TimePoint aNow);
+  double RateOf(const Limit& aLimit) const;
+  double BurstOf(double aShare) const;
+  double ShareOf(const std::string& aUpstream,
+                 const Limit& aLimit,
+                 TimePoint aNow) const;
+  double TokensOf(const std::string& aUpstream,
+                  const Limit& aLimit,
+                  TimePoint aNow) const;
+  const std::vector<std::string>& SharersOf(const std::string& aUpstream,
+                                            const Limit& aLimit,
+                                            TimePoint aNow) const;
+  double DemandFor(const std::string& aService, TimePoint aNow) const;
+
+  Settings mSettings;
+  const LimitSharers* mSharers = nullptr;
+  std::string mSelf;
+  std::map<std::string, Limit> mLimits;          ///< By upstream.
+  std::map<std::string, Demand> mDemand;         ///< By service.
+  DemandByService mReportedDemand;               ///< The last report.
+  std::map<std::string, DemandByService> mPeers; ///< By VM, the last report.
+};
+
+} // namespace peridothoist
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -487,6 +487,33 @@
                 .mNotRun);
 }
 
+// Guards against limits that are misread, taken from another process, or passed
+// on to callers.
+BOOST_AUTO_TEST_CASE(ReadsTheLimitThatAnUpstreamStates)
+{
+  const PlatformUpstreamProtocol upstreams;
+  const auto parse = [&](int aStatus, const char* aLimit) {
+    const HttpHeaders headers = { { "server-limit", aLimit } };
+    return upstreams.ParseResponseHead(ExampleRequest(), aStatus, headers);
+  };
+  for (const auto& [text, limit] : std::map<const char*, double>{
+         { "4.4", 4.4 }, { "0", 0 }, { "12", 12 }, { ".5", 0.5 } }) {
+    const auto head = parse(200, text);
+    BOOST_REQUIRE(head.mLimit.has_value());
+    BOOST_TEST(*head.mLimit->mPerSecond == limit);
+    BOOST_TEST(head.mResponse.mHeaders.count("server-limit") == 0U);
+  }
+  for (const char* garbage :
+       { "", "many", "-1", "1e3", "inf", "1.2.3", "4 " }) {
+    BOOST_TEST(!parse(200, garbage).mLimit.has_value(), garbage);
+  }
+  BOOST_TEST(!parse(421, "4").mLimit.has_value());
+  const auto without =
+    upstreams.ParseResponseHead(ExampleRequest(), 503, HttpHeaders());
+  BOOST_REQUIRE(without.mLimit.has_value());
+  BOOST_TEST(!without.mLimit->mPerSecond.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(ParsesHandleOrReturnsEmpty)
 {
   const PlatformUpstreamProtocol upstreams;
@@ -512,6 +539,8 @@
   message.mCrashReports = { { "d",
                               { { 1, 2, Duration(9), Duration(3), true },
                                 { 4, 2, 5s, 1s, false } } } };
+  message.mLimits = { { "u", { 4.5, 3s } }, { "v", { std::nullopt, 1s } } };
+  message.mDemand = { { "s", 2.5 } };
   const std::string bytes = EncodeGossipMessage(message);
   const auto decoded = DecodeGossipMessage(bytes);
   RC_ASSERT(decoded.has_value());
--- a/UnitTests/Relay/SoftwareVersionTest.cpp
+++ b/UnitTests/Relay/SoftwareVersionTest.cpp
@@ -307,13 +307,15 @@
   RelayUpstream prefill = Upstream("f2", RelayStage::Prefill);
   prefill.mSoftwareVersion = "v2";
   list.OnListRead({ prefill, Engine("d2", "a", "v2") }, mNow);
-  UpstreamChooser chooser(UpstreamChooserSettings(), &list, &loads, &mRandom);
+  const UpstreamLimiter limiter{ UpstreamLimiterSettings() };
+  UpstreamChooser chooser(
+    UpstreamChooserSettings(), &list, &loads, &limiter, &mRandom);
   query.mStage = RelayStage::Prefill;
   BOOST_TEST(chooser.Choose(query, mNow).mUpstream != nullptr);
   query.mStage = RelayStage::Decode;
   BOOST_TEST(
     (chooser.Choose(query, mNow).mReason == NoChoiceReason::NoUpstream));
-  BOOST_TEST(chooser.CapacityFor(query, mNow) == 0);
+  BOOST_TEST(chooser.CapacityFor(query, mNow).mShared == 0);
 }
 
 // Plain upstreams serve whole streams too, of any version.
--- a/UnitTests/Relay/UpstreamChooserTest.cpp
+++ b/UnitTests/Relay/UpstreamChooserTest.cpp
@@ -19,7 +19,12 @@
     : mUpstreamList({ 2s })
     , mLoads(UpstreamLoadTrackerSettings())
     , mRandom(3)
-    , mChooser(UpstreamChooserSettings(), &mUpstreamList, &mLoads, &mRandom)
+    , mLimiter(UpstreamLimiterSettings())
+    , mChooser(UpstreamChooserSettings(),
+               &mUpstreamList,
+               &mLoads,
+               &mLimiter,
+               &mRandom)
   {
     mQuery.mService = "s";
     mQuery.mZone = "a";
@@ -40,6 +45,7 @@
   UpstreamList mUpstreamList;
   UpstreamLoadTracker mLoads;
   Random mRandom;
+  UpstreamLimiter mLimiter;
   UpstreamChooser mChooser;
   UpstreamQuery mQuery;
 };
@@ -115,16 +121,16 @@
   List({ other, busy });
   mLoads.OnSent("busy", 0);
   BOOST_TEST(Choose() == "other");
-  const double all = mChooser.CapacityFor(mQuery, kNow);
+  const double all = mChooser.CapacityFor(mQuery, kNow).mShared;
   mQuery.mSoftwareVersion = "v1";
   BOOST_TEST(Choose() == "busy");
-  BOOST_TEST(mChooser.CapacityFor(mQuery, kNow) < all);
+  BOOST_TEST(mChooser.CapacityFor(mQuery, kNow).mShared < all);
   mQuery.mExcludedUpstreams = { "busy" };
   BOOST_TEST(Choose() == "no_upstream");
   mQuery.mExcludedUpstreams.clear();
   mQuery.mSoftwareVersion = "v3";
   BOOST_TEST(Choose() == "no_upstream");
-  BOOST_TEST(mChooser.CapacityFor(mQuery, kNow) == 0);
+  BOOST_TEST(mChooser.CapacityFor(mQuery, kNow).mShared == 0);
 }
 
 BOOST_FIXTURE_TEST_CASE(MemoryLimitsAnEngine, ChooserFixture)
@@ -136,7 +142,7 @@
   mQuery.mStage = RelayStage::Decode;
   mQuery.mEngineMemoryTokens = 10000;
   mQuery.mNeededTokens = 3000;
-  BOOST_TEST(mChooser.CapacityFor(mQuery, kNow) == 3);
+  BOOST_TEST(mChooser.CapacityFor(mQuery, kNow).mShared == 3);
   mLoads.OnSent("e", 7000);
   BOOST_TEST(Choose() == "full");
   mLoads.OnDone("e", 7000);
