Forget the demand of VMs that are gone

The limiter kept the last report of every VM it ever heard of. The reports go with the rest of what is known of a VM that was silent for the retention, or that belongs to another cell now.

--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -408,6 +408,7 @@
   for (const GossipMessage& it : others) {
     mMachine->Loads().ForgetPeer(it.mVm);
     mRateLimiter->ForgetPeer(it.mInstance);
+    mMachine->Limits().ForgetPeer(it.mVm);
     mMembers.Remove(it.mVm);
   }
 }
@@ -420,6 +421,9 @@
     if (!mMembers.IsReachable(name, now)) {
       mMachine->Loads().ForgetPeer(name);
     }
+    if (now - member.mLastSeen > mSettings.mPeerRetention) {
+      mMachine->Limits().ForgetPeer(name);
+    }
   }
   for (const std::string& instance :
        mMembers.DropSilent(mSettings.mPeerRetention, now)) {
--- a/Peridothoist/Relay/UpstreamLimiter.h
+++ b/Peridothoist/Relay/UpstreamLimiter.h
@@ -100,6 +100,8 @@
 
   // Other VMs
   void OnPeerDemand(const std::string& aVm, DemandByService aDemand);
+  /// Called when a VM has been silent for so long that it is gone.
+  void ForgetPeer(const std::string& aVm) { mPeers.erase(aVm); }
   /// aServiceOf returns the service of an upstream; "" if it is not listed.
   void OnPeerLimits(
     const LimitsByUpstream& aLimits,
