Say what builds without sightings make of the reports

The postmortem claimed that they take them for suspects; the lifetime of 0 that these builds read makes them drop the report at once.

--- a/Peridothoist/Node/GossipCodec.cpp
+++ b/Peridothoist/Node/GossipCodec.cpp
@@ -69,7 +69,8 @@
                             it.mRunTime.count(),
                             it.mIsExcused });
     }
-    // Builds that know no sightings read the first four elements.
+    // Builds that know no sightings read the first four elements, and drop a
+    // report without a lifetime.
     crashes.push_back({ report.mContent,
                         report.OpenCrashes(),
                         false,
