Mutations for the evidence about crashes

naive_counterparts has rows for the evidence of other VMs, overlapping crashes and the check before sending; the row of GONE names the code as it is again (its text had not occurred since the cancel reasons came).

--- a/UnitTests/naive_counterparts.py
+++ b/UnitTests/naive_counterparts.py
@@ -83,8 +83,18 @@
         "WorkspaceRateLimiterTest"),
     Row("GONE", "does not cancel the call of a disconnected caller",
         RELAY + "RelayStateMachine.cpp",
-        "  CancelCall(*state);\n  Finish(*state);\n  DispatchWaiting();",
+        "  CancelCall(*state, CancelReason::CallerGone);\n  Finish(*state);\n"
+        "  DispatchWaiting();",
         "  Finish(*state);\n  DispatchWaiting();", "RelayStateMachineTest"),
+    Row("BUDGET-crashes", "counts only the crashes that it saw itself",
+        RELAY + "CrashEvidence.cpp", "Merge(report.mContent, sighting, aNow);",
+        "(void)sighting;", "CrashEvidenceTest"),
+    Row("BUDGET-overlap", "counts upstreams that crash together one by one",
+        RELAY + "CrashEvidence.cpp", "it.mAt - it.mRunTime >= *previous;", "true;",
+        "CrashEvidenceTest"),
+    Row("BUDGET-send", "checks for quarantined contents only before the call",
+        RELAY + "RelayPlacement.cpp", "!IsQuarantined(state, aNow) &&", "",
+        "RelayCrashesTest"),
 ]
 
 
