--- a/UnitTests/Relay/UpstreamLimiterTest.cpp
+++ b/UnitTests/Relay/UpstreamLimiterTest.cpp
@@ -197,6 +197,22 @@
   }
 }
 
+// Guards against a burst that grows with the fleet: after an idle time each VM
+// that shares the limit may send at once.
+BOOST_AUTO_TEST_CASE(ABurstAfterAnIdleTimeKeepsToTheLimit)
+{
+  constexpr std::size_t kVms = 60;
+  for (const double limit : { 0.0, 1.0, 4.4 }) {
+    Fleet fleet(kVms);
+    fleet.State(limit);
+    fleet.Run(20s);
+    fleet.SetDemand(Same(kVms, 200));
+    fleet.Run(5s);
+    BOOST_TEST(static_cast<double>(fleet.MostInWindow(kStart)) <=
+               AllowedInWindow(limit));
+  }
+}
+
 // Guards against the same with uneven and changing demand, changing limits and
 // lost messages, at windows of any offset.
 RC_BOOST_PROP(TheLimitHoldsWithAnyDemandAndLostMessages, ())
--- a/UnitTests/naive_counterparts.py
+++ b/UnitTests/naive_counterparts.py
@@ -95,6 +95,12 @@
     Row("BUDGET-send", "checks for quarantined contents only before the call",
         RELAY + "RelayPlacement.cpp", "!IsQuarantined(state, aNow) &&", "",
         "RelayCrashesTest"),
+    Row("LIMIT-share", "uses the whole limit of an upstream at each VM",
+        RELAY + "UpstreamLimiter.cpp", "return RateOf(aLimit) * own / all;",
+        "return RateOf(aLimit) + 0 * own / all;", "UpstreamLimiterTest"),
+    Row("LIMIT-sharers", "divides a limit over all VMs",
+        RELAY + "UpstreamLimiter.cpp", "std::min(count, candidates.size())",
+        "std::max(count, candidates.size())", "UpstreamLimiterTest"),
 ]
 
 
