Order waiting requests by priority over all VMs

Cause: a new request passed all that wait, VMs told each other only how many requests wait for a service, and a VM with the least urgent ones took its part of the free capacity while urgent ones waited elsewhere. Change: Queueing/CapacityShare divides the free capacity by level (in time or late, then priority); gossip and summaries carry the counts by priority, for services whose requests differ in it; a request that others precede waits with them, and those that would not be served in time are refused at once.

--- a/Peridothoist/Cells/CellMembership.cpp
+++ b/Peridothoist/Cells/CellMembership.cpp
@@ -212,6 +212,7 @@
   for (const auto& [service, waiting] : aMessage.mWaiting) {
     aSummary.mWaiting[service] += waiting;
   }
+  AddWaiting(aSummary.mPriorities, aMessage.mPriorities);
   for (const auto& [id, work] : aMessage.mWork) {
     const RelayUpstream* upstream = aUpstreams.Find(id);
     if (upstream != nullptr && upstream->mZone == aZone) {
--- a/Peridothoist/Cells/GossipSummary.h
+++ b/Peridothoist/Cells/GossipSummary.h
@@ -24,7 +24,8 @@
   std::size_t mReachableVms = 0; ///< VMs that are summed up and reachable.
   /// Tokens granted by these VMs while the sender's instance knew them.
   GrantedTokens mGranted;
-  WaitingByService mWaiting; ///< They wait for upstream capacity.
+  WaitingByService mWaiting;            ///< They wait for upstream capacity.
+  PriorityWaitingByService mPriorities; ///< The same by priority.
   /// Work at the upstreams of the recipients' zone.
   WorkByUpstream mWork;
   std::vector<std::string> mGoneUpstreams;
--- a/Peridothoist/Cells/SummaryTable.cpp
+++ b/Peridothoist/Cells/SummaryTable.cpp
@@ -117,6 +117,7 @@
     for (const auto& [service, waiting] : it.mWaiting) {
       aSum.mWaiting[service] += waiting;
     }
+    AddWaiting(aSum.mPriorities, it.mPriorities);
     for (const auto& [id, work] : it.mWork) {
       aSum.mWork[id] += work;
     }
--- a/Peridothoist/Node/CellGossip.cpp
+++ b/Peridothoist/Node/CellGossip.cpp
@@ -59,6 +59,7 @@
   loads.OnPeerFoundGone(aSummary.mGoneUpstreams, aNow);
   loads.Outcomes().OnPeerCounts(key, aSummary.mFailingUpstreams);
   loads.OnPeerWaiting(key, aSummary.mWaiting);
+  loads.OnPeerPriorities(key, aSummary.mPriorities);
   mMachine->Crashes().Apply(aSummary.mCrashReports, aNow);
   for (const UpstreamProcess& it :
        mMachine->OnPeerLeaving(aSummary.mLeavingUpstreams, aNow)) {
--- a/Peridothoist/Node/GossipCodec.cpp
+++ b/Peridothoist/Node/GossipCodec.cpp
@@ -36,6 +36,7 @@
 constexpr const char* kDemand = "h";
 constexpr const char* kLeavingUpstreams = "y";
 constexpr const char* kTunnelAddress = "t";
+constexpr const char* kPriorities = "wp"; ///< Waiting requests by priority.
 
 // Further keys of a summary.
 constexpr const char* kCell = "e";
@@ -172,6 +173,37 @@
   return waiting;
 }
 
+json
+EncodePriorities(const PriorityWaitingByService& aWaiting)
+{
+  json services = json::object();
+  for (const auto& [service, byPriority] : aWaiting) {
+    json& rows = services[service] = json::array();
+    for (const auto& [priority, it] : byPriority) {
+      rows.push_back({ priority, it.mInTime, it.mLate });
+    }
+  }
+  return services;
+}
+
+/// Builds that do not tell priorities send none.
+PriorityWaitingByService
+DecodePriorities(const json& aBody)
+{
+  PriorityWaitingByService waiting;
+  if (aBody.contains(kPriorities)) {
+    for (const auto& [service, rows] : aBody.at(kPriorities).items()) {
+      WaitingByPriority& byPriority = waiting[service];
+      for (const json& it : rows) {
+        byPriority[it.at(0).get<std::uint32_t>()] = {
+          it.at(1).get<std::uint32_t>(), it.at(2).get<std::uint32_t>()
+        };
+      }
+    }
+  }
+  return waiting;
+}
+
 /// Decodes a time that has passed; later ones count as the maximum.
 Duration
 DecodeAge(const json& aValue)
@@ -282,6 +314,7 @@
   } else {
     message.mWaiting[""] = DecodeWaiting(aValue.at(kWaiting));
   }
+  message.mPriorities = DecodePriorities(aValue);
   message.mGoneUpstreams = aValue.at(kGone).get<std::vector<std::string>>();
   message.mFailingUpstreams = DecodeFailing(aValue.at(kFailing));
   message.mCrashReports = DecodeCrashes(aValue.at(kCrashes));
@@ -352,6 +385,7 @@
   summary.mReachableVms = body.at(kReachable).get<std::uint32_t>();
   summary.mGranted = body.at(kGranted).get<GrantedTokens>();
   summary.mWaiting = DecodeWaitingByService(body.at(kWaitingByService));
+  summary.mPriorities = DecodePriorities(body);
   summary.mWork = DecodeWork(body.at(kWork));
   summary.mGoneUpstreams = body.at(kGone).get<std::vector<std::string>>();
   summary.mFailingUpstreams = DecodeFailing(body.at(kFailing));
@@ -418,6 +452,9 @@
                 { kFailing, EncodeFailing(aMessage.mFailingUpstreams) },
                 { kCrashes, EncodeCrashes(aMessage.mCrashReports) },
                 { kKnownPeers, aMessage.mPeers } };
+  if (!aMessage.mPriorities.empty()) {
+    body[kPriorities] = EncodePriorities(aMessage.mPriorities);
+  }
   if (!aMessage.mTunnelAddress.empty()) {
     body[kTunnelAddress] = aMessage.mTunnelAddress;
   }
@@ -455,6 +492,9 @@
                 { kFailing, EncodeFailing(aSummary.mFailingUpstreams) },
                 { kCrashes, EncodeCrashes(aSummary.mCrashReports) },
                 { kCallers, EncodeCallers(aSummary.mCallers) } };
+  if (!aSummary.mPriorities.empty()) {
+    body[kPriorities] = EncodePriorities(aSummary.mPriorities);
+  }
   if (!aSummary.mLeavingUpstreams.empty()) {
     body[kLeavingUpstreams] = EncodeProcesses(aSummary.mLeavingUpstreams);
   }
--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -307,6 +307,7 @@
   message.mGranted = mRateLimiter->Granted();
   message.mWork = mMachine->Loads().OwnWork();
   message.mWaiting = mMachine->ClassifyWaiting(now);
+  message.mPriorities = mMachine->ClassifyPriorities(now);
   message.mGoneUpstreams = mMachine->Loads().GoneUpstreams(now);
   message.mFailingUpstreams =
     mMachine->Loads().Outcomes().FailingUpstreams(now);
@@ -411,6 +412,7 @@
   mMachine->Limits().OnPeerDemand(copy.mVm, copy.mDemand);
   mListener->OnMembersChanged();
   mMachine->Loads().OnPeerWaiting(copy.mVm, copy.mWaiting);
+  mMachine->Loads().OnPeerPriorities(copy.mVm, copy.mPriorities);
   mListener->OnPeerWork(copy.mVm, copy.mWork);
 }
 
--- a/Peridothoist/Relay/MembershipTable.h
+++ b/Peridothoist/Relay/MembershipTable.h
@@ -49,6 +49,7 @@
   bool mIsLeaving = false;                 ///< It will stop soon.
   GrantedTokens mGranted;                  ///< Since the instance started.
   WaitingByService mWaiting;               ///< They wait for upstream capacity.
+  PriorityWaitingByService mPriorities;    ///< The same by priority.
   WorkByUpstream mWork;                    ///< Its open requests.
   std::vector<std::string> mGoneUpstreams; ///< Upstreams that it found gone.
   CountsByUpstream mFailingUpstreams;      ///< Upstreams that fail its calls.
--- a/Peridothoist/Relay/RelayConfiguration.cpp
+++ b/Peridothoist/Relay/RelayConfiguration.cpp
@@ -108,4 +108,28 @@
   mWorkspaces[name] = std::move(aWorkspace);
 }
 
+void
+RelayConfiguration::FindPriorities()
+{
+  std::map<std::string, std::set<std::uint32_t>> priorities; // By service.
+  for (const auto& route : mRoutes) {
+    std::set<std::uint32_t> all;
+    if (route->mIsOpenToAll || mWorkspaces.empty()) {
+      all.insert(route->mPriority);
+    }
+    for (const auto& [name, workspace] : mWorkspaces) {
+      all.insert(workspace.mPriority.value_or(route->mPriority));
+    }
+    for (const RouteTarget& target : route->mTargets) {
+      priorities[target.mService].insert(all.begin(), all.end());
+    }
+  }
+  mPrioritized.clear();
+  for (const auto& [service, all] : priorities) {
+    if (all.size() > 1) {
+      mPrioritized.insert(service);
+    }
+  }
+}
+
 } // namespace peridothoist
--- a/Peridothoist/Relay/RelayConfiguration.h
+++ b/Peridothoist/Relay/RelayConfiguration.h
@@ -5,6 +5,8 @@
 
 #include <Peridothoist/Peridothoist.h>
 
+#include <set>
+
 namespace peridothoist {
 
 /// How a route's requests may be run, and the form of their responses.
@@ -110,6 +112,17 @@
   const RelayWorkspace* FindWorkspace(const std::string& aName) const;
   const RelayService* FindService(const std::string& aName) const;
 
+  /// Returns whether the requests for a service differ in priority, by route or
+  /// by workspace.
+  bool HasPriorities(const std::string& aService) const
+  {
+    return mPrioritized.count(aService) > 0;
+  }
+
+  /// Finds the services whose requests differ in priority. To be called after
+  /// the last route and workspace were added.
+  void FindPriorities();
+
   /// Returns whether requests need a key on routes that aren't open to all.
   bool NeedsKeys() const { return !mWorkspaces.empty(); }
 
@@ -135,6 +148,7 @@
   std::vector<std::shared_ptr<const RelayRoute>> mRoutes;
   std::map<std::string, RelayWorkspace> mWorkspaces;
   std::map<std::string, std::string> mWorkspaceByKey; ///< Names by key.
+  std::set<std::string> mPrioritized;                 ///< See HasPriorities().
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -121,7 +121,7 @@
     PlaceResumed(state);
     return;
   }
-  PlaceRequest(state);
+  PlaceArrival(state);
 }
 
 // Ends of requests
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -23,6 +23,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Core/Random.h>
+#include <Peridothoist/Queueing/CapacityShare.h>
 #include <Peridothoist/Relay/BrokenCallTracker.h>
 #include <Peridothoist/Relay/CallTimeEstimate.h>
 #include <Peridothoist/Relay/CrashEvidence.h>
@@ -108,6 +109,8 @@
   /// Minimum time between checks of an upstream whose calls break.
   Duration mUpstreamCheckInterval = 1s;
   Duration mLimitPollInterval = 500ms; ///< Of looking for limits to check.
+  /// Minimum time between checks which requests wait in vain.
+  Duration mHopelessCheckInterval = 100ms;
   CrashEvidenceSettings mCrashEvidence;
   RelayRetryBudgetSettings mRetryBudget;
   PrefillPlannerSettings mPlanner;
@@ -273,6 +276,8 @@
   /// Returns, by service, the numbers of waiting requests that can still be in
   /// time and of those that are late.
   WaitingByService ClassifyWaiting(TimePoint aNow);
+  /// Returns the same by priority, for services whose requests differ in it.
+  PriorityWaitingByService ClassifyPriorities(TimePoint aNow);
   const RelayCounters& Counters() const { return mCounters; }
 
 private:
@@ -387,6 +392,8 @@
   };
   bool StartWaiting(State& aState);
   Duration ExpectedWait(const State& aState) const;
+  Duration WaitBehind(const State& aState, double aAhead) const;
+  double CountWaitingAhead(const State& aState) const;
   std::optional<Duration> LimitedWait(const State& aState) const;
   std::size_t WaitingAtThisVm(const std::string& aService) const;
   void ArmLimitTimer(const State& aState);
@@ -399,6 +406,24 @@
   void DispatchWithinFraction(const std::vector<std::uint64_t>& aRequests,
                               double aFraction);
   double ChooseStarts(const UpstreamQuery& aQuery, double aFraction);
+  double RoundAtRandom(double aNumber);
+
+  // Waiting by priority
+  using WaitingByLevel = std::map<UrgencyLevel, std::vector<std::uint64_t>>;
+  using StartsByLevel = std::map<UrgencyLevel, double>;
+  bool HasPriorities(const std::string& aService) const
+  {
+    return mConfiguration->HasPriorities(aService);
+  }
+  UrgencyLevel LevelOf(const State& aState) const;
+  WaitingByLevel WaitingLevels(const std::string& aService) const;
+  DemandByLevel DemandFor(const std::string& aService,
+                          const WaitingByLevel& aOwn) const;
+  void PlaceArrival(State& aState);
+  void DispatchByPriority(const std::string& aService);
+  StartsByLevel ChooseStartsByLevel(const UpstreamQuery& aQuery,
+                                    const DemandByLevel& aDemand);
+  void RefuseHopeless(const std::string& aService);
   RelayStage RunningStage(const State& aState) const;
   bool IsLate(const State& aState) const;
   const EngineLimits* EnginesOf(const State& aState) const;
@@ -519,6 +544,8 @@
   bool mHasLeavingNews = false; ///< Waiting requests may be unservable now.
   std::optional<TimePoint> mLimitCheckAt; ///< The next; none: no limits.
   std::optional<TimePoint> mLimitTimerAt; ///< The earliest that is pending.
+  /// By service: when it was last checked which requests wait in vain.
+  std::map<std::string, TimePoint> mHopelessCheckedAt;
   /// Requests that wait for capacity, by priority and then by id.
   std::set<std::pair<std::uint32_t, std::uint64_t>> mWaiting;
   TimerQueue mTimers;
--- a/Peridothoist/Relay/RelayWaiting.cpp
+++ b/Peridothoist/Relay/RelayWaiting.cpp
@@ -137,11 +137,18 @@
                                                             : RelayStage::Plain;
 }
 
-/// Returns how long a request that starts to wait now is likely to wait, at all
-/// VMs' rate of ended calls: the requests that wait already, divided by those
-/// that run, times the time of a call. Returns 0 if that is not known.
+/// Returns how long a request that starts to wait now is likely to wait.
 Duration
 RelayStateMachine::ExpectedWait(const State& aState) const
+{
+  return WaitBehind(aState, CountWaitingAhead(aState));
+}
+
+/// Returns how long a request is likely to wait behind aAhead others, at all
+/// VMs' rate of ended calls: the requests that run divided by the time of a
+/// call. Returns 0 if that is not known.
+Duration
+RelayStateMachine::WaitBehind(const State& aState, double aAhead) const
 {
   const std::string& service = aState.mRequest.mService;
   const auto time = mCallTimes.find(service);
@@ -149,10 +156,23 @@
   if (time == mCallTimes.end() || running < 1) {
     return Duration(0);
   }
-  double waiting = static_cast<double>(mLoads.PeersWaiting(service).All());
-  waiting += static_cast<double>(WaitingAtThisVm(service));
   return std::chrono::duration_cast<Duration>(time->second.Typical() *
-                                              (waiting / running));
+                                              (aAhead / running));
+}
+
+/// Returns how many waiting requests go before the request, at all VMs.
+double
+RelayStateMachine::CountWaitingAhead(const State& aState) const
+{
+  const std::string& service = aState.mRequest.mService;
+  if (HasPriorities(service)) {
+    const WaitingByLevel own = WaitingLevels(service);
+    const DemandByLevel demand = DemandFor(service, own);
+    const bool isAnyLate = !demand.empty() && demand.rbegin()->first.mIsLate;
+    return static_cast<double>(CountAhead(demand, LevelOf(aState), isAnyLate));
+  }
+  return static_cast<double>(mLoads.PeersWaiting(service).All() +
+                             WaitingAtThisVm(service));
 }
 
 /// Refuses the waiting requests that no listed upstream serves any more.
@@ -189,7 +209,11 @@
     }
   }
   for (auto& [service, group] : groups) {
-    DispatchGroup(service, std::move(group));
+    if (HasPriorities(service)) {
+      DispatchByPriority(service);
+    } else {
+      DispatchGroup(service, std::move(group));
+    }
   }
   if (!mWaiting.empty()) {
     const State* first = Find(mWaiting.begin()->second);
@@ -261,9 +285,15 @@
 RelayStateMachine::ChooseStarts(const UpstreamQuery& aQuery, double aFraction)
 {
   const UpstreamCapacity capacity = mChooser.CapacityFor(aQuery, mNow);
-  const double share = capacity.mShared * aFraction + capacity.mOwn;
-  const double whole = std::floor(share);
-  return whole + (mRandom->UniformFraction() < share - whole ? 1 : 0);
+  return RoundAtRandom(capacity.mShared * aFraction + capacity.mOwn);
+}
+
+/// Rounds a number up or down, so that its mean is kept.
+double
+RelayStateMachine::RoundAtRandom(double aNumber)
+{
+  const double whole = std::floor(aNumber);
+  return whole + (mRandom->UniformFraction() < aNumber - whole ? 1 : 0);
 }
 
 WaitingByService
@@ -281,6 +311,169 @@
   return waiting;
 }
 
+UrgencyLevel
+RelayStateMachine::LevelOf(const State& aState) const
+{
+  return { IsLate(aState), aState.mRequest.mPriority };
+}
+
+/// Returns the requests for a service that wait here, each level in the order
+/// in which they are to be started.
+RelayStateMachine::WaitingByLevel
+RelayStateMachine::WaitingLevels(const std::string& aService) const
+{
+  WaitingByLevel levels;
+  bool isAnyLate = false;
+  for (const auto& entry : mWaiting) {
+    const auto it = mRequests.find(entry.second);
+    const bool isWaiting = it != mRequests.end() && !it->second.mCall &&
+                           it->second.mRequest.mService == aService;
+    if (isWaiting) {
+      const UrgencyLevel level = LevelOf(it->second);
+      levels[level].push_back(entry.second);
+      isAnyLate = isAnyLate || level.mIsLate;
+    }
+  }
+  for (auto& [level, ids] : levels) {
+    // In order of arrival, each would be started just before it is late.
+    if (isAnyLate && !level.mIsLate) {
+      std::reverse(ids.begin(), ids.end());
+    }
+  }
+  return levels;
+}
+
+DemandByLevel
+RelayStateMachine::DemandFor(const std::string& aService,
+                             const WaitingByLevel& aOwn) const
+{
+  DemandByLevel demand;
+  for (const auto& [level, ids] : aOwn) {
+    demand[level].mOwn = ids.size();
+  }
+  const std::uint32_t defaultPriority = RelayRoute().mPriority;
+  for (const auto& [priority, counts] :
+       mLoads.PeersWaitingByPriority(aService, defaultPriority)) {
+    if (counts.mInTime > 0) {
+      demand[{ false, priority }].mOthers = counts.mInTime;
+    }
+    if (counts.mLate > 0) {
+      demand[{ true, priority }].mOthers = counts.mLate;
+    }
+  }
+  return demand;
+}
+
+/// Places a new request, unless others that wait go before it. It waits with
+/// these then, and is started in its turn.
+void
+RelayStateMachine::PlaceArrival(State& aState)
+{
+  const std::string service = aState.mRequest.mService;
+  const bool isFirst = !HasPriorities(service) || CountWaitingAhead(aState) < 1;
+  if (isFirst) {
+    PlaceRequest(aState);
+    return;
+  }
+  const std::uint64_t id = aState.mRequest.mId;
+  OnNoUpstreamChosen(aState, NoChoiceReason::Full);
+  if (Find(id) != nullptr) {
+    DispatchByPriority(service);
+  }
+}
+
+/// Starts waiting requests of a service whose requests differ in priority, the
+/// most urgent level first, within this VM's part of the capacity.
+void
+RelayStateMachine::DispatchByPriority(const std::string& aService)
+{
+  RefuseHopeless(aService);
+  const WaitingByLevel waiting = WaitingLevels(aService);
+  const DemandByLevel demand = DemandFor(aService, waiting);
+  // By the software version that requests are bound to; nullopt: any version.
+  std::map<std::optional<std::string>, StartsByLevel> startsLeft;
+  for (const auto& [level, ids] : waiting) {
+    for (const std::uint64_t id : ids) {
+      State* state = Find(id);
+      if (state == nullptr || state->mCall) {
+        continue;
+      }
+      const auto version = VersionOf(*state);
+      auto known = startsLeft.find(version);
+      if (known == startsLeft.end()) {
+        const UpstreamQuery query = QueryFor(*state, RunningStage(*state));
+        known =
+          startsLeft.emplace(version, ChooseStartsByLevel(query, demand)).first;
+      }
+      double& left = known->second[level];
+      if (left >= 1) {
+        left -= 1;
+        PlaceRequest(*state);
+      }
+    }
+  }
+}
+
+/// Returns how many of such requests to start, by level. This VM's parts of
+/// upstreams' limits are for its own requests alone.
+RelayStateMachine::StartsByLevel
+RelayStateMachine::ChooseStartsByLevel(const UpstreamQuery& aQuery,
+                                       const DemandByLevel& aDemand)
+{
+  const UpstreamCapacity capacity = mChooser.CapacityFor(aQuery, mNow);
+  StartsByLevel starts = ShareCapacity(capacity.mShared, aDemand);
+  double own = capacity.mOwn;
+  for (auto& [level, share] : starts) {
+    const auto wanted = static_cast<double>(aDemand.at(level).mOwn);
+    const double added = std::min(own, std::max(0.0, wanted - share));
+    own -= added;
+    share = RoundAtRandom(share + added);
+  }
+  return starts;
+}
+
+/// Refuses the waiting requests that are not expected to be started while they
+/// may wait, since more urgent ones have come meanwhile.
+void
+RelayStateMachine::RefuseHopeless(const std::string& aService)
+{
+  TimePoint& checkedAt = mHopelessCheckedAt[aService];
+  if (mNow < checkedAt + mSettings.mHopelessCheckInterval) {
+    return;
+  }
+  checkedAt = mNow;
+  const WaitingByLevel waiting = WaitingLevels(aService);
+  const DemandByLevel demand = DemandFor(aService, waiting);
+  for (const auto& [level, ids] : waiting) {
+    const auto ahead = static_cast<double>(CountAhead(demand, level, true));
+    for (const std::uint64_t id : ids) {
+      State& state = *Find(id);
+      const bool isHopeless =
+        state.mWaitDeadline &&
+        WaitBehind(state, ahead) >= *state.mWaitDeadline - mNow;
+      if (isHopeless) {
+        Refuse(state, RefusalKind::TooLate);
+      }
+    }
+  }
+}
+
+PriorityWaitingByService
+RelayStateMachine::ClassifyPriorities(TimePoint aNow)
+{
+  mNow = std::max(mNow, aNow);
+  PriorityWaitingByService waiting;
+  for (const auto& entry : mWaiting) {
+    const State* state = Find(entry.second);
+    if (state != nullptr && HasPriorities(state->mRequest.mService)) {
+      WaitingRequests& counts =
+        waiting[state->mRequest.mService][state->mRequest.mPriority];
+      ++(IsLate(*state) ? counts.mLate : counts.mInTime);
+    }
+  }
+  return waiting;
+}
+
 /// Returns whether a request that starts now is likely to miss its target
 /// latency: that of a stream counts to its first event, any other's to its end.
 bool
--- a/Peridothoist/Relay/UpstreamLoadTracker.cpp
+++ b/Peridothoist/Relay/UpstreamLoadTracker.cpp
@@ -53,6 +53,43 @@
   return waiting;
 }
 
+void
+AddWaiting(PriorityWaitingByService& aTo, const PriorityWaitingByService& aFrom)
+{
+  for (const auto& [service, byPriority] : aFrom) {
+    for (const auto& [priority, counts] : byPriority) {
+      aTo[service][priority] += counts;
+    }
+  }
+}
+
+WaitingByPriority
+UpstreamLoadTracker::PeersWaitingByPriority(
+  const std::string& aService,
+  std::uint32_t aDefaultPriority) const
+{
+  WaitingByPriority waiting;
+  for (const auto& [peer, byService] : mPeersWaiting) {
+    const auto known = mPeerPriorities.find(peer);
+    if (known != mPeerPriorities.end()) {
+      const auto it = known->second.find(aService);
+      if (it != known->second.end()) {
+        for (const auto& [priority, counts] : it->second) {
+          waiting[priority] += counts;
+        }
+        continue;
+      }
+    }
+    for (const std::string& service : { aService, std::string() }) {
+      const auto it = byService.find(service);
+      if (it != byService.end()) {
+        waiting[aDefaultPriority] += it->second;
+      }
+    }
+  }
+  return waiting;
+}
+
 void
 UpstreamLoadTracker::OnDone(const std::string& aUpstream, std::uint64_t aTokens)
 {
@@ -99,6 +136,7 @@
   OnPeerWork(aPeer, {});
   mPeers.erase(aPeer);
   mPeersWaiting.erase(aPeer);
+  mPeerPriorities.erase(aPeer);
   mOutcomes.ForgetPeer(aPeer);
 }
 
--- a/Peridothoist/Relay/UpstreamLoadTracker.h
+++ b/Peridothoist/Relay/UpstreamLoadTracker.h
@@ -60,6 +60,15 @@
 /// name stands for any service, in reports of builds that do not tell which.
 using WaitingByService = std::map<std::string, WaitingRequests>;
 
+/// Waiting requests by priority, of the services whose requests differ in it.
+using WaitingByPriority = std::map<std::uint32_t, WaitingRequests>;
+using PriorityWaitingByService = std::map<std::string, WaitingByPriority>;
+
+/// Adds the counts of aFrom to aTo.
+void
+AddWaiting(PriorityWaitingByService& aTo,
+           const PriorityWaitingByService& aFrom);
+
 /// Settings of UpstreamLoadTracker.
 struct UpstreamLoadTrackerSettings
 {
@@ -112,10 +121,21 @@
   {
     mPeersWaiting[aPeer] = aWaiting;
   }
+  /// The same by priority, for services whose requests differ in it.
+  void OnPeerPriorities(const std::string& aPeer,
+                        const PriorityWaitingByService& aWaiting)
+  {
+    mPeerPriorities[aPeer] = aWaiting;
+  }
   /// Returns all requests that wait at other VMs.
   WaitingRequests PeersWaiting() const;
   /// Returns the requests for a service that wait at other VMs.
   WaitingRequests PeersWaiting(const std::string& aService) const;
+  /// Returns the same by priority. Requests at VMs that do not tell their
+  /// priority count as of aDefaultPriority.
+  WaitingByPriority PeersWaitingByPriority(
+    const std::string& aService,
+    std::uint32_t aDefaultPriority) const;
   void ForgetPeer(const std::string& aPeer);
 
   /// Called when a call to the upstream failed or was rejected.
@@ -183,8 +203,10 @@
   std::map<std::string, WorkByUpstream> mPeers;          ///< By peer.
   WorkByUpstream mPeerTotals;                            ///< Sum over mPeers.
   std::map<std::string, WaitingByService> mPeersWaiting; ///< By peer.
-  std::map<std::string, Stated> mStated;                 ///< By upstream.
-  std::map<std::string, Failures> mFailures;             ///< By upstream.
+  std::map<std::string, PriorityWaitingByService>
+    mPeerPriorities;                         ///< The same.
+  std::map<std::string, Stated> mStated;     ///< By upstream.
+  std::map<std::string, Failures> mFailures; ///< By upstream.
   CallOutcomeTracker mOutcomes;
 };
 
