--- a/Peridothoist/Cells/CellMembership.cpp
+++ b/Peridothoist/Cells/CellMembership.cpp
@@ -227,6 +227,7 @@
                                  aMessage.mGoneUpstreams.end());
   MergeProcesses(aSummary.mLeavingUpstreams, aMessage.mLeavingUpstreams);
   MergeLimits(aSummary.mLimits, aMessage.mLimits);
+  MergeColdTimes(aSummary.mCold, aMessage.mCold);
   const SummaryTableSettings& limits = mSummaries->GetSettings();
   const bool isFull = aZone != mSelf.mZone &&
                       aSummary.mCallers.size() >= limits.mCallersForOtherZones;
--- a/Peridothoist/Cells/GossipSummary.h
+++ b/Peridothoist/Cells/GossipSummary.h
@@ -33,6 +33,7 @@
   std::vector<UpstreamProcess> mLeavingUpstreams;
   std::vector<CrashReport> mCrashReports;
   LimitsByUpstream mLimits; ///< As upstreams stated them to these VMs.
+  ColdTimes mCold;          ///< Cold upstreams that these VMs learnt of.
   std::vector<CallerAddress> mCallers;
 };
 
--- a/Peridothoist/Cells/SummaryTable.cpp
+++ b/Peridothoist/Cells/SummaryTable.cpp
@@ -127,6 +127,7 @@
     gone.insert(it.mGoneUpstreams.begin(), it.mGoneUpstreams.end());
     MergeProcesses(aSum.mLeavingUpstreams, it.mLeavingUpstreams);
     MergeLimits(aSum.mLimits, it.mLimits);
+    MergeColdTimes(aSum.mCold, it.mCold);
   }
   aSum.mGoneUpstreams.assign(gone.begin(), gone.end());
   aSum.mFailingUpstreams = WorstFailing(std::move(aSum.mFailingUpstreams),
--- a/Peridothoist/Node/CellGossip.cpp
+++ b/Peridothoist/Node/CellGossip.cpp
@@ -65,6 +65,7 @@
     LogStatedLeaving(it, key);
   }
   mMachine->OnPeerLimits(aSummary.mLimits, aNow);
+  mMachine->OnPeerCold(aSummary.mCold, aNow);
   mMembers->SetReachableElsewhere(mSummaries.ReachableVms());
   mListener->OnPeerWork(key, aSummary.mWork);
 }
--- a/Peridothoist/Node/GossipCodec.cpp
+++ b/Peridothoist/Node/GossipCodec.cpp
@@ -36,6 +36,7 @@
 constexpr const char* kDemand = "h";
 constexpr const char* kLeavingUpstreams = "y";
 constexpr const char* kTunnelAddress = "t";
+constexpr const char* kCold = "cd";
 
 // Further keys of a summary.
 constexpr const char* kCell = "e";
@@ -94,6 +95,16 @@
   return limits;
 }
 
+json
+EncodeCold(const ColdTimes& aTimes)
+{
+  json times = json::object();
+  for (const auto& [id, it] : aTimes) {
+    times[id] = it.count();
+  }
+  return times;
+}
+
 json
 EncodeDemand(const DemandByService& aDemand)
 {
@@ -220,6 +231,19 @@
   return limits;
 }
 
+/// Builds that know no cold upstreams send none.
+ColdTimes
+DecodeCold(const json& aBody)
+{
+  ColdTimes times;
+  if (aBody.contains(kCold)) {
+    for (const auto& [id, it] : aBody.at(kCold).items()) {
+      times[id] = DecodeAge(it);
+    }
+  }
+  return times;
+}
+
 json
 EncodeProcesses(const std::vector<UpstreamProcess>& aProcesses)
 {
@@ -288,6 +312,7 @@
   message.mTunnelAddress = DecodeTunnel(aValue.value(kTunnelAddress, ""));
   message.mLeavingUpstreams = DecodeLeaving(aValue);
   message.mLimits = DecodeLimits(aValue);
+  message.mCold = DecodeCold(aValue);
   message.mDemand = DecodeDemand(aValue);
   message.mPeers = aValue.at(kKnownPeers).get<std::vector<std::string>>();
   message.mIsRedirect = aValue.value(kRedirect, false);
@@ -358,6 +383,7 @@
   summary.mCrashReports = DecodeCrashes(body.at(kCrashes));
   summary.mLeavingUpstreams = DecodeLeaving(body);
   summary.mLimits = DecodeLimits(body);
+  summary.mCold = DecodeCold(body);
   summary.mCallers = DecodeCallers(body.at(kCallers));
   return summary;
 }
@@ -388,6 +414,9 @@
     response.mVmDigest = aValue.at(6).get<std::uint64_t>();
     response.mViewAddress = aValue.at(7).get<std::string>();
   }
+  if (aValue.size() > 8) { // Older builds know no evacuated zones.
+    response.mEvacuationDigest = aValue.at(8).get<std::uint64_t>();
+  }
   return response;
 }
 
@@ -427,6 +456,9 @@
   if (!aMessage.mLimits.empty()) {
     body[kLimits] = EncodeLimits(aMessage.mLimits);
   }
+  if (!aMessage.mCold.empty()) {
+    body[kCold] = EncodeCold(aMessage.mCold);
+  }
   if (!aMessage.mDemand.empty()) {
     body[kDemand] = EncodeDemand(aMessage.mDemand);
   }
@@ -461,6 +493,9 @@
   if (!aSummary.mLimits.empty()) {
     body[kLimits] = EncodeLimits(aSummary.mLimits);
   }
+  if (!aSummary.mCold.empty()) {
+    body[kCold] = EncodeCold(aSummary.mCold);
+  }
   if (aSummary.mCell) {
     body[kCell] = { aSummary.mCell->mZone, aSummary.mCell->mNumber };
   }
@@ -496,7 +531,8 @@
                               aResponse.mListDigest,
                               aResponse.mListAge.count(),
                               aResponse.mVmDigest,
-                              aResponse.mViewAddress }));
+                              aResponse.mViewAddress,
+                              aResponse.mEvacuationDigest }));
 }
 
 std::optional<ViewResponse>
--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -314,6 +314,7 @@
     mMachine->Crashes().Reports(now), mSettings.mMaxCrashReports, mSequence);
   message.mLeavingUpstreams = mMachine->ListedUpstreams().OwnLeaving(now);
   message.mLimits = mMachine->Limits().OwnLimits(now);
+  message.mCold = mMachine->Limits().OwnColdTimes(now);
   message.mDemand = mMachine->Limits().ReportDemand(now);
   // Each message carries one random peer address: over time all VMs learn all
   // addresses while messages stay small.
@@ -408,6 +409,7 @@
     LogStatedLeaving(it, copy.mVm);
   }
   mMachine->OnPeerLimits(copy.mLimits, now);
+  mMachine->OnPeerCold(copy.mCold, now);
   mMachine->Limits().OnPeerDemand(copy.mVm, copy.mDemand);
   mListener->OnMembersChanged();
   mMachine->Loads().OnPeerWaiting(copy.mVm, copy.mWaiting);
--- a/Peridothoist/Node/NodeLog.cpp
+++ b/Peridothoist/Node/NodeLog.cpp
@@ -4,6 +4,8 @@
 #include <Peridothoist/Core/DurationUnits.h>
 #include <Peridothoist/Shell/Log.h>
 
+#include <algorithm>
+
 namespace peridothoist {
 
 void
@@ -57,6 +59,45 @@
   }
 }
 
+namespace {
+
+std::size_t
+UpstreamsIn(const UpstreamList& aUpstreams, const std::string& aZone)
+{
+  const auto& all = aUpstreams.All();
+  return static_cast<std::size_t>(
+    std::count_if(all.begin(), all.end(), [&](const auto& aIt) {
+      return aIt.second.mUpstream.mZone == aZone;
+    }));
+}
+
+} // namespace
+
+void
+LogEvacuations(const std::set<std::string>& aBefore,
+               const UpstreamList& aUpstreams,
+               Duration aAge,
+               std::size_t aWaiting)
+{
+  const std::set<std::string>& now = aUpstreams.EvacuatedZones();
+  std::set<std::string> zones = aBefore;
+  zones.insert(now.begin(), now.end());
+  for (const std::string& zone : zones) {
+    const bool isEvacuated = now.count(zone) > 0;
+    if (isEvacuated == (aBefore.count(zone) > 0)) {
+      continue;
+    }
+    const std::size_t upstreams = UpstreamsIn(aUpstreams, zone);
+    (upstreams == 0 ? Log::Warning("zone_without_upstreams_evacuated")
+                    : Log::Info("zone_evacuated"))
+      .Field("zone", zone)
+      .Field("evacuated", isEvacuated)
+      .Field("upstreams", upstreams)
+      .Field("age_ms", ToMillis(aAge))
+      .Field("waiting", aWaiting);
+  }
+}
+
 void
 LogStatedLeaving(const UpstreamProcess& aProcess, std::string_view aSource)
 {
--- a/Peridothoist/Node/NodeLog.h
+++ b/Peridothoist/Node/NodeLog.h
@@ -19,6 +19,14 @@
 LogListChanges(const std::map<std::string, UpstreamList::Entry>& aBefore,
                const std::map<std::string, UpstreamList::Entry>& aAfter);
 
+/// Logs which availability zones are evacuated or no longer are. aBefore: the
+/// evacuated zones before. aAge: of the read that showed it.
+void
+LogEvacuations(const std::set<std::string>& aBefore,
+               const UpstreamList& aUpstreams,
+               Duration aAge,
+               std::size_t aWaiting);
+
 /// Logs that a process of an upstream stated that it leaves. aSource: the kind
 /// of call whose response stated it, or the VM that reported it.
 void
--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -167,6 +167,10 @@
       static_cast<double>(aGauges.mWaitingRequests));
   set("peridothoist_limited_upstreams",
       static_cast<double>(aGauges.mLimitedUpstreams));
+  set("peridothoist_cold_upstreams",
+      static_cast<double>(aGauges.mColdUpstreams));
+  set("peridothoist_evacuated_zones",
+      static_cast<double>(aGauges.mEvacuatedZones));
   set("peridothoist_tunnels", static_cast<double>(aGauges.mTunnels));
   set("peridothoist_upstreams_reached", aGauges.mReachesUpstreams ? 1 : 0);
 }
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -20,9 +20,11 @@
   double mReachableFraction = 0; ///< Fraction of mVmCount.
   std::size_t mOpenRequests = 0;
   std::size_t mWaitingRequests = 0;
-  std::size_t mLimitedUpstreams = 0; ///< That state a limit.
-  std::size_t mTunnels = 0;          ///< Open, from other VMs.
-  bool mReachesUpstreams = true;     ///< It can connect to upstreams itself.
+  std::size_t mLimitedUpstreams = 0; ///< That state a limit, or are cold.
+  std::size_t mColdUpstreams = 0;
+  std::size_t mEvacuatedZones = 0;
+  std::size_t mTunnels = 0;      ///< Open, from other VMs.
+  bool mReachesUpstreams = true; ///< It can connect to upstreams itself.
   std::map<std::string, double> mRetryBudgetLeft; ///< By service.
   /// By workspace that has a limit.
   std::map<std::string, double> mAllowanceTokensLeft;
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -247,16 +247,41 @@
     LogChangedLimits(old.get(), *aConfiguration);
     mMachine.SetConfiguration(aConfiguration);
     mRateLimiter.SetWorkspaces(aConfiguration->Workspaces());
-    Log::Info("configuration_in_force")
-      .Field("version", aConfiguration->mVersion)
-      .Field("before", before)
-      .Field("routes", aConfiguration->Routes().size())
-      .Field("workspaces", aConfiguration->Workspaces().size())
-      .Field("age_ms", ToMillis(mReactor->Now() - aConfirmedAt));
+    if (before != aConfiguration->mVersion) {
+      Log::Info("configuration_in_force")
+        .Field("version", aConfiguration->mVersion)
+        .Field("before", before)
+        .Field("routes", aConfiguration->Routes().size())
+        .Field("workspaces", aConfiguration->Workspaces().size())
+        .Field("age_ms", ToMillis(mReactor->Now() - aConfirmedAt));
+    }
+    ApplyEvacuations(*aConfiguration, aConfirmedAt);
   }
   OnMembersChanged();
 }
 
+/// Stops sending to the upstreams of evacuated zones, and sends to those of
+/// zones that no longer are.
+void
+NodeProcess::ApplyEvacuations(const RelayConfiguration& aConfiguration,
+                              TimePoint aConfirmedAt)
+{
+  const std::set<std::string> before =
+    mMachine.ListedUpstreams().EvacuatedZones();
+  const std::set<std::string>& zones = aConfiguration.mEvacuatedZones;
+  if (before == zones) {
+    return;
+  }
+  mExecutor.Deliver(
+    [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
+      aMachine.OnZonesEvacuated(zones, aNow, aOut);
+    });
+  LogEvacuations(before,
+                 mMachine.ListedUpstreams(),
+                 mReactor->Now() - aConfirmedAt,
+                 mMachine.WaitingRequestCount());
+}
+
 void
 NodeProcess::OnUpstreams(std::vector<RelayUpstream> aUpstreams)
 {
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -84,6 +84,8 @@
   void LogRefusal(const std::optional<IncomingRequest>& aRequest,
                   const Refusal& aRefusal,
                   const Reason& aReason);
+  void ApplyEvacuations(const RelayConfiguration& aConfiguration,
+                        TimePoint aConfirmedAt);
   std::optional<Refusal> RefuseWhileLeaving(const AdmittedRequest& aAdmitted);
   bool IsOrderLeader() const;
   void UpdateStageOrders();
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -13,6 +13,9 @@
   if (aEntry.mUpstream.mIsLeaving) {
     return "leaving";
   }
+  if (aEntry.mUpstream.mIsEvacuated) {
+    return "evacuated";
+  }
   if (aEntry.mIsMissing) {
     return "lapsed";
   }
@@ -112,7 +115,7 @@
     return TunnelVerdict::Unavailable;
   }
   const RelayUpstream* upstream = FindByAddress(aTarget);
-  return upstream != nullptr && !upstream->mIsLeaving
+  return upstream != nullptr && upstream->AcceptsRequests()
            ? TunnelVerdict::Allowed
            : TunnelVerdict::NotAllowed;
 }
@@ -166,6 +169,8 @@
   gauges.mOpenRequests = mMachine.OpenRequestCount();
   gauges.mWaitingRequests = mMachine.WaitingRequestCount();
   gauges.mLimitedUpstreams = mMachine.Limits().LimitedCount(mReactor->Now());
+  gauges.mColdUpstreams = mMachine.Limits().ColdCount(mReactor->Now());
+  gauges.mEvacuatedZones = mMachine.ListedUpstreams().EvacuatedZones().size();
   gauges.mTunnels = mTunnels == nullptr ? 0 : mTunnels->OpenCount();
   gauges.mReachesUpstreams = !mMachine.Reach().IsCutOff();
   gauges.mRetryBudgetLeft = mMachine.RetriesLeft(now);
--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -472,6 +472,9 @@
     .Field("peers_waiting", mMachine->Loads().PeersWaiting().All())
     .Field("upstreams", mMachine->ListedUpstreams().All().size())
     .Field("found_gone", mMachine->Loads().GoneUpstreams(now).size())
+    .Field("evacuated_zones",
+           mMachine->ListedUpstreams().EvacuatedZones().size())
+    .Field("cold_upstreams", mMachine->Limits().ColdCount(now))
     .Field("list_age_ms", ToMillis(now - listedAt.value_or(now)));
 }
 
--- a/Peridothoist/Node/RelayExecutorControl.cpp
+++ b/Peridothoist/Node/RelayExecutorControl.cpp
@@ -49,6 +49,16 @@
   if (aHead.mLimit) {
     OnLimitStated(aProcess.mUpstream, *aHead.mLimit);
   }
+  const bool isColdChanged =
+    aHead.mColdRemaining && mMachine->OnColdStated(aProcess.mUpstream,
+                                                   *aHead.mColdRemaining,
+                                                   mReactor->Now());
+  if (isColdChanged) {
+    Log::Info("upstream_cold")
+      .Field("upstream", aProcess.mUpstream)
+      .Field("cold_ms", ToMillis(*aHead.mColdRemaining))
+      .Field("heard_by", aSource);
+  }
   const bool isNewlyLeaving =
     aHead.mStatesLeaving &&
     mMachine->OnLeavingStated(aProcess, mReactor->Now());
--- a/Peridothoist/Node/UpstreamProtocol.h
+++ b/Peridothoist/Node/UpstreamProtocol.h
@@ -21,7 +21,8 @@
   std::optional<StatedLoad> mLoad; ///< If stated.
   /// Nullopt: it can't be told whether the upstream has a limit.
   std::optional<StatedLimit> mLimit;
-  bool mStatesLeaving = false; ///< It gets no new requests any more.
+  bool mStatesLeaving = false;            ///< It gets no new requests any more.
+  std::optional<Duration> mColdRemaining; ///< If stated; 0: it is not cold.
 };
 
 /// Builds calls to upstreams and parses their responses.
--- a/Peridothoist/Node/ViewCodec.cpp
+++ b/Peridothoist/Node/ViewCodec.cpp
@@ -3,6 +3,8 @@
 
 #include <Peridothoist/Node/CborMessage.h>
 
+#include <algorithm>
+
 namespace peridothoist {
 
 namespace {
@@ -53,6 +55,10 @@
   if (aValue.size() > 9) { // Older builds don't send it.
     upstream.mSoftwareVersion = aValue.at(9).get<std::string>();
   }
+  if (aValue.size() > 10) {
+    upstream.mColdRemaining =
+      std::max(Duration(0), Duration(aValue.at(10).get<std::int64_t>()));
+  }
   return entry;
 }
 
@@ -113,7 +119,8 @@
                                     it.mIsListedAsLeaving,
                                     upstream.mIncarnationId,
                                     it.mIsMissing,
-                                    upstream.mSoftwareVersion }));
+                                    upstream.mSoftwareVersion,
+                                    upstream.mColdRemaining.count() }));
   }
   return ToCbor(json::array({ aPart.mAge.count(), std::move(entries) }));
 }
--- a/Peridothoist/Node/ViewUpdater.cpp
+++ b/Peridothoist/Node/ViewUpdater.cpp
@@ -259,10 +259,10 @@
   std::vector<StoredRow> aRows,
   TimePoint aStartedAt)
 {
-  if (aConfiguration->mVersion >= mView->Version()) {
+  mListener->OnConfiguration(aConfiguration, aStartedAt);
+  if (mView->HasStateOf(*aConfiguration)) {
     mConfigurationRows = std::move(aRows);
   }
-  mListener->OnConfiguration(std::move(aConfiguration), aStartedAt);
 }
 
 void
--- a/Peridothoist/Relay/ConfirmedView.h
+++ b/Peridothoist/Relay/ConfirmedView.h
@@ -21,12 +21,17 @@
   /// After this fraction of mRevokeLimit without a confirmation, new callers
   /// are directed to other VMs, before this VM has to refuse them.
   double mAttractFraction = 0.5;
+  /// Availability zones may be evacuated. Peers that state no digest of the
+  /// evacuated zones then confirm nothing.
+  bool mHasEvacuations = false;
 };
 
 /// Holds the newest configuration and the time of its last confirmation.
 ///
 /// Invariants: the version never decreases; a confirmation counts from the
-/// start of its read, so every change acknowledged before it is included.
+/// start of its read, so every change acknowledged before it is included. Of
+/// two states of the evacuated zones at one version, that of the later
+/// confirmation is held.
 class ConfirmedView
 {
 public:
@@ -39,8 +44,11 @@
 
   void SetSettings(const Settings& aSettings) { mSettings = aSettings; }
 
+  bool HasEvacuations() const { return mSettings.mHasEvacuations; }
+
   /// Takes aConfiguration, the result of a read that began at aBegan. Returns
-  /// whether it is newer than the known one. An older one is dropped and
+  /// whether it replaces the known one: its version is higher, or its evacuated
+  /// zones differ and the read began later. An older one is dropped and
   /// confirms nothing.
   bool OnRead(std::shared_ptr<const RelayConfiguration> aConfiguration,
               TimePoint aBegan)
@@ -49,9 +57,17 @@
         aConfiguration->mVersion < mConfiguration->mVersion) {
       return false;
     }
-    mConfirmedAt = std::max(mConfirmedAt, aBegan);
+    const bool isLater = aBegan > mConfirmedAt;
     const bool newer = mConfiguration == nullptr ||
-                       aConfiguration->mVersion > mConfiguration->mVersion;
+                       aConfiguration->mVersion > mConfiguration->mVersion ||
+                       (isLater && aConfiguration->mEvacuatedZones !=
+                                     mConfiguration->mEvacuatedZones);
+    const bool isOutdated =
+      !newer && !aConfiguration->HasSameState(*mConfiguration);
+    if (isOutdated) {
+      return false;
+    }
+    mConfirmedAt = std::max(mConfirmedAt, aBegan);
     if (newer) {
       mConfiguration = std::move(aConfiguration);
     }
@@ -67,6 +83,22 @@
     return mConfiguration;
   }
 
+  /// Returns whether the configuration has the version and the evacuated zones
+  /// of aOther.
+  bool HasStateOf(const RelayConfiguration& aOther) const
+  {
+    return mConfiguration != nullptr && mConfiguration->HasSameState(aOther);
+  }
+
+  /// Returns the digest of the evacuated zones; 0 until the first read.
+  std::uint64_t EvacuationDigest() const
+  {
+    return mConfiguration == nullptr ? 0 : mConfiguration->EvacuationDigest();
+  }
+
+  /// Returns when the last confirming read began.
+  TimePoint ConfirmedAt() const { return mConfirmedAt; }
+
   /// Returns the version; 0 until the first read.
   std::uint64_t Version() const
   {
--- a/Peridothoist/Relay/MembershipTable.h
+++ b/Peridothoist/Relay/MembershipTable.h
@@ -56,6 +56,7 @@
   std::vector<UpstreamProcess> mLeavingUpstreams;
   std::vector<CrashReport> mCrashReports;
   LimitsByUpstream mLimits;        ///< As upstreams stated them to this VM.
+  ColdTimes mCold;                 ///< Cold upstreams that it learnt of.
   DemandByService mDemand;         ///< For services with limited upstreams.
   std::vector<std::string> mPeers; ///< Peer addresses that it knows.
   /// It answers a VM of another cell with the addresses of that VM's cell.
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -308,7 +308,7 @@
       mNow + (engines == nullptr ? Duration(0) : engines->mHandleLifetime);
     const RelayUpstream* decode = mUpstreamList.Find(aState.mDecodeUpstream);
     ReleaseMemory(aState);
-    if (decode != nullptr && !decode->mIsLeaving) {
+    if (decode != nullptr && decode->AcceptsRequests()) {
       StartCallOn(aState, *decode, RelayCallKind::Stream);
       return;
     }
@@ -346,7 +346,7 @@
   }
   KeepReservation(aState, aCall, aEnd);
   const RelayUpstream* decode = mUpstreamList.Find(aCall.mUpstream);
-  if (decode == nullptr || decode->mIsLeaving) {
+  if (decode == nullptr || !decode->AcceptsRequests()) {
     ReleaseMemory(aState);
     PlaceRequest(aState);
     return;
--- a/Peridothoist/Relay/RelayConfiguration.cpp
+++ b/Peridothoist/Relay/RelayConfiguration.cpp
@@ -1,6 +1,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/RelayConfiguration.h>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 
@@ -108,4 +110,15 @@
   mWorkspaces[name] = std::move(aWorkspace);
 }
 
+std::uint64_t
+RelayConfiguration::EvacuationDigest() const
+{
+  std::string text;
+  for (const std::string& zone : mEvacuatedZones) {
+    text += zone + '\n';
+  }
+  // 0 stands for a digest that was not stated.
+  return std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size()));
+}
+
 } // namespace peridothoist
--- a/Peridothoist/Relay/RelayConfiguration.h
+++ b/Peridothoist/Relay/RelayConfiguration.h
@@ -5,6 +5,8 @@
 
 #include <Peridothoist/Peridothoist.h>
 
+#include <set>
+
 namespace peridothoist {
 
 /// How a route's requests may be run, and the form of their responses.
@@ -66,11 +68,19 @@
   Duration mHandleLifetime = 500ms;  ///< Lifetime of a prefill result.
 };
 
+/// What upstreams of a service bear while they are cold.
+struct ColdStart
+{
+  Duration mPeriod{ 0 }; ///< After a start, or after an evacuation has ended.
+  double mPerSecond = 0; ///< Requests a second from all VMs; 0: not limited.
+};
+
 /// One service.
 struct RelayService
 {
   std::string mName;
   std::optional<EngineLimits> mEngines; ///< Empty: not a model service.
+  ColdStart mCold;
 };
 
 /// One workspace.
@@ -121,6 +131,19 @@
 
   std::uint64_t mVersion = 0;                    ///< Rises with each change.
   std::map<std::string, RelayService> mServices; ///< By name.
+  /// Availability zones whose upstreams get nothing. They change without a new
+  /// version.
+  std::set<std::string> mEvacuatedZones;
+
+  /// Returns a digest of the evacuated zones; never 0.
+  std::uint64_t EvacuationDigest() const;
+
+  /// Returns whether version and evacuated zones equal those of aOther.
+  bool HasSameState(const RelayConfiguration& aOther) const
+  {
+    return mVersion == aOther.mVersion &&
+           mEvacuatedZones == aOther.mEvacuatedZones;
+  }
 
   const std::vector<std::shared_ptr<const RelayRoute>>& Routes() const
   {
--- a/Peridothoist/Relay/RelayPaths.cpp
+++ b/Peridothoist/Relay/RelayPaths.cpp
@@ -90,6 +90,9 @@
                               const std::string& aAddress,
                               const std::string& aTunnel)
 {
+  if (IsEvacuated(aUpstream)) {
+    return;
+  }
   RelayCommand command;
   command.mKind = RelayCommandKind::CheckUpstream;
   command.mUpstream = aUpstream;
@@ -113,6 +116,9 @@
   std::vector<const RelayUpstream*> untried;
   std::vector<const RelayUpstream*> tried;
   for (const auto& [id, entry] : mUpstreamList.All()) {
+    if (entry.mUpstream.mIsEvacuated) {
+      continue;
+    }
     const bool wasTried = mReach.Unreached().count(id) > 0;
     (wasTried ? tried : untried).push_back(&entry.mUpstream);
   }
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -169,12 +169,25 @@
   }
 }
 
+/// Returns whether the upstream's availability zone is evacuated, so that it is
+/// sent nothing at all.
+bool
+RelayStateMachine::IsEvacuated(const std::string& aUpstream) const
+{
+  const RelayUpstream* upstream = mUpstreamList.Find(aUpstream);
+  return upstream != nullptr && upstream->mIsEvacuated;
+}
+
 void
 RelayStateMachine::ReleaseHandle(State& aState)
 {
   if (aState.mHandle.empty()) {
     return;
   }
+  if (IsEvacuated(aState.mHandleUpstream)) {
+    aState.mHandle.clear(); // It expires.
+    return;
+  }
   mLimiter.OnSent(aState.mHandleUpstream, mNow);
   RelayCommand& command = Command(RelayCommandKind::ReleaseHandle, aState);
   command.mUpstream = aState.mHandleUpstream;
@@ -190,7 +203,9 @@
   if (aState.mReservation.empty()) {
     return;
   }
-  if (mNow < aState.mReservationExpiresAt) {
+  const bool isReleased = mNow < aState.mReservationExpiresAt &&
+                          !IsEvacuated(aState.mReservationUpstream);
+  if (isReleased) {
     RelayCommand& command =
       Command(RelayCommandKind::ReleaseReservation, aState);
     command.mUpstream = aState.mReservationUpstream;
@@ -303,6 +318,83 @@
   ScheduleLimitCheck(aNow);
 }
 
+/// Limits the requests to a cold upstream, if its service says what it bears.
+void
+RelayStateMachine::SetCold(const RelayUpstream& aUpstream,
+                           TimePoint aUntil,
+                           bool aIsOwn,
+                           TimePoint aNow)
+{
+  const RelayService* service = mConfiguration->FindService(aUpstream.mService);
+  if (service != nullptr && service->mCold.mPerSecond > 0) {
+    mLimiter.OnCold(aUpstream.mId,
+                    aUpstream.mService,
+                    { service->mCold.mPerSecond, aUntil },
+                    aIsOwn,
+                    aNow);
+  }
+}
+
+/// Applies what the list states about cold upstreams.
+void
+RelayStateMachine::LearnColdUpstreams(TimePoint aListedAt, bool aIsOwn)
+{
+  for (const auto& [id, entry] : mUpstreamList.All()) {
+    const RelayUpstream& upstream = entry.mUpstream;
+    if (upstream.mColdRemaining > Duration(0)) {
+      SetCold(upstream, aListedAt + upstream.mColdRemaining, aIsOwn, mNow);
+    }
+  }
+}
+
+bool
+RelayStateMachine::OnColdStated(const std::string& aUpstream,
+                                Duration aRemaining,
+                                TimePoint aNow)
+{
+  const RelayUpstream* upstream = mUpstreamList.Find(aUpstream);
+  if (upstream == nullptr) {
+    return false;
+  }
+  const bool wasCold = mLimiter.IsCold(aUpstream, aNow);
+  if (aRemaining > Duration(0)) {
+    SetCold(*upstream, aNow + aRemaining, true, aNow);
+  } else {
+    mLimiter.OnWarm(aUpstream, aNow);
+  }
+  return wasCold != mLimiter.IsCold(aUpstream, aNow);
+}
+
+void
+RelayStateMachine::OnPeerCold(const ColdTimes& aTimes, TimePoint aNow)
+{
+  for (const auto& [id, time] : aTimes) {
+    const RelayUpstream* upstream = mUpstreamList.Find(id);
+    if (upstream != nullptr) {
+      SetCold(*upstream, aNow + time, false, aNow);
+    }
+  }
+}
+
+void
+RelayStateMachine::OnZonesEvacuated(const std::set<std::string>& aZones,
+                                    TimePoint aNow,
+                                    RelayCommands& aOut)
+{
+  mNow = aNow;
+  mOut = &aOut;
+  for (const std::string& id : mUpstreamList.SetEvacuatedZones(aZones)) {
+    const RelayUpstream& upstream = *mUpstreamList.Find(id);
+    const RelayService* service =
+      mConfiguration->FindService(upstream.mService);
+    if (service != nullptr) {
+      SetCold(upstream, mNow + service->mCold.mPeriod, false, mNow);
+    }
+  }
+  RefuseUnservable();
+  DispatchWaiting();
+}
+
 bool
 RelayStateMachine::OnLeavingStated(const UpstreamProcess& aProcess,
                                    TimePoint aNow)
@@ -341,6 +433,7 @@
   mNow = aNow;
   mOut = &aOut;
   OnUpstreamsLost(mUpstreamList.OnListRead(std::move(aUpstreams), aNow));
+  LearnColdUpstreams(aNow, true);
   RefuseUnservable();
   DispatchWaiting();
 }
@@ -354,6 +447,7 @@
   mNow = aNow;
   mOut = &aOut;
   OnUpstreamsLost(mUpstreamList.OnPeerList(std::move(aEntries), aConfirmedAt));
+  LearnColdUpstreams(aConfirmedAt, false);
   RefuseUnservable();
   DispatchWaiting();
 }
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -235,6 +235,18 @@
   bool OnLimitStated(const std::string& aUpstream,
                      const StatedLimit& aLimit,
                      TimePoint aNow);
+  /// Called when an upstream stated for how long it stays cold. Returns whether
+  /// that it is cold, or is no longer, was not known.
+  bool OnColdStated(const std::string& aUpstream,
+                    Duration aRemaining,
+                    TimePoint aNow);
+  /// Called with what other VMs learnt of cold upstreams.
+  void OnPeerCold(const ColdTimes& aTimes, TimePoint aNow);
+  /// Sets the availability zones that are evacuated. Upstreams of zones that
+  /// no longer are may have become cold meanwhile.
+  void OnZonesEvacuated(const std::set<std::string>& aZones,
+                        TimePoint aNow,
+                        RelayCommands& aOut);
   /// Called when a process of an upstream stated that it leaves. Returns
   /// whether that was not known.
   bool OnLeavingStated(const UpstreamProcess& aProcess, TimePoint aNow);
@@ -490,6 +502,14 @@
   void OnUpstreamLost(const std::string& aUpstream);
   void OnUpstreamsLost(const std::vector<UpstreamLoss>& aLost);
 
+  // Evacuated zones and cold upstreams
+  bool IsEvacuated(const std::string& aUpstream) const;
+  void SetCold(const RelayUpstream& aUpstream,
+               TimePoint aUntil,
+               bool aIsOwn,
+               TimePoint aNow);
+  void LearnColdUpstreams(TimePoint aListedAt, bool aIsOwn);
+
   // Timers
   void OnDeadline(State& aState);
 
--- a/Peridothoist/Relay/RelayTakeover.cpp
+++ b/Peridothoist/Relay/RelayTakeover.cpp
@@ -134,7 +134,7 @@
 {
   const RelayUpstream* next = mUpstreamList.Find(aUpstream);
   const bool isUsable =
-    next != nullptr && !next->mIsLeaving && FitsOrigin(aState, *next);
+    next != nullptr && next->AcceptsRequests() && FitsOrigin(aState, *next);
   if (!IsSilent(aState)) {
     ReleaseReservation(aState);
     ArmInactivityTimer(aState);
--- a/Peridothoist/Relay/StageBalancer.cpp
+++ b/Peridothoist/Relay/StageBalancer.cpp
@@ -88,7 +88,7 @@
     for (const RelayUpstream* it :
          ChooseAmong(prefillEngines, prefillEngines.size() - kept)) {
       const std::string incarnation = IncarnationKey(*it);
-      if (aNow >= mEligibleAt[incarnation] &&
+      if (aNow >= mEligibleAt[incarnation] && !it->mIsEvacuated &&
           mOrdered.count(incarnation) == 0) {
         chosen.push_back(*it);
       }
--- a/Peridothoist/Relay/UpstreamChooser.cpp
+++ b/Peridothoist/Relay/UpstreamChooser.cpp
@@ -32,7 +32,7 @@
     !aQuery.mSoftwareVersion || aQuery.mStage == RelayStage::Prefill ||
     aUpstream.mSoftwareVersion == *aQuery.mSoftwareVersion;
   return aUpstream.mService == aQuery.mService &&
-         aUpstream.mStage == aQuery.mStage && !aUpstream.mIsLeaving &&
+         aUpstream.mStage == aQuery.mStage && aUpstream.AcceptsRequests() &&
          fitsVersion;
 }
 
--- a/Peridothoist/Relay/UpstreamLimiter.cpp
+++ b/Peridothoist/Relay/UpstreamLimiter.cpp
@@ -34,6 +34,15 @@
   }
 }
 
+void
+MergeColdTimes(ColdTimes& aTo, const ColdTimes& aFrom)
+{
+  for (const auto& [upstream, time] : aFrom) {
+    Duration& known = aTo[upstream];
+    known = std::max(known, time);
+  }
+}
+
 void
 UpstreamLimiter::SetSharers(const LimitSharers* aSharers, std::string aSelf)
 {
@@ -80,13 +89,14 @@
                           TimePoint aNow)
 {
   const auto known = mLimits.find(aUpstream);
-  if (known == mLimits.end() && !aLimit.mPerSecond) {
+  const bool wasStated =
+    known != mLimits.end() && known->second.mStatedAt != TimePoint();
+  if (!wasStated && !aLimit.mPerSecond) {
     return false;
   }
-  const Limit* before = FindLimited(aUpstream, aNow);
+  const bool isKnown = known != mLimits.end() && IsStated(known->second, aNow);
   const bool isChanged =
-    (before == nullptr ? std::nullopt : before->mPerSecond) !=
-    aLimit.mPerSecond;
+    (isKnown ? known->second.mPerSecond : std::nullopt) != aLimit.mPerSecond;
   const bool wasOwn = known != mLimits.end() && known->second.mIsOwn;
   if (isChanged || !wasOwn || aLimit.mPerSecond) {
     SetLimit(aUpstream, aService, aLimit.mPerSecond, aNow, aNow);
@@ -101,18 +111,68 @@
                           std::optional<double> aPerSecond,
                           TimePoint aStatedAt,
                           TimePoint aNow)
+{
+  ChangeLimit(aUpstream, aService, aNow, [&](Limit& aLimit) {
+    aLimit.mPerSecond = aPerSecond;
+    aLimit.mStatedAt = aStatedAt;
+  });
+}
+
+/// Applies aChange to the limit of an upstream, which keeps its tokens.
+template<typename Change>
+void
+UpstreamLimiter::ChangeLimit(const std::string& aUpstream,
+                             const std::string& aService,
+                             TimePoint aNow,
+                             Change aChange)
 {
   const Limit* before = FindLimited(aUpstream, aNow);
   const double tokens = before == nullptr ? InitialTokens(aUpstream, mSelf)
                                           : TokensOf(aUpstream, *before, aNow);
   Limit& limit = mLimits[aUpstream];
+  const std::size_t sharersBefore =
+    before == nullptr ? 0 : SharerCountOf(limit, aNow);
   limit.mService = aService;
-  limit.mPerSecond = aPerSecond;
-  limit.mStatedAt = aStatedAt;
+  aChange(limit);
+  if (FindLimited(aUpstream, aNow) != nullptr &&
+      SharerCountOf(limit, aNow) != sharersBefore) {
+    limit.mSharersAt.reset();
+  }
   limit.mTokens = tokens;
   limit.mTokensAt = aNow;
 }
 
+void
+UpstreamLimiter::OnCold(const std::string& aUpstream,
+                        const std::string& aService,
+                        const ColdLimit& aLimit,
+                        bool aIsOwn,
+                        TimePoint aNow)
+{
+  const bool wasCold = IsCold(aUpstream, aNow);
+  if (aLimit.mUntil <= aNow || aLimit.mPerSecond <= 0) {
+    return;
+  }
+  if (wasCold && aLimit.mUntil <= mLimits[aUpstream].mCold->mUntil) {
+    return;
+  }
+  ChangeLimit(aUpstream, aService, aNow, [&](Limit& aChanged) {
+    aChanged.mCold = aLimit;
+    aChanged.mIsColdOwn = aIsOwn || (wasCold && aChanged.mIsColdOwn);
+  });
+}
+
+void
+UpstreamLimiter::OnWarm(const std::string& aUpstream, TimePoint aNow)
+{
+  const auto it = mLimits.find(aUpstream);
+  if (it != mLimits.end() && it->second.mCold) {
+    ChangeLimit(aUpstream, it->second.mService, aNow, [](Limit& aChanged) {
+      aChanged.mCold.reset();
+    });
+  }
+}
+
 void
 UpstreamLimiter::OnSent(const std::string& aUpstream, TimePoint aNow)
 {
@@ -178,14 +238,58 @@
   return limits;
 }
 
+ColdTimes
+UpstreamLimiter::OwnColdTimes(TimePoint aNow) const
+{
+  ColdTimes times;
+  for (const auto& [upstream, limit] : mLimits) {
+    const bool isReported =
+      limit.mIsColdOwn && limit.mCold &&
+      limit.mCold->mUntil > aNow + mSettings.mMinReportedCold;
+    if (isReported) {
+      times[upstream] = limit.mCold->mUntil - aNow;
+    }
+  }
+  return times;
+}
+
+/// Returns whether a limit that the upstream stated is in force.
+bool
+UpstreamLimiter::IsStated(const Limit& aLimit, TimePoint aNow) const
+{
+  return aLimit.mPerSecond &&
+         aNow < aLimit.mStatedAt + mSettings.mStatementLifetime;
+}
+
+bool
+UpstreamLimiter::IsCold(const Limit& aLimit, TimePoint aNow)
+{
+  return aLimit.mCold && aNow < aLimit.mCold->mUntil;
+}
+
+bool
+UpstreamLimiter::IsCold(const std::string& aUpstream, TimePoint aNow) const
+{
+  const auto it = mLimits.find(aUpstream);
+  return it != mLimits.end() && IsCold(it->second, aNow);
+}
+
+std::size_t
+UpstreamLimiter::ColdCount(TimePoint aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mLimits.begin(), mLimits.end(), [&](const auto& aIt) {
+      return IsCold(aIt.second, aNow);
+    }));
+}
+
 /// Returns null if the upstream has no limit.
 const UpstreamLimiter::Limit*
 UpstreamLimiter::FindLimited(const std::string& aUpstream, TimePoint aNow) const
 {
   const auto it = mLimits.find(aUpstream);
-  const bool isLimited =
-    it != mLimits.end() && it->second.mPerSecond &&
-    aNow < it->second.mStatedAt + mSettings.mStatementLifetime;
+  const bool isLimited = it != mLimits.end() && (IsStated(it->second, aNow) ||
+                                                 IsCold(it->second, aNow));
   return isLimited ? &it->second : nullptr;
 }
 
@@ -206,15 +310,41 @@
 }
 
 double
-UpstreamLimiter::RateOf(const Limit& aLimit) const
+UpstreamLimiter::RateOf(const Limit& aLimit, TimePoint aNow) const
 {
-  return std::max(*aLimit.mPerSecond, mSettings.mMinRate);
+  double rate = std::numeric_limits<double>::max();
+  if (IsStated(aLimit, aNow)) {
+    rate = std::max(*aLimit.mPerSecond, mSettings.mMinRate);
+  }
+  return IsCold(aLimit, aNow) ? std::min(rate, aLimit.mCold->mPerSecond) : rate;
 }
 
+/// Returns the size of a sharer's bucket. The buckets of a cold upstream hold
+/// the part of a second's rate by which it may be exceeded.
 double
-UpstreamLimiter::BurstOf(double aShare) const
+UpstreamLimiter::BurstOf(const Limit& aLimit,
+                         double aShare,
+                         TimePoint aNow) const
+{
+  double seconds = ToSeconds(mSettings.mBurst);
+  if (IsCold(aLimit, aNow)) {
+    seconds = std::min(seconds, std::max(0.0, mSettings.mColdOverage - 1));
+  }
+  return std::max(1.0, aShare * seconds);
+}
+
+/// Returns how many VMs may send to the upstream. Each sharer may send one
+/// request more than its rate and burst allow, so a cold upstream has no more
+/// of them than requests that it bears beyond these.
+std::size_t
+UpstreamLimiter::SharerCountOf(const Limit& aLimit, TimePoint aNow) const
 {
-  return std::max(1.0, aShare * ToSeconds(mSettings.mBurst));
+  const auto byRate = mSettings.mMinSharers +
+                      static_cast<std::size_t>(RateOf(aLimit, aNow) *
+                                               mSettings.mSharersPerRequest);
+  const auto bySlack =
+    static_cast<std::size_t>(std::max(1.0, mSettings.mColdSlack));
+  return IsCold(aLimit, aNow) ? std::min(byRate, bySlack) : byRate;
 }
 
 /// Returns the VMs that may send to the upstream.
@@ -230,11 +360,10 @@
     if (mSharers != nullptr) {
       candidates = mSharers->CandidatesFor(aUpstream);
     }
-    const auto count =
-      mSettings.mMinSharers +
-      static_cast<std::size_t>(RateOf(aLimit) * mSettings.mSharersPerRequest);
     aLimit.mSharers = TopRendezvousNodes(
-      aUpstream, candidates, std::min(count, candidates.size()));
+      aUpstream,
+      candidates,
+      std::min(SharerCountOf(aLimit, aNow), candidates.size()));
     aLimit.mSharersAt = aNow;
   }
   return aLimit.mSharers;
@@ -271,7 +400,7 @@
   }
   const double all = known * static_cast<double>(sharers.size()) /
                      static_cast<double>(knownCount);
-  return RateOf(aLimit) * own / all;
+  return RateOf(aLimit, aNow) * own / all;
 }
 
 double
@@ -282,7 +411,7 @@
   const double share = ShareOf(aUpstream, aLimit, aNow);
   const double refilled =
     aLimit.mTokens + share * ToSeconds(aNow - aLimit.mTokensAt);
-  return std::min(BurstOf(share), refilled);
+  return std::min(BurstOf(aLimit, share, aNow), refilled);
 }
 
 std::optional<double>
@@ -301,7 +430,7 @@
 {
   std::vector<std::string> due;
   for (const auto& [upstream, limit] : mLimits) {
-    if (!IsLimited(upstream, aNow)) {
+    if (!IsStated(limit, aNow)) {
       continue;
     }
     const std::vector<std::string>& sharers = SharersOf(upstream, limit, aNow);
--- a/Peridothoist/Relay/UpstreamLimiter.h
+++ b/Peridothoist/Relay/UpstreamLimiter.h
@@ -1,5 +1,5 @@
 /// Keeps all VMs together to the limits that upstreams state for their
-/// requests.
+/// requests, and to what they bear while they are cold.
 ///
 /// A limit is divided over a few VMs, its sharers, which are the same wherever
 /// they are computed. Each has a token bucket, whose rate is the sharer's part
@@ -8,6 +8,9 @@
 /// (W + mBurst) + the number of sharers, which grows with L only, whatever the
 /// number of VMs is. The other VMs send it nothing.
 ///
+/// The limit of a cold upstream ends by itself. It has fewer sharers and its
+/// own burst, so that in any second the upstream gets at most what it bears.
+///
 /// Sharers that are not heard may be serving callers: their part stays theirs.
 #pragma once
 
@@ -38,6 +41,13 @@
   /// The end of a limit is reported to other VMs for this long.
   Duration mEndReportPeriod = 5s;
   Duration mSharersLifetime = 1s; ///< Time until sharers are looked up again.
+  // In any second a cold upstream bears its rate times mColdOverage, plus
+  // mColdSlack requests.
+  double mColdOverage = 1.5;
+  double mColdSlack = 5;
+  /// Cold limits that this VM learnt itself are reported to other VMs if they
+  /// last longer than this; it takes as long until all know it.
+  Duration mMinReportedCold = 250ms;
 };
 
 /// What an upstream states with a response; nullopt: no limit.
@@ -55,6 +65,20 @@
 
 using LimitsByUpstream = std::map<std::string, ReportedLimit>;
 
+/// For how long upstreams stay cold, as VMs tell each other.
+using ColdTimes = std::map<std::string, Duration>;
+
+/// Adds the times of aFrom to aTo; of two about one upstream the longer one.
+void
+MergeColdTimes(ColdTimes& aTo, const ColdTimes& aFrom);
+
+/// What a cold upstream bears.
+struct ColdLimit
+{
+  double mPerSecond = 0; ///< Requests a second, from all VMs; above 0.
+  TimePoint mUntil;
+};
+
 /// Requests a second that a VM receives, by service.
 using DemandByService = std::map<std::string, double>;
 
@@ -97,6 +121,14 @@
                 const std::string& aService,
                 const StatedLimit& aLimit,
                 TimePoint aNow);
+  /// Called when an upstream is cold; aIsOwn: this VM learnt it itself.
+  void OnCold(const std::string& aUpstream,
+              const std::string& aService,
+              const ColdLimit& aLimit,
+              bool aIsOwn,
+              TimePoint aNow);
+  /// Called when an upstream stated that it is not cold.
+  void OnWarm(const std::string& aUpstream, TimePoint aNow);
   /// Called when a request was sent to the upstream.
   void OnSent(const std::string& aUpstream, TimePoint aNow);
   /// Called when the upstream is gone or was restarted.
@@ -119,8 +151,13 @@
   /// Returns what upstreams stated to this VM itself.
   LimitsByUpstream OwnLimits(TimePoint aNow) const;
 
-  /// Returns the number of upstreams that have a limit.
+  /// Returns the cold upstreams of which this VM learnt itself.
+  ColdTimes OwnColdTimes(TimePoint aNow) const;
+
+  /// Returns the number of upstreams that have a limit, stated or cold.
   std::size_t LimitedCount(TimePoint aNow) const;
+  std::size_t ColdCount(TimePoint aNow) const;
+  bool IsCold(const std::string& aUpstream, TimePoint aNow) const;
   bool IsLimited(const std::string& aUpstream, TimePoint aNow) const;
   /// Returns how many requests this VM may send to the upstream now; nullopt if
   /// it has no limit.
@@ -138,9 +175,11 @@
   {
     std::string mService;
     std::optional<double> mPerSecond;
-    TimePoint mStatedAt;
+    TimePoint mStatedAt; ///< TimePoint(): it was never stated.
     bool mIsOwn = false; ///< It was stated to this VM.
-    double mTokens = 0;  ///< At mTokensAt; may be negative.
+    std::optional<ColdLimit> mCold;
+    bool mIsColdOwn = false; ///< This VM learnt of mCold itself.
+    double mTokens = 0;      ///< At mTokensAt; may be negative.
     TimePoint mTokensAt;
     // The sharers as of mSharersAt.
     mutable std::vector<std::string> mSharers;
@@ -158,8 +197,16 @@
                 std::optional<double> aPerSecond,
                 TimePoint aStatedAt,
                 TimePoint aNow);
-  double RateOf(const Limit& aLimit) const;
-  double BurstOf(double aShare) const;
+  bool IsStated(const Limit& aLimit, TimePoint aNow) const;
+  static bool IsCold(const Limit& aLimit, TimePoint aNow);
+  double RateOf(const Limit& aLimit, TimePoint aNow) const;
+  double BurstOf(const Limit& aLimit, double aShare, TimePoint aNow) const;
+  std::size_t SharerCountOf(const Limit& aLimit, TimePoint aNow) const;
+  template<typename Change>
+  void ChangeLimit(const std::string& aUpstream,
+                   const std::string& aService,
+                   TimePoint aNow,
+                   Change aChange);
   double ShareOf(const std::string& aUpstream,
                  const Limit& aLimit,
                  TimePoint aNow) const;
--- a/Peridothoist/Relay/UpstreamList.cpp
+++ b/Peridothoist/Relay/UpstreamList.cpp
@@ -37,6 +37,10 @@
             std::to_string(upstream.mSlots) + ' ' +
             std::to_string(entry.mIsListedAsLeaving ? 1 : 0) + ' ' +
             std::to_string(upstream.mIncarnationId) + '\n';
+    if (upstream.mColdRemaining > Duration(0)) {
+      text += "cold\n"; // Equal lists without cold ones have equal digests in
+                        // builds that do not know of it.
+    }
   }
   return XXH3_64bits(text.data(), text.size());
 }
@@ -109,9 +113,34 @@
   mEntries = std::move(aEntries);
   mDigest = DigestOf(mEntries);
   ApplyStatements(aListedAt);
+  ApplyEvacuation();
   return lost;
 }
 
+std::vector<std::string>
+UpstreamList::SetEvacuatedZones(std::set<std::string> aZones)
+{
+  mEvacuatedZones = std::move(aZones);
+  std::vector<std::string> returned;
+  for (const auto& [id, entry] : mEntries) {
+    const RelayUpstream& upstream = entry.mUpstream;
+    if (upstream.mIsEvacuated && mEvacuatedZones.count(upstream.mZone) == 0) {
+      returned.push_back(id);
+    }
+  }
+  ApplyEvacuation();
+  return returned;
+}
+
+void
+UpstreamList::ApplyEvacuation()
+{
+  for (auto& [id, entry] : mEntries) {
+    entry.mUpstream.mIsEvacuated =
+      mEvacuatedZones.count(entry.mUpstream.mZone) > 0;
+  }
+}
+
 /// Marks the entries whose process stated that it leaves, and forgets the
 /// statements of processes that have not been listed for long. A process
 /// without an incarnation id can't be told from the next one with its id, so
--- a/Peridothoist/Relay/UpstreamList.h
+++ b/Peridothoist/Relay/UpstreamList.h
@@ -4,11 +4,13 @@
 ///
 /// Invariant: an upstream whose process stated that it leaves counts as leaving
 /// for as long as that process is listed, whatever the list says, and again if
-/// the list drops and restores it.
+/// the list drops and restores it. Upstreams of an evacuated zone count as
+/// evacuated in every list.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
 
+#include <set>
 #include <tuple>
 
 namespace peridothoist {
@@ -36,6 +38,12 @@
   bool mIsLeaving = false;          ///< Gets no new requests: listed or stated.
   std::uint64_t mIncarnationId = 0; ///< New with each start; 0: unknown.
   std::string mSoftwareVersion;     ///< Empty: not stated.
+  /// Time for which it stays cold, as of the confirmation of the list.
+  Duration mColdRemaining{ 0 };
+  bool mIsEvacuated = false; ///< Its availability zone gets nothing.
+
+  /// Returns whether it may be sent requests.
+  bool AcceptsRequests() const { return !mIsLeaving && !mIsEvacuated; }
 };
 
 /// Identifies one process of an upstream.
@@ -135,7 +143,15 @@
   bool AcceptsRequests(const std::string& aId) const
   {
     const RelayUpstream* upstream = Find(aId);
-    return upstream != nullptr && !upstream->mIsLeaving;
+    return upstream != nullptr && upstream->AcceptsRequests();
+  }
+
+  /// Sets the availability zones that are evacuated. Returns the upstreams in
+  /// zones that no longer are.
+  std::vector<std::string> SetEvacuatedZones(std::set<std::string> aZones);
+  const std::set<std::string>& EvacuatedZones() const
+  {
+    return mEvacuatedZones;
   }
 
   /// Returns whether the entry is missing from the list since an outage and
@@ -181,11 +197,13 @@
                        bool aIsOwn,
                        TimePoint aNow);
   void ApplyStatements(TimePoint aListedAt);
+  void ApplyEvacuation();
   void OnConfirmed(TimePoint aAt);
   void RememberVersions();
 
   Settings mSettings;
   std::map<std::string, Entry> mEntries;
+  std::set<std::string> mEvacuatedZones;
   std::map<UpstreamProcess, Statement> mStatedLeaving;
   std::optional<TimePoint> mListedAt;
   TimePoint mKnownSince; ///< No longer gap between confirmations since then.
--- a/Peridothoist/Relay/ViewExchange.cpp
+++ b/Peridothoist/Relay/ViewExchange.cpp
@@ -28,9 +28,30 @@
   response.mConfigurationAge = mView->Age(aNow);
   response.mListDigest = mUpstreamList->Digest();
   response.mListAge = aNow - *listedAt;
+  response.mEvacuationDigest = mView->EvacuationDigest();
   return response;
 }
 
+/// Confirms the configuration by a peer's, which was current as of aAsOf.
+/// Returns whether the peer's is to be read instead.
+bool
+ViewExchange::ConfirmConfiguration(const ViewResponse& aResponse,
+                                   TimePoint aAsOf)
+{
+  if (aResponse.mVersion != mView->Version()) {
+    return aResponse.mVersion > mView->Version();
+  }
+  const bool isStated = aResponse.mEvacuationDigest != 0;
+  const bool hasSameZones =
+    isStated ? aResponse.mEvacuationDigest == mView->EvacuationDigest()
+             : !mView->HasEvacuations();
+  if (hasSameZones) {
+    mView->Confirm(aAsOf);
+    return false;
+  }
+  return isStated && aAsOf > mView->ConfirmedAt();
+}
+
 ViewExchangeResult
 ViewExchange::OnPeerResponse(const ViewResponse& aResponse, TimePoint aNow)
 {
@@ -43,11 +64,8 @@
   if (invalid) {
     return result; // Not a response to a query of this process.
   }
-  if (aResponse.mVersion == mView->Version()) {
-    mView->Confirm(sentAt - aResponse.mConfigurationAge);
-  } else {
-    result.mShouldReadConfiguration = aResponse.mVersion > mView->Version();
-  }
+  result.mShouldReadConfiguration =
+    ConfirmConfiguration(aResponse, sentAt - aResponse.mConfigurationAge);
   if (aResponse.mListDigest == mUpstreamList->Digest()) {
     mUpstreamList->Confirm(sentAt - aResponse.mListAge);
   } else {
--- a/Peridothoist/Relay/ViewExchange.h
+++ b/Peridothoist/Relay/ViewExchange.h
@@ -31,13 +31,16 @@
   std::uint64_t mVmDigest = 0; ///< Digest of the registered VMs; 0: not known.
   /// Where the peer's view can be read, "ip:port"; empty: nowhere.
   std::string mViewAddress;
+  /// Digest of the evacuated zones; 0: not stated by the peer's build.
+  std::uint64_t mEvacuationDigest = 0;
 };
 
 /// States which reads of the store a response makes necessary.
 struct ViewExchangeResult
 {
-  bool mShouldReadConfiguration = false; ///< The peer has a newer version.
-  bool mShouldReadUpstreams = false;     ///< The peer has a newer list.
+  /// The peer has a newer version, or a later state of the evacuated zones.
+  bool mShouldReadConfiguration = false;
+  bool mShouldReadUpstreams = false; ///< The peer has a newer list.
 };
 
 /// Confirms this VM's view by its peers' responses.
@@ -59,6 +62,8 @@
                                     TimePoint aNow);
 
 private:
+  bool ConfirmConfiguration(const ViewResponse& aResponse, TimePoint aAsOf);
+
   ConfirmedView* mView;
   UpstreamList* mUpstreamList;
 };
