--- a/Peridothoist/Relay/RelayConfiguration.cpp
+++ b/Peridothoist/Relay/RelayConfiguration.cpp
@@ -1,6 +1,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/RelayConfiguration.h>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 
@@ -111,17 +113,25 @@
 void
 RelayConfiguration::FindPriorities()
 {
+  std::set<std::uint32_t> byWorkspace; // Those that override the routes'.
+  bool usesRoutes = mWorkspaces.empty();
+  for (const auto& [name, workspace] : mWorkspaces) {
+    if (workspace.mPriority) {
+      byWorkspace.insert(*workspace.mPriority);
+    } else {
+      usesRoutes = true;
+    }
+  }
   std::map<std::string, std::set<std::uint32_t>> priorities; // By service.
   for (const auto& route : mRoutes) {
-    std::set<std::uint32_t> all;
-    if (route->mIsOpenToAll || mWorkspaces.empty()) {
-      all.insert(route->mPriority);
-    }
-    for (const auto& [name, workspace] : mWorkspaces) {
-      all.insert(workspace.mPriority.value_or(route->mPriority));
-    }
     for (const RouteTarget& target : route->mTargets) {
-      priorities[target.mService].insert(all.begin(), all.end());
+      std::set<std::uint32_t>& all = priorities[target.mService];
+      if (usesRoutes || route->mIsOpenToAll) {
+        all.insert(route->mPriority);
+      }
+      if (!route->mIsOpenToAll) {
+        all.insert(byWorkspace.begin(), byWorkspace.end());
+      }
     }
   }
   mPrioritized.clear();
@@ -132,4 +142,15 @@
   }
 }
 
+std::uint64_t
+RelayConfiguration::EvacuationDigest() const
+{
+  std::string text;
+  for (const std::string& zone : mEvacuatedZones) {
+    text += zone + '\n';
+  }
+  // 0 stands for a digest that was not stated.
+  return std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size()));
+}
+
 } // namespace peridothoist
