Rank requests by the priority of workspace and route

Cause: where all workspaces of a deployment have the same priority, it hid the priorities of the routes, so that urgent requests and others were treated alike. Change: the workspace's priority takes precedence, and among equals that of the route decides; the rank goes to the waiting order and to the engines.

--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -273,6 +273,7 @@
   request.mSummary.mWorkspace = aAdmitted.mWorkspace;
   request.mSummary.mKind = aAdmitted.mRoute->mKind;
   request.mSummary.mArrivedAt = aAdmitted.mArrivedAt;
+  request.mSummary.mPriority = aAdmitted.mPriority;
   request.mSummary.mPromptTokens = aAdmitted.mPromptTokens;
   request.mSummary.mMaxTokens = aAdmitted.mTokens;
   request.mSummary.mSharedPromptParts = aAdmitted.mSharedPromptParts;
--- a/Peridothoist/Node/RelayExecutor.h
+++ b/Peridothoist/Node/RelayExecutor.h
@@ -22,6 +22,7 @@
   TimePoint mArrivedAt;
   int mStatus = 0;               ///< 0: the caller left before a response.
   const char* mOutcome = "left"; ///< Refusal type, or how it ended.
+  std::uint32_t mPriority = 0;
   std::uint64_t mPromptTokens = 0;
   std::vector<std::string> mSharedPromptParts; ///< Of the prompt; ids.
   std::uint64_t mMaxTokens = 0;                ///< Prompt plus maximum output.
--- a/Peridothoist/Relay/RelayAdmission.cpp
+++ b/Peridothoist/Relay/RelayAdmission.cpp
@@ -119,7 +119,7 @@
   admitted.mId = aId;
   admitted.mRoute = route;
   admitted.mService = *service;
-  admitted.mPriority = route->mPriority;
+  admitted.mPriority = configuration->PriorityOf(*service, *route, workspace);
   admitted.mPromptTokens = aRequest.mPromptTokens.value_or(0);
   admitted.mTokens = admitted.mPromptTokens + aRequest.mOutputTokens;
   admitted.mMemoryTokens = EstimateMemory(aRequest, kInitialOutputFraction);
@@ -127,7 +127,6 @@
   if (workspace != nullptr) {
     admitted.mWorkspace = workspace->mName;
     admitted.mKey = aRequest.mKey;
-    admitted.mPriority = workspace->mPriority.value_or(route->mPriority);
     admitted.mCost = CostOf(*workspace, aRequest);
     const auto wait =
       mRateLimiter->SpendOrGetWait(workspace->mName, admitted.mCost, aNow);
--- a/Peridothoist/Relay/RelayConfiguration.cpp
+++ b/Peridothoist/Relay/RelayConfiguration.cpp
@@ -113,35 +113,56 @@
 void
 RelayConfiguration::FindPriorities()
 {
-  std::set<std::uint32_t> byWorkspace; // Those that override the routes'.
-  bool usesRoutes = mWorkspaces.empty();
+  std::set<std::uint32_t> byWorkspace; // Those that workspaces have.
+  bool isAnyWithout = mWorkspaces.empty();
   for (const auto& [name, workspace] : mWorkspaces) {
     if (workspace.mPriority) {
       byWorkspace.insert(*workspace.mPriority);
     } else {
-      usesRoutes = true;
+      isAnyWithout = true;
     }
   }
-  std::map<std::string, std::set<std::uint32_t>> priorities; // By service.
+  std::map<std::string, std::set<PriorityPair>> priorities; // By service.
   for (const auto& route : mRoutes) {
     for (const RouteTarget& target : route->mTargets) {
-      std::set<std::uint32_t>& all = priorities[target.mService];
-      if (usesRoutes || route->mIsOpenToAll) {
-        all.insert(route->mPriority);
+      std::set<PriorityPair>& all = priorities[target.mService];
+      if (isAnyWithout || route->mIsOpenToAll) {
+        all.insert({ route->mPriority, route->mPriority });
       }
       if (!route->mIsOpenToAll) {
-        all.insert(byWorkspace.begin(), byWorkspace.end());
+        for (const std::uint32_t priority : byWorkspace) {
+          all.insert({ priority, route->mPriority });
+        }
       }
     }
   }
-  mPrioritized.clear();
+  mPriorityRanks.clear();
   for (const auto& [service, all] : priorities) {
     if (all.size() > 1) {
-      mPrioritized.insert(service);
+      mPriorityRanks[service].assign(all.begin(), all.end());
     }
   }
 }
 
+std::uint32_t
+RelayConfiguration::PriorityOf(const std::string& aService,
+                               const RelayRoute& aRoute,
+                               const RelayWorkspace* aWorkspace) const
+{
+  std::uint32_t first = aRoute.mPriority;
+  if (aWorkspace != nullptr && aWorkspace->mPriority) {
+    first = *aWorkspace->mPriority;
+  }
+  const auto ranks = mPriorityRanks.find(aService);
+  if (ranks == mPriorityRanks.end()) {
+    return first;
+  }
+  const auto it = std::lower_bound(ranks->second.begin(),
+                                   ranks->second.end(),
+                                   PriorityPair(first, aRoute.mPriority));
+  return static_cast<std::uint32_t>(it - ranks->second.begin());
+}
+
 std::uint64_t
 RelayConfiguration::EvacuationDigest() const
 {
--- a/Peridothoist/Relay/RelayConfiguration.h
+++ b/Peridothoist/Relay/RelayConfiguration.h
@@ -124,9 +124,17 @@
   /// by workspace.
   bool HasPriorities(const std::string& aService) const
   {
-    return mPrioritized.count(aService) > 0;
+    return mPriorityRanks.count(aService) > 0;
   }
 
+  /// Returns the priority of a request, 0 is the highest. The priority of its
+  /// workspace takes precedence; among workspaces of one priority, or where it
+  /// has none, that of the route decides. aWorkspace: null if it has none. Of a
+  /// service whose requests differ, it is the rank among its priorities.
+  std::uint32_t PriorityOf(const std::string& aService,
+                           const RelayRoute& aRoute,
+                           const RelayWorkspace* aWorkspace) const;
+
   /// Finds the services whose requests differ in priority. To be called after
   /// the last route and workspace were added.
   void FindPriorities();
@@ -166,10 +174,15 @@
   }
 
 private:
+  /// Priority of the workspace, or else of the route; then that of the route.
+  using PriorityPair = std::pair<std::uint32_t, std::uint32_t>;
+
   std::vector<std::shared_ptr<const RelayRoute>> mRoutes;
   std::map<std::string, RelayWorkspace> mWorkspaces;
   std::map<std::string, std::string> mWorkspaceByKey; ///< Names by key.
-  std::set<std::string> mPrioritized;                 ///< See HasPriorities().
+  /// The priorities of workspace and route of each request, in order, by
+  /// service. Services whose requests do not differ are left out.
+  std::map<std::string, std::vector<PriorityPair>> mPriorityRanks;
 };
 
 } // namespace peridothoist
