Tell cells the work at upstreams of other zones as a sum for each pool

Cause: a cell's summary named the work at the upstreams of the recipient's zone only, so that engines of other zones looked almost idle. Under load, VMs sent reservations there, up to a hundred for one stream, and requests did not wait in the queue that orders them. Change: summaries carry one sum for each service, stage and zone; VMs assume that the upstreams of a pool have equal parts of it.

--- a/Peridothoist/Cells/CellMembership.cpp
+++ b/Peridothoist/Cells/CellMembership.cpp
@@ -215,8 +215,13 @@
   AddWaiting(aSummary.mPriorities, aMessage.mPriorities);
   for (const auto& [id, work] : aMessage.mWork) {
     const RelayUpstream* upstream = aUpstreams.Find(id);
-    if (upstream != nullptr && upstream->mZone == aZone) {
+    if (upstream == nullptr) {
+      continue;
+    }
+    if (upstream->mZone == aZone) {
       aSummary.mWork[id] += work;
+    } else {
+      aSummary.mPoolWork[PoolOf(*upstream)] += work;
     }
   }
   for (const auto& [id, counts] : aMessage.mFailingUpstreams) {
--- a/Peridothoist/Cells/GossipSummary.h
+++ b/Peridothoist/Cells/GossipSummary.h
@@ -28,6 +28,7 @@
   PriorityWaitingByService mPriorities; ///< The same by priority.
   /// Work at the upstreams of the recipients' zone.
   WorkByUpstream mWork;
+  WorkByPool mPoolWork; ///< Work at the upstreams of other zones.
   std::vector<std::string> mGoneUpstreams;
   CountsByUpstream mFailingUpstreams;
   /// Processes of upstreams that stated to these VMs that they leave.
--- a/Peridothoist/Cells/SummaryTable.cpp
+++ b/Peridothoist/Cells/SummaryTable.cpp
@@ -118,6 +118,7 @@
       aSum.mWaiting[service] += waiting;
     }
     AddWaiting(aSum.mPriorities, it.mPriorities);
+    AddPoolWork(aSum.mPoolWork, it.mPoolWork);
     for (const auto& [id, work] : it.mWork) {
       aSum.mWork[id] += work;
     }
--- a/Peridothoist/Node/CellGossip.cpp
+++ b/Peridothoist/Node/CellGossip.cpp
@@ -68,6 +68,7 @@
   mMachine->OnPeerLimits(aSummary.mLimits, aNow);
   mMachine->OnPeerCold(aSummary.mCold, aNow);
   mMembers->SetReachableElsewhere(mSummaries.ReachableVms());
+  loads.OnPeerPoolWork(key, aSummary.mPoolWork);
   mListener->OnPeerWork(key, aSummary.mWork);
 }
 
--- a/Peridothoist/Node/GossipCodec.cpp
+++ b/Peridothoist/Node/GossipCodec.cpp
@@ -36,6 +36,7 @@
 constexpr const char* kDemand = "h";
 constexpr const char* kLeavingUpstreams = "y";
 constexpr const char* kTunnelAddress = "t";
+constexpr const char* kPoolWork = "pw";
 constexpr const char* kPriorities = "wp"; ///< Waiting requests by priority.
 constexpr const char* kCold = "cd";
 
@@ -197,6 +198,34 @@
   return services;
 }
 
+json
+EncodePoolWork(const WorkByPool& aWork)
+{
+  json rows = json::array();
+  for (const auto& [pool, work] : aWork) {
+    rows.push_back(
+      { pool.mService, pool.mStage, pool.mZone, work.mRequests, work.mTokens });
+  }
+  return rows;
+}
+
+/// Builds that know no pools send none.
+WorkByPool
+DecodePoolWork(const json& aBody)
+{
+  WorkByPool pools;
+  if (aBody.contains(kPoolWork)) {
+    for (const json& it : aBody.at(kPoolWork)) {
+      const UpstreamPool pool{ it.at(0).get<std::string>(),
+                               it.at(1).get<int>(),
+                               it.at(2).get<std::string>() };
+      pools[pool] +=
+        { it.at(3).get<std::uint32_t>(), it.at(4).get<std::uint64_t>() };
+    }
+  }
+  return pools;
+}
+
 /// Builds that do not tell priorities send none.
 PriorityWaitingByService
 DecodePriorities(const json& aBody)
@@ -411,6 +440,7 @@
   summary.mGranted = body.at(kGranted).get<GrantedTokens>();
   summary.mWaiting = DecodeWaitingByService(body.at(kWaitingByService));
   summary.mPriorities = DecodePriorities(body);
+  summary.mPoolWork = DecodePoolWork(body);
   summary.mWork = DecodeWork(body.at(kWork));
   summary.mGoneUpstreams = body.at(kGone).get<std::vector<std::string>>();
   summary.mFailingUpstreams = DecodeFailing(body.at(kFailing));
@@ -524,6 +554,9 @@
                 { kFailing, EncodeFailing(aSummary.mFailingUpstreams) },
                 { kCrashes, EncodeCrashes(aSummary.mCrashReports) },
                 { kCallers, EncodeCallers(aSummary.mCallers) } };
+  if (!aSummary.mPoolWork.empty()) {
+    body[kPoolWork] = EncodePoolWork(aSummary.mPoolWork);
+  }
   if (!aSummary.mPriorities.empty()) {
     body[kPriorities] = EncodePriorities(aSummary.mPriorities);
   }
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -429,6 +429,7 @@
     .Field("software", aSummary.mSoftwareVersion)
     .Field("version", mView.Version())
     .Field("gap_ms", ToMillis(aSummary.mMaxEventGap))
+    .Field("first_call_ms", ToMillis(aSummary.mTimeToFirstCall))
     .Field("first_ms", ToMillis(aSummary.mTimeToFirstEvent))
     .Field("ms", ToMillis(duration));
 }
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -461,9 +461,36 @@
   mNow = aNow;
   mOut = &aOut;
   mLoads.OnPeerWork(aVm, aWork);
+  if (mLoads.TakeNewPoolWork()) {
+    UpdatePoolShares();
+  }
   DispatchWaiting();
 }
 
+/// Spreads the work in pools that is known as a sum only over their upstreams.
+void
+RelayStateMachine::UpdatePoolShares()
+{
+  const WorkByPool pools = mLoads.PoolWork();
+  WorkByUpstream shares;
+  if (!pools.empty()) {
+    std::map<UpstreamPool, std::uint32_t> sizes;
+    for (const auto& [id, entry] : mUpstreamList.All()) {
+      ++sizes[PoolOf(entry.mUpstream)];
+    }
+    for (const auto& [id, entry] : mUpstreamList.All()) {
+      const UpstreamPool pool = PoolOf(entry.mUpstream);
+      const auto known = pools.find(pool);
+      if (known != pools.end()) {
+        const std::uint32_t size = sizes[pool];
+        shares[id] = { (known->second.mRequests + size / 2) / size,
+                       known->second.mTokens / size };
+      }
+    }
+  }
+  mLoads.SetPoolShares(std::move(shares));
+}
+
 // Timers
 
 void
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -527,6 +527,8 @@
   void OnUpstreamLost(const std::string& aUpstream);
   void OnUpstreamsLost(const std::vector<UpstreamLoss>& aLost);
 
+  void UpdatePoolShares();
+
   // Evacuated zones and cold upstreams
   bool IsEvacuated(const std::string& aUpstream) const;
   void SetCold(const RelayUpstream& aUpstream,
--- a/Peridothoist/Relay/UpstreamList.cpp
+++ b/Peridothoist/Relay/UpstreamList.cpp
@@ -18,6 +18,14 @@
   return kNames[static_cast<std::size_t>(aStage)];
 }
 
+UpstreamPool
+PoolOf(const RelayUpstream& aUpstream)
+{
+  return { aUpstream.mService,
+           static_cast<int>(aUpstream.mStage),
+           aUpstream.mZone };
+}
+
 namespace {
 
 std::uint64_t
--- a/Peridothoist/Relay/UpstreamList.h
+++ b/Peridothoist/Relay/UpstreamList.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/UpstreamLoadTracker.h>
 
 #include <set>
 #include <tuple>
@@ -46,6 +47,10 @@
   bool AcceptsRequests() const { return !mIsLeaving && !mIsEvacuated; }
 };
 
+/// Returns the pool that the upstream belongs to.
+UpstreamPool
+PoolOf(const RelayUpstream& aUpstream);
+
 /// Identifies one process of an upstream.
 struct UpstreamProcess
 {
--- a/Peridothoist/Relay/UpstreamLoadTracker.cpp
+++ b/Peridothoist/Relay/UpstreamLoadTracker.cpp
@@ -53,6 +53,24 @@
   return waiting;
 }
 
+void
+AddPoolWork(WorkByPool& aTo, const WorkByPool& aFrom)
+{
+  for (const auto& [pool, work] : aFrom) {
+    aTo[pool] += work;
+  }
+}
+
+WorkByPool
+UpstreamLoadTracker::PoolWork() const
+{
+  WorkByPool sum;
+  for (const auto& [peer, work] : mPeersPoolWork) {
+    AddPoolWork(sum, work);
+  }
+  return sum;
+}
+
 void
 AddWaiting(PriorityWaitingByService& aTo, const PriorityWaitingByService& aFrom)
 {
@@ -137,6 +155,7 @@
   mPeers.erase(aPeer);
   mPeersWaiting.erase(aPeer);
   mPeerPriorities.erase(aPeer);
+  mHasNewPoolWork = mPeersPoolWork.erase(aPeer) > 0 || mHasNewPoolWork;
   mOutcomes.ForgetPeer(aPeer);
 }
 
@@ -226,9 +245,11 @@
   if (own != mOwn.end()) {
     work += own->second;
   }
-  const auto peers = mPeerTotals.find(aUpstream);
-  if (peers != mPeerTotals.end()) {
-    work += peers->second;
+  for (const WorkByUpstream* it : { &mPeerTotals, &mPoolShares }) {
+    const auto others = it->find(aUpstream);
+    if (others != it->end()) {
+      work += others->second;
+    }
   }
   return work;
 }
--- a/Peridothoist/Relay/UpstreamLoadTracker.h
+++ b/Peridothoist/Relay/UpstreamLoadTracker.h
@@ -6,6 +6,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/CallOutcomeTracker.h>
 
+#include <tuple>
+
 namespace peridothoist {
 
 /// Open work at one upstream.
@@ -32,6 +34,28 @@
 /// are left out.
 using WorkByUpstream = std::map<std::string, UpstreamWork>;
 
+/// The upstreams of one service, stage and availability zone.
+struct UpstreamPool
+{
+  std::string mService;
+  int mStage = 0; ///< A RelayStage.
+  std::string mZone;
+
+  bool operator<(const UpstreamPool& aOther) const
+  {
+    return std::tie(mService, mStage, mZone) <
+           std::tie(aOther.mService, aOther.mStage, aOther.mZone);
+  }
+};
+
+/// Work by pool. Cells tell each other the work at the upstreams of a zone one
+/// by one only within that zone, and as one sum for each pool elsewhere.
+using WorkByPool = std::map<UpstreamPool, UpstreamWork>;
+
+/// Adds the work of aFrom to aTo.
+void
+AddPoolWork(WorkByPool& aTo, const WorkByPool& aFrom);
+
 /// The load that an upstream states about itself.
 struct StatedLoad
 {
@@ -110,6 +134,22 @@
 
   /// Replaces what another VM reported of its work.
   void OnPeerWork(const std::string& aPeer, WorkByUpstream aWork);
+  /// Replaces what another VM reported of work in pools.
+  void OnPeerPoolWork(const std::string& aPeer, WorkByPool aWork)
+  {
+    mPeersPoolWork[aPeer] = std::move(aWork);
+    mHasNewPoolWork = true;
+  }
+  /// Returns whether PoolWork() may have changed since the last call.
+  bool TakeNewPoolWork() { return std::exchange(mHasNewPoolWork, false); }
+  /// Returns the work in each pool that is not known upstream by upstream.
+  WorkByPool PoolWork() const;
+  /// Sets the part of the work in its pool that each upstream is assumed to
+  /// have.
+  void SetPoolShares(WorkByUpstream aShares)
+  {
+    mPoolShares = std::move(aShares);
+  }
   /// Sets how old the load reports of other VMs may be.
   void SetPeerLoadAge(Duration aAge) { mPeerLoadAge = aAge; }
   double PeerLoadAgeSeconds() const
@@ -200,8 +240,11 @@
   WorkByUpstream mOwn;
   std::uint64_t mRevision = 0;
   Duration mPeerLoadAge{ 0 };
-  std::map<std::string, WorkByUpstream> mPeers;          ///< By peer.
-  WorkByUpstream mPeerTotals;                            ///< Sum over mPeers.
+  std::map<std::string, WorkByUpstream> mPeers;     ///< By peer.
+  WorkByUpstream mPeerTotals;                       ///< Sum over mPeers.
+  std::map<std::string, WorkByPool> mPeersPoolWork; ///< By peer.
+  bool mHasNewPoolWork = false;
+  WorkByUpstream mPoolShares; ///< Part of mPeersPoolWork, by upstream.
   std::map<std::string, WaitingByService> mPeersWaiting; ///< By peer.
   std::map<std::string, PriorityWaitingByService>
     mPeerPriorities;                         ///< The same.
