Count the whole expected output of streams, and order by priority where it differs

Cause: streams that grow beyond what was counted fill engines, which preempt and read prompts again; and the order by priority held back short calls for counts of other VMs that were older than a call lasts. Change: while reports of other VMs are old, a stream's whole expected output is counted from its start. Requests are ordered over all VMs only where those that wait differ in priority and calls last longer than the reports are old.

--- a/Peridothoist/Queueing/CapacityShare.cpp
+++ b/Peridothoist/Queueing/CapacityShare.cpp
@@ -5,6 +5,14 @@
 
 namespace peridothoist {
 
+bool
+DiffersInPriority(const DemandByLevel& aDemand, std::uint32_t aPriority)
+{
+  return std::any_of(aDemand.begin(), aDemand.end(), [&](const auto& aIt) {
+    return aIt.second.All() > 0 && aIt.first.mPriority != aPriority;
+  });
+}
+
 std::map<UrgencyLevel, double>
 ShareCapacity(double aCapacity, const DemandByLevel& aDemand)
 {
--- a/Peridothoist/Queueing/CapacityShare.h
+++ b/Peridothoist/Queueing/CapacityShare.h
@@ -38,6 +38,11 @@
 /// The demand for a service, the most urgent level first.
 using DemandByLevel = std::map<UrgencyLevel, LevelDemand>;
 
+/// Returns whether the requests that wait, and one of aPriority, are not all of
+/// one priority.
+bool
+DiffersInPriority(const DemandByLevel& aDemand, std::uint32_t aPriority);
+
 /// Returns how many requests of each level this VM may start, as a fractional
 /// number, when aCapacity more requests fit.
 std::map<UrgencyLevel, double>
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -57,12 +57,25 @@
   }
   const EngineLimits* engines = EnginesOf(state);
   if (engines != nullptr) {
-    call->mTokens += engines->mTokensPerEvent;
-    mLoads.OnMemoryGrown(call->mUpstream, engines->mTokensPerEvent);
+    CountEvent(*call, engines->mTokensPerEvent);
   }
   Command(RelayCommandKind::SendEvent, state).mEvent = std::move(aEvent.mText);
 }
 
+/// Counts the memory of one event of a stream. A stream whose whole expected
+/// output is counted grows only beyond that.
+void
+RelayStateMachine::CountEvent(Call& aCall, std::uint64_t aTokens)
+{
+  aCall.mUsedTokens += aTokens;
+  std::uint64_t grown = aTokens;
+  if (CountsWholeOutput()) {
+    grown = std::max(aCall.mUsedTokens, aCall.mTokens) - aCall.mTokens;
+  }
+  aCall.mTokens += grown;
+  mLoads.OnMemoryGrown(aCall.mUpstream, grown);
+}
+
 void
 RelayStateMachine::OnCallEnd(std::uint64_t aId,
                              std::uint32_t aAttempt,
@@ -211,7 +224,8 @@
 {
   ReleaseMemory(aState);
   aState.mDecodeUpstream = aUpstream;
-  mLoads.OnSent(aUpstream, aState.mRequest.mMemoryTokens);
+  aState.mHeldTokens = MemoryToCount(aState);
+  mLoads.OnSent(aUpstream, aState.mHeldTokens);
   if (aState.mChargedUpstream != aUpstream) {
     mLimiter.OnSent(aUpstream, mNow);
     aState.mChargedUpstream = aUpstream;
@@ -222,7 +236,7 @@
 RelayStateMachine::ReleaseMemory(State& aState)
 {
   if (!aState.mDecodeUpstream.empty()) {
-    mLoads.OnDone(aState.mDecodeUpstream, aState.mRequest.mMemoryTokens);
+    mLoads.OnDone(aState.mDecodeUpstream, aState.mHeldTokens);
     aState.mDecodeUpstream.clear();
   }
 }
--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -39,7 +39,7 @@
   query.mService = aState.mRequest.mService;
   query.mStage = aStage;
   query.mZone = mSettings.mZone;
-  query.mNeededTokens = aState.mRequest.mMemoryTokens;
+  query.mNeededTokens = MemoryToCount(aState);
   query.mExcludedUpstreams = aState.mExcludedUpstreams;
   query.mSoftwareVersion = VersionOf(aState);
   const EngineLimits* engines = EnginesOf(aState);
@@ -125,18 +125,27 @@
   return StartCallOn(aState, *prefill.mUpstream, RelayCallKind::Prefill);
 }
 
-/// Returns the memory to reserve at a decode engine. While load reports of
-/// other VMs are old, these add streams to the engine that are not counted
-/// here, so that none may rely on memory to be free when it grows. A stream
-/// that runs already may have generated most of its output.
+/// Returns the memory to count for a request from its start. While load reports
+/// of other VMs are old, these add streams to the engine that are not counted
+/// here, so that none may rely on memory to be free when it grows: its whole
+/// expected output is counted and reserved.
+std::uint64_t
+RelayStateMachine::MemoryToCount(const State& aState) const
+{
+  const AdmittedRequest& request = aState.mRequest;
+  return CountsWholeOutput()
+           ? std::max(request.mFinalMemoryTokens, request.mMemoryTokens)
+           : request.mMemoryTokens;
+}
+
+/// Returns the memory to reserve at a decode engine. A stream that runs already
+/// may have generated most of its output.
 std::uint64_t
 RelayStateMachine::TokensToReserve(const State& aState) const
 {
   const bool runs =
     aState.mCall && aState.mCall->mKind == RelayCallKind::Stream;
-  return runs || mLoads.PeerLoadAgeSeconds() > 0
-           ? aState.mRequest.mFinalMemoryTokens
-           : aState.mRequest.mMemoryTokens;
+  return runs ? aState.mRequest.mFinalMemoryTokens : MemoryToCount(aState);
 }
 
 bool
@@ -216,8 +225,9 @@
   call.mKind = aKind;
   call.mIsRetry = std::exchange(aState.mIsRetryCharged, false);
   const bool isReserve = aKind == RelayCallKind::Reserve;
-  call.mTokens =
-    isReserve ? 0 : request.mMemoryTokens; // HoldMemory() counted it.
+  // HoldMemory() has counted that of a reservation.
+  call.mTokens = isReserve ? 0 : MemoryToCount(aState);
+  call.mUsedTokens = request.mPromptTokens;
   call.mStartedAt = mNow;
   call.mLastActivity = mNow;
   call.mUsesHandle = aKind == RelayCallKind::Stream && !aState.mHandle.empty();
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -303,7 +303,8 @@
     std::string mSoftwareVersion; ///< As listed when the call started.
     std::uint64_t mIncarnationId = 0; ///< The same.
     RelayCallKind mKind = RelayCallKind::Whole;
-    std::uint64_t mTokens = 0; ///< KV memory counted in mLoads.
+    std::uint64_t mTokens = 0;     ///< KV memory counted in mLoads.
+    std::uint64_t mUsedTokens = 0; ///< Of the prompt and the events so far.
     bool mMayHaveBeenSent = false;
     bool mIsRetry = false;  ///< Counted by the retry budget.
     bool mHasEvent = false; ///< Stream: an event was received.
@@ -358,6 +359,7 @@
     /// The decode engine at which the request's memory is counted during the
     /// prefill; empty: none.
     std::string mDecodeUpstream;
+    std::uint64_t mHeldTokens = 0; ///< Counted at mDecodeUpstream.
     /// The upstream whose limit was charged for a stream that is not sent yet.
     std::string mChargedUpstream;
     /// End of the wait for capacity; set when the request first waits.
@@ -423,19 +425,18 @@
   // Waiting by priority
   using WaitingByLevel = std::map<UrgencyLevel, std::vector<std::uint64_t>>;
   using StartsByLevel = std::map<UrgencyLevel, double>;
-  bool HasPriorities(const std::string& aService) const
-  {
-    return mConfiguration->HasPriorities(aService);
-  }
+  bool MayOrderByPriority(const std::string& aService) const;
   UrgencyLevel LevelOf(const State& aState) const;
   WaitingByLevel WaitingLevels(const std::string& aService) const;
   DemandByLevel DemandFor(const std::string& aService,
                           const WaitingByLevel& aOwn) const;
   void PlaceArrival(State& aState);
-  void DispatchByPriority(const std::string& aService);
+  bool DispatchByPriority(const std::string& aService);
   StartsByLevel ChooseStartsByLevel(const UpstreamQuery& aQuery,
                                     const DemandByLevel& aDemand);
-  void RefuseHopeless(const std::string& aService);
+  void RefuseHopeless(const std::string& aService,
+                      const WaitingByLevel& aWaiting,
+                      const DemandByLevel& aDemand);
   RelayStage RunningStage(const State& aState) const;
   bool IsLate(const State& aState) const;
   const EngineLimits* EnginesOf(const State& aState) const;
@@ -461,11 +462,14 @@
   void OnCallFailed(State& aState, const Call& aCall, bool aBroken);
   void RetryOrRefuse(State& aState, RefusalKind aRefusal);
   bool MayRetry(const State& aState) const;
+  void CountEvent(Call& aCall, std::uint64_t aTokens);
   Call CloseCall(std::optional<Call>& aCall);
   void CancelCall(State& aState, CancelReason aReason);
   void Cancel(State& aState, const Call& aCall, CancelReason aReason);
   void ReleaseHandle(State& aState);
   void ReleaseReservation(State& aState);
+  bool CountsWholeOutput() const { return mLoads.PeerLoadAgeSeconds() > 0; }
+  std::uint64_t MemoryToCount(const State& aState) const;
   std::uint64_t TokensToReserve(const State& aState) const;
   bool HasReservationAt(const State& aState,
                         const std::string& aUpstream) const;
--- a/Peridothoist/Relay/RelayWaiting.cpp
+++ b/Peridothoist/Relay/RelayWaiting.cpp
@@ -4,6 +4,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/RelayStateMachine.h>
 
+#include <Peridothoist/Core/DurationUnits.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -165,11 +167,13 @@
 RelayStateMachine::CountWaitingAhead(const State& aState) const
 {
   const std::string& service = aState.mRequest.mService;
-  if (HasPriorities(service)) {
-    const WaitingByLevel own = WaitingLevels(service);
-    const DemandByLevel demand = DemandFor(service, own);
-    const bool isAnyLate = !demand.empty() && demand.rbegin()->first.mIsLate;
-    return static_cast<double>(CountAhead(demand, LevelOf(aState), isAnyLate));
+  if (MayOrderByPriority(service)) {
+    const DemandByLevel demand = DemandFor(service, WaitingLevels(service));
+    const UrgencyLevel level = LevelOf(aState);
+    if (DiffersInPriority(demand, level.mPriority)) {
+      return static_cast<double>(
+        CountAhead(demand, level, demand.rbegin()->first.mIsLate));
+    }
   }
   return static_cast<double>(mLoads.PeersWaiting(service).All() +
                              WaitingAtThisVm(service));
@@ -209,9 +213,7 @@
     }
   }
   for (auto& [service, group] : groups) {
-    if (HasPriorities(service)) {
-      DispatchByPriority(service);
-    } else {
+    if (!MayOrderByPriority(service) || !DispatchByPriority(service)) {
       DispatchGroup(service, std::move(group));
     }
   }
@@ -364,13 +366,35 @@
   return demand;
 }
 
+/// Returns whether requests of a service may be ordered by what other VMs tell
+/// about those that wait there. Where calls are shorter than that is old, it
+/// would only keep requests from capacity that is free.
+bool
+RelayStateMachine::MayOrderByPriority(const std::string& aService) const
+{
+  if (!mConfiguration->HasPriorities(aService)) {
+    return false;
+  }
+  const auto time = mCallTimes.find(aService);
+  return time != mCallTimes.end() &&
+         ToSeconds(time->second.Typical()) > mLoads.PeerLoadAgeSeconds();
+}
+
 /// Places a new request, unless others that wait go before it. It waits with
 /// these then, and is started in its turn.
 void
 RelayStateMachine::PlaceArrival(State& aState)
 {
   const std::string service = aState.mRequest.mService;
-  const bool isFirst = !HasPriorities(service) || CountWaitingAhead(aState) < 1;
+  if (!MayOrderByPriority(service)) {
+    PlaceRequest(aState);
+    return;
+  }
+  const DemandByLevel demand = DemandFor(service, WaitingLevels(service));
+  const UrgencyLevel level = LevelOf(aState);
+  const bool isFirst =
+    !DiffersInPriority(demand, level.mPriority) ||
+    CountAhead(demand, level, demand.rbegin()->first.mIsLate) == 0;
   if (isFirst) {
     PlaceRequest(aState);
     return;
@@ -382,14 +406,19 @@
   }
 }
 
-/// Starts waiting requests of a service whose requests differ in priority, the
-/// most urgent level first, within this VM's part of the capacity.
-void
+/// Starts waiting requests of a service, the most urgent level first, within
+/// this VM's part of the capacity. Returns false if those that wait at all VMs
+/// do not differ in priority; nothing is started then.
+bool
 RelayStateMachine::DispatchByPriority(const std::string& aService)
 {
-  RefuseHopeless(aService);
   const WaitingByLevel waiting = WaitingLevels(aService);
   const DemandByLevel demand = DemandFor(aService, waiting);
+  if (demand.empty() ||
+      !DiffersInPriority(demand, demand.begin()->first.mPriority)) {
+    return false;
+  }
+  RefuseHopeless(aService, waiting, demand);
   // By the software version that requests are bound to; nullopt: any version.
   std::map<std::optional<std::string>, StartsByLevel> startsLeft;
   for (const auto& [level, ids] : waiting) {
@@ -412,6 +441,7 @@
       }
     }
   }
+  return true;
 }
 
 /// Returns how many of such requests to start, by level. This VM's parts of
@@ -435,17 +465,17 @@
 /// Refuses the waiting requests that are not expected to be started while they
 /// may wait, since more urgent ones have come meanwhile.
 void
-RelayStateMachine::RefuseHopeless(const std::string& aService)
+RelayStateMachine::RefuseHopeless(const std::string& aService,
+                                  const WaitingByLevel& aWaiting,
+                                  const DemandByLevel& aDemand)
 {
   TimePoint& checkedAt = mHopelessCheckedAt[aService];
   if (mNow < checkedAt + mSettings.mHopelessCheckInterval) {
     return;
   }
   checkedAt = mNow;
-  const WaitingByLevel waiting = WaitingLevels(aService);
-  const DemandByLevel demand = DemandFor(aService, waiting);
-  for (const auto& [level, ids] : waiting) {
-    const auto ahead = static_cast<double>(CountAhead(demand, level, true));
+  for (const auto& [level, ids] : aWaiting) {
+    const auto ahead = static_cast<double>(CountAhead(aDemand, level, true));
     for (const std::uint64_t id : ids) {
       State& state = *Find(id);
       const bool isHopeless =
@@ -465,7 +495,9 @@
   PriorityWaitingByService waiting;
   for (const auto& entry : mWaiting) {
     const State* state = Find(entry.second);
-    if (state != nullptr && HasPriorities(state->mRequest.mService)) {
+    const bool isTold = state != nullptr &&
+                        mConfiguration->HasPriorities(state->mRequest.mService);
+    if (isTold) {
       WaitingRequests& counts =
         waiting[state->mRequest.mService][state->mRequest.mPriority];
       ++(IsLate(*state) ? counts.mLate : counts.mInTime);
