--- a/Peridothoist/Relay/UpstreamLoadTracker.h
+++ b/Peridothoist/Relay/UpstreamLoadTracker.h
@@ -38,6 +38,8 @@
   std::uint32_t mRunning = 0;
   std::uint32_t mWaiting = 0;
   std::uint32_t mSlots = 0; ///< 0: not stated.
+  /// How long work takes there now, in percent of what is usual.
+  std::optional<std::uint32_t> mWorkTimePercent;
 };
 
 /// Requests that wait at a VM for upstream capacity.
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -543,6 +543,26 @@
   BOOST_TEST(upstreams.ParseHandle("not json").empty());
 }
 
+// An upstream that states a fourth figure counts as idle: without the statement
+// its running and waiting requests are not known either.
+BOOST_AUTO_TEST_CASE(StatedLoadMayHaveFurtherFigures)
+{
+  const PlatformUpstreamProtocol upstreams;
+  const auto loadOf = [&](const char* aText) {
+    return upstreams.ParseResponseHead({}, 200, { { "server-load", aText } })
+      .mLoad;
+  };
+  BOOST_TEST(!loadOf("6,4,6")->mWorkTimePercent.has_value());
+  BOOST_TEST(loadOf("1,0,12,70")->mWorkTimePercent.value() == 70U);
+  BOOST_TEST(loadOf("6,4,6,100")->mWaiting == 4U);
+  BOOST_TEST(loadOf("6,4,6,170,9,9")->mWorkTimePercent.value() == 170U);
+  BOOST_TEST(loadOf("6,4,6,99999999999")->mWorkTimePercent.value() ==
+             UINT32_MAX);
+  for (const char* text : { "6,4", "6,4,6,", "6,4,6,-1", "6,4,6,7%", "" }) {
+    BOOST_TEST(!loadOf(text).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 RC_BOOST_PROP(GossipRoundTripAndCorruptionDoesNotCrash, ())
