Place requests by expected time where speeds differ

With known speeds, the score of an upstream is the time in which it finishes its requests and one more. For prefill engines it is the time for the prompt tokens there and the new prompt, so that no prompt waits behind a long backlog while another engine is idle. A prefill call now counts its prompt's tokens at the prefill engine, not the memory of its later output. A slow prefill engine takes fewer prefills. Without known differences the score is the number of requests, as before.

--- a/Peridothoist/Cells/CellMembership.cpp
+++ b/Peridothoist/Cells/CellMembership.cpp
@@ -229,6 +229,7 @@
   MergeProcesses(aSummary.mLeavingUpstreams, aMessage.mLeavingUpstreams);
   MergeLimits(aSummary.mLimits, aMessage.mLimits);
   MergeColdTimes(aSummary.mCold, aMessage.mCold);
+  MergeSpeeds(aSummary.mSpeeds, aMessage.mSpeeds);
   const SummaryTableSettings& limits = mSummaries->GetSettings();
   const bool isFull = aZone != mSelf.mZone &&
                       aSummary.mCallers.size() >= limits.mCallersForOtherZones;
@@ -271,6 +272,8 @@
   summary.mFailingUpstreams =
     WorstFailing(std::move(summary.mFailingUpstreams),
                  mSummaries->GetSettings().mMaxFailingUpstreams);
+  summary.mSpeeds = SelectSpeeds(
+    summary.mSpeeds, kSpeedsPerMessage, aOwn.mSequence * kSpeedsPerMessage);
   return summary;
 }
 
--- a/Peridothoist/Cells/GossipSummary.h
+++ b/Peridothoist/Cells/GossipSummary.h
@@ -9,6 +9,7 @@
 #include <Peridothoist/Relay/MembershipTable.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/WorkspaceRateLimiter.h>
+#include <Peridothoist/Routing/UpstreamSpeeds.h>
 
 namespace peridothoist {
 
@@ -35,9 +36,13 @@
   std::vector<CrashReport> mCrashReports;
   LimitsByUpstream mLimits; ///< As upstreams stated them to these VMs.
   ColdTimes mCold;          ///< Cold upstreams that these VMs learnt of.
+  SpeedsByUpstream mSpeeds; ///< Of some upstreams, as these VMs learnt them.
   std::vector<CallerAddress> mCallers;
 };
 
+/// Number of upstreams whose speeds one message tells.
+constexpr std::size_t kSpeedsPerMessage = 16;
+
 /// Adds the granted tokens of aFrom to aTo.
 void
 AddGranted(GrantedTokens& aTo, const GrantedTokens& aFrom);
--- a/Peridothoist/Node/CellGossip.cpp
+++ b/Peridothoist/Node/CellGossip.cpp
@@ -67,6 +67,7 @@
   }
   mMachine->OnPeerLimits(aSummary.mLimits, aNow);
   mMachine->OnPeerCold(aSummary.mCold, aNow);
+  mMachine->OnPeerSpeeds(aSummary.mSpeeds, aNow);
   mMembers->SetReachableElsewhere(mSummaries.ReachableVms());
   mListener->OnPeerWork(key, aSummary.mWork);
 }
--- a/Peridothoist/Node/GossipCodec.cpp
+++ b/Peridothoist/Node/GossipCodec.cpp
@@ -38,6 +38,7 @@
 constexpr const char* kTunnelAddress = "t";
 constexpr const char* kPriorities = "wp"; ///< Waiting requests by priority.
 constexpr const char* kCold = "cd";
+constexpr const char* kSpeeds = "sp";
 
 // Further keys of a summary.
 constexpr const char* kCell = "e";
@@ -47,6 +48,11 @@
 constexpr Duration kMaxAge = 24h; ///< Longer than any evidence is kept.
 constexpr double kMaxRate = 1e9;  ///< Requests a second.
 
+/// Factors of speeds are encoded as integers in percent.
+constexpr double kFactorScale = 100;
+constexpr std::uint32_t kMaxFactorPercent = 10000;
+constexpr std::uint32_t kMaxSpeedSamples = 1000;
+
 /// Call counts are encoded as integers in hundredths.
 constexpr double kCountScale = 100;
 constexpr const char* kKnownPeers = "k";
@@ -106,6 +112,18 @@
   return times;
 }
 
+json
+EncodeSpeeds(const SpeedsByUpstream& aSpeeds)
+{
+  json speeds = json::object();
+  for (const auto& [id, it] : aSpeeds) {
+    speeds[id] = { std::llround(it.mFactor * kFactorScale),
+                   it.mSamples,
+                   it.mProcess };
+  }
+  return speeds;
+}
+
 json
 EncodeDemand(const DemandByService& aDemand)
 {
@@ -276,6 +294,23 @@
   return times;
 }
 
+/// Builds that learn no speeds send none.
+SpeedsByUpstream
+DecodeSpeeds(const json& aBody)
+{
+  SpeedsByUpstream speeds;
+  if (aBody.contains(kSpeeds)) {
+    for (const auto& [id, it] : aBody.at(kSpeeds).items()) {
+      const std::uint32_t percent =
+        std::min(it.at(0).get<std::uint32_t>(), kMaxFactorPercent);
+      speeds[id] = { percent / kFactorScale,
+                     std::min(it.at(1).get<std::uint32_t>(), kMaxSpeedSamples),
+                     it.at(2).get<std::uint32_t>() };
+    }
+  }
+  return speeds;
+}
+
 json
 EncodeProcesses(const std::vector<UpstreamProcess>& aProcesses)
 {
@@ -346,6 +381,7 @@
   message.mLeavingUpstreams = DecodeLeaving(aValue);
   message.mLimits = DecodeLimits(aValue);
   message.mCold = DecodeCold(aValue);
+  message.mSpeeds = DecodeSpeeds(aValue);
   message.mDemand = DecodeDemand(aValue);
   message.mPeers = aValue.at(kKnownPeers).get<std::vector<std::string>>();
   message.mIsRedirect = aValue.value(kRedirect, false);
@@ -418,6 +454,7 @@
   summary.mLeavingUpstreams = DecodeLeaving(body);
   summary.mLimits = DecodeLimits(body);
   summary.mCold = DecodeCold(body);
+  summary.mSpeeds = DecodeSpeeds(body);
   summary.mCallers = DecodeCallers(body.at(kCallers));
   return summary;
 }
@@ -496,6 +533,9 @@
   if (!aMessage.mCold.empty()) {
     body[kCold] = EncodeCold(aMessage.mCold);
   }
+  if (!aMessage.mSpeeds.empty()) {
+    body[kSpeeds] = EncodeSpeeds(aMessage.mSpeeds);
+  }
   if (!aMessage.mDemand.empty()) {
     body[kDemand] = EncodeDemand(aMessage.mDemand);
   }
@@ -536,6 +576,9 @@
   if (!aSummary.mCold.empty()) {
     body[kCold] = EncodeCold(aSummary.mCold);
   }
+  if (!aSummary.mSpeeds.empty()) {
+    body[kSpeeds] = EncodeSpeeds(aSummary.mSpeeds);
+  }
   if (aSummary.mCell) {
     body[kCell] = { aSummary.mCell->mZone, aSummary.mCell->mNumber };
   }
--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -24,6 +24,10 @@
 /// cell's leader, to the other leaders, and to the VMs of their cells.
 constexpr int kIntervalsAcrossCells = 3;
 
+/// Messages with speeds of upstreams: one in this many. An odd number, because
+/// summaries for other zones are made from the messages of every other round.
+constexpr std::uint64_t kMessagesPerSpeedReport = 7;
+
 } // namespace
 
 std::unique_ptr<NodeGossip>
@@ -116,6 +120,7 @@
 {
   RemoveSilentPeers();
   mMachine->Crashes().DropExpired(mReactor->Now());
+  LogSpeeds(mMachine->Speeds().Update(mReactor->Now()));
   Publish(mSettings.mGossipFanOut);
   UpdateMaxGossipAge();
   mListener->OnMembersChanged();
@@ -316,6 +321,14 @@
   message.mLeavingUpstreams = mMachine->ListedUpstreams().OwnLeaving(now);
   message.mLimits = mMachine->Limits().OwnLimits(now);
   message.mCold = mMachine->Limits().OwnColdTimes(now);
+  if (mSequence % kMessagesPerSpeedReport == 0) {
+    // VMs begin at different upstreams, so that a VM that has just started
+    // hears of all of them soon.
+    const SpeedsByUpstream speeds = mMachine->Speeds().OwnSpeeds();
+    const std::uint64_t first =
+      speeds.empty() ? 0 : mRandom->UniformBelow(speeds.size());
+    message.mSpeeds = SelectSpeeds(speeds, kSpeedsPerMessage, first);
+  }
   message.mDemand = mMachine->Limits().ReportDemand(now);
   // Each message carries one random peer address: over time all VMs learn all
   // addresses while messages stay small.
@@ -411,6 +424,7 @@
   }
   mMachine->OnPeerLimits(copy.mLimits, now);
   mMachine->OnPeerCold(copy.mCold, now);
+  mMachine->OnPeerSpeeds(copy.mSpeeds, now);
   mMachine->Limits().OnPeerDemand(copy.mVm, copy.mDemand);
   mListener->OnMembersChanged();
   mMachine->Loads().OnPeerWaiting(copy.mVm, copy.mWaiting);
--- a/Peridothoist/Node/NodeLog.cpp
+++ b/Peridothoist/Node/NodeLog.cpp
@@ -107,6 +107,18 @@
     .Field("heard_by", aSource);
 }
 
+void
+LogSpeeds(const std::vector<SpeedChange>& aChanges)
+{
+  for (const SpeedChange& it : aChanges) {
+    Log::Info("upstream_speed")
+      .Field("upstream", it.mUpstream)
+      .Field("factor", it.mFactor)
+      .Field("samples", it.mSamples)
+      .Field("source", ToName(it.mSource));
+  }
+}
+
 void
 CrashEvidenceLog::OnContentQuarantined(const std::string& aContent,
                                        std::size_t aCrashes,
--- a/Peridothoist/Node/NodeLog.h
+++ b/Peridothoist/Node/NodeLog.h
@@ -5,6 +5,7 @@
 #include <Peridothoist/Relay/CrashEvidence.h>
 #include <Peridothoist/Relay/RelayConfiguration.h>
 #include <Peridothoist/Relay/UpstreamList.h>
+#include <Peridothoist/Routing/UpstreamSpeeds.h>
 
 namespace peridothoist {
 
@@ -32,6 +33,10 @@
 void
 LogStatedLeaving(const UpstreamProcess& aProcess, std::string_view aSource);
 
+/// Logs which upstreams' speeds were learnt or changed.
+void
+LogSpeeds(const std::vector<SpeedChange>& aChanges);
+
 /// Logs which contents of requests are quarantined.
 class CrashEvidenceLog : public CrashEvidenceListener
 {
--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -169,6 +169,10 @@
       static_cast<double>(aGauges.mLimitedUpstreams));
   set("peridothoist_cold_upstreams",
       static_cast<double>(aGauges.mColdUpstreams));
+  set("peridothoist_upstream_speeds_known",
+      static_cast<double>(aGauges.mSpeeds.mKnown));
+  set("peridothoist_upstream_speed_min", aGauges.mSpeeds.mMin);
+  set("peridothoist_upstream_speed_max", aGauges.mSpeeds.mMax);
   set("peridothoist_evacuated_zones",
       static_cast<double>(aGauges.mEvacuatedZones));
   set("peridothoist_tunnels", static_cast<double>(aGauges.mTunnels));
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -22,6 +22,7 @@
   std::size_t mWaitingRequests = 0;
   std::size_t mLimitedUpstreams = 0; ///< That state a limit, or are cold.
   std::size_t mColdUpstreams = 0;
+  SpeedRange mSpeeds;
   std::size_t mEvacuatedZones = 0;
   std::size_t mTunnels = 0;      ///< Open, from other VMs.
   bool mReachesUpstreams = true; ///< It can connect to upstreams itself.
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -169,6 +169,7 @@
   gauges.mOpenRequests = mMachine.OpenRequestCount();
   gauges.mWaitingRequests = mMachine.WaitingRequestCount();
   gauges.mLimitedUpstreams = mMachine.Limits().LimitedCount(mReactor->Now());
+  gauges.mSpeeds = mMachine.Speeds().KnownRange();
   gauges.mColdUpstreams = mMachine.Limits().ColdCount(mReactor->Now());
   gauges.mEvacuatedZones = mMachine.ListedUpstreams().EvacuatedZones().size();
   gauges.mTunnels = mTunnels == nullptr ? 0 : mTunnels->OpenCount();
--- a/Peridothoist/Node/RelayExecutorControl.cpp
+++ b/Peridothoist/Node/RelayExecutorControl.cpp
@@ -49,6 +49,12 @@
   if (aHead.mLimit) {
     OnLimitStated(aProcess.mUpstream, *aHead.mLimit);
   }
+  const bool isFromUpstream =
+    !aHead.mIsWrongProcess && !aHead.mIsForOtherRequest;
+  if (isFromUpstream && aHead.mLoad && aHead.mLoad->mWorkTimePercent) {
+    mMachine->OnWorkTimeStated(
+      aProcess, *aHead.mLoad->mWorkTimePercent, mReactor->Now());
+  }
   const bool isColdChanged =
     aHead.mColdRemaining && mMachine->OnColdStated(aProcess.mUpstream,
                                                    *aHead.mColdRemaining,
--- a/Peridothoist/Relay/MembershipTable.h
+++ b/Peridothoist/Relay/MembershipTable.h
@@ -8,6 +8,7 @@
 #include <Peridothoist/Relay/UpstreamList.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/WorkspaceRateLimiter.h>
+#include <Peridothoist/Routing/UpstreamSpeeds.h>
 
 #include <set>
 
@@ -58,6 +59,7 @@
   std::vector<CrashReport> mCrashReports;
   LimitsByUpstream mLimits;        ///< As upstreams stated them to this VM.
   ColdTimes mCold;                 ///< Cold upstreams that it learnt of.
+  SpeedsByUpstream mSpeeds;        ///< Of some upstreams, as it learnt them.
   DemandByService mDemand;         ///< For services with limited upstreams.
   std::vector<std::string> mPeers; ///< Peer addresses that it knows.
   /// It answers a VM of another cell with the addresses of that VM's cell.
--- a/Peridothoist/Relay/PrefillPlanner.h
+++ b/Peridothoist/Relay/PrefillPlanner.h
@@ -8,6 +8,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 
+#include <algorithm>
+
 namespace peridothoist {
 
 /// Settings of PrefillPlanner.
@@ -16,7 +18,8 @@
   /// Minimum number of requests at the decode engine for using a prefill
   /// engine.
   std::uint32_t mMinDecodeRequests = 0;
-  /// A prefill engine with this many prefills is not used.
+  /// A prefill engine with this many prefills is not used; a slow one with as
+  /// many fewer as its work takes longer.
   std::uint32_t mMaxPrefills = 6;
   /// Prompts with fewer tokens are always read by the decode engine.
   std::uint64_t mMinPromptTokens = 256;
@@ -32,6 +35,7 @@
   std::uint64_t mPromptTokens = 0;
   UpstreamWork mDecodeWork;                 ///< Open work at the decode engine.
   std::optional<UpstreamWork> mPrefillWork; ///< Empty: no prefill engine.
+  double mPrefillFactor = 1; ///< Duration of work at that engine.
 };
 
 /// Plans the use of prefill engines and of memory reservations.
@@ -51,7 +55,9 @@
     return aQuery.mPrefillWork &&
            aQuery.mPromptTokens >= mSettings.mMinPromptTokens &&
            aQuery.mDecodeWork.mRequests >= mSettings.mMinDecodeRequests &&
-           aQuery.mPrefillWork->mRequests < mSettings.mMaxPrefills;
+           aQuery.mPrefillWork->mRequests *
+               std::max(1.0, aQuery.mPrefillFactor) <
+             mSettings.mMaxPrefills;
   }
 
   /// Returns whether memory is to be reserved at the decode engine first.
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -3,6 +3,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/RelayStateMachine.h>
 
+#include <Peridothoist/Core/DurationUnits.h>
+
 #include <algorithm>
 #include <array>
 
@@ -36,6 +38,7 @@
   KeepCallWithEvent(state, aAttempt);
   call = &*state.mCall;
   call->mLastActivity = aNow;
+  LearnPace(*call);
   if (!call->mHasEvent) {
     call->mHasEvent = true;
     call->mFirstEventAt = aNow;
@@ -127,11 +130,44 @@
   const bool isPrefill = aCall.mKind == RelayCallKind::Prefill;
   const bool succeeded = outcome.IsSuccess() && (aEnd.mIsVerified || isPrefill);
   mLoads.Outcomes().OnOutcome(aCall.mUpstream, !succeeded, mNow);
+  if (succeeded) {
+    LearnCallTime(aCall);
+  }
   if (succeeded && !isPrefill) {
     mCallTimes[aState.mRequest.mService].Add(mNow - aCall.mStartedAt);
   }
 }
 
+/// Learns the speed of a decode engine from the events of a stream.
+void
+RelayStateMachine::LearnPace(Call& aCall)
+{
+  const auto pace = aCall.mPace.OnEvent(mNow);
+  const RelayUpstream* upstream = pace ? ProcessOf(aCall) : nullptr;
+  if (upstream != nullptr && upstream->mStage == RelayStage::Decode) {
+    mSpeeds.OnMeasured(SubjectOf(*upstream), ToSeconds(*pace), mNow);
+  }
+}
+
+/// Learns the speed of a prefill engine or a plain upstream from a call that
+/// succeeded.
+void
+RelayStateMachine::LearnCallTime(const Call& aCall)
+{
+  const bool isWhole = aCall.mKind == RelayCallKind::Whole;
+  if (!isWhole && aCall.mKind != RelayCallKind::Prefill) {
+    return;
+  }
+  const RelayStage stage = isWhole ? RelayStage::Plain : RelayStage::Prefill;
+  const RelayUpstream* upstream = ProcessOf(aCall);
+  if (upstream != nullptr && upstream->mStage == stage &&
+      aCall.mWorkUnits > 0) {
+    mSpeeds.OnMeasured(SubjectOf(*upstream),
+                       ToSeconds(mNow - aCall.mStartedAt) / aCall.mWorkUnits,
+                       mNow);
+  }
+}
+
 RelayStateMachine::Call
 RelayStateMachine::CloseCall(std::optional<Call>& aCall)
 {
--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -40,6 +40,7 @@
   query.mStage = aStage;
   query.mZone = mSettings.mZone;
   query.mNeededTokens = aState.mRequest.mMemoryTokens;
+  query.mPromptTokens = aState.mRequest.mPromptTokens;
   query.mExcludedUpstreams = aState.mExcludedUpstreams;
   query.mSoftwareVersion = VersionOf(aState);
   const EngineLimits* engines = EnginesOf(aState);
@@ -91,6 +92,8 @@
   prefillQuery.mDecodeWork = mLoads.Work(decode.mUpstream->mId);
   if (prefill.mUpstream != nullptr) {
     prefillQuery.mPrefillWork = mLoads.Work(prefill.mUpstream->mId);
+    prefillQuery.mPrefillFactor =
+      mSpeeds.FactorOf(prefill.mUpstream->mId, mNow);
   }
   if (!aState.mSkipPrefill && mPlanner.ShouldUsePrefillEngine(prefillQuery)) {
     HoldMemory(aState, decode.mUpstream->mId);
@@ -199,6 +202,32 @@
   return true;
 }
 
+/// Returns the tokens that a call counts as at its upstream.
+std::uint64_t
+RelayStateMachine::TokensOf(const AdmittedRequest& aRequest,
+                            RelayCallKind aKind)
+{
+  if (aKind == RelayCallKind::Reserve) {
+    return 0; // HoldMemory() counted them.
+  }
+  return aKind == RelayCallKind::Prefill ? aRequest.mPromptTokens
+                                         : aRequest.mMemoryTokens;
+}
+
+/// Returns by what the time of a call that starts now is divided to compare it
+/// with calls to other upstreams: the prompt tokens that a prefill engine has
+/// to read, or the requests for each slot of a plain upstream.
+double
+RelayStateMachine::WorkUnitsOf(const RelayUpstream& aUpstream) const
+{
+  const UpstreamWork work = mLoads.Work(aUpstream.mId);
+  if (aUpstream.mStage == RelayStage::Prefill) {
+    return static_cast<double>(work.mTokens);
+  }
+  const double slots = std::max<std::uint32_t>(1, aUpstream.mSlots);
+  return std::max(1.0, work.mRequests / slots);
+}
+
 /// Issues the command for a call and returns the call's state.
 RelayStateMachine::Call
 RelayStateMachine::StartCall(State& aState,
@@ -216,8 +245,7 @@
   call.mKind = aKind;
   call.mIsRetry = std::exchange(aState.mIsRetryCharged, false);
   const bool isReserve = aKind == RelayCallKind::Reserve;
-  call.mTokens =
-    isReserve ? 0 : request.mMemoryTokens; // HoldMemory() counted it.
+  call.mTokens = TokensOf(request, aKind);
   call.mStartedAt = mNow;
   call.mLastActivity = mNow;
   call.mUsesHandle = aKind == RelayCallKind::Stream && !aState.mHandle.empty();
@@ -256,6 +284,7 @@
     aState.mTriedUpstreams.insert(aUpstream.mId);
   }
   mLoads.OnSent(call.mUpstream, call.mTokens);
+  call.mWorkUnits = WorkUnitsOf(aUpstream);
   const bool isCharged =
     aKind == RelayCallKind::Stream && aState.mChargedUpstream == call.mUpstream;
   if (isCharged) {
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -18,8 +18,14 @@
   , mUpstreamList(aSettings.mUpstreamList)
   , mLoads(aSettings.mLoads)
   , mLimiter(aSettings.mLimits)
+  , mSpeeds(aSettings.mSpeeds)
   , mReach(aSettings.mReach)
-  , mChooser(aSettings.mChooser, &mUpstreamList, &mLoads, &mLimiter, aRandom)
+  , mChooser(aSettings.mChooser,
+             &mUpstreamList,
+             &mLoads,
+             &mLimiter,
+             &mSpeeds,
+             aRandom)
   , mPlanner(aSettings.mPlanner)
   , mCrashEvidence(aSettings.mCrashEvidence)
   , mBrokenCalls(aSettings.mCrashWindow)
@@ -290,6 +296,7 @@
     }
     mLoads.Forget(it.mId);
     mLimiter.Forget(it.mId);
+    mSpeeds.Forget(it.mId);
     mReach.Forget(it.mId);
   }
 }
@@ -376,6 +383,58 @@
   }
 }
 
+SpeedSubject
+RelayStateMachine::SubjectOf(const RelayUpstream& aUpstream)
+{
+  static constexpr std::array<std::pair<RelayStage, WorkKind>, 3> kKinds = {
+    { { RelayStage::Plain, WorkKind::Plain },
+      { RelayStage::Prefill, WorkKind::Prefill },
+      { RelayStage::Decode, WorkKind::Decode } }
+  };
+  SpeedSubject subject;
+  subject.mUpstream = aUpstream.mId;
+  subject.mService = aUpstream.mService;
+  subject.mIncarnationId = aUpstream.mIncarnationId;
+  for (const auto& [stage, kind] : kKinds) {
+    subject.mKind = stage == aUpstream.mStage ? kind : subject.mKind;
+  }
+  return subject;
+}
+
+/// Returns the upstream of a call; null if it is not listed any more or was
+/// restarted since the call started.
+const RelayUpstream*
+RelayStateMachine::ProcessOf(const Call& aCall) const
+{
+  const RelayUpstream* upstream = mUpstreamList.Find(aCall.mUpstream);
+  const bool isSame =
+    upstream != nullptr && upstream->mIncarnationId == aCall.mIncarnationId;
+  return isSame ? upstream : nullptr;
+}
+
+void
+RelayStateMachine::OnWorkTimeStated(const UpstreamProcess& aProcess,
+                                    std::uint32_t aPercent,
+                                    TimePoint aNow)
+{
+  const RelayUpstream* upstream = mUpstreamList.Find(aProcess.mUpstream);
+  if (upstream != nullptr &&
+      upstream->mIncarnationId == aProcess.mIncarnationId) {
+    mSpeeds.OnStated(SubjectOf(*upstream), aPercent, aNow);
+  }
+}
+
+void
+RelayStateMachine::OnPeerSpeeds(const SpeedsByUpstream& aSpeeds, TimePoint aNow)
+{
+  for (const auto& [id, speed] : aSpeeds) {
+    const RelayUpstream* upstream = mUpstreamList.Find(id);
+    if (upstream != nullptr) {
+      mSpeeds.OnPeerSpeed(SubjectOf(*upstream), speed, aNow);
+    }
+  }
+}
+
 void
 RelayStateMachine::OnZonesEvacuated(const std::set<std::string>& aZones,
                                     TimePoint aNow,
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -35,6 +35,7 @@
 #include <Peridothoist/Relay/UpstreamLimiter.h>
 #include <Peridothoist/Relay/UpstreamReach.h>
 #include <Peridothoist/Request/TimerQueue.h>
+#include <Peridothoist/Routing/UpstreamSpeeds.h>
 
 #include <array>
 #include <set>
@@ -117,6 +118,7 @@
   UpstreamChooserSettings mChooser;
   UpstreamLoadTrackerSettings mLoads;
   UpstreamLimiterSettings mLimits;
+  UpstreamSpeedsSettings mSpeeds;
   UpstreamListSettings mUpstreamList;
   UpstreamReachSettings mReach;
   StreamOriginTableSettings mOrigins;
@@ -231,6 +233,7 @@
   UpstreamLoadTracker& Loads() { return mLoads; }
   CrashEvidence& Crashes() { return mCrashEvidence; }
   UpstreamLimiter& Limits() { return mLimiter; }
+  UpstreamSpeeds& Speeds() { return mSpeeds; }
   const UpstreamReach& Reach() const { return mReach; }
 
   /// Called with what a response of the upstream states about its limit.
@@ -245,6 +248,12 @@
                     TimePoint aNow);
   /// Called with what other VMs learnt of cold upstreams.
   void OnPeerCold(const ColdTimes& aTimes, TimePoint aNow);
+  /// Called when a process of an upstream stated how long work takes there.
+  void OnWorkTimeStated(const UpstreamProcess& aProcess,
+                        std::uint32_t aPercent,
+                        TimePoint aNow);
+  /// Called with what other VMs learnt of the speeds of upstreams.
+  void OnPeerSpeeds(const SpeedsByUpstream& aSpeeds, TimePoint aNow);
   /// Sets the availability zones that are evacuated. Upstreams of zones that
   /// no longer are may have become cold meanwhile.
   void OnZonesEvacuated(const std::set<std::string>& aZones,
@@ -304,6 +313,8 @@
     std::uint64_t mIncarnationId = 0; ///< The same.
     RelayCallKind mKind = RelayCallKind::Whole;
     std::uint64_t mTokens = 0; ///< KV memory counted in mLoads.
+    double mWorkUnits = 0;     ///< See WorkUnitsOf().
+    EventPace mPace;           ///< Of a stream's events.
     bool mMayHaveBeenSent = false;
     bool mIsRetry = false;  ///< Counted by the retry budget.
     bool mHasEvent = false; ///< Stream: an event was received.
@@ -378,6 +389,9 @@
   Call StartCall(State& aState,
                  const RelayUpstream& aUpstream,
                  RelayCallKind aKind);
+  static std::uint64_t TokensOf(const AdmittedRequest& aRequest,
+                                RelayCallKind aKind);
+  double WorkUnitsOf(const RelayUpstream& aUpstream) const;
   bool HasRetryBudget(const State& aState);
   bool ChargeRetry(State& aState);
   void OnNoUpstreamChosen(State& aState, NoChoiceReason aReason);
@@ -440,6 +454,12 @@
   bool IsLate(const State& aState) const;
   const EngineLimits* EnginesOf(const State& aState) const;
 
+  // Speeds of upstreams
+  static SpeedSubject SubjectOf(const RelayUpstream& aUpstream);
+  const RelayUpstream* ProcessOf(const Call& aCall) const;
+  void LearnPace(Call& aCall);
+  void LearnCallTime(const Call& aCall);
+
   // Ends of calls
   using CallEndHandler = void (RelayStateMachine::*)(State&,
                                                      const Call&,
@@ -554,6 +574,7 @@
   UpstreamList mUpstreamList;
   UpstreamLoadTracker mLoads;
   UpstreamLimiter mLimiter;
+  UpstreamSpeeds mSpeeds;
   UpstreamReach mReach;
   UpstreamChooser mChooser;
   PrefillPlanner mPlanner;
--- a/Peridothoist/Relay/UpstreamChooser.cpp
+++ b/Peridothoist/Relay/UpstreamChooser.cpp
@@ -40,11 +40,13 @@
                                  const UpstreamList* aUpstreamList,
                                  const UpstreamLoadTracker* aLoads,
                                  const UpstreamLimiter* aLimiter,
+                                 const UpstreamSpeeds* aSpeeds,
                                  Random* aRandom)
   : mSettings(aSettings)
   , mUpstreamList(aUpstreamList)
   , mLoads(aLoads)
   , mLimiter(aLimiter)
+  , mSpeeds(aSpeeds)
   , mRandom(aRandom)
 {
 }
@@ -57,6 +59,7 @@
   bool anyFull = false;
   bool anyHealthy = false;
   std::uint64_t ties = 0;
+  const double typicalPrompt = TypicalPrompt(aQuery);
   for (const auto& [id, entry] : mUpstreamList->All()) {
     const RelayUpstream& upstream = entry.mUpstream;
     const bool fits =
@@ -73,7 +76,7 @@
     const double spread = mSettings.mScoreSpreadPerSecond *
                           mLoads->PeerLoadAgeSeconds() *
                           mRandom->UniformFraction();
-    const double score = Score(upstream, aQuery, aNow) + spread;
+    const double score = Score(upstream, aQuery, typicalPrompt, aNow) + spread;
     Choice& candidate = avoided ? bestAvoided : best;
     if (candidate.mUpstream == nullptr || score < candidate.mScore) {
       candidate = { &upstream, NoChoiceReason::None, score };
@@ -205,13 +208,53 @@
   return limits;
 }
 
+/// Returns the mean tokens of the prompts at the prefill engines of a service,
+/// including the prompt to be placed; 0 if work is counted in requests.
+double
+UpstreamChooser::TypicalPrompt(const UpstreamQuery& aQuery) const
+{
+  const bool countsTokens = aQuery.mStage == RelayStage::Prefill &&
+                            aQuery.mPromptTokens > 0 &&
+                            mSpeeds->Differ(aQuery.mService, WorkKind::Prefill);
+  if (!countsTokens) {
+    return 0;
+  }
+  UpstreamWork all{ 1, aQuery.mPromptTokens };
+  for (const auto& [id, entry] : mUpstreamList->All()) {
+    if (Serves(entry.mUpstream, aQuery)) {
+      all += mLoads->Work(id);
+    }
+  }
+  return static_cast<double>(all.mTokens) / all.mRequests;
+}
+
+/// Returns the expected time until the upstream has done its work and this
+/// request, in units of a typical request, less one. Where speeds are not known
+/// to differ, that is the number of requests there.
+double
+UpstreamChooser::ExpectedWork(const RelayUpstream& aUpstream,
+                              const UpstreamQuery& aQuery,
+                              double aTypicalPrompt,
+                              TimePoint aNow) const
+{
+  const UpstreamWork work = mLoads->Work(aUpstream.mId);
+  const double factor = mSpeeds->FactorOf(aUpstream.mId, aNow);
+  const double unaccounted = mLoads->UnaccountedRequests(aUpstream.mId, aNow);
+  if (aTypicalPrompt == 0) {
+    return (work.mRequests + unaccounted + 1) * factor - 1;
+  }
+  const double tokens =
+    static_cast<double>(work.mTokens + aQuery.mPromptTokens);
+  return (tokens / aTypicalPrompt + unaccounted) * factor - 1;
+}
+
 double
 UpstreamChooser::Score(const RelayUpstream& aUpstream,
                        const UpstreamQuery& aQuery,
+                       double aTypicalPrompt,
                        TimePoint aNow) const
 {
-  double score = mLoads->Work(aUpstream.mId).mRequests +
-                 mLoads->UnaccountedRequests(aUpstream.mId, aNow);
+  double score = ExpectedWork(aUpstream, aQuery, aTypicalPrompt, aNow);
   if (aUpstream.mZone != aQuery.mZone) {
     score += aUpstream.mStage == RelayStage::Plain
                ? mSettings.mPlainZonePreference
--- a/Peridothoist/Relay/UpstreamChooser.h
+++ b/Peridothoist/Relay/UpstreamChooser.h
@@ -1,6 +1,7 @@
 /// Chooses the upstream for one send: the least loaded one, with a preference
 /// for the VM's own availability zone unless its upstreams are busier by more
-/// than a margin. Upstreams that fail calls count as more loaded.
+/// than a margin. Upstreams that fail calls count as more loaded. Where
+/// upstreams are known to differ in speed, expected times are compared.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
@@ -8,6 +9,7 @@
 #include <Peridothoist/Relay/UpstreamLimiter.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/UpstreamList.h>
+#include <Peridothoist/Routing/UpstreamSpeeds.h>
 
 #include <set>
 
@@ -20,6 +22,7 @@
   RelayStage mStage = RelayStage::Plain;
   std::string mZone;               ///< Preferred zone.
   std::uint64_t mNeededTokens = 0; ///< KV memory that the request needs.
+  std::uint64_t mPromptTokens = 0;
   /// KV memory of one engine; 0: not limited.
   std::uint64_t mEngineMemoryTokens = 0;
   std::set<std::string> mExcludedUpstreams; ///< Ids not to be chosen.
@@ -98,6 +101,7 @@
                   const UpstreamList* aUpstreamList,
                   const UpstreamLoadTracker* aLoads,
                   const UpstreamLimiter* aLimiter,
+                  const UpstreamSpeeds* aSpeeds,
                   Random* aRandom);
 
   /// Returns whether the upstream serves such requests, if it has capacity.
@@ -136,14 +140,21 @@
   bool IsFull(const RelayUpstream& aUpstream,
               const UpstreamQuery& aQuery,
               TimePoint aNow) const;
+  double TypicalPrompt(const UpstreamQuery& aQuery) const;
+  double ExpectedWork(const RelayUpstream& aUpstream,
+                      const UpstreamQuery& aQuery,
+                      double aTypicalPrompt,
+                      TimePoint aNow) const;
   double Score(const RelayUpstream& aUpstream,
                const UpstreamQuery& aQuery,
+               double aTypicalPrompt,
                TimePoint aNow) const;
 
   Settings mSettings;
   const UpstreamList* mUpstreamList;
   const UpstreamLoadTracker* mLoads;
   const UpstreamLimiter* mLimiter;
+  const UpstreamSpeeds* mSpeeds;
   Random* mRandom;
   std::set<std::string> mHomeEngines;
 };
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -17,6 +17,7 @@
 #include <rapidcheck/boost_test.h>
 
 #include <algorithm>
+#include <cmath>
 
 using namespace peridothoist;
 using namespace peridothoist::platform;
@@ -582,12 +583,15 @@
                                 { 4, 2, 5s, 1s, false } } } };
   message.mLimits = { { "u", { 4.5, 3s } }, { "v", { std::nullopt, 1s } } };
   message.mDemand = { { "s", 2.5 } };
+  message.mSpeeds = { { "u", { 1.7, 20, 9 } } };
   message.mLeavingUpstreams = { { "u", 17 }, { "v", 0 } };
   const std::string bytes = EncodeGossipMessage(message);
   const auto decoded = DecodeGossipMessage(bytes);
   RC_ASSERT(decoded.has_value());
   RC_ASSERT(EncodeGossipMessage(*decoded) == bytes);
   RC_ASSERT(decoded->mLeavingUpstreams == message.mLeavingUpstreams);
+  RC_ASSERT(std::abs(decoded->mSpeeds.at("u").mFactor - 1.7) < 0.001);
+  RC_ASSERT(decoded->mSpeeds.at("u").mProcess == 9U);
   DecodeGossipMessage(Corrupt(bytes));
   const std::string query = EncodeViewQuery({ 5, "10.0.0.1:7600" });
   RC_ASSERT(DecodeViewQuery(query)->mStamp == 5U);
@@ -614,6 +618,7 @@
   summary.mGoneUpstreams = { "x" };
   summary.mFailingUpstreams = { { "y", { 1.5, 0.25 } } };
   summary.mLeavingUpstreams = { { "u", 17 } };
+  summary.mSpeeds = { { "u", { 0.7, 20, 9 } } };
   summary.mCallers = { { "z", "10.0.0.1:80", ServingState::Everything } };
   const std::string bytes = EncodeGossipSummary(summary);
   const auto decoded = DecodeGossipSummary(bytes);
@@ -625,6 +630,24 @@
   DecodeGossipSummary(Corrupt(bytes));
 }
 
+// A message of an older build, which tells no speeds, is not read; or one with
+// absurd figures stops requests to an upstream.
+BOOST_AUTO_TEST_CASE(SpeedsInMessagesAreOptionalAndBounded)
+{
+  GossipMessage message;
+  const auto old = DecodeGossipMessage(EncodeGossipMessage(message));
+  BOOST_REQUIRE(old.has_value());
+  BOOST_TEST(old->mSpeeds.empty());
+  message.mSpeeds = { { "u", { 1e7, 4000000000, 1 } } };
+  const auto absurd = DecodeGossipMessage(EncodeGossipMessage(message));
+  BOOST_REQUIRE(absurd.has_value());
+  BOOST_TEST(absurd->mSpeeds.at("u").mFactor <= 100);
+  BOOST_TEST(absurd->mSpeeds.at("u").mSamples <= 1000U);
+  BOOST_TEST(!DecodeGossipMessage(
+                detail::ToCbor(json::object({ { "sp", json::array({ 3 }) } })))
+                .has_value());
+}
+
 // A list of a peer loses the software versions, or one of an older build, which
 // states none, is not read.
 BOOST_AUTO_TEST_CASE(SharedListsCarrySoftwareVersions)
--- a/UnitTests/Relay/UpstreamChooserTest.cpp
+++ b/UnitTests/Relay/UpstreamChooserTest.cpp
@@ -20,10 +20,12 @@
     , mLoads(UpstreamLoadTrackerSettings())
     , mRandom(3)
     , mLimiter(UpstreamLimiterSettings())
+    , mSpeeds(UpstreamSpeedsSettings())
     , mChooser(UpstreamChooserSettings(),
                &mUpstreamList,
                &mLoads,
                &mLimiter,
+               &mSpeeds,
                &mRandom)
   {
     mQuery.mService = "s";
@@ -46,6 +48,7 @@
   UpstreamLoadTracker mLoads;
   Random mRandom;
   UpstreamLimiter mLimiter;
+  UpstreamSpeeds mSpeeds;
   UpstreamChooser mChooser;
   UpstreamQuery mQuery;
 };
