--- a/UnitTests/Relay/SoftwareVersionTest.cpp
+++ b/UnitTests/Relay/SoftwareVersionTest.cpp
@@ -308,8 +308,9 @@
   prefill.mSoftwareVersion = "v2";
   list.OnListRead({ prefill, Engine("d2", "a", "v2") }, mNow);
   const UpstreamLimiter limiter{ UpstreamLimiterSettings() };
+  const UpstreamSpeeds speeds{ UpstreamSpeedsSettings() };
   UpstreamChooser chooser(
-    UpstreamChooserSettings(), &list, &loads, &limiter, &mRandom);
+    UpstreamChooserSettings(), &list, &loads, &limiter, &speeds, &mRandom);
   query.mStage = RelayStage::Prefill;
   BOOST_TEST(chooser.Choose(query, mNow).mUpstream != nullptr);
   query.mStage = RelayStage::Decode;
