Test that speeds of upstreams cross cells in few bytes

Guard against an engine whose slowness is known in one cell only, and against summaries that grow with the number of upstreams.

--- a/UnitTests/Cells/FleetGossipTest.cpp
+++ b/UnitTests/Cells/FleetGossipTest.cpp
@@ -18,6 +18,8 @@
 constexpr int kPerZone = 59;
 constexpr std::size_t kVms = kZones * kPerZone;
 const TimePoint kStart{ 1h };
+/// Messages of a VM of which one tells speeds of upstreams.
+constexpr std::uint64_t kMessagesPerSpeedReport = 7;
 
 /// One VM's state as its gossip needs it.
 struct Vm
@@ -44,6 +46,9 @@
     message.mGranted = { { "w", 10 } };
     message.mWork = { { "engine-" + mRecord.mZone, { 1, 100 } } };
     message.mWaiting = { { "s", { 1, 0 } } };
+    if (aSequence % kMessagesPerSpeedReport == 0) {
+      message.mSpeeds = mSpeeds;
+    }
     return message;
   }
 
@@ -51,6 +56,7 @@
   MembershipTable mMembers;
   SummaryTable mSummaries;
   CellMembership mCells;
+  SpeedsByUpstream mSpeeds; ///< That it tells the others.
 };
 
 /// All VMs, and the messages between them, by address.
@@ -244,3 +250,38 @@
   CallerDirectory directory({}, &random);
   BOOST_TEST(directory.Select(callers, "z3", callers.size()).size() == 64U);
 }
+
+// A VM of one cell learns that an engine is slow, and those of the others send
+// to it as before; or the summaries grow with the number of upstreams.
+BOOST_AUTO_TEST_CASE(SpeedsReachAllCellsInFewBytes)
+{
+  Fleet fleet;
+  for (int round = 0; round < 6; ++round) {
+    fleet.Round(); // Until leaders are known.
+  }
+  Vm& learner = *fleet.mVms.at(MakeVm("z1", 7).mPeerAddress);
+  learner.mSpeeds = { { "engine-z0", { 1.7, 40, 3 } } };
+  for (int n = 0; n < 40; ++n) {
+    fleet.mVms.at(MakeVm("z2", 7).mPeerAddress)
+      ->mSpeeds["i-" + std::to_string(n)] = { 0.7, 20, 3 };
+  }
+  std::map<std::string, std::set<std::string>> heard; // By leader.
+  const TimePoint start = fleet.mNow;
+  for (; fleet.mNow < start + 2s; fleet.Round()) {
+    for (Vm* leader : fleet.Leaders()) {
+      GossipSummary sum;
+      sum.mSequence = fleet.mSequence;
+      leader->mSummaries.AddUp(sum);
+      BOOST_REQUIRE(sum.mSpeeds.size() <= kSpeedsPerMessage);
+      for (const auto& [id, speed] : sum.mSpeeds) {
+        heard[leader->mRecord.mName].insert(id);
+      }
+    }
+  }
+  std::size_t know = 0;
+  for (Vm* leader : fleet.Leaders()) {
+    const bool isOfCell = leader->mCells.OwnCell() == learner.mCells.OwnCell();
+    know += isOfCell || heard[leader->mRecord.mName].count("engine-z0") > 0;
+  }
+  BOOST_TEST(know == fleet.Leaders().size());
+}
