Tell speeds in every summary, but fewer

Only one message of seven tells speeds, and a summary was made from the last message of each VM.

A leader keeps what a VM told for two of its reports, and tells its own cell what it knows itself. Summaries tell at most 8 upstreams, from places that any regular part of the turns covers.

--- a/Peridothoist/Cells/CellMembership.cpp
+++ b/Peridothoist/Cells/CellMembership.cpp
@@ -229,7 +229,6 @@
   MergeProcesses(aSummary.mLeavingUpstreams, aMessage.mLeavingUpstreams);
   MergeLimits(aSummary.mLimits, aMessage.mLimits);
   MergeColdTimes(aSummary.mCold, aMessage.mCold);
-  MergeSpeeds(aSummary.mSpeeds, aMessage.mSpeeds);
   const SummaryTableSettings& limits = mSummaries->GetSettings();
   const bool isFull = aZone != mSelf.mZone &&
                       aSummary.mCallers.size() >= limits.mCallersForOtherZones;
@@ -258,11 +257,13 @@
   AddGranted(summary.mGranted, aGranted);
   summary.mCrashReports = aOwn.mCrashReports;
   AddVm(summary, aOwn, aUpstreams, aZone);
+  summary.mSpeeds = aOwn.mSpeeds;
   for (const auto& [name, member] : mMembers->Members()) {
     const bool counts =
       !member.mLastMessage.mZone.empty() && mMembers->IsReachable(name, aNow);
     if (counts) {
       AddVm(summary, member.mLastMessage, aUpstreams, aZone);
+      MergeSpeeds(summary.mSpeeds, member.mSpeeds);
     }
   }
   std::sort(summary.mGoneUpstreams.begin(), summary.mGoneUpstreams.end());
@@ -273,7 +274,7 @@
     WorstFailing(std::move(summary.mFailingUpstreams),
                  mSummaries->GetSettings().mMaxFailingUpstreams);
   summary.mSpeeds = SelectSpeeds(
-    summary.mSpeeds, kSpeedsPerMessage, aOwn.mSequence * kSpeedsPerMessage);
+    summary.mSpeeds, kSpeedsPerSummary, SpreadTurn(aOwn.mSequence));
   return summary;
 }
 
--- a/Peridothoist/Cells/GossipSummary.h
+++ b/Peridothoist/Cells/GossipSummary.h
@@ -40,8 +40,10 @@
   std::vector<CallerAddress> mCallers;
 };
 
-/// Number of upstreams whose speeds one message tells.
+/// Numbers of upstreams whose speeds one message and one summary tell. Every
+/// summary tells some, but only one message of several does.
 constexpr std::size_t kSpeedsPerMessage = 16;
+constexpr std::size_t kSpeedsPerSummary = 8;
 
 /// Adds the granted tokens of aFrom to aTo.
 void
--- a/Peridothoist/Cells/SummaryTable.cpp
+++ b/Peridothoist/Cells/SummaryTable.cpp
@@ -129,13 +129,10 @@
     MergeProcesses(aSum.mLeavingUpstreams, it.mLeavingUpstreams);
     MergeLimits(aSum.mLimits, it.mLimits);
     MergeColdTimes(aSum.mCold, it.mCold);
-    MergeSpeeds(aSum.mSpeeds, it.mSpeeds);
   }
   aSum.mGoneUpstreams.assign(gone.begin(), gone.end());
   aSum.mFailingUpstreams = WorstFailing(std::move(aSum.mFailingUpstreams),
                                         mSettings.mMaxFailingUpstreams);
-  aSum.mSpeeds = SelectSpeeds(
-    aSum.mSpeeds, kSpeedsPerMessage, aSum.mSequence * kSpeedsPerMessage);
 }
 
 } // namespace peridothoist
--- a/Peridothoist/Node/CellGossip.cpp
+++ b/Peridothoist/Node/CellGossip.cpp
@@ -143,6 +143,10 @@
   sum.mGranted = mOtherCellsGranted;
   sum.mCrashReports = aOwn.mCrashReports;
   mSummaries.AddUp(sum);
+  // Not those of the last summaries: each tells only some.
+  sum.mSpeeds = SelectSpeeds(mMachine->Speeds().KnownSpeeds(),
+                             kSpeedsPerSummary,
+                             SpreadTurn(aOwn.mSequence));
   const std::string bytes = EncodeGossipSummary(sum);
   for (const std::string& address : mMembership.CellPeerAddresses()) {
     aSocket.Send(address, bytes);
--- a/Peridothoist/Relay/MembershipTable.cpp
+++ b/Peridothoist/Relay/MembershipTable.cpp
@@ -15,6 +15,30 @@
   return kNames[static_cast<std::size_t>(aState)];
 }
 
+namespace {
+
+/// Number of further messages for which the speeds that a VM told are kept;
+/// two of its reports.
+constexpr std::uint64_t kMessagesWithSpeeds = 14;
+
+/// Keeps the speeds that a message tells, and drops old ones.
+void
+UpdateSpeeds(MembershipTable::Member& aMember, const GossipMessage& aMessage)
+{
+  const bool isSameProcess =
+    aMember.mLastMessage.mInstance == aMessage.mInstance;
+  const bool isOld =
+    aMessage.mSequence > aMember.mSpeedsSequence + kMessagesWithSpeeds;
+  if (!aMessage.mSpeeds.empty()) {
+    aMember.mSpeeds = aMessage.mSpeeds;
+    aMember.mSpeedsSequence = aMessage.mSequence;
+  } else if (!isSameProcess || isOld) {
+    aMember.mSpeeds.clear();
+  }
+}
+
+} // namespace
+
 MembershipTable::MembershipTable(const Settings& aSettings, std::string aSelf)
   : mSettings(aSettings)
   , mSelf(std::move(aSelf))
@@ -34,7 +58,10 @@
     return false;
   }
   const std::string vm = aMessage.mVm;
-  mMembers[vm] = { std::move(aMessage), aNow };
+  Member& member = mMembers[vm];
+  UpdateSpeeds(member, aMessage);
+  member.mLastMessage = std::move(aMessage);
+  member.mLastSeen = aNow;
   return true;
 }
 
--- a/Peridothoist/Relay/MembershipTable.h
+++ b/Peridothoist/Relay/MembershipTable.h
@@ -128,6 +128,9 @@
   {
     GossipMessage mLastMessage; ///< The last message.
     TimePoint mLastSeen;        ///< When it was received.
+    /// Speeds that it told last, which most messages don't tell.
+    SpeedsByUpstream mSpeeds;
+    std::uint64_t mSpeedsSequence = 0; ///< Of the message that told them.
   };
   const std::map<std::string, Member>& Members() const { return mMembers; }
 
--- a/Peridothoist/Routing/UpstreamSpeeds.cpp
+++ b/Peridothoist/Routing/UpstreamSpeeds.cpp
@@ -113,6 +113,14 @@
   return selected;
 }
 
+std::uint64_t
+SpreadTurn(std::uint64_t aTurn)
+{
+  // 2^64 divided by the golden ratio.
+  constexpr std::uint64_t kStep = 0x9E3779B97F4A7C15;
+  return (aTurn * kStep) >> 32;
+}
+
 std::optional<Duration>
 EventPace::OnEvent(TimePoint aNow)
 {
@@ -324,9 +332,8 @@
   }
 }
 
-/// Computes an upstream's factor from what this VM and the others know. Returns
-/// the number of samples.
-std::uint32_t
+/// Computes an upstream's factor from what this VM and the others know.
+void
 UpstreamSpeeds::UpdateFactor(Entry& aEntry, TimePoint aNow) const
 {
   UpdateOwn(aEntry, aNow);
@@ -341,7 +348,7 @@
   if (aEntry.mSource == SpeedSource::None && peersUsed > 0) {
     aEntry.mSource = SpeedSource::Peers;
   }
-  return static_cast<std::uint32_t>(sum);
+  aEntry.mSamples = static_cast<std::uint32_t>(sum);
 }
 
 std::vector<SpeedChange>
@@ -350,11 +357,11 @@
   std::vector<SpeedChange> changes;
   SumUpGroups(aNow);
   for (auto& [id, entry] : mEntries) {
-    const std::uint32_t samples = UpdateFactor(entry, aNow);
+    UpdateFactor(entry, aNow);
     entry.mGroup->mDiffers = entry.mGroup->mDiffers || Matters(entry.mFactor);
     if (IsChanged(entry)) {
       entry.mLoggedFactor = entry.mFactor;
-      changes.push_back({ id, entry.mFactor, samples, entry.mSource });
+      changes.push_back({ id, entry.mFactor, entry.mSamples, entry.mSource });
     }
   }
   return changes;
@@ -415,6 +422,20 @@
   return speeds;
 }
 
+SpeedsByUpstream
+UpstreamSpeeds::KnownSpeeds() const
+{
+  SpeedsByUpstream speeds;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.mSamples > 0 && Matters(entry.mFactor)) {
+      speeds[id] = { entry.mFactor,
+                     entry.mSamples,
+                     ProcessTagOf(entry.mIncarnationId) };
+    }
+  }
+  return speeds;
+}
+
 SpeedRange
 UpstreamSpeeds::KnownRange() const
 {
--- a/Peridothoist/Routing/UpstreamSpeeds.h
+++ b/Peridothoist/Routing/UpstreamSpeeds.h
@@ -69,6 +69,11 @@
              std::size_t aCount,
              std::uint64_t aFirst);
 
+/// Returns where a selection begins in a turn. Any regular part of the turns,
+/// such as every other one, covers all upstreams.
+std::uint64_t
+SpreadTurn(std::uint64_t aTurn);
+
 /// A factor that became known or changed.
 struct SpeedChange
 {
@@ -174,6 +179,10 @@
   /// to report to other VMs.
   SpeedsByUpstream OwnSpeeds() const;
 
+  /// Returns the same with what other VMs told, for VMs that do not hear these
+  /// and tell nobody else.
+  SpeedsByUpstream KnownSpeeds() const;
+
   SpeedRange KnownRange() const;
 
 private:
@@ -208,6 +217,7 @@
     // As of the last Update()
     ReportedSpeed mOwn; ///< Without samples: not known.
     double mFactor = 1;
+    std::uint32_t mSamples = 0; ///< Of mFactor.
     SpeedSource mSource = SpeedSource::None;
     double mLoggedFactor = 1;
   };
@@ -222,7 +232,7 @@
                           TimePoint aNow);
   void SumUpGroups(TimePoint aNow);
   void UpdateOwn(Entry& aEntry, TimePoint aNow) const;
-  std::uint32_t UpdateFactor(Entry& aEntry, TimePoint aNow) const;
+  void UpdateFactor(Entry& aEntry, TimePoint aNow) const;
   bool IsChanged(const Entry& aEntry) const;
   bool Matters(double aFactor) const;
   double Clamp(double aFactor) const;
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -299,6 +299,34 @@
   BOOST_TEST(CallUntil(MakeRequest("/a/x", "k1"), 200));
 }
 
+// What an upstream states about its work time is read from no response, or an
+// operator does not see it.
+BOOST_AUTO_TEST_CASE(StatedWorkTimesAreExported)
+{
+  mHandler.mRespond = [this](HttpExchange& aExchange) {
+    mLastRequest = aExchange.Request();
+    aExchange.Respond(200,
+                      { { "request-id", mLastRequest.mHeaders["request-id"] },
+                        { "response-seal", "s1" },
+                        { "server-load", "1,0,6,170" } },
+                      "answer");
+  };
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  for (int n = 0; n < 15; ++n) {
+    RunFor(60ms); // Statements in quick succession count once.
+    const auto result = CallAndWait(MakeRequest("/a/x", "k1"));
+    BOOST_TEST(result->mHeaders.count("server-load") == 0U);
+  }
+  RunFor(600ms); // Factors are computed with each round of gossip.
+  const auto metrics = CallAndWait(MakeGet(7601, "/metrics"));
+  const auto exports = [&](const char* aLine) {
+    return metrics->mBody.find(aLine) != std::string::npos;
+  };
+  BOOST_TEST(exports("peridothoist_upstream_speeds_known 1"));
+  BOOST_TEST(exports("peridothoist_upstream_speed_max 1.7"));
+}
+
 BOOST_AUTO_TEST_CASE(LeavingUpstreamReceivesNoRequests)
 {
   StartNode();
