--- a/Peridothoist/Cells/CellMembership.cpp
+++ b/Peridothoist/Cells/CellMembership.cpp
@@ -262,11 +262,13 @@
   AddGranted(summary.mGranted, aGranted);
   summary.mCrashReports = aOwn.mCrashReports;
   AddVm(summary, aOwn, aUpstreams, aZone);
+  summary.mSpeeds = aOwn.mSpeeds;
   for (const auto& [name, member] : mMembers->Members()) {
     const bool counts =
       !member.mLastMessage.mZone.empty() && mMembers->IsReachable(name, aNow);
     if (counts) {
       AddVm(summary, member.mLastMessage, aUpstreams, aZone);
+      MergeSpeeds(summary.mSpeeds, member.mSpeeds);
     }
   }
   std::sort(summary.mGoneUpstreams.begin(), summary.mGoneUpstreams.end());
@@ -276,6 +278,8 @@
   summary.mFailingUpstreams =
     WorstFailing(std::move(summary.mFailingUpstreams),
                  mSummaries->GetSettings().mMaxFailingUpstreams);
+  summary.mSpeeds = SelectSpeeds(
+    summary.mSpeeds, kSpeedsPerSummary, SpreadTurn(aOwn.mSequence));
   return summary;
 }
 
--- a/Peridothoist/Cells/GossipSummary.h
+++ b/Peridothoist/Cells/GossipSummary.h
@@ -9,6 +9,7 @@
 #include <Peridothoist/Relay/MembershipTable.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/WorkspaceRateLimiter.h>
+#include <Peridothoist/Routing/UpstreamSpeeds.h>
 
 namespace peridothoist {
 
@@ -36,9 +37,15 @@
   std::vector<CrashReport> mCrashReports;
   LimitsByUpstream mLimits; ///< As upstreams stated them to these VMs.
   ColdTimes mCold;          ///< Cold upstreams that these VMs learnt of.
+  SpeedsByUpstream mSpeeds; ///< Of some upstreams, as these VMs learnt them.
   std::vector<CallerAddress> mCallers;
 };
 
+/// Numbers of upstreams whose speeds one message and one summary tell. Every
+/// summary tells some, but only one message of several does.
+constexpr std::size_t kSpeedsPerMessage = 16;
+constexpr std::size_t kSpeedsPerSummary = 8;
+
 /// Adds the granted tokens of aFrom to aTo.
 void
 AddGranted(GrantedTokens& aTo, const GrantedTokens& aFrom);
--- a/Peridothoist/Relay/MembershipTable.h
+++ b/Peridothoist/Relay/MembershipTable.h
@@ -8,6 +8,7 @@
 #include <Peridothoist/Relay/UpstreamList.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/WorkspaceRateLimiter.h>
+#include <Peridothoist/Routing/UpstreamSpeeds.h>
 
 #include <set>
 
@@ -58,6 +59,7 @@
   std::vector<CrashReport> mCrashReports;
   LimitsByUpstream mLimits;        ///< As upstreams stated them to this VM.
   ColdTimes mCold;                 ///< Cold upstreams that it learnt of.
+  SpeedsByUpstream mSpeeds;        ///< Of some upstreams, as it learnt them.
   DemandByService mDemand;         ///< For services with limited upstreams.
   std::vector<std::string> mPeers; ///< Peer addresses that it knows.
   /// It answers a VM of another cell with the addresses of that VM's cell.
@@ -126,6 +128,9 @@
   {
     GossipMessage mLastMessage; ///< The last message.
     TimePoint mLastSeen;        ///< When it was received.
+    /// Speeds that it told last, which most messages don't tell.
+    SpeedsByUpstream mSpeeds;
+    std::uint64_t mSpeedsSequence = 0; ///< Of the message that told them.
   };
   const std::map<std::string, Member>& Members() const { return mMembers; }
 
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -35,6 +35,7 @@
 #include <Peridothoist/Relay/UpstreamLimiter.h>
 #include <Peridothoist/Relay/UpstreamReach.h>
 #include <Peridothoist/Request/TimerQueue.h>
+#include <Peridothoist/Routing/UpstreamSpeeds.h>
 
 #include <array>
 #include <set>
@@ -117,6 +118,7 @@
   UpstreamChooserSettings mChooser;
   UpstreamLoadTrackerSettings mLoads;
   UpstreamLimiterSettings mLimits;
+  UpstreamSpeedsSettings mSpeeds;
   UpstreamListSettings mUpstreamList;
   UpstreamReachSettings mReach;
   StreamOriginTableSettings mOrigins;
@@ -231,6 +233,7 @@
   UpstreamLoadTracker& Loads() { return mLoads; }
   CrashEvidence& Crashes() { return mCrashEvidence; }
   UpstreamLimiter& Limits() { return mLimiter; }
+  UpstreamSpeeds& Speeds() { return mSpeeds; }
   const UpstreamReach& Reach() const { return mReach; }
 
   /// Called with what a response of the upstream states about its limit.
@@ -245,6 +248,12 @@
                     TimePoint aNow);
   /// Called with what other VMs learnt of cold upstreams.
   void OnPeerCold(const ColdTimes& aTimes, TimePoint aNow);
+  /// Called when a process of an upstream stated how long work takes there.
+  void OnWorkTimeStated(const UpstreamProcess& aProcess,
+                        std::uint32_t aPercent,
+                        TimePoint aNow);
+  /// Called with what other VMs learnt of the speeds of upstreams.
+  void OnPeerSpeeds(const SpeedsByUpstream& aSpeeds, TimePoint aNow);
   /// Sets the availability zones that are evacuated. Upstreams of zones that
   /// no longer are may have become cold meanwhile.
   void OnZonesEvacuated(const std::set<std::string>& aZones,
@@ -305,6 +314,8 @@
     RelayCallKind mKind = RelayCallKind::Whole;
     std::uint64_t mTokens = 0;     ///< KV memory counted in mLoads.
     std::uint64_t mUsedTokens = 0; ///< Of the prompt and the events so far.
+    double mWorkUnits = 0;         ///< See WorkUnitsOf().
+    EventPace mPace;               ///< Of a stream's events.
     bool mMayHaveBeenSent = false;
     bool mIsRetry = false;  ///< Counted by the retry budget.
     bool mHasEvent = false; ///< Stream: an event was received.
@@ -380,6 +391,8 @@
   Call StartCall(State& aState,
                  const RelayUpstream& aUpstream,
                  RelayCallKind aKind);
+  std::uint64_t TokensOf(const State& aState, RelayCallKind aKind) const;
+  double WorkUnitsOf(const RelayUpstream& aUpstream) const;
   bool HasRetryBudget(const State& aState);
   bool ChargeRetry(State& aState);
   void OnNoUpstreamChosen(State& aState, NoChoiceReason aReason);
@@ -441,6 +454,12 @@
   bool IsLate(const State& aState) const;
   const EngineLimits* EnginesOf(const State& aState) const;
 
+  // Speeds of upstreams
+  static SpeedSubject SubjectOf(const RelayUpstream& aUpstream);
+  const RelayUpstream* ProcessOf(const Call& aCall) const;
+  void LearnPace(Call& aCall);
+  void LearnCallTime(const Call& aCall);
+
   // Ends of calls
   using CallEndHandler = void (RelayStateMachine::*)(State&,
                                                      const Call&,
@@ -560,6 +579,7 @@
   UpstreamList mUpstreamList;
   UpstreamLoadTracker mLoads;
   UpstreamLimiter mLimiter;
+  UpstreamSpeeds mSpeeds;
   UpstreamReach mReach;
   UpstreamChooser mChooser;
   PrefillPlanner mPlanner;
--- a/UnitTests/Cells/FleetGossipTest.cpp
+++ b/UnitTests/Cells/FleetGossipTest.cpp
@@ -18,6 +18,8 @@
 constexpr int kPerZone = 59;
 constexpr std::size_t kVms = kZones * kPerZone;
 const TimePoint kStart{ 1h };
+/// Messages of a VM of which one tells speeds of upstreams.
+constexpr std::uint64_t kMessagesPerSpeedReport = 7;
 
 /// One VM's state as its gossip needs it.
 struct Vm
@@ -44,6 +46,9 @@
     message.mGranted = { { "w", 10 } };
     message.mWork = { { "engine-" + mRecord.mZone, { 1, 100 } } };
     message.mWaiting = { { "s", { 1, 0 } } };
+    if (aSequence % kMessagesPerSpeedReport == 0) {
+      message.mSpeeds = mSpeeds;
+    }
     return message;
   }
 
@@ -51,6 +56,7 @@
   MembershipTable mMembers;
   SummaryTable mSummaries;
   CellMembership mCells;
+  SpeedsByUpstream mSpeeds; ///< That it tells the others.
 };
 
 /// All VMs, and the messages between them, by address.
@@ -244,3 +250,45 @@
   CallerDirectory directory({}, &random);
   BOOST_TEST(directory.Select(callers, "z3", callers.size()).size() == 64U);
 }
+
+// A VM of one cell learns that an engine is slow, and those of the others send
+// to it as before; or the summaries grow with the number of upstreams.
+BOOST_AUTO_TEST_CASE(SpeedsReachAllCellsInFewBytes)
+{
+  Fleet fleet;
+  for (int round = 0; round < 6; ++round) {
+    fleet.Round(); // Until leaders are known.
+  }
+  Vm& learner = *fleet.mVms.at(MakeVm("z1", 7).mPeerAddress);
+  learner.mSpeeds = { { "engine-z0", { 1.7, 40, 3 } } };
+  for (int n = 0; n < 16; ++n) { // In one message, but in two summaries.
+    learner.mSpeeds["i-" + std::to_string(n)] = { 0.7, 20, 3 };
+  }
+  const CellId cell = learner.mCells.OwnCell();
+  std::map<std::string, std::set<std::string>> heard; // By leader.
+  const TimePoint start = fleet.mNow;
+  for (; fleet.mNow < start + 3500ms; fleet.Round()) {
+    for (Vm* leader : fleet.Leaders()) {
+      const GossipSummary* summary = leader->mSummaries.Find(cell);
+      if (summary != nullptr) {
+        BOOST_REQUIRE(summary->mSpeeds.size() <= kSpeedsPerSummary);
+        for (const auto& [id, speed] : summary->mSpeeds) {
+          heard[leader->mRecord.mName].insert(id);
+        }
+      }
+    }
+  }
+  BOOST_TEST(heard.size() == fleet.Leaders().size() - 1);
+  for (const auto& [leader, ids] : heard) {
+    BOOST_TEST(ids.size() == learner.mSpeeds.size());
+  }
+  // They are not told for ever.
+  learner.mSpeeds.clear();
+  for (int round = 0; round < 20; ++round) {
+    fleet.Round();
+  }
+  for (Vm* leader : fleet.Leaders()) {
+    const GossipSummary* summary = leader->mSummaries.Find(cell);
+    BOOST_TEST((summary == nullptr || summary->mSpeeds.empty()));
+  }
+}
