Let requests wait a moment for their workspace's allowance

Some were refused although the tokens left covered their cost, since part of the burst is kept for small ones.

Change: a request whose tokens are expected within a part of its route's target latency (--allowance_wait_part, 0.5; 0: as before) waits. Within a workspace waiting requests are ordered by priority, then by the end of their wait; the queue is bounded in count and bytes for each workspace and for the VM. At the end of the wait key, configuration and deadline are checked again and the allowance is charged, once. A request that is no longer expected to be in time is refused as not run. The estimate counts this VM's part of the workspace's grants, since other VMs spend the rest.

--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -48,6 +48,14 @@
     .Add();
 }
 
+void
+NodeMetrics::ObserveAllowanceWait(const char* aResult, Duration aWaited)
+{
+  const MetricLabels result = { { "result", aResult } };
+  mMetrics.GetHistogram("peridothoist_allowance_wait_seconds", result)
+    .Observe(aWaited);
+}
+
 void
 NodeMetrics::ObserveLoopLag(Duration aLag)
 {
@@ -165,6 +173,8 @@
   set("peridothoist_open_requests", static_cast<double>(aGauges.mOpenRequests));
   set("peridothoist_waiting_requests",
       static_cast<double>(aGauges.mWaitingRequests));
+  set("peridothoist_waiting_for_allowance",
+      static_cast<double>(aGauges.mWaitingForAllowance));
   set("peridothoist_limited_upstreams",
       static_cast<double>(aGauges.mLimitedUpstreams));
   set("peridothoist_cold_upstreams",
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -20,6 +20,7 @@
   double mReachableFraction = 0; ///< Fraction of mVmCount.
   std::size_t mOpenRequests = 0;
   std::size_t mWaitingRequests = 0;
+  std::size_t mWaitingForAllowance = 0;
   std::size_t mLimitedUpstreams = 0; ///< That state a limit, or are cold.
   std::size_t mColdUpstreams = 0;
   std::size_t mEvacuatedZones = 0;
@@ -40,6 +41,10 @@
   /// Records a request that was refused on arrival.
   void ObserveRefusal(RefusalKind aKind);
 
+  /// Records the end of a wait for a workspace's allowance. aResult:
+  /// "admitted", "refused" or "left".
+  void ObserveAllowanceWait(const char* aResult, Duration aWaited);
+
   /// Records a finished call to an upstream.
   void ObserveCall(RelayCallKind aKind, bool aSucceeded, Duration aDuration);
 
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -17,6 +17,10 @@
 
 constexpr Duration kLeaveCheckInterval = 50ms;
 
+/// Retry delay of requests that wait for their allowance when this VM stops to
+/// accept connections. Another VM can serve them at once.
+constexpr Duration kLeavingRetryAfter = 10ms;
+
 /// Interval between reports of lost log lines.
 constexpr Duration kLogLossInterval = 1s;
 
@@ -70,6 +74,7 @@
   , mView(aSettings.mView)
   , mRateLimiter(aSettings.mRateLimiter, Reactor::ReadClock())
   , mAdmission(&mView, &mRateLimiter, &mRandom)
+  , mWaitingAdmission(aSettings.mAdmission, &mAdmission, &mRateLimiter)
   , mMachine(WithStartTime(aSettings.mMachine), &mAdmission, &mRandom)
   , mDirectory(aSettings.mDirectory, &mRandom)
   , mExecutor(aReactor,
@@ -78,6 +83,7 @@
               aProtocols.mCallers,
               aProtocols.mUpstreams,
               this)
+  , mAdmissionExecutor(aReactor, &mWaitingAdmission, this)
   , mStore(aProtocols.mStore, aReactor, &mMetrics.Registry())
   , mViews(aSettings.mViews,
            aSettings.Record(),
@@ -164,33 +170,72 @@
 void
 NodeProcess::OnRequest(std::shared_ptr<HttpExchange> aExchange)
 {
-  const TimePoint now = mReactor->Now();
   Reason reason;
-  const auto request =
+  auto request =
     mProtocols.mCallers->ParseRequest(aExchange->Request(), &reason);
-  Refusal refusal;
-  std::optional<AdmittedRequest> admitted;
   if (request) {
-    admitted = mAdmission.Admit(mExecutor.NextId(), *request, now, &refusal);
-  } else {
-    refusal =
-      Refusal::Make(RefusalKind::BadRequest, RunVerdictTracker(), Duration(0));
+    mAdmissionExecutor.OnRequest(
+      mExecutor.NextId(), std::move(*request), std::move(aExchange));
+    return;
   }
-  if (admitted) {
-    const auto leaving = RefuseWhileLeaving(*admitted);
-    if (leaving) {
-      refusal = *leaving;
-      mAdmission.Refund(*admitted, now);
-      admitted.reset();
-    }
+  const Refusal refusal =
+    Refusal::Make(RefusalKind::BadRequest, RunVerdictTracker(), Duration(0));
+  RefuseOnArrival(*aExchange, request, refusal, reason);
+}
+
+void
+NodeProcess::OnAdmitted(std::shared_ptr<HttpExchange> aExchange,
+                        AdmittedRequest aAdmitted,
+                        const IncomingRequest& aRequest,
+                        Duration aWaited)
+{
+  if (aWaited > Duration(0)) {
+    mMetrics.ObserveAllowanceWait("admitted", aWaited);
   }
-  if (admitted) {
-    mExecutor.Admit(std::move(aExchange), std::move(*admitted), request->mName);
+  if (const auto leaving = RefuseWhileLeaving(aAdmitted)) {
+    mAdmission.Refund(aAdmitted, mReactor->Now());
+    RefuseOnArrival(*aExchange, aRequest, *leaving, Reason(), aWaited);
     return;
   }
-  mMetrics.ObserveRefusal(refusal.mKind);
-  LogRefusal(request, refusal, reason);
-  mExecutor.Refuse(*aExchange, refusal);
+  mExecutor.Admit(
+    std::move(aExchange), std::move(aAdmitted), aRequest.mName, aWaited);
+}
+
+void
+NodeProcess::OnRefused(HttpExchange& aExchange,
+                       const IncomingRequest& aRequest,
+                       const Refusal& aRefusal,
+                       std::optional<Duration> aWaited)
+{
+  if (aWaited) {
+    mMetrics.ObserveAllowanceWait("refused", *aWaited);
+  }
+  RefuseOnArrival(
+    aExchange, aRequest, aRefusal, Reason(), aWaited.value_or(Duration(0)));
+}
+
+void
+NodeProcess::OnCallerLeft(const IncomingRequest& aRequest, Duration aWaited)
+{
+  mMetrics.ObserveAllowanceWait("left", aWaited);
+  Log::Info("left_waiting_for_allowance")
+    .Field("id", aRequest.mName)
+    .Field("allowance_wait_ms", ToMillis(aWaited))
+    .Field("ms", ToMillis(aWaited));
+}
+
+/// Refuses a request that is not passed to the state machine. aWaited: for its
+/// allowance.
+void
+NodeProcess::RefuseOnArrival(HttpExchange& aExchange,
+                             const std::optional<IncomingRequest>& aRequest,
+                             const Refusal& aRefusal,
+                             const Reason& aReason,
+                             Duration aWaited)
+{
+  mMetrics.ObserveRefusal(aRefusal.mKind);
+  LogRefusal(aRequest, aRefusal, aReason, aWaited);
+  mExecutor.Refuse(aExchange, aRefusal);
 }
 
 /// Returns a refusal if the request is a stream that might not finish before
@@ -212,7 +257,8 @@
 void
 NodeProcess::LogRefusal(const std::optional<IncomingRequest>& aRequest,
                         const Refusal& aRefusal,
-                        const Reason& aReason)
+                        const Reason& aReason,
+                        Duration aWaited)
 {
   const TimePoint now = mReactor->Now();
   const auto& configuration = mView.Configuration();
@@ -227,7 +273,10 @@
     .Field("version", mView.Version())
     .Field("view_age_ms", ToMillis(mView.Age(now)))
     .Field("retry_after_ms", ToMillis(aRefusal.mRetryAfter))
-    .Field("reason", aReason.mText);
+    .Field("reason", aReason.mText)
+    .Field("allowance_wait_ms", ToMillis(aWaited))
+    .Field("allowance_waiting", mWaitingAdmission.Queue().Count())
+    .Field("ms", ToMillis(aWaited));
   if (workspace != nullptr) {
     line.Field("workspace", workspace->mName)
       .Field("cost", RelayAdmission::CostOf(*workspace, *aRequest))
@@ -247,6 +296,9 @@
     LogChangedLimits(old.get(), *aConfiguration);
     mMachine.SetConfiguration(aConfiguration);
     mRateLimiter.SetWorkspaces(aConfiguration->Workspaces());
+    if (before != aConfiguration->mVersion) {
+      mAdmissionExecutor.OnConfigurationChanged();
+    }
     if (before != aConfiguration->mVersion) {
       Log::Info("configuration_in_force")
         .Field("version", aConfiguration->mVersion)
@@ -427,6 +479,7 @@
     .Field("upstream", aSummary.mUpstream)
     .Field("software", aSummary.mSoftwareVersion)
     .Field("version", mView.Version())
+    .Field("allowance_wait_ms", ToMillis(aSummary.mAllowanceWait))
     .Field("gap_ms", ToMillis(aSummary.mMaxEventGap))
     .Field("first_ms", ToMillis(aSummary.mTimeToFirstEvent))
     .Field("ms", ToMillis(duration));
@@ -563,6 +616,9 @@
   const Duration since = mReactor->Now() - mLeavingSince;
   if (since >= mSettings.mLeavingAcceptPeriod && !mIsDraining) {
     mIsDraining = true;
+    const auto leaving = Refusal::Make(
+      RefusalKind::Leaving, RunVerdictTracker(), kLeavingRetryAfter);
+    mAdmissionExecutor.StopWaiting(leaving);
     mCallerServer->StartDrain();
   }
   const bool isDone = mIsDraining && mExecutor.OpenRequestCount() == 0 &&
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -5,6 +5,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Cells/HomeEngines.h>
+#include <Peridothoist/Node/AdmissionExecutor.h>
 #include <Peridothoist/Node/CallerProtocol.h>
 #include <Peridothoist/Node/InstrumentedRowStore.h>
 #include <Peridothoist/Node/NodeLog.h>
@@ -38,6 +39,7 @@
   , public ViewUpdaterListener
   , public NodeGossipListener
   , public RelayExecutorListener
+  , public AdmissionExecutorListener
   , public LoopMonitorListener
   , public TunnelServerListener
 {
@@ -81,9 +83,15 @@
   NodeGauges Gauges();
   std::string RenderMetrics();
   void CheckLeaveProgress();
+  void RefuseOnArrival(HttpExchange& aExchange,
+                       const std::optional<IncomingRequest>& aRequest,
+                       const Refusal& aRefusal,
+                       const Reason& aReason,
+                       Duration aWaited = Duration(0));
   void LogRefusal(const std::optional<IncomingRequest>& aRequest,
                   const Refusal& aRefusal,
-                  const Reason& aReason);
+                  const Reason& aReason,
+                  Duration aWaited);
   void ApplyEvacuations(const RelayConfiguration& aConfiguration,
                         TimePoint aConfirmedAt);
   std::optional<Refusal> RefuseWhileLeaving(const AdmittedRequest& aAdmitted);
@@ -121,6 +129,16 @@
   void OnOriginDecided(const std::string& aKey,
                        const StreamOrigin& aOrigin) override;
   void OnOriginNeeded(const std::string& aKey) override;
+  // See: AdmissionExecutorListener
+  void OnAdmitted(std::shared_ptr<HttpExchange> aExchange,
+                  AdmittedRequest aAdmitted,
+                  const IncomingRequest& aRequest,
+                  Duration aWaited) override;
+  void OnRefused(HttpExchange& aExchange,
+                 const IncomingRequest& aRequest,
+                 const Refusal& aRefusal,
+                 std::optional<Duration> aWaited) override;
+  void OnCallerLeft(const IncomingRequest& aRequest, Duration aWaited) override;
   // See: TunnelServerListener
   TunnelVerdict CheckTarget(const std::string& aTarget) override;
   void OnTargetTried(const std::string& aTarget, bool aIsConnected) override;
@@ -136,11 +154,13 @@
   ConfirmedView mView;
   WorkspaceRateLimiter mRateLimiter;
   RelayAdmission mAdmission;
+  WaitingAdmission mWaitingAdmission;
   CrashEvidenceLog mCrashLog;
   RelayStateMachine mMachine;
   CallerDirectory mDirectory;
   NodeMetrics mMetrics;
   RelayExecutor mExecutor;
+  AdmissionExecutor mAdmissionExecutor;
   InstrumentedRowStore mStore;
   ViewUpdater mViews;
   VmRegistry mRegistry;
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -168,6 +168,7 @@
   gauges.mReachableFraction = mGossip->Members().ReachableFraction(now);
   gauges.mOpenRequests = mMachine.OpenRequestCount();
   gauges.mWaitingRequests = mMachine.WaitingRequestCount();
+  gauges.mWaitingForAllowance = mWaitingAdmission.Queue().Count();
   gauges.mLimitedUpstreams = mMachine.Limits().LimitedCount(mReactor->Now());
   gauges.mColdUpstreams = mMachine.Limits().ColdCount(mReactor->Now());
   gauges.mEvacuatedZones = mMachine.ListedUpstreams().EvacuatedZones().size();
--- a/Peridothoist/Node/NodeSettings.cpp
+++ b/Peridothoist/Node/NodeSettings.cpp
@@ -69,6 +69,12 @@
                    "setting prefill_part is " + std::to_string(prefill) +
                      "; allowed: 0 to 1" };
   }
+  const double waitPart = mAdmission.mWaitPart;
+  if (!(waitPart >= 0 && waitPart <= 1)) {
+    return Reason{ ReasonCode::Invalid,
+                   "setting allowance_wait_part is " +
+                     std::to_string(waitPart) + "; allowed: 0 to 1" };
+  }
   return std::nullopt;
 }
 
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -12,6 +12,7 @@
 #include <Peridothoist/Relay/ConfirmedView.h>
 #include <Peridothoist/Relay/MembershipTable.h>
 #include <Peridothoist/Relay/RelayStateMachine.h>
+#include <Peridothoist/Relay/WaitingAdmission.h>
 
 namespace peridothoist {
 
@@ -81,6 +82,7 @@
   SummaryTableSettings mSummaries;
   CallerDirectorySettings mDirectory;
   WorkspaceRateLimiterSettings mRateLimiter;
+  WaitingAdmissionSettings mAdmission;
   ViewUpdaterSettings mViews;
   RelayStateMachineSettings mMachine;
   StreamOriginExchangeSettings mOrigins;
--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -260,7 +260,8 @@
 void
 RelayExecutor::Admit(std::shared_ptr<HttpExchange> aExchange,
                      AdmittedRequest aAdmitted,
-                     const std::string& aCallerRequestId)
+                     const std::string& aCallerRequestId,
+                     Duration aAllowanceWait)
 {
   Request& request = mRequests[aAdmitted.mId];
   request.mCallerListener =
@@ -276,6 +277,7 @@
   request.mSummary.mPromptTokens = aAdmitted.mPromptTokens;
   request.mSummary.mMaxTokens = aAdmitted.mTokens;
   request.mSummary.mSharedPromptParts = aAdmitted.mSharedPromptParts;
+  request.mSummary.mAllowanceWait = aAllowanceWait;
   Deliver(
     [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
       aMachine.OnArrival(std::move(aAdmitted), aNow, aOut);
--- a/Peridothoist/Node/RelayExecutor.h
+++ b/Peridothoist/Node/RelayExecutor.h
@@ -34,6 +34,7 @@
   std::string mSoftwareVersion;
   Duration mTimeToFirstEvent{ 0 }; ///< Streams: from arrival.
   Duration mTimeToFirstCall{ 0 };  ///< To an upstream, from arrival.
+  Duration mAllowanceWait{ 0 };    ///< For the workspace's allowance.
 };
 
 /// Receives the events of a RelayExecutor.
@@ -78,10 +79,12 @@
                 RelayExecutorListener* aListener);
   ~RelayExecutor();
 
-  /// Takes over an admitted request.
+  /// Takes over an admitted request. aAllowanceWait: time that it waited for
+  /// its workspace's allowance.
   void Admit(std::shared_ptr<HttpExchange> aExchange,
              AdmittedRequest aAdmitted,
-             const std::string& aCallerRequestId);
+             const std::string& aCallerRequestId,
+             Duration aAllowanceWait);
 
   /// Responds to a request with a refusal.
   void Refuse(HttpExchange& aExchange, const Refusal& aRefusal) const;
--- a/Peridothoist/Relay/RelayAdmission.cpp
+++ b/Peridothoist/Relay/RelayAdmission.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Assumed total wait of a caller that states none, for computing retry delays.
-constexpr Duration kDefaultCallerTimeout = 10s;
-
 /// Requests that state no expected output are assumed to generate this fraction
 /// of their maximum.
 constexpr double kTypicalOutputFraction = 0.4;
@@ -80,6 +77,44 @@
                       const IncomingRequest& aRequest,
                       TimePoint aNow,
                       Refusal* aRefusal)
+{
+  auto admitted = Prepare(aId, aRequest, aNow, aNow, aRefusal);
+  if (!admitted) {
+    return std::nullopt;
+  }
+  if (const auto wait = Charge(*admitted, aNow)) {
+    *aRefusal = RefuseOverAllowance(*admitted, *wait);
+    return std::nullopt;
+  }
+  return admitted;
+}
+
+std::optional<Duration>
+RelayAdmission::Charge(const AdmittedRequest& aRequest, TimePoint aNow)
+{
+  if (aRequest.mWorkspace.empty()) {
+    return std::nullopt;
+  }
+  return mRateLimiter->SpendOrGetWait(
+    aRequest.mWorkspace, aRequest.mCost, aNow);
+}
+
+Refusal
+RelayAdmission::RefuseOverAllowance(const AdmittedRequest& aRequest,
+                                    Duration aWait)
+{
+  const auto spread = std::chrono::duration_cast<Duration>(
+    aWait * (1.0 + mRandom->UniformFraction()));
+  const Duration maxWait = MaxRetryWait(aRequest.mCallerTimeout);
+  return NotRun(RefusalKind::OverAllowance, std::min(maxWait, spread));
+}
+
+std::optional<AdmittedRequest>
+RelayAdmission::Prepare(std::uint64_t aId,
+                        const IncomingRequest& aRequest,
+                        TimePoint aArrivedAt,
+                        TimePoint aNow,
+                        Refusal* aRefusal)
 {
   const Duration callerTimeout =
     aRequest.mCallerTimeout.value_or(kDefaultCallerTimeout);
@@ -129,14 +164,6 @@
     admitted.mKey = aRequest.mKey;
     admitted.mPriority = workspace->mPriority.value_or(route->mPriority);
     admitted.mCost = CostOf(*workspace, aRequest);
-    const auto wait =
-      mRateLimiter->SpendOrGetWait(workspace->mName, admitted.mCost, aNow);
-    if (wait) {
-      const auto spread = std::chrono::duration_cast<Duration>(
-        *wait * (1.0 + mRandom->UniformFraction()));
-      *aRefusal = NotRun(RefusalKind::OverAllowance, std::min(maxWait, spread));
-      return std::nullopt;
-    }
   }
   admitted.mDigest =
     admitted.mWorkspace + '/' + aRequest.mDigest.substr(0, kDigestChars);
@@ -150,11 +177,17 @@
   admitted.mOriginKey =
     admitted.mWorkspace + '/' +
     (namesOrigin ? aRequest.mResumedRequest : aRequest.mName);
-  admitted.mArrivedAt = aNow;
+  admitted.mArrivedAt = aArrivedAt;
   admitted.mCallerTimeout = callerTimeout;
-  admitted.mDeadline = aNow + route->mTimeout;
+  admitted.mDeadline = aArrivedAt + route->mTimeout;
   if (aRequest.mCallerTimeout) {
-    admitted.mDeadline = std::min(admitted.mDeadline, aNow + callerTimeout);
+    admitted.mDeadline =
+      std::min(admitted.mDeadline, aArrivedAt + callerTimeout);
+  }
+  // A request that arrives with a deadline of 0 is left to the state machine.
+  if (aNow > aArrivedAt && admitted.mDeadline <= aNow) {
+    *aRefusal = NotRun(RefusalKind::DeadlinePassed, Duration(0));
+    return std::nullopt;
   }
   return admitted;
 }
--- a/Peridothoist/Relay/RelayAdmission.h
+++ b/Peridothoist/Relay/RelayAdmission.h
@@ -11,6 +11,9 @@
 
 namespace peridothoist {
 
+/// Assumed total wait of a caller that states none, for computing retry delays.
+constexpr Duration kDefaultCallerTimeout = 10s;
+
 /// A caller's request before admission, as its head states it.
 struct IncomingRequest
 {
@@ -49,6 +52,24 @@
                                        TimePoint aNow,
                                        Refusal* aRefusal);
 
+  /// Returns a request that may be admitted, without charging its allowance; or
+  /// nullopt, with the reason in aRefusal. aArrivedAt: its arrival, from which
+  /// its deadline counts.
+  std::optional<AdmittedRequest> Prepare(std::uint64_t aId,
+                                         const IncomingRequest& aRequest,
+                                         TimePoint aArrivedAt,
+                                         TimePoint aNow,
+                                         Refusal* aRefusal);
+
+  /// Charges the allowance of a prepared request and returns nullopt, or
+  /// returns how long until the tokens are available.
+  std::optional<Duration> Charge(const AdmittedRequest& aRequest,
+                                 TimePoint aNow);
+
+  /// Returns the refusal of a prepared request whose tokens are available after
+  /// aWait.
+  Refusal RefuseOverAllowance(const AdmittedRequest& aRequest, Duration aWait);
+
   /// Returns what a request costs its workspace's allowance.
   static double CostOf(const RelayWorkspace& aWorkspace,
                        const IncomingRequest& aRequest);
--- a/Peridothoist/Relay/WorkspaceRateLimiter.cpp
+++ b/Peridothoist/Relay/WorkspaceRateLimiter.cpp
@@ -13,6 +13,17 @@
 /// returned waits are bounded.
 constexpr double kMinReachableFraction = 0.01;
 
+/// Lower bound of this VM's part of a workspace's grants when a wait is
+/// estimated. A VM that granted nothing of late gets some part again as soon as
+/// requests wait there.
+constexpr double kMinOwnPart = 0.1;
+
+Duration
+FromSeconds(double aSeconds)
+{
+  return std::chrono::ceil<Duration>(std::chrono::duration<double>(aSeconds));
+}
+
 } // namespace
 
 WorkspaceRateLimiter::WorkspaceRateLimiter(const Settings& aSettings,
@@ -48,13 +59,12 @@
 }
 
 void
-WorkspaceRateLimiter::AddGrant(Account& aAccount,
-                               double aTokens,
-                               TimePoint aNow) const
+WorkspaceRateLimiter::AddGrant(Account& aAccount, const Grant& aGrant) const
 {
-  aAccount.mGrants.push_back({ aNow, aTokens });
-  aAccount.mSum += aTokens;
-  aAccount.mLevel -= aTokens;
+  aAccount.mGrants.push_back(aGrant);
+  aAccount.mSum += aGrant.mTokens;
+  aAccount.mOwnSum += aGrant.mIsOwn ? aGrant.mTokens : 0;
+  aAccount.mLevel -= aGrant.mTokens;
 }
 
 /// Refills the bucket for the time since its last refill.
@@ -74,7 +84,9 @@
 {
   while (!aAccount.mGrants.empty() &&
          aAccount.mGrants.front().mAt <= aNow - mSettings.mWindow) {
-    aAccount.mSum -= aAccount.mGrants.front().mTokens;
+    const Grant& oldest = aAccount.mGrants.front();
+    aAccount.mSum -= oldest.mTokens;
+    aAccount.mOwnSum -= oldest.mIsOwn ? oldest.mTokens : 0;
     aAccount.mGrants.pop_front();
   }
 }
@@ -115,6 +127,62 @@
   return mSettings.mWindow;
 }
 
+/// Returns how long until aMissing tokens have filled into the bucket.
+Duration
+WorkspaceRateLimiter::TimeUntilFilled(const Account& aAccount,
+                                      double aMissing) const
+{
+  return FromSeconds(
+    aMissing /
+    (aAccount.mRate * std::max(mReachableFraction, kMinReachableFraction)));
+}
+
+/// Returns how long until aExcess tokens over the window's limit fit into it:
+/// older grants leave the window, and the limit of a VM that started within the
+/// last window grows.
+Duration
+WorkspaceRateLimiter::TimeUntilInWindow(const Account& aAccount,
+                                        double aExcess,
+                                        TimePoint aNow) const
+{
+  const Duration freed = TimeUntilFreed(aAccount, aExcess, aNow);
+  if (aNow - mStart >= mSettings.mWindow) {
+    return freed;
+  }
+  const double growth =
+    (aAccount.mRate + aAccount.mBurst / ToSeconds(mSettings.mWindow)) *
+    std::max(mReachableFraction, kMinReachableFraction);
+  return std::min(freed, FromSeconds(aExcess / growth));
+}
+
+Duration
+WorkspaceRateLimiter::EstimateWait(const std::string& aWorkspace,
+                                   double aTokens,
+                                   double aAhead,
+                                   TimePoint aNow)
+{
+  Account* account = FindLimitedAccount(aWorkspace);
+  if (account == nullptr) {
+    return Duration(0);
+  }
+  DropExpired(*account, aNow);
+  Refill(*account, aNow);
+  const double ownPart =
+    account->mSum > 0 ? account->mOwnSum / account->mSum : 1;
+  const double ahead = aAhead / std::clamp(ownPart, kMinOwnPart, 1.0);
+  const double full = account->mBurst * mReachableFraction;
+  const double needed =
+    std::min(full, aTokens + ReservedForSmall(*account, aTokens)) + ahead;
+  const double missing = std::max(0.0, needed - account->mLevel);
+  const double limit = WindowLimit(*account, aNow);
+  const double excess = account->mSum + aTokens + ahead - limit;
+  const bool isFirstInWindow = account->mSum + ahead <= 0 && limit > 0;
+  const Duration window = excess > 0 && !isFirstInWindow
+                            ? TimeUntilInWindow(*account, excess, aNow)
+                            : Duration(0);
+  return std::max(TimeUntilFilled(*account, missing), window);
+}
+
 std::optional<Duration>
 WorkspaceRateLimiter::SpendOrGetWait(const std::string& aWorkspace,
                                      double aTokens,
@@ -135,15 +203,12 @@
   const bool isFirstInWindow = account->mSum <= 0 && limit > 0;
   const double excess = account->mSum + aTokens - limit;
   if (account->mLevel < needed) {
-    const double missing = needed - account->mLevel;
-    return std::chrono::ceil<Duration>(std::chrono::duration<double>(
-      missing /
-      (account->mRate * std::max(mReachableFraction, kMinReachableFraction))));
+    return TimeUntilFilled(*account, needed - account->mLevel);
   }
   if (excess > 0 && !isFirstInWindow) {
     return TimeUntilFreed(*account, excess, aNow);
   }
-  AddGrant(*account, aTokens, aNow);
+  AddGrant(*account, { aNow, aTokens, true });
   mGranted[aWorkspace] += static_cast<std::int64_t>(aTokens);
   return std::nullopt;
 }
@@ -158,7 +223,7 @@
     return;
   }
   Refill(*account, aNow);
-  AddGrant(*account, -aTokens, aNow);
+  AddGrant(*account, { aNow, -aTokens, true });
   mGranted[aWorkspace] -= static_cast<std::int64_t>(aTokens);
 }
 
@@ -185,7 +250,7 @@
     if (account != nullptr) {
       DropExpired(*account, aNow);
       Refill(*account, aNow);
-      AddGrant(*account, static_cast<double>(delta), aNow);
+      AddGrant(*account, { aNow, static_cast<double>(delta), false });
     }
   }
   known->second = aGranted;
--- a/Peridothoist/Relay/WorkspaceRateLimiter.h
+++ b/Peridothoist/Relay/WorkspaceRateLimiter.h
@@ -63,6 +63,15 @@
                                          double aTokens,
                                          TimePoint aNow);
 
+  /// Returns how long until aTokens are expected to be available after aAhead
+  /// others were granted here; 0 for a workspace without a limit. The aAhead
+  /// tokens are granted at the part of the rate that this VM has of late, since
+  /// the other VMs go on spending the rest.
+  Duration EstimateWait(const std::string& aWorkspace,
+                        double aTokens,
+                        double aAhead,
+                        TimePoint aNow);
+
   /// Refunds aTokens to a workspace whose request did not run.
   void Refund(const std::string& aWorkspace, double aTokens, TimePoint aNow);
 
@@ -86,7 +95,8 @@
   struct Grant
   {
     TimePoint mAt;
-    double mTokens = 0; ///< Negative: a refund.
+    double mTokens = 0;  ///< Negative: a refund.
+    bool mIsOwn = false; ///< Granted by this VM.
   };
   struct Account
   {
@@ -94,16 +104,21 @@
     double mBurst = 0;         ///< Tokens, over all VMs.
     std::deque<Grant> mGrants; ///< Within the window, in order.
     double mSum = 0;           ///< Sum over mGrants.
+    double mOwnSum = 0;        ///< Part of mSum that this VM granted.
     double mLevel = 0;         ///< Bucket level; negative after late reports.
     TimePoint mLevelTime;      ///< Time at which mLevel was computed.
   };
 
   Account* FindLimitedAccount(const std::string& aWorkspace);
-  void AddGrant(Account& aAccount, double aTokens, TimePoint aNow) const;
+  void AddGrant(Account& aAccount, const Grant& aGrant) const;
   void DropExpired(Account& aAccount, TimePoint aNow) const;
   void Refill(Account& aAccount, TimePoint aNow) const;
   double WindowLimit(const Account& aAccount, TimePoint aNow) const;
   double ReservedForSmall(const Account& aAccount, double aTokens) const;
+  Duration TimeUntilFilled(const Account& aAccount, double aMissing) const;
+  Duration TimeUntilInWindow(const Account& aAccount,
+                             double aExcess,
+                             TimePoint aNow) const;
   Duration TimeUntilFreed(const Account& aAccount,
                           double aExcess,
                           TimePoint aNow) const;
--- a/UnitTests/CommandLine/RequestTimelineTest.cpp
+++ b/UnitTests/CommandLine/RequestTimelineTest.cpp
@@ -57,6 +57,26 @@
   BOOST_TEST(timeline[0].mText.find("view_age_ms=4400") != std::string::npos);
 }
 
+// Guards against a wait for the workspace's allowance that operators can't see.
+BOOST_AUTO_TEST_CASE(TimelineShowsTheWaitForTheAllowance)
+{
+  std::istringstream stream(
+    "ts=2026-08-11T13:20:05.500000Z level=info vm=a event=request_done id=x4 "
+    "request=9 outcome=answered status=200 allowance_wait_ms=180.2 ms=460\n"
+    "ts=2026-08-11T13:20:05.600000Z level=info vm=b event=refused_on_arrival "
+    "id=x5 type=over_allowance allowance_wait_ms=401.5 ms=401.5\n");
+  const auto records = ReadLogRecords(stream);
+  const auto served = BuildTimeline(records, "x4");
+  BOOST_REQUIRE(served.size() == 1U);
+  BOOST_TEST(served[0].mText.find("allowance_wait_ms=180.2") !=
+             std::string::npos);
+  const auto refused = BuildTimeline(records, "x5");
+  BOOST_REQUIRE(refused.size() == 1U);
+  BOOST_TEST(refused[0].mText.find("allowance_wait_ms=401.5") !=
+             std::string::npos);
+  BOOST_TEST(std::abs(refused[0].mSecondsAfterArrival - 0.4015) < 0.001);
+}
+
 BOOST_AUTO_TEST_CASE(UnknownRequestHasEmptyTimeline)
 {
   BOOST_TEST(TimelineOf("nobody").empty());
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -131,6 +131,32 @@
     mStore.mTables["op"]["config"] = body.dump();
   }
 
+  /// Writes a configuration in which the workspace may make aRate requests a
+  /// second and aBurst at once.
+  void WriteLimit(int aVersion, double aRate, double aBurst)
+  {
+    WriteConfiguration(aVersion, "k1");
+    json body = json::parse(mStore.mTables["op"]["config"]);
+    body["tenants"][0]["ratePerS"] = aRate;
+    body["tenants"][0]["burst"] = aBurst;
+    mStore.mTables["op"]["config"] = body.dump();
+  }
+
+  /// Sets the target latency of the first route, in milliseconds.
+  void WriteRouteTarget(int aMilliseconds)
+  {
+    json body = json::parse(mStore.mTables["op"]["config"]);
+    body["routes"][0]["targetLatencyMs"] = aMilliseconds;
+    mStore.mTables["op"]["config"] = body.dump();
+  }
+
+  /// Returns whether the metrics contain aText.
+  bool HasMetric(const std::string& aText)
+  {
+    const auto metrics = CallAndWait(MakeGet(7601, "/metrics"));
+    return metrics->mBody.find(aText) != std::string::npos;
+  }
+
   void WriteUpstream(const std::string& aState)
   {
     const json body = { { "service", "s" },
@@ -362,6 +388,106 @@
   BOOST_TEST(CallAndWait(MakeRequest("/a/x", "k1"))->mStatus == 200);
 }
 
+// Load: a burst of one workspace over its allowance. Guards against a refusal
+// where a wait of a tenth of a second is enough, and against a wait that
+// neither metrics show.
+BOOST_AUTO_TEST_CASE(RequestOverTheAllowanceWaitsForIt)
+{
+  WriteLimit(1, 8, 4); // A token every 125 ms; the target latency is 1 s.
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  for (int n = 0; n < 4; ++n) {
+    CallAndWait(MakeRequest("/a/x", "k1"));
+  }
+  const int before = mHandler.mRequests;
+  const TimePoint start = mReactor->Now();
+  const auto first = CallAndWait(MakeRequest("/a/x", "k1"));
+  BOOST_TEST(first->mStatus == 200);
+  BOOST_TEST((mReactor->Now() - start < 500ms));
+  BOOST_TEST(mHandler.mRequests == before + 1);
+  BOOST_TEST(HasMetric(
+    "peridothoist_allowance_wait_seconds_count{result=\"admitted\"}"));
+  BOOST_TEST(HasMetric("peridothoist_waiting_for_allowance 0"));
+}
+
+// Load: a flood of one workspace. Guards against a VM that holds all of it.
+BOOST_AUTO_TEST_CASE(RequestsFarOverTheAllowanceAreRefusedAtOnce)
+{
+  WriteLimit(1, 8, 4);
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  std::vector<std::shared_ptr<CallRecorder>> calls;
+  for (int n = 0; n < 40; ++n) {
+    calls.push_back(std::make_shared<CallRecorder>());
+    mClient->Start(MakeRequest("/a/x", "k1"), calls.back());
+  }
+  const TimePoint start = mReactor->Now();
+  BOOST_REQUIRE(Until([&] {
+    return std::all_of(calls.begin(), calls.end(), [](const auto& aCall) {
+      return aCall->mEnds > 0;
+    });
+  }));
+  BOOST_TEST((mReactor->Now() - start < 900ms));
+  int served = 0;
+  for (const auto& call : calls) {
+    served += call->mStatus == 200 ? 1 : 0;
+    BOOST_REQUIRE((call->mStatus == 200 || call->mStatus == 429));
+    BOOST_TEST((call->mStatus == 200) ==
+               (call->mHeaders.count("retry-after") == 0U));
+  }
+  BOOST_TEST(served >= 3);
+  BOOST_TEST(served <= 4 + 8);
+}
+
+// Load: a caller leaves, a key is withdrawn and the VM shuts down while
+// requests wait for their allowance. Guards against a request that runs
+// although it must not, and against one without a response.
+BOOST_AUTO_TEST_CASE(EndsOfTheWaitForTheAllowance)
+{
+  WriteLimit(1, 1, 2); // A token a second.
+  WriteRouteTarget(8000);
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  for (int n = 0; n < 2; ++n) {
+    CallAndWait(MakeRequest("/a/x", "k1"));
+  }
+  const int before = mHandler.mRequests;
+  const auto left = std::make_shared<CallRecorder>();
+  const auto id = mClient->Start(MakeRequest("/a/x", "k1"), left);
+  RunFor(30ms);
+  mClient->Cancel(id);
+  RunFor(100ms);
+  BOOST_TEST(
+    HasMetric("peridothoist_allowance_wait_seconds_count{result=\"left\"} 1"));
+  const auto withdrawn = std::make_shared<CallRecorder>();
+  mClient->Start(MakeRequest("/a/x", "k1"), withdrawn);
+  RunFor(20ms);
+  WriteConfiguration(2, "k2");
+  BOOST_REQUIRE(Until([&] { return withdrawn->mEnds > 0; }));
+  BOOST_TEST(withdrawn->mStatus == 401);
+  BOOST_TEST(mHandler.mRequests == before);
+}
+
+BOOST_AUTO_TEST_CASE(ShutdownRefusesRequestsThatWaitForTheAllowance)
+{
+  WriteLimit(1, 0.5, 2);
+  WriteRouteTarget(10000);
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  for (int n = 0; n < 2; ++n) {
+    CallAndWait(MakeRequest("/a/x", "k1"));
+  }
+  const int before = mHandler.mRequests;
+  const auto waiting = std::make_shared<CallRecorder>();
+  mClient->Start(MakeRequest("/a/x", "k1"), waiting);
+  RunFor(20ms);
+  mNode->StartLeaving();
+  mReactor->Run(); // Returns when the node has shut down.
+  BOOST_TEST(waiting->mStatus == 503);
+  BOOST_TEST(waiting->mHeaders.count("retry-after") == 1U);
+  BOOST_TEST(mHandler.mRequests == before);
+}
+
 BOOST_AUTO_TEST_CASE(MetricsEndpointReturnsMetrics)
 {
   StartNode();
