Bound what callers that read slowly occupy in a VM

Cause: the events of a stream were buffered in the VM without bound when its caller read slowly. In the test, a caller that reads nothing of a stream of 80 MB made the VM hold 81.6 MB.

Change: the upstream's response is no longer read while the caller's buffer is above the high-water mark (64 KiB), and is read again below the low-water mark. Its upstream does not count as silent meanwhile. New requests are refused as not run, those of priority 9 from half of the bound on, those of priority 0 at the bound. The kernel's buffers of a connection are bounded as well: with the defaults of several MB, a caller that reads 10 KB a second would show progress only after minutes, and be cut after the idle time (computed, not measured).

Result: in the same test the VM holds at most 83,536 bytes. NodeProcessTest, HttpServerTest, HttpClientTest, HttpTest, SilentUpstreamTest and BufferBudgetTest pass. Without the pause, the new tests of unread streams, of breaks while paused and of full buffers fail.

--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -23,6 +23,10 @@
     mMetrics.GetHistogram("peridothoist_first_event_seconds", kind)
       .Observe(aSummary.mTimeToFirstEvent);
   }
+  if (aSummary.mPausedTime > Duration(0)) {
+    mMetrics.GetHistogram("peridothoist_paused_seconds", kind)
+      .Observe(aSummary.mPausedTime);
+  }
   if (aSummary.mEventCount > 1) {
     mMetrics.GetHistogram("peridothoist_longest_gap_seconds", kind)
       .Observe(aSummary.mMaxEventGap);
@@ -175,6 +179,8 @@
       static_cast<double>(aGauges.mWaitingRequests));
   set("peridothoist_waiting_for_allowance",
       static_cast<double>(aGauges.mWaitingForAllowance));
+  set("peridothoist_buffered_bytes",
+      static_cast<double>(aGauges.mBufferedBytes));
   set("peridothoist_limited_upstreams",
       static_cast<double>(aGauges.mLimitedUpstreams));
   set("peridothoist_cold_upstreams",
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -21,6 +21,7 @@
   std::size_t mOpenRequests = 0;
   std::size_t mWaitingRequests = 0;
   std::size_t mWaitingForAllowance = 0;
+  std::size_t mBufferedBytes = 0;    ///< Unsent, of all callers' responses.
   std::size_t mLimitedUpstreams = 0; ///< That state a limit, or are cold.
   std::size_t mColdUpstreams = 0;
   std::size_t mEvacuatedZones = 0;
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -155,6 +155,7 @@
   settings.mMaxConnections = mSettings.mMaxConnections;
   settings.mMaxConnectionsPerAddress = mSettings.mMaxConnections;
   settings.mIdleTimeout = mSettings.mIdleTimeout;
+  settings.mMaxBufferedBytes = mSettings.mMaxBufferedBytes;
   mCallerServer =
     StartHttpServer(*mReactor, mSettings.mListen, settings, this, aReason);
   return mCallerServer != nullptr;
@@ -192,9 +193,13 @@
   if (aWaited > Duration(0)) {
     mMetrics.ObserveAllowanceWait("admitted", aWaited);
   }
-  if (const auto leaving = RefuseWhileLeaving(aAdmitted)) {
+  auto refusal = RefuseWhileLeaving(aAdmitted);
+  if (!refusal) {
+    refusal = RefuseForBuffers(aAdmitted);
+  }
+  if (refusal) {
     mAdmission.Refund(aAdmitted, mReactor->Now());
-    RefuseOnArrival(*aExchange, aRequest, *leaving, Reason(), aWaited);
+    RefuseOnArrival(*aExchange, aRequest, *refusal, Reason(), aWaited);
     return;
   }
   mExecutor.Admit(
@@ -253,6 +258,20 @@
   return Refusal::Make(RefusalKind::Leaving, RunVerdictTracker(), wait);
 }
 
+/// Returns a refusal if callers that read slowly occupy the memory that a
+/// request of this priority may use. Another VM is likely to have room.
+std::optional<Refusal>
+NodeProcess::RefuseForBuffers(const AdmittedRequest& aAdmitted)
+{
+  const BufferBudget budget(mSettings.mMaxBufferedBytes);
+  if (budget.MayStart(aAdmitted.mPriority, mCallerServer->BufferedBytes())) {
+    return std::nullopt;
+  }
+  const auto wait = std::chrono::duration_cast<Duration>(
+    MaxRetryWait(aAdmitted.mCallerTimeout) * mRandom.UniformFraction());
+  return Refusal::Make(RefusalKind::BuffersFull, RunVerdictTracker(), wait);
+}
+
 /// Logs a refusal on arrival together with the inputs of the decision.
 void
 NodeProcess::LogRefusal(const std::optional<IncomingRequest>& aRequest,
@@ -276,6 +295,7 @@
     .Field("reason", aReason.mText)
     .Field("allowance_wait_ms", ToMillis(aWaited))
     .Field("allowance_waiting", mWaitingAdmission.Queue().Count())
+    .Field("buffered_bytes", mCallerServer->BufferedBytes())
     .Field("ms", ToMillis(aWaited));
   if (workspace != nullptr) {
     line.Field("workspace", workspace->mName)
@@ -480,6 +500,7 @@
     .Field("software", aSummary.mSoftwareVersion)
     .Field("version", mView.Version())
     .Field("allowance_wait_ms", ToMillis(aSummary.mAllowanceWait))
+    .Field("paused_ms", ToMillis(aSummary.mPausedTime))
     .Field("gap_ms", ToMillis(aSummary.mMaxEventGap))
     .Field("first_ms", ToMillis(aSummary.mTimeToFirstEvent))
     .Field("ms", ToMillis(duration));
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -18,6 +18,7 @@
 #include <Peridothoist/Node/UpstreamProtocol.h>
 #include <Peridothoist/Node/ViewUpdater.h>
 #include <Peridothoist/Node/VmRegistry.h>
+#include <Peridothoist/Relay/BufferBudget.h>
 #include <Peridothoist/Relay/RelayAdmission.h>
 #include <Peridothoist/Shell/HttpServer.h>
 #include <Peridothoist/Shell/LoopMonitor.h>
@@ -95,6 +96,7 @@
   void ApplyEvacuations(const RelayConfiguration& aConfiguration,
                         TimePoint aConfirmedAt);
   std::optional<Refusal> RefuseWhileLeaving(const AdmittedRequest& aAdmitted);
+  std::optional<Refusal> RefuseForBuffers(const AdmittedRequest& aAdmitted);
   bool IsOrderLeader() const;
   void UpdateStageOrders();
   void UpdateHomeEngines();
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -169,6 +169,7 @@
   gauges.mOpenRequests = mMachine.OpenRequestCount();
   gauges.mWaitingRequests = mMachine.WaitingRequestCount();
   gauges.mWaitingForAllowance = mWaitingAdmission.Queue().Count();
+  gauges.mBufferedBytes = mCallerServer->BufferedBytes();
   gauges.mLimitedUpstreams = mMachine.Limits().LimitedCount(mReactor->Now());
   gauges.mColdUpstreams = mMachine.Limits().ColdCount(mReactor->Now());
   gauges.mEvacuatedZones = mMachine.ListedUpstreams().EvacuatedZones().size();
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -38,8 +38,11 @@
   std::uint32_t mMaxHeaderBytes = 32 * 1024;
   std::uint32_t mMaxBodyBytes = 8u << 20;
   std::uint32_t mMaxConnections = 3000;
-  Duration mIdleTimeout = 30s; ///< Closes connections without a request.
-  Duration mAddressTtl = 1s;   ///< How long callers may cache addresses.
+  Duration mIdleTimeout = 30s; ///< Closes connections without progress.
+  /// Bound of the unsent bytes of all callers' responses; 0: none. The default
+  /// is less than a fifth of the memory of the smallest VM (88 MB).
+  std::size_t mMaxBufferedBytes = 16u << 20;
+  Duration mAddressTtl = 1s; ///< How long callers may cache addresses.
 
   // Graceful shutdown
   Duration mGracePeriod = 8s; ///< From the signal to the forced termination.
--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -50,6 +50,7 @@
         aMachine.OnCallerDisconnected(mId, aNow, aOut);
       });
   }
+  void OnBufferDrained() override { mExecutor.OnBufferDrained(mId); }
 
 private:
   RelayExecutor& mExecutor;
@@ -80,6 +81,20 @@
   void SetCallId(HttpClient::CallId aCallId) { mCallId = aCallId; }
   HttpClient::CallId CallId() const { return mCallId; }
 
+  /// Continues reading the response if it was paused.
+  void Resume()
+  {
+    if (!std::exchange(mIsPaused, false) || mIsDetached) {
+      return;
+    }
+    mExecutor.Deliver([this](RelayStateMachine& aMachine,
+                             TimePoint aNow,
+                             RelayCommands& /*aOut*/) {
+      aMachine.OnCallResumed(mId, mAttempt, aNow);
+    });
+    mExecutor.mClient->Resume(mCallId);
+  }
+
   // See: HttpCallListener
   bool OnBeforeSend() override
   {
@@ -130,6 +145,10 @@
     if (!isWithinLimit) {
       mIsTooLarge = true;
       mExecutor.mClient->Cancel(mCallId);
+      return;
+    }
+    if (!mIsDetached && mExecutor.IsBacklogged(mId)) {
+      Pause();
     }
   }
 
@@ -175,6 +194,20 @@
   }
 
 private:
+  /// Stops reading the response until the caller has read what is buffered.
+  void Pause()
+  {
+    if (std::exchange(mIsPaused, true)) {
+      return;
+    }
+    mExecutor.mClient->Pause(mCallId);
+    mExecutor.Deliver([this](RelayStateMachine& aMachine,
+                             TimePoint aNow,
+                             RelayCommands& /*aOut*/) {
+      aMachine.OnCallPaused(mId, mAttempt, aNow);
+    });
+  }
+
   /// Returns whether the call produced a usable result.
   bool HasSucceeded(const RelayCallEnd& aEnd) const
   {
@@ -220,6 +253,7 @@
   TimePoint mStartedAt;
   HttpClient::CallId mCallId = 0;
   bool mIsDetached = false;
+  bool mIsPaused = false; ///< The response is not read at present.
 
   // The response received so far
   UpstreamResponseHead mHead;
@@ -421,7 +455,38 @@
   }
   summary.mLastEventAt = now;
   ++summary.mEventCount;
-  aRequest.mExchange->Write(aCommand.mEvent);
+  const bool hasRoom = aRequest.mExchange->Write(aCommand.mEvent);
+  if (!hasRoom && !std::exchange(aRequest.mIsBacklogged, true)) {
+    aRequest.mBackloggedSince = now;
+    Log::Debug("caller_reads_slowly")
+      .Field("request", aCommand.mId)
+      .Field("events", summary.mEventCount);
+  }
+}
+
+bool
+RelayExecutor::IsBacklogged(std::uint64_t aId) const
+{
+  const auto it = mRequests.find(aId);
+  return it != mRequests.end() && it->second.mIsBacklogged;
+}
+
+/// Reads the responses of a stream's calls again.
+void
+RelayExecutor::OnBufferDrained(std::uint64_t aId)
+{
+  const auto it = mRequests.find(aId);
+  if (it == mRequests.end()) {
+    return;
+  }
+  Request& request = it->second;
+  if (std::exchange(request.mIsBacklogged, false)) {
+    request.mSummary.mPausedTime += mReactor->Now() - request.mBackloggedSince;
+  }
+  const auto calls = request.mUpstreamCalls;
+  for (const auto& [attempt, call] : calls) {
+    call->Resume();
+  }
 }
 
 void
@@ -516,6 +581,10 @@
 RelayExecutor::Forget(const RelayCommand& aCommand, Request& aRequest)
 {
   aRequest.mExchange->SetListener(nullptr);
+  if (aRequest.mIsBacklogged) {
+    aRequest.mSummary.mPausedTime +=
+      mReactor->Now() - aRequest.mBackloggedSince;
+  }
   if (aCommand.mOrigin) {
     aRequest.mSummary.mSoftwareVersion = aCommand.mOrigin->mSoftwareVersion;
   }
--- a/Peridothoist/Node/RelayExecutor.h
+++ b/Peridothoist/Node/RelayExecutor.h
@@ -35,6 +35,9 @@
   Duration mTimeToFirstEvent{ 0 }; ///< Streams: from arrival.
   Duration mTimeToFirstCall{ 0 };  ///< To an upstream, from arrival.
   Duration mAllowanceWait{ 0 };    ///< For the workspace's allowance.
+  /// Streams: time in which upstreams were not read, since the caller read too
+  /// slowly.
+  Duration mPausedTime{ 0 };
 };
 
 /// Receives the events of a RelayExecutor.
@@ -112,12 +115,17 @@
     std::shared_ptr<HttpExchange> mExchange;
     std::unique_ptr<CallerListener> mCallerListener;
     RelayRequestSummary mSummary;
+    /// The caller reads too slowly: its buffer is above the high-water mark.
+    bool mIsBacklogged = false;
+    TimePoint mBackloggedSince; ///< With mIsBacklogged.
     /// By attempt. Ended calls stay until the request ends.
     std::map<std::uint32_t, std::shared_ptr<UpstreamCall>> mUpstreamCalls;
   };
 
   using CommandHandler = void (RelayExecutor::*)(const RelayCommand&, Request&);
 
+  bool IsBacklogged(std::uint64_t aId) const;
+  void OnBufferDrained(std::uint64_t aId);
   void Execute(const RelayCommand& aCommand);
   void StartCall(const RelayCommand& aCommand, Request& aRequest);
   void CancelCall(const RelayCommand& aCommand, Request& aRequest);
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -184,6 +184,12 @@
   void OnStreamHead(std::uint64_t aId,
                     std::uint32_t aAttempt,
                     RelayResponse aHead);
+  /// Called when the response of a call is no longer read, since the caller
+  /// reads too slowly, and when it is read again. The upstream does not count
+  /// as silent meanwhile.
+  void OnCallPaused(std::uint64_t aId, std::uint32_t aAttempt, TimePoint aNow);
+  void OnCallResumed(std::uint64_t aId, std::uint32_t aAttempt, TimePoint aNow);
+
   void OnEvent(std::uint64_t aId,
                std::uint32_t aAttempt,
                RelayEvent aEvent,
@@ -311,6 +317,7 @@
     TimePoint mFirstEventAt;   ///< With mHasEvent.
     TimePoint mPartsExcusedAt; ///< See ExcusePartsOf().
     TimePoint mLastActivity;   ///< Start, or the last event.
+    bool mIsPaused = false;    ///< Its response is not read at present.
     RelayResponse mHead;       ///< Stream: status and headers.
     bool mUsesHandle = false;
     std::string mHandle; ///< The prefill result that it uses.
--- a/Peridothoist/Relay/RelayTakeover.cpp
+++ b/Peridothoist/Relay/RelayTakeover.cpp
@@ -45,7 +45,8 @@
 RelayStateMachine::IsSilent(const State& aState) const
 {
   const Call& call = *aState.mCall;
-  return mNow >= call.mLastActivity + InactivityTimeout(aState, call);
+  return !call.mIsPaused &&
+         mNow >= call.mLastActivity + InactivityTimeout(aState, call);
 }
 
 void
@@ -54,6 +55,9 @@
   if (mNow < aState.mCall->mInactivityDeadline || aState.mSecondCall) {
     return; // A newer timer is armed, or another upstream is being tried.
   }
+  if (aState.mCall->mIsPaused) {
+    return; // OnCallResumed() arms the timer again.
+  }
   if (IsSilent(aState)) {
     StartTakeover(aState);
   } else {
@@ -61,6 +65,36 @@
   }
 }
 
+void
+RelayStateMachine::OnCallPaused(std::uint64_t aId,
+                                std::uint32_t aAttempt,
+                                TimePoint aNow)
+{
+  mNow = aNow;
+  Call* call = FindCall(aId, aAttempt);
+  if (call != nullptr) {
+    call->mIsPaused = true;
+  }
+}
+
+void
+RelayStateMachine::OnCallResumed(std::uint64_t aId,
+                                 std::uint32_t aAttempt,
+                                 TimePoint aNow)
+{
+  mNow = aNow;
+  Call* call = FindCall(aId, aAttempt);
+  if (call == nullptr || !call->mIsPaused) {
+    return;
+  }
+  call->mIsPaused = false;
+  call->mLastActivity = aNow;
+  State& state = *Find(aId);
+  if (state.mCall && state.mCall->mAttempt == aAttempt) {
+    ArmInactivityTimer(state);
+  }
+}
+
 /// Returns whether a retry of the request could be sent now.
 bool
 RelayStateMachine::MayTakeOver(const State& aState)
--- a/Peridothoist/Request/Refusal.cpp
+++ b/Peridothoist/Request/Refusal.cpp
@@ -57,6 +57,7 @@
     503,
     502,
     "The software version that began the stream is not known here." },
+  { "buffers_full", 503, 502, "This VM's response buffers are full." },
 } };
 
 const RefusalText&
--- a/Peridothoist/Request/Refusal.h
+++ b/Peridothoist/Request/Refusal.h
@@ -28,14 +28,15 @@
   OverAllowance,          ///< The workspace's allowance is used up.
   BadRequest,             ///< The request is malformed.
   Leaving,                ///< This VM shuts down before it could respond.
-  OriginUnknown           ///< The version that began the stream is not known.
+  OriginUnknown,          ///< The version that began the stream is not known.
+  BuffersFull ///< Callers read too slowly; this VM's memory is used.
 };
 
 /// Returns the name of a kind as used in JSON bodies and metrics.
 const char*
 ToName(RefusalKind aKind);
 
-constexpr std::size_t kRefusalKinds = 19; ///< Count of RefusalKind.
+constexpr std::size_t kRefusalKinds = 20; ///< Count of RefusalKind.
 
 /// A refusal as sent to the caller.
 struct Refusal
--- a/Peridothoist/Shell/ClientCall.cpp
+++ b/Peridothoist/Shell/ClientCall.cpp
@@ -254,6 +254,7 @@
                             curlsocktype /*aPurpose*/)
 {
   EnableKeepAlive(aSocket);
+  LimitReceiveBuffer(aSocket);
   return CURL_SOCKOPT_OK;
 }
 
--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -56,6 +56,16 @@
 
   // See: ServerExchangeDelegate
   void ScheduleRun() override { ScheduleRunWithin(Duration::zero()); }
+  void OnBufferedBytesChanged(std::ptrdiff_t aDelta) override
+  {
+    mBufferedBytes += aDelta;
+  }
+  bool HoldsTooMuch() const override
+  {
+    return mSettings.mMaxBufferedBytes > 0 &&
+           static_cast<std::size_t>(mBufferedBytes) >
+             mSettings.mMaxBufferedBytes;
+  }
   bool ShouldCloseConnections() const override
   {
     return mIsDraining || mShouldCloseAfterResponses;
@@ -108,6 +118,7 @@
   bool mIsDraining = false;
   bool mShouldCloseAfterResponses = false; ///< See CloseAfterResponses().
   std::size_t mOpenExchangeCount = 0;
+  std::ptrdiff_t mBufferedBytes = 0; ///< Of all exchanges; never negative.
   std::unordered_set<detail::ServerConnection*> mConnections;
 
   // Timers. mRunAt is when mRunTimer next runs libmicrohttpd without an event.
@@ -288,6 +299,7 @@
     auto connection = std::make_unique<detail::ServerConnection>(
       aConnection, self.mReactor.Now());
     detail::EnableKeepAlive(connection->Descriptor());
+    detail::LimitSendBuffer(connection->Descriptor());
     self.mConnections.insert(connection.get());
     *aContext = connection.release();
     return;
@@ -474,6 +486,12 @@
   mImpl->StartDrain();
 }
 
+std::size_t
+HttpServer::BufferedBytes() const
+{
+  return static_cast<std::size_t>(mImpl->mBufferedBytes);
+}
+
 std::size_t
 HttpServer::OpenExchangeCount() const
 {
--- a/Peridothoist/Shell/HttpServer.h
+++ b/Peridothoist/Shell/HttpServer.h
@@ -99,6 +99,9 @@
   Duration mRequestTimeout = 10s; ///< Time to receive a whole request.
   /// Write() returns false once more bytes than this are buffered.
   std::uint32_t mStreamHighMark = 64 * 1024;
+  /// While all exchanges together hold more unsent bytes than this, Write()
+  /// returns false above mStreamLowMark; 0: no bound.
+  std::size_t mMaxBufferedBytes = 0;
   /// After that, OnBufferDrained() is called when fewer bytes than this are
   /// buffered.
   std::uint32_t mStreamLowMark = 16 * 1024;
@@ -131,6 +134,10 @@
   /// and their responses carry "Connection: close".
   void StartDrain();
 
+  /// Returns the unsent bytes of all responses: those of streams, and whole
+  /// responses until they are sent.
+  std::size_t BufferedBytes() const;
+
   /// Returns the number of exchanges whose response is not complete.
   std::size_t OpenExchangeCount() const;
 
--- a/Peridothoist/Shell/ServerExchange.cpp
+++ b/Peridothoist/Shell/ServerExchange.cpp
@@ -35,6 +35,18 @@
   }
 }
 
+/// Tells the server how many bytes this exchange holds now.
+void
+ServerExchange::CountBufferedBytes(std::size_t aBytes)
+{
+  const auto delta = static_cast<std::ptrdiff_t>(aBytes) -
+                     static_cast<std::ptrdiff_t>(mCountedBytes);
+  mCountedBytes = aBytes;
+  if (delta != 0) {
+    mDelegate.OnBufferedBytesChanged(delta);
+  }
+}
+
 std::shared_ptr<HttpExchange>
 ServerExchange::MakeHandlerReference()
 {
@@ -81,6 +93,7 @@
 {
   mConnection = nullptr;
   mIsSuspended = false;
+  CountBufferedBytes(0);
   NotifyCallerDisconnected();
 }
 
@@ -128,6 +141,7 @@
   mStatus = aStatus;
   mResponse = MHD_create_response_from_buffer(
     aBody.size(), aBody.data(), MHD_RESPMEM_MUST_COPY);
+  CountBufferedBytes(aBody.size());
   AddHeaders(aHeaders);
   ResumeConnection();
 }
@@ -155,9 +169,11 @@
     return true;
   }
   mBuffer.append(aData);
+  CountBufferedBytes(BufferedBytes());
   ResumeConnection();
-  mIsAboveHighMark =
-    mIsAboveHighMark || BufferedBytes() > mSettings.mStreamHighMark;
+  const std::size_t mark = mDelegate.HoldsTooMuch() ? mSettings.mStreamLowMark
+                                                    : mSettings.mStreamHighMark;
+  mIsAboveHighMark = mIsAboveHighMark || BufferedBytes() > mark;
   return !mIsAboveHighMark;
 }
 
@@ -213,6 +229,7 @@
   std::memcpy(aBuffer, mBuffer.data() + mBufferStart, n);
   mBufferStart += n;
   DiscardSentBytes();
+  CountBufferedBytes(BufferedBytes());
   if (mIsAboveHighMark && BufferedBytes() < mSettings.mStreamLowMark) {
     mIsAboveHighMark = false;
     if (mResponseState == ResponseState::Streaming && mListener != nullptr) {
--- a/Peridothoist/Shell/ServerExchange.h
+++ b/Peridothoist/Shell/ServerExchange.h
@@ -19,6 +19,12 @@
   /// resumed.
   virtual void ScheduleRun() = 0;
 
+  /// Called when the bytes of responses that an exchange holds have changed.
+  virtual void OnBufferedBytesChanged(std::ptrdiff_t aDelta) = 0;
+
+  /// Returns whether all exchanges together hold more bytes than they may.
+  virtual bool HoldsTooMuch() const = 0;
+
   /// Returns whether responses must carry "Connection: close".
   virtual bool ShouldCloseConnections() const = 0;
 };
@@ -110,6 +116,7 @@
   void OnReleasedByHandler();
   void NotifyCallerDisconnected();
   std::size_t BufferedBytes() const { return mBuffer.size() - mBufferStart; }
+  void CountBufferedBytes(std::size_t aBytes);
 
   ServerExchangeDelegate& mDelegate;
   const HttpServerSettings& mSettings;
@@ -131,6 +138,7 @@
   std::string mBuffer;
   std::size_t mBufferStart = 0;
   bool mIsAboveHighMark = false; ///< Write() has returned false.
+  std::size_t mCountedBytes = 0; ///< As last told to mDelegate.
 };
 
 } // namespace peridothoist::detail
--- a/Peridothoist/Shell/SocketOptions.cpp
+++ b/Peridothoist/Shell/SocketOptions.cpp
@@ -16,6 +16,11 @@
 constexpr int kIntervalSeconds = 2;
 constexpr int kProbes = 3;
 
+/// The kernel doubles the sizes. At a round trip of 1 ms they allow 128 MB a
+/// second for each connection.
+constexpr int kSendBufferBytes = 128 * 1024;
+constexpr int kReceiveBufferBytes = 128 * 1024;
+
 void
 SetOption(int aSocket, int aLevel, int aOption, int aValue)
 {
@@ -33,4 +38,16 @@
   SetOption(aSocket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
 }
 
+void
+LimitSendBuffer(int aSocket)
+{
+  SetOption(aSocket, SOL_SOCKET, SO_SNDBUF, kSendBufferBytes);
+}
+
+void
+LimitReceiveBuffer(int aSocket)
+{
+  SetOption(aSocket, SOL_SOCKET, SO_RCVBUF, kReceiveBufferBytes);
+}
+
 } // namespace peridothoist::detail
--- a/Peridothoist/Shell/SocketOptions.h
+++ b/Peridothoist/Shell/SocketOptions.h
@@ -11,4 +11,15 @@
 void
 EnableKeepAlive(int aSocket);
 
+/// Bounds the kernel's memory for bytes that the peer has not read. A slow
+/// reader otherwise occupies several MB, and shows no progress for as long as
+/// it takes to read a third of them.
+void
+LimitSendBuffer(int aSocket);
+
+/// Bounds the kernel's memory for bytes that this process has not read, which
+/// it does not while a call is paused.
+void
+LimitReceiveBuffer(int aSocket);
+
 } // namespace peridothoist::detail
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -168,6 +168,72 @@
     mStore.mTables["servers"]["i-1"] = body.dump();
   }
 
+  /// Lets the upstream stream events of 8 KiB as fast as they are read, aEvents
+  /// in all.
+  void StreamEvents(int aEvents)
+  {
+    mHandler.mRespond = [this, aEvents](HttpExchange& aExchange) {
+      const auto headers = aExchange.Request().mHeaders;
+      aExchange.StartStream(200,
+                            { { "request-id", headers.at("request-id") },
+                              { "response-seal", "s" } });
+      mEventsSent = 0;
+      mEventsInAll = aEvents;
+      WriteEvents();
+    };
+    mHandler.mOnDrained = [this] { WriteEvents(); };
+  }
+
+  void WriteEvents()
+  {
+    const auto exchange = mHandler.mLastExchange;
+    bool hasRoom = true;
+    while (hasRoom && mEventsSent < mEventsInAll) {
+      hasRoom = exchange->Write("id: " + std::to_string(++mEventsSent) +
+                                "\ndata: " + std::string(8192, 'x') + "\n\n");
+    }
+    if (mEventsSent == mEventsInAll) {
+      exchange->EndStream();
+    }
+  }
+
+  /// Starts a stream whose caller reads nothing, and waits until the upstream
+  /// is no longer read. Returns the caller's call.
+  HttpClient::CallId StartUnreadStream(std::shared_ptr<CallRecorder> aCaller)
+  {
+    HttpCall call = MakeRequest("/s/x", "k1");
+    call.mHeaders["request-deadline"] = "60000";
+    const auto id = mClient->Start(call, std::move(aCaller));
+    mClient->Pause(id);
+    int before = -1;
+    BOOST_REQUIRE(RunFor(50ms));
+    while (before != mEventsSent) {
+      before = mEventsSent;
+      BOOST_REQUIRE(RunFor(100ms));
+    }
+    return id;
+  }
+
+  /// Returns the value of a metric without labels; -1: there is none.
+  double MetricValue(const std::string& aName)
+  {
+    const auto body = CallAndWait(MakeGet(7601, "/metrics"))->mBody;
+    const auto at = body.find("\n" + aName + " ");
+    return at == std::string::npos
+             ? -1
+             : std::strtod(body.c_str() + at + aName.size() + 2, nullptr);
+  }
+
+  static int CountEvents(const std::string& aBody)
+  {
+    int count = 0;
+    for (auto at = aBody.find("id: "); at != std::string::npos;
+         at = aBody.find("id: ", at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+
   void StartNode(Duration aLeavingStreamPeriod = 50ms)
   {
     const std::string ip = UniqueLoopbackAddress();
@@ -186,6 +252,8 @@
     settings.mLeavingAcceptPeriod = 50ms;
     settings.mLeavingStreamPeriod = aLeavingStreamPeriod;
     settings.mMachine.mUpstreamList.mMissingGracePeriod = 0ms;
+    settings.mIdleTimeout = mIdleTimeout;
+    settings.mMaxBufferedBytes = mMaxBufferedBytes;
     Reason reason;
     mNode = NodeProcess::Create(settings,
                                 { &mCallers, &mUpstreams, &mView, &mStore },
@@ -239,6 +307,10 @@
     return Until([&] { return isElapsed; });
   }
 
+  int mEventsSent = 0;
+  int mEventsInAll = 0;
+  Duration mIdleTimeout = 30s;
+  std::size_t mMaxBufferedBytes = 16u << 20;
   MemoryStore mStore;
   HttpRequest mLastRequest;
   platform::PlatformCallerProtocol mCallers;
@@ -488,6 +560,98 @@
   BOOST_TEST(mHandler.mRequests == before);
 }
 
+// Load: a caller that does not read, of a stream of 80 MB. Guards against a VM
+// that buffers all of it, and against events that are lost by the pause.
+BOOST_AUTO_TEST_CASE(UnreadStreamIsNotBufferedWithoutBound)
+{
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  StreamEvents(10000);
+  const auto caller = std::make_shared<CallRecorder>();
+  const auto id = StartUnreadStream(caller);
+  BOOST_TEST(mEventsSent < 1000); // 8 MB, most of it in the test's sockets.
+  const double buffered = MetricValue("peridothoist_buffered_bytes");
+  BOOST_TEST(buffered > 0);
+  BOOST_TEST(buffered <= 64 * 1024 + 2 * 9000);
+  mClient->Resume(id);
+  BOOST_REQUIRE(Until([&] { return caller->mEnds > 0; }));
+  BOOST_TEST((caller->mResult.mFailure == CallFailure::None));
+  BOOST_TEST(CountEvents(caller->mBody) == 10000);
+  BOOST_TEST(MetricValue("peridothoist_buffered_bytes") == 0);
+}
+
+// Load: a caller that does not read. Guards against a stream whose upstream
+// broke off meanwhile and that reaches the caller as a complete one.
+BOOST_AUTO_TEST_CASE(StreamThatBreaksOffWhilePausedEndsIncomplete)
+{
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  StreamEvents(10000);
+  const auto caller = std::make_shared<CallRecorder>();
+  const auto id = StartUnreadStream(caller);
+  mServer.reset(); // The upstream aborts its responses.
+  BOOST_REQUIRE(RunFor(50ms));
+  BOOST_TEST(caller->mEnds == 0);
+  mClient->Resume(id);
+  BOOST_REQUIRE(Until([&] { return caller->mEnds > 0; }));
+  BOOST_TEST((caller->mResult.mFailure == CallFailure::Broken));
+  BOOST_TEST(CountEvents(caller->mBody) < 10000);
+}
+
+// Load: a caller that reads 2 MB a second, of a stream of 8 MB. Guards against
+// a slow reader that is cut although it reads, here after an idle time of 1 s.
+BOOST_AUTO_TEST_CASE(SlowReaderIsNotCut)
+{
+  mIdleTimeout = 1s;
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  StreamEvents(1000);
+  const auto caller = std::make_shared<CallRecorder>();
+  HttpCall call = MakeRequest("/s/x", "k1");
+  call.mHeaders["request-deadline"] = "60000";
+  HttpClient::CallId id = 0;
+  caller->mOnData = [&] {
+    mClient->Pause(id);
+    mReactor->Schedule(4ms, [&] { mClient->Resume(id); });
+  };
+  const TimePoint start = mReactor->Now();
+  id = mClient->Start(call, caller);
+  BOOST_REQUIRE(Until([&] { return caller->mEnds > 0; }));
+  BOOST_TEST((mReactor->Now() - start > 2s));
+  BOOST_TEST((caller->mResult.mFailure == CallFailure::None));
+  BOOST_TEST(CountEvents(caller->mBody) == 1000);
+}
+
+// Load: a caller that does not read, and new requests of two priorities. Guards
+// against buffers of all callers without a bound, and against an urgent request
+// that is refused before a less urgent one.
+BOOST_AUTO_TEST_CASE(FullBuffersRefuseTheLeastUrgentRequestsFirst)
+{
+  mMaxBufferedBytes = 120'000; // A stream takes up to 64 KiB and one event.
+  json body = json::parse(mStore.mTables["op"]["config"]);
+  body["routes"][0]["priority"] = 9;
+  body["routes"][2]["priority"] = 0;
+  mStore.mTables["op"]["config"] = body.dump();
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  const auto respond = mHandler.mRespond;
+  StreamEvents(1000);
+  const auto caller = std::make_shared<CallRecorder>();
+  const auto id = StartUnreadStream(caller);
+  mHandler.mRespond = respond;
+  const auto stream = mHandler.mLastExchange;
+  const auto refused = CallAndWait(MakeRequest("/a/x", "k1"));
+  BOOST_TEST(refused->mStatus == 503);
+  BOOST_TEST(refused->mHeaders.count("retry-after") == 1U);
+  BOOST_TEST(refused->mBody.find("buffers_full") != std::string::npos);
+  BOOST_TEST(CallAndWait(MakeRequest("/open/x", ""))->mStatus == 200);
+  mHandler.mLastExchange = stream;
+  mClient->Resume(id);
+  BOOST_REQUIRE(Until([&] { return caller->mEnds > 0; }));
+  BOOST_TEST(CountEvents(caller->mBody) == 1000);
+  BOOST_TEST(CallAndWait(MakeRequest("/a/x", "k1"))->mStatus == 200);
+}
+
 BOOST_AUTO_TEST_CASE(MetricsEndpointReturnsMetrics)
 {
   StartNode();
--- a/UnitTests/Relay/SilentUpstreamTest.cpp
+++ b/UnitTests/Relay/SilentUpstreamTest.cpp
@@ -403,3 +403,18 @@
   BOOST_TEST(Count(RelayCommandKind::CancelCall) == 2U);
   BOOST_TEST(mMachine.OpenRequestCount() == 0U);
 }
+
+// Guards against streams that are moved to another engine because their own
+// caller reads slowly, and against upstreams that never count as silent again.
+BOOST_FIXTURE_TEST_CASE(APausedStreamIsNotSilent, SilentStream)
+{
+  mMachine.OnCallPaused(mId, mFirst.mAttempt, mNow);
+  Advance(kLongSilence);
+  Advance(kLongSilence);
+  BOOST_TEST(!CallToOther().has_value());
+  mMachine.OnCallResumed(mId, mFirst.mAttempt, mNow);
+  Advance(kShortSilence);
+  BOOST_TEST(!CallToOther().has_value());
+  Advance(kLongSilence);
+  BOOST_TEST(CallToOther().has_value());
+}
