--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -168,6 +168,8 @@
   gauges.mReachableFraction = mGossip->Members().ReachableFraction(now);
   gauges.mOpenRequests = mMachine.OpenRequestCount();
   gauges.mWaitingRequests = mMachine.WaitingRequestCount();
+  gauges.mWaitingForAllowance = mWaitingAdmission.Queue().Count();
+  gauges.mBufferedBytes = mCallerServer->BufferedBytes();
   gauges.mLimitedUpstreams = mMachine.Limits().LimitedCount(mReactor->Now());
   gauges.mSpeeds = mMachine.Speeds().KnownRange();
   gauges.mColdUpstreams = mMachine.Limits().ColdCount(mReactor->Now());
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -131,6 +131,32 @@
     mStore.mTables["op"]["config"] = body.dump();
   }
 
+  /// Writes a configuration in which the workspace may make aRate requests a
+  /// second and aBurst at once.
+  void WriteLimit(int aVersion, double aRate, double aBurst)
+  {
+    WriteConfiguration(aVersion, "k1");
+    json body = json::parse(mStore.mTables["op"]["config"]);
+    body["tenants"][0]["ratePerS"] = aRate;
+    body["tenants"][0]["burst"] = aBurst;
+    mStore.mTables["op"]["config"] = body.dump();
+  }
+
+  /// Sets the target latency of the first route, in milliseconds.
+  void WriteRouteTarget(int aMilliseconds)
+  {
+    json body = json::parse(mStore.mTables["op"]["config"]);
+    body["routes"][0]["targetLatencyMs"] = aMilliseconds;
+    mStore.mTables["op"]["config"] = body.dump();
+  }
+
+  /// Returns whether the metrics contain aText.
+  bool HasMetric(const std::string& aText)
+  {
+    const auto metrics = CallAndWait(MakeGet(7601, "/metrics"));
+    return metrics->mBody.find(aText) != std::string::npos;
+  }
+
   void WriteUpstream(const std::string& aState)
   {
     const json body = { { "service", "s" },
@@ -142,6 +168,72 @@
     mStore.mTables["servers"]["i-1"] = body.dump();
   }
 
+  /// Lets the upstream stream events of 8 KiB as fast as they are read, aEvents
+  /// in all.
+  void StreamEvents(int aEvents)
+  {
+    mHandler.mRespond = [this, aEvents](HttpExchange& aExchange) {
+      const auto headers = aExchange.Request().mHeaders;
+      aExchange.StartStream(200,
+                            { { "request-id", headers.at("request-id") },
+                              { "response-seal", "s" } });
+      mEventsSent = 0;
+      mEventsInAll = aEvents;
+      WriteEvents();
+    };
+    mHandler.mOnDrained = [this] { WriteEvents(); };
+  }
+
+  void WriteEvents()
+  {
+    const auto exchange = mHandler.mLastExchange;
+    bool hasRoom = true;
+    while (hasRoom && mEventsSent < mEventsInAll) {
+      hasRoom = exchange->Write("id: " + std::to_string(++mEventsSent) +
+                                "\ndata: " + std::string(8192, 'x') + "\n\n");
+    }
+    if (mEventsSent == mEventsInAll) {
+      exchange->EndStream();
+    }
+  }
+
+  /// Starts a stream whose caller reads nothing, and waits until the upstream
+  /// is no longer read. Returns the caller's call.
+  HttpClient::CallId StartUnreadStream(std::shared_ptr<CallRecorder> aCaller)
+  {
+    HttpCall call = MakeRequest("/s/x", "k1");
+    call.mHeaders["request-deadline"] = "60000";
+    const auto id = mClient->Start(call, std::move(aCaller));
+    mClient->Pause(id);
+    int before = -1;
+    BOOST_REQUIRE(RunFor(50ms));
+    while (before != mEventsSent) {
+      before = mEventsSent;
+      BOOST_REQUIRE(RunFor(100ms));
+    }
+    return id;
+  }
+
+  /// Returns the value of a metric without labels; -1: there is none.
+  double MetricValue(const std::string& aName)
+  {
+    const auto body = CallAndWait(MakeGet(7601, "/metrics"))->mBody;
+    const auto at = body.find("\n" + aName + " ");
+    return at == std::string::npos
+             ? -1
+             : std::strtod(body.c_str() + at + aName.size() + 2, nullptr);
+  }
+
+  static int CountEvents(const std::string& aBody)
+  {
+    int count = 0;
+    for (auto at = aBody.find("id: "); at != std::string::npos;
+         at = aBody.find("id: ", at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+
   void StartNode(Duration aLeavingStreamPeriod = 50ms)
   {
     const std::string ip = UniqueLoopbackAddress();
@@ -160,6 +252,8 @@
     settings.mLeavingAcceptPeriod = 50ms;
     settings.mLeavingStreamPeriod = aLeavingStreamPeriod;
     settings.mMachine.mUpstreamList.mMissingGracePeriod = 0ms;
+    settings.mIdleTimeout = mIdleTimeout;
+    settings.mMaxBufferedBytes = mMaxBufferedBytes;
     Reason reason;
     mNode = NodeProcess::Create(settings,
                                 { &mCallers, &mUpstreams, &mView, &mStore },
@@ -213,6 +307,10 @@
     return Until([&] { return isElapsed; });
   }
 
+  int mEventsSent = 0;
+  int mEventsInAll = 0;
+  Duration mIdleTimeout = 30s;
+  std::size_t mMaxBufferedBytes = 16u << 20;
   MemoryStore mStore;
   HttpRequest mLastRequest;
   platform::PlatformCallerProtocol mCallers;
@@ -390,6 +488,198 @@
   BOOST_TEST(CallAndWait(MakeRequest("/a/x", "k1"))->mStatus == 200);
 }
 
+// Load: a burst of one workspace over its allowance. Guards against a refusal
+// where a wait of a tenth of a second is enough, and against a wait that
+// neither metrics show.
+BOOST_AUTO_TEST_CASE(RequestOverTheAllowanceWaitsForIt)
+{
+  WriteLimit(1, 8, 4); // A token every 125 ms; the target latency is 1 s.
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  for (int n = 0; n < 4; ++n) {
+    CallAndWait(MakeRequest("/a/x", "k1"));
+  }
+  const int before = mHandler.mRequests;
+  const TimePoint start = mReactor->Now();
+  const auto first = CallAndWait(MakeRequest("/a/x", "k1"));
+  BOOST_TEST(first->mStatus == 200);
+  BOOST_TEST((mReactor->Now() - start < 500ms));
+  BOOST_TEST(mHandler.mRequests == before + 1);
+  BOOST_TEST(HasMetric(
+    "peridothoist_allowance_wait_seconds_count{result=\"admitted\"}"));
+  BOOST_TEST(HasMetric("peridothoist_waiting_for_allowance 0"));
+}
+
+// Load: a flood of one workspace. Guards against a VM that holds all of it.
+BOOST_AUTO_TEST_CASE(RequestsFarOverTheAllowanceAreRefusedAtOnce)
+{
+  WriteLimit(1, 8, 4);
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  std::vector<std::shared_ptr<CallRecorder>> calls;
+  for (int n = 0; n < 40; ++n) {
+    calls.push_back(std::make_shared<CallRecorder>());
+    mClient->Start(MakeRequest("/a/x", "k1"), calls.back());
+  }
+  const TimePoint start = mReactor->Now();
+  BOOST_REQUIRE(Until([&] {
+    return std::all_of(calls.begin(), calls.end(), [](const auto& aCall) {
+      return aCall->mEnds > 0;
+    });
+  }));
+  BOOST_TEST((mReactor->Now() - start < 900ms));
+  int served = 0;
+  for (const auto& call : calls) {
+    served += call->mStatus == 200 ? 1 : 0;
+    BOOST_REQUIRE((call->mStatus == 200 || call->mStatus == 429));
+    BOOST_TEST((call->mStatus == 200) ==
+               (call->mHeaders.count("retry-after") == 0U));
+  }
+  BOOST_TEST(served >= 3);
+  BOOST_TEST(served <= 4 + 8);
+}
+
+// Load: a caller leaves, a key is withdrawn and the VM shuts down while
+// requests wait for their allowance. Guards against a request that runs
+// although it must not, and against one without a response.
+BOOST_AUTO_TEST_CASE(EndsOfTheWaitForTheAllowance)
+{
+  WriteLimit(1, 1, 2); // A token a second.
+  WriteRouteTarget(8000);
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  for (int n = 0; n < 2; ++n) {
+    CallAndWait(MakeRequest("/a/x", "k1"));
+  }
+  const int before = mHandler.mRequests;
+  const auto left = std::make_shared<CallRecorder>();
+  const auto id = mClient->Start(MakeRequest("/a/x", "k1"), left);
+  RunFor(30ms);
+  mClient->Cancel(id);
+  RunFor(100ms);
+  BOOST_TEST(
+    HasMetric("peridothoist_allowance_wait_seconds_count{result=\"left\"} 1"));
+  const auto withdrawn = std::make_shared<CallRecorder>();
+  mClient->Start(MakeRequest("/a/x", "k1"), withdrawn);
+  RunFor(20ms);
+  WriteConfiguration(2, "k2");
+  BOOST_REQUIRE(Until([&] { return withdrawn->mEnds > 0; }));
+  BOOST_TEST(withdrawn->mStatus == 401);
+  BOOST_TEST(mHandler.mRequests == before);
+}
+
+BOOST_AUTO_TEST_CASE(ShutdownRefusesRequestsThatWaitForTheAllowance)
+{
+  WriteLimit(1, 0.5, 2);
+  WriteRouteTarget(10000);
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  for (int n = 0; n < 2; ++n) {
+    CallAndWait(MakeRequest("/a/x", "k1"));
+  }
+  const int before = mHandler.mRequests;
+  const auto waiting = std::make_shared<CallRecorder>();
+  mClient->Start(MakeRequest("/a/x", "k1"), waiting);
+  RunFor(20ms);
+  mNode->StartLeaving();
+  mReactor->Run(); // Returns when the node has shut down.
+  BOOST_TEST(waiting->mStatus == 503);
+  BOOST_TEST(waiting->mHeaders.count("retry-after") == 1U);
+  BOOST_TEST(mHandler.mRequests == before);
+}
+
+// Load: a caller that does not read, of a stream of 80 MB. Guards against a VM
+// that buffers all of it, and against events that are lost by the pause.
+BOOST_AUTO_TEST_CASE(UnreadStreamIsNotBufferedWithoutBound)
+{
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  StreamEvents(10000);
+  const auto caller = std::make_shared<CallRecorder>();
+  const auto id = StartUnreadStream(caller);
+  BOOST_TEST(mEventsSent < 1000); // 8 MB, most of it in the test's sockets.
+  const double buffered = MetricValue("peridothoist_buffered_bytes");
+  BOOST_TEST(buffered > 0);
+  BOOST_TEST(buffered <= 64 * 1024 + 2 * 9000);
+  mClient->Resume(id);
+  BOOST_REQUIRE(Until([&] { return caller->mEnds > 0; }));
+  BOOST_TEST((caller->mResult.mFailure == CallFailure::None));
+  BOOST_TEST(CountEvents(caller->mBody) == 10000);
+  BOOST_TEST(MetricValue("peridothoist_buffered_bytes") == 0);
+}
+
+// Load: a caller that does not read. Guards against a stream whose upstream
+// broke off meanwhile and that reaches the caller as a complete one.
+BOOST_AUTO_TEST_CASE(StreamThatBreaksOffWhilePausedEndsIncomplete)
+{
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  StreamEvents(10000);
+  const auto caller = std::make_shared<CallRecorder>();
+  const auto id = StartUnreadStream(caller);
+  mServer.reset(); // The upstream aborts its responses.
+  BOOST_REQUIRE(RunFor(50ms));
+  BOOST_TEST(caller->mEnds == 0);
+  mClient->Resume(id);
+  BOOST_REQUIRE(Until([&] { return caller->mEnds > 0; }));
+  BOOST_TEST((caller->mResult.mFailure == CallFailure::Broken));
+  BOOST_TEST(CountEvents(caller->mBody) < 10000);
+}
+
+// Load: a caller that reads 2 MB a second, of a stream of 8 MB. Guards against
+// a slow reader that is cut although it reads, here after an idle time of 1 s.
+BOOST_AUTO_TEST_CASE(SlowReaderIsNotCut)
+{
+  mIdleTimeout = 1s;
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  StreamEvents(1000);
+  const auto caller = std::make_shared<CallRecorder>();
+  HttpCall call = MakeRequest("/s/x", "k1");
+  call.mHeaders["request-deadline"] = "60000";
+  HttpClient::CallId id = 0;
+  caller->mOnData = [&] {
+    mClient->Pause(id);
+    mReactor->Schedule(4ms, [&] { mClient->Resume(id); });
+  };
+  const TimePoint start = mReactor->Now();
+  id = mClient->Start(call, caller);
+  BOOST_REQUIRE(Until([&] { return caller->mEnds > 0; }));
+  BOOST_TEST((mReactor->Now() - start > 2s));
+  BOOST_TEST((caller->mResult.mFailure == CallFailure::None));
+  BOOST_TEST(CountEvents(caller->mBody) == 1000);
+}
+
+// Load: a caller that does not read, and new requests of two priorities. Guards
+// against buffers of all callers without a bound, and against an urgent request
+// that is refused before a less urgent one.
+BOOST_AUTO_TEST_CASE(FullBuffersRefuseTheLeastUrgentRequestsFirst)
+{
+  mMaxBufferedBytes = 120'000; // A stream takes up to 64 KiB and one event.
+  json body = json::parse(mStore.mTables["op"]["config"]);
+  body["routes"][0]["priority"] = 9;
+  body["routes"][2]["priority"] = 0;
+  mStore.mTables["op"]["config"] = body.dump();
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  const auto respond = mHandler.mRespond;
+  StreamEvents(1000);
+  const auto caller = std::make_shared<CallRecorder>();
+  const auto id = StartUnreadStream(caller);
+  mHandler.mRespond = respond;
+  const auto stream = mHandler.mLastExchange;
+  const auto refused = CallAndWait(MakeRequest("/a/x", "k1"));
+  BOOST_TEST(refused->mStatus == 503);
+  BOOST_TEST(refused->mHeaders.count("retry-after") == 1U);
+  BOOST_TEST(refused->mBody.find("buffers_full") != std::string::npos);
+  BOOST_TEST(CallAndWait(MakeRequest("/open/x", ""))->mStatus == 200);
+  mHandler.mLastExchange = stream;
+  mClient->Resume(id);
+  BOOST_REQUIRE(Until([&] { return caller->mEnds > 0; }));
+  BOOST_TEST(CountEvents(caller->mBody) == 1000);
+  BOOST_TEST(CallAndWait(MakeRequest("/a/x", "k1"))->mStatus == 200);
+}
+
 BOOST_AUTO_TEST_CASE(MetricsEndpointReturnsMetrics)
 {
   StartNode();
