Test evacuations and cold upstreams with real processes

Cause: no system test or soak evacuated a zone or had cold upstreams. The soak evacuates a zone and has cold starts, with the invariants EVACUATED and COLD.

--- a/SystemTests/soak/faults.py
+++ b/SystemTests/soak/faults.py
@@ -20,12 +20,13 @@
 class FaultSchedule:
     """Generates faults from one seed and schedules their actions."""
 
-    def __init__(self, rng, cluster, record, path_rng=None):
+    def __init__(self, rng, cluster, record, path_rng=None, zone_rng=None):
         """path_rng: draws the faults of paths and of leaving; apart from the others,
         so that a seed's other faults stay what they were before these were added.
-        None: there are none."""
+        None: there are none. zone_rng: the same for evacuations."""
         self.rng = rng
         self.path_rng = path_rng
+        self.zone_rng = zone_rng
         self.cluster = cluster
         self.record = record
         self.actions = []
@@ -46,6 +47,8 @@
             for _ in range(max(1, count // 4)):
                 self.cut_off(self.path_rng.uniform(1, seconds))
                 self.state_leaving(self.path_rng.uniform(1, seconds))
+        if self.zone_rng is not None:
+            self.evacuate(self.zone_rng.uniform(1, seconds / 2))
         return sorted(self.actions)
 
     def _schedule(self, start_time, text, run):
@@ -294,6 +297,31 @@
             lambda: self.cluster.loop.run(restart()),
         )
 
+    def evacuate(self, start_time):
+        """Evacuates a zone for some seconds. At times its upstreams become cold
+        moments before it is taken back, without saying so in their entries yet."""
+        rng = self.zone_rng
+        zone = rng.choice(sorted({it.zone for it in self.cluster.upstreams}))
+        seconds = rng.choice([7, 9])  # Beyond the bound.
+        becomes_cold = rng.random() < 0.7
+        store = self.cluster.store
+        evacuation = [zone, None, None]
+
+        def start_fault():
+            store.evacuate(zone)
+            evacuation[1] = time.monotonic()
+            self.record.evacuations.append(evacuation)
+
+        def end_fault():
+            for upstream in self.cluster.upstreams:
+                if becomes_cold and upstream.zone == zone:
+                    upstream.cool()
+            evacuation[2] = time.monotonic()
+            store.take_back(zone)
+
+        self._schedule(start_time, f"evacuate {zone}", start_fault)
+        self._schedule(start_time + seconds, f"take back {zone}", end_fault)
+
     def pause_engines(self, start_time):
         """Makes one decode engine pause for some seconds while all others pause too
         or refuse requests."""
--- a/SystemTests/soak/invariants.py
+++ b/SystemTests/soak/invariants.py
@@ -9,12 +9,14 @@
 import bisect
 from collections import Counter, defaultdict
 
-from users_platform.upstreams import BROKEN
+from users_platform.upstreams import BROKEN, COLD_OVERAGE, COLD_SLACK
 
 # Longest time for which a withdrawn key may still be used: --revoke_limit_ms.
 MAX_REVOKE_SECONDS = 5.0
 # Longest time for which a leaving upstream may still get new requests.
 MAX_LEAVING_SECONDS = 2.0
+# Longest time for which an evacuated zone may still get requests.
+MAX_EVACUATE_SECONDS = 5.0
 RECONNECT_SECONDS = 3.0  # Recovery time of a node after the end of a fault.
 RESPONSE_SLACK_SECONDS = 1.0  # Time for a response after the caller timeout.
 ROUTE_TIMEOUT_SECONDS = 4.0  # timeoutMs of all routes.
@@ -32,6 +34,27 @@
 SERVICE_OF = {"post": "ledger", "look": "ledger", "stream": "lm"}
 
 
+def cold_overruns(arrivals):
+    """Returns a line for each upstream that got more in a second than it bore while
+    it was cold."""
+    times = defaultdict(list)
+    rates = {}
+    for it in arrivals:
+        if it.cold_rate > 0:
+            times[it.upstream].append(it.received_at)
+            rates[it.upstream] = it.cold_rate
+    lines = []
+    for upstream, all_times in times.items():
+        most = max(
+            n + 1 - bisect.bisect_right(all_times, end - 1)
+            for n, end in enumerate(all_times)
+        )
+        allowed = COLD_OVERAGE * rates[upstream] + COLD_SLACK
+        if most > allowed:
+            lines.append(f"{upstream}: {most} in a second, borne {allowed}")
+    return lines
+
+
 class Record:
     """The history of a soak: attempts of callers, requests at upstreams, and
     injected faults."""
@@ -48,6 +71,9 @@
         self.withdrawn_at = {}
         # Upstream id -> time at which the store accepted its draining state.
         self.left_at = {}
+        # Zone, time at which the store accepted its evacuation, and the end or None.
+        self.evacuations = []
+        self.node_of_host = {}  # Address from which a node calls -> its name.
         # Node -> [time of SIGTERM, time of exit].
         self.termination_spans = defaultdict(list)
         self.workspaces = {}  # Key -> workspace.
@@ -97,6 +123,10 @@
         self._check_orders()
         self._check_retries(received_requests)
         self._check_allowance(received_requests)
+        arrivals = list(self.record.shared_state.arrivals)
+        self._check_evacuations(arrivals)
+        for line in cold_overruns(arrivals):
+            self._report("COLD", *line.split(": ", 1))
 
     def _report(self, invariant, identity, text):
         if (invariant, identity) not in self._reported:
@@ -256,6 +286,23 @@
         if received.told_leaving and received.ran and received.end == "whole":
             self.told_at[key] = min(received.ended_at, told_at or received.ended_at)
 
+    def _check_evacuations(self, arrivals):
+        """Checks that no node in touch with the store sends anything to an evacuated
+        zone after the bound."""
+        for zone, start, end in self.record.evacuations:
+            for it in arrivals:
+                is_late = (
+                    it.zone == zone
+                    and it.received_at > start + MAX_EVACUATE_SECONDS
+                    and (end is None or it.received_at < end)
+                )
+                node = self.record.node_of_host.get(it.source)
+                if is_late and self.record.was_connected(
+                    node, it.received_at - MAX_EVACUATE_SECONDS, it.received_at
+                ):
+                    text = f"{it.path} of {node} {it.received_at - start:.2f} s after"
+                    self._report("EVACUATED", it.upstream, f"{text} evacuation")
+
     def _check_orders(self):
         """Checks that each incarnation of an engine gets one order at most, and
         that no two orders have the same fencing number."""
--- a/SystemTests/soak/soak.py
+++ b/SystemTests/soak/soak.py
@@ -21,7 +21,9 @@
 
 import harness  # noqa: E402, F401  pylint: disable=unused-import
 from soak.faults import FaultSchedule  # noqa: E402
-from soak.invariants import InvariantChecker, Record  # noqa: E402
+from soak.invariants import (  # noqa: E402
+    MAX_EVACUATE_SECONDS, InvariantChecker, Record,
+)
 from users_platform.callers import Caller  # noqa: E402
 from users_platform.nodes import NodeCluster, configuration  # noqa: E402
 
@@ -33,6 +35,7 @@
     {"name": "w2", "apiKeys": ["k2"], "ratePerS": 10, "burst": 10},
     {"name": "w3", "apiKeys": ["k3"]},
 )
+COLD = {"coldStartS": 3, "coldPerS": 4}  # See nodes.configuration().
 RECOVERY_SECONDS = 8  # Time without new faults at the end of a soak.
 RECOVERY_CHECK_SECONDS = 2.5  # Last part of it, in which requests must succeed.
 MIN_RECOVERY_FRACTION = 0.98  # Minimum fraction of attempts that succeed then.
@@ -44,13 +47,18 @@
     def __init__(self, seed, seconds, fault_count):
         self.rng = random.Random(seed)
         self.seconds = seconds
-        self.cluster = NodeCluster(nodes=4, prefills=4)
+        self.cluster = NodeCluster(
+            nodes=4, prefills=4, cold=COLD,
+            evacuate_ms=int(1000 * MAX_EVACUATE_SECONDS),
+        )
         self.record = Record(self.cluster.shared_state, {"k2": (10, 10)})
         self.record.workspaces = {"k1": "w1", "k2": "w2", "k3": "w3", "k4": "w1"}
+        self.record.node_of_host = {it.host: it.name for it in self.cluster.nodes}
         self.checker = InvariantChecker(self.record)
         path_rng = random.Random(f"paths of {seed}")
+        zone_rng = random.Random(f"zones of {seed}")
         self.actions = FaultSchedule(
-            self.rng, self.cluster, self.record, path_rng
+            self.rng, self.cluster, self.record, path_rng, zone_rng
         ).generate(fault_count, seconds)
         self.keys = ["k1", "k1", "k2", "k3"]
         self.is_stopping = False
@@ -93,7 +101,7 @@
         another."""
         tenants = [dict(it) for it in TENANTS]
         tenants[0]["apiKeys"] = ["k4"]
-        self.cluster.store.put("op", "config", configuration(7, tenants))
+        self.cluster.store.put("op", "config", configuration(7, tenants, cold=COLD))
         self.record.withdrawn_at["k1"] = time.monotonic()
         self.keys = ["k1", "k4", "k4", "k2", "k3"]
 
--- a/SystemTests/test_nodes.py
+++ b/SystemTests/test_nodes.py
@@ -20,9 +20,12 @@
     NODES = 3
     LEDGERS = 2
     ENGINES = {"prefills": 1, "decodes": 2}
+    EXTRA = {}  # Further arguments of NodeCluster.
 
     def setUp(self):
-        self.cluster = NodeCluster(nodes=self.NODES, ledgers=self.LEDGERS, **self.ENGINES)
+        self.cluster = NodeCluster(
+            nodes=self.NODES, ledgers=self.LEDGERS, **self.ENGINES, **self.EXTRA
+        )
         self.addCleanup(self.cluster.stop)
         self.cluster.start()
         self.caller = Caller("c")
--- a/SystemTests/test_upstream_standins.py
+++ b/SystemTests/test_upstream_standins.py
@@ -13,7 +13,7 @@
 from users_platform.callers import RequestAttempt
 from users_platform.store import Store
 from users_platform.upstreams import (
-    BROKEN, CLOSED, PAUSE_SECONDS, WHOLE, ReceivedRequest, SharedState, Upstream,
+    BROKEN, CLOSED, PAUSE_SECONDS, WHOLE, Arrival, ReceivedRequest, SharedState, Upstream,
 )
 
 NETWORK = f"127.{90 + os.getpid() // 250 % 20}.{1 + os.getpid() % 250}"
@@ -194,5 +194,55 @@
         self.check(False)
 
 
+class ZoneInvariantsTest(unittest.TestCase):
+    """Guards against invariants of evacuations and cold upstreams that can't fail."""
+
+    def setUp(self):
+        self.record = Record(SharedState(None), {})
+        self.record.node_of_host = {"h": "vm-0"}
+
+    def add(self, received_at, zone="a", cold_rate=0.0):
+        self.record.shared_state.arrivals.append(
+            Arrival(received_at, "i-1", zone, "/-/report", "h", cold_rate)
+        )
+
+    def check(self, *violations):
+        checker = InvariantChecker(self.record)
+        checker.check()
+        self.assertEqual([it.split(":")[0] for it in checker.violations], [*violations])
+
+    def test_check_after_the_bound_is_reported(self):
+        self.record.evacuations.append(["a", 100.0, 110.0])
+        self.add(105.1)
+        self.check("EVACUATED")
+
+    def test_requests_before_the_bound_after_the_end_and_elsewhere_are_allowed(self):
+        self.record.evacuations.append(["a", 100.0, 110.0])
+        for received_at, zone in ((104.9, "a"), (110.1, "a"), (106.0, "b")):
+            self.add(received_at, zone)
+        self.check()
+
+    def test_disconnected_node_is_not_reported(self):
+        self.record.evacuations.append(["a", 100.0, None])
+        self.record.mark_disconnected("vm-0", 101.0)
+        self.add(105.1)
+        self.check()
+
+    def test_cold_upstream_that_is_overrun_is_reported(self):
+        for n in range(12):  # 4 x 1.5 + 5 is 11.
+            self.add(100.0 + n / 20, cold_rate=4.0)
+        self.check("COLD")
+
+    def test_as_many_as_it_bears_are_allowed(self):
+        for n in range(22):
+            self.add(100.0 + n / 11, cold_rate=4.0)
+        self.check()
+
+    def test_warm_upstream_takes_any_number(self):
+        for n in range(50):
+            self.add(100.0 + n / 100)
+        self.check()
+
+
 if __name__ == "__main__":
     unittest.main()
