--- a/Peridothoist/Cells/GossipSummary.h
+++ b/Peridothoist/Cells/GossipSummary.h
@@ -39,6 +39,7 @@
   ColdTimes mCold;          ///< Cold upstreams that these VMs learnt of.
   SpeedsByUpstream mSpeeds; ///< Of some upstreams, as these VMs learnt them.
   std::vector<CallerAddress> mCallers;
+  bool mAnnounceContents = false; ///< All these VMs; see GossipMessage.
 };
 
 /// Numbers of upstreams whose speeds one message and one summary tell. Every
--- a/Peridothoist/Node/GossipCodec.cpp
+++ b/Peridothoist/Node/GossipCodec.cpp
@@ -40,6 +40,7 @@
 constexpr const char* kPriorities = "wp"; ///< Waiting requests by priority.
 constexpr const char* kCold = "cd";
 constexpr const char* kSpeeds = "sp";
+constexpr const char* kAnnouncesContents = "ca";
 
 // Further keys of a summary.
 constexpr const char* kCell = "e";
@@ -411,6 +412,7 @@
   message.mLimits = DecodeLimits(aValue);
   message.mCold = DecodeCold(aValue);
   message.mSpeeds = DecodeSpeeds(aValue);
+  message.mAnnouncesContents = aValue.value(kAnnouncesContents, false);
   message.mDemand = DecodeDemand(aValue);
   message.mPeers = aValue.at(kKnownPeers).get<std::vector<std::string>>();
   message.mIsRedirect = aValue.value(kRedirect, false);
@@ -485,6 +487,7 @@
   summary.mLimits = DecodeLimits(body);
   summary.mCold = DecodeCold(body);
   summary.mSpeeds = DecodeSpeeds(body);
+  summary.mAnnounceContents = body.value(kAnnouncesContents, false);
   summary.mCallers = DecodeCallers(body.at(kCallers));
   return summary;
 }
@@ -548,6 +551,9 @@
                 { kFailing, EncodeFailing(aMessage.mFailingUpstreams) },
                 { kCrashes, EncodeCrashes(aMessage.mCrashReports) },
                 { kKnownPeers, aMessage.mPeers } };
+  if (aMessage.mAnnouncesContents) {
+    body[kAnnouncesContents] = true;
+  }
   if (!aMessage.mPriorities.empty()) {
     body[kPriorities] = EncodePriorities(aMessage.mPriorities);
   }
@@ -597,6 +603,9 @@
   if (!aSummary.mPoolWork.empty()) {
     body[kPoolWork] = EncodePoolWork(aSummary.mPoolWork);
   }
+  if (aSummary.mAnnounceContents) {
+    body[kAnnouncesContents] = true;
+  }
   if (!aSummary.mPriorities.empty()) {
     body[kPriorities] = EncodePriorities(aSummary.mPriorities);
   }
--- a/Peridothoist/Relay/MembershipTable.h
+++ b/Peridothoist/Relay/MembershipTable.h
@@ -57,9 +57,11 @@
   /// Processes of upstreams that stated to it that they leave.
   std::vector<UpstreamProcess> mLeavingUpstreams;
   std::vector<CrashReport> mCrashReports;
-  LimitsByUpstream mLimits;        ///< As upstreams stated them to this VM.
-  ColdTimes mCold;                 ///< Cold upstreams that it learnt of.
-  SpeedsByUpstream mSpeeds;        ///< Of some upstreams, as it learnt them.
+  LimitsByUpstream mLimits; ///< As upstreams stated them to this VM.
+  ColdTimes mCold;          ///< Cold upstreams that it learnt of.
+  SpeedsByUpstream mSpeeds; ///< Of some upstreams, as it learnt them.
+  /// It announces the origins of streams by content; older builds don't.
+  bool mAnnouncesContents = false;
   DemandByService mDemand;         ///< For services with limited upstreams.
   std::vector<std::string> mPeers; ///< Peer addresses that it knows.
   /// It answers a VM of another cell with the addresses of that VM's cell.
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -373,6 +373,17 @@
   }
 }
 
+// Guards against streams that differ in their last prompt part only and are
+// taken for one.
+BOOST_AUTO_TEST_CASE(AllPromptPartsBelongToTheContent)
+{
+  HttpRequest request = ExampleRequest();
+  request.mHeaders["prompt-prefix"] = "5c1e07a2:800,e4402b7d:250";
+  BOOST_TEST(
+    PlatformCallerProtocol().ParseRequest(request, nullptr)->mPromptParts ==
+    "5c1e07a2:800,e4402b7d:250");
+}
+
 BOOST_AUTO_TEST_CASE(RequestWithoutIdIsRejected)
 {
   HttpRequest request = ExampleRequest();
@@ -657,6 +668,7 @@
   message.mLeavingUpstreams = { { "u", 17 }, { "v", 0 } };
   message.mCold = { { "u", 2s } };
   message.mPriorities = { { "s", { { 1, { 3, 4 } } } } };
+  message.mAnnouncesContents = *rc::gen::arbitrary<bool>();
   const std::string bytes = EncodeGossipMessage(message);
   const auto decoded = DecodeGossipMessage(bytes);
   RC_ASSERT(decoded.has_value());
@@ -665,6 +677,7 @@
   RC_ASSERT(std::abs(decoded->mSpeeds.at("u").mFactor - 1.7) < 0.001);
   RC_ASSERT(decoded->mSpeeds.at("u").mProcess == 9U);
   RC_ASSERT(decoded->mCold == message.mCold);
+  RC_ASSERT(decoded->mAnnouncesContents == message.mAnnouncesContents);
   DecodeGossipMessage(Corrupt(bytes));
   const std::string query = EncodeViewQuery({ 5, "10.0.0.1:7600" });
   RC_ASSERT(DecodeViewQuery(query)->mStamp == 5U);
@@ -695,9 +708,11 @@
   summary.mSpeeds = { { "u", { 0.7, 20, 9 } } };
   summary.mCallers = { { "z", "10.0.0.1:80", ServingState::Everything } };
   summary.mCold = { { "u", 2s } };
+  summary.mAnnounceContents = *rc::gen::arbitrary<bool>();
   const std::string bytes = EncodeGossipSummary(summary);
   const auto decoded = DecodeGossipSummary(bytes);
   RC_ASSERT(decoded.has_value());
+  RC_ASSERT(decoded->mAnnounceContents == summary.mAnnounceContents);
   RC_ASSERT(EncodeGossipSummary(*decoded) == bytes);
   RC_ASSERT(decoded->mLeavingUpstreams == summary.mLeavingUpstreams);
   RC_ASSERT(decoded->mCold == summary.mCold);
