--- a/Peridothoist/Cells/CellMembership.cpp
+++ b/Peridothoist/Cells/CellMembership.cpp
@@ -209,13 +209,21 @@
                       const std::string& aZone) const
 {
   ++aSummary.mReachableVms;
+  aSummary.mAnnounceContents =
+    aSummary.mAnnounceContents && aMessage.mAnnouncesContents;
   for (const auto& [service, waiting] : aMessage.mWaiting) {
     aSummary.mWaiting[service] += waiting;
   }
+  AddWaiting(aSummary.mPriorities, aMessage.mPriorities);
   for (const auto& [id, work] : aMessage.mWork) {
     const RelayUpstream* upstream = aUpstreams.Find(id);
-    if (upstream != nullptr && upstream->mZone == aZone) {
+    if (upstream == nullptr) {
+      continue;
+    }
+    if (upstream->mZone == aZone) {
       aSummary.mWork[id] += work;
+    } else {
+      aSummary.mPoolWork[PoolOf(*upstream)] += work;
     }
   }
   for (const auto& [id, counts] : aMessage.mFailingUpstreams) {
@@ -227,6 +235,7 @@
                                  aMessage.mGoneUpstreams.end());
   MergeProcesses(aSummary.mLeavingUpstreams, aMessage.mLeavingUpstreams);
   MergeLimits(aSummary.mLimits, aMessage.mLimits);
+  MergeColdTimes(aSummary.mCold, aMessage.mCold);
   const SummaryTableSettings& limits = mSummaries->GetSettings();
   const bool isFull = aZone != mSelf.mZone &&
                       aSummary.mCallers.size() >= limits.mCallersForOtherZones;
@@ -251,15 +260,18 @@
   summary.mSequence = aOwn.mSequence;
   summary.mPeerAddress = aOwn.mPeerAddress;
   summary.mCell = mOwnCell;
+  summary.mAnnounceContents = true;
   summary.mGranted = aOwn.mGranted;
   AddGranted(summary.mGranted, aGranted);
   summary.mCrashReports = aOwn.mCrashReports;
   AddVm(summary, aOwn, aUpstreams, aZone);
+  summary.mSpeeds = aOwn.mSpeeds;
   for (const auto& [name, member] : mMembers->Members()) {
     const bool counts =
       !member.mLastMessage.mZone.empty() && mMembers->IsReachable(name, aNow);
     if (counts) {
       AddVm(summary, member.mLastMessage, aUpstreams, aZone);
+      MergeSpeeds(summary.mSpeeds, member.mSpeeds);
     }
   }
   std::sort(summary.mGoneUpstreams.begin(), summary.mGoneUpstreams.end());
@@ -269,6 +281,8 @@
   summary.mFailingUpstreams =
     WorstFailing(std::move(summary.mFailingUpstreams),
                  mSummaries->GetSettings().mMaxFailingUpstreams);
+  summary.mSpeeds = SelectSpeeds(
+    summary.mSpeeds, kSpeedsPerSummary, SpreadTurn(aOwn.mSequence));
   return summary;
 }
 
--- a/Peridothoist/Cells/GossipSummary.h
+++ b/Peridothoist/Cells/GossipSummary.h
@@ -9,6 +9,7 @@
 #include <Peridothoist/Relay/MembershipTable.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/WorkspaceRateLimiter.h>
+#include <Peridothoist/Routing/UpstreamSpeeds.h>
 
 namespace peridothoist {
 
@@ -24,18 +25,28 @@
   std::size_t mReachableVms = 0; ///< VMs that are summed up and reachable.
   /// Tokens granted by these VMs while the sender's instance knew them.
   GrantedTokens mGranted;
-  WaitingByService mWaiting; ///< They wait for upstream capacity.
+  WaitingByService mWaiting;            ///< They wait for upstream capacity.
+  PriorityWaitingByService mPriorities; ///< The same by priority.
   /// Work at the upstreams of the recipients' zone.
   WorkByUpstream mWork;
+  WorkByPool mPoolWork; ///< Work at the upstreams of other zones.
   std::vector<std::string> mGoneUpstreams;
   CountsByUpstream mFailingUpstreams;
   /// Processes of upstreams that stated to these VMs that they leave.
   std::vector<UpstreamProcess> mLeavingUpstreams;
   std::vector<CrashReport> mCrashReports;
   LimitsByUpstream mLimits; ///< As upstreams stated them to these VMs.
+  ColdTimes mCold;          ///< Cold upstreams that these VMs learnt of.
+  SpeedsByUpstream mSpeeds; ///< Of some upstreams, as these VMs learnt them.
   std::vector<CallerAddress> mCallers;
+  bool mAnnounceContents = false; ///< All these VMs; see GossipMessage.
 };
 
+/// Numbers of upstreams whose speeds one message and one summary tell. Every
+/// summary tells some, but only one message of several does.
+constexpr std::size_t kSpeedsPerMessage = 16;
+constexpr std::size_t kSpeedsPerSummary = 8;
+
 /// Adds the granted tokens of aFrom to aTo.
 void
 AddGranted(GrantedTokens& aTo, const GrantedTokens& aFrom);
--- a/Peridothoist/Cells/SummaryTable.cpp
+++ b/Peridothoist/Cells/SummaryTable.cpp
@@ -1,6 +1,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Cells/SummaryTable.h>
 
+#include <algorithm>
+
 #include <set>
 
 namespace peridothoist {
@@ -95,6 +97,15 @@
   return count;
 }
 
+bool
+SummaryTable::AnnounceContents() const
+{
+  return std::all_of(
+    mReceived.begin(), mReceived.end(), [](const auto& aEntry) {
+      return aEntry.second.mSummary.mAnnounceContents;
+    });
+}
+
 std::vector<CallerAddress>
 SummaryTable::Callers() const
 {
@@ -111,12 +122,15 @@
 {
   aSum.mReachableVms = ReachableVms();
   aSum.mCallers = Callers();
+  aSum.mAnnounceContents = AnnounceContents();
   std::set<std::string> gone;
   for (const auto& [key, received] : mReceived) {
     const GossipSummary& it = received.mSummary;
     for (const auto& [service, waiting] : it.mWaiting) {
       aSum.mWaiting[service] += waiting;
     }
+    AddWaiting(aSum.mPriorities, it.mPriorities);
+    AddPoolWork(aSum.mPoolWork, it.mPoolWork);
     for (const auto& [id, work] : it.mWork) {
       aSum.mWork[id] += work;
     }
@@ -127,6 +141,7 @@
     gone.insert(it.mGoneUpstreams.begin(), it.mGoneUpstreams.end());
     MergeProcesses(aSum.mLeavingUpstreams, it.mLeavingUpstreams);
     MergeLimits(aSum.mLimits, it.mLimits);
+    MergeColdTimes(aSum.mCold, it.mCold);
   }
   aSum.mGoneUpstreams.assign(gone.begin(), gone.end());
   aSum.mFailingUpstreams = WorstFailing(std::move(aSum.mFailingUpstreams),
--- a/Peridothoist/Node/CellGossip.cpp
+++ b/Peridothoist/Node/CellGossip.cpp
@@ -59,13 +59,17 @@
   loads.OnPeerFoundGone(aSummary.mGoneUpstreams, aNow);
   loads.Outcomes().OnPeerCounts(key, aSummary.mFailingUpstreams);
   loads.OnPeerWaiting(key, aSummary.mWaiting);
+  loads.OnPeerPriorities(key, aSummary.mPriorities);
   mMachine->Crashes().Apply(aSummary.mCrashReports, aNow);
   for (const UpstreamProcess& it :
        mMachine->OnPeerLeaving(aSummary.mLeavingUpstreams, aNow)) {
     LogStatedLeaving(it, key);
   }
   mMachine->OnPeerLimits(aSummary.mLimits, aNow);
+  mMachine->OnPeerCold(aSummary.mCold, aNow);
+  mMachine->OnPeerSpeeds(aSummary.mSpeeds, aNow);
   mMembers->SetReachableElsewhere(mSummaries.ReachableVms());
+  loads.OnPeerPoolWork(key, aSummary.mPoolWork);
   mListener->OnPeerWork(key, aSummary.mWork);
 }
 
@@ -140,6 +144,10 @@
   sum.mGranted = mOtherCellsGranted;
   sum.mCrashReports = aOwn.mCrashReports;
   mSummaries.AddUp(sum);
+  // Not those of the last summaries: each tells only some.
+  sum.mSpeeds = SelectSpeeds(mMachine->Speeds().KnownSpeeds(),
+                             kSpeedsPerSummary,
+                             SpreadTurn(aOwn.mSequence));
   const std::string bytes = EncodeGossipSummary(sum);
   for (const std::string& address : mMembership.CellPeerAddresses()) {
     aSocket.Send(address, bytes);
--- a/Peridothoist/Node/GossipCodec.cpp
+++ b/Peridothoist/Node/GossipCodec.cpp
@@ -36,6 +36,11 @@
 constexpr const char* kDemand = "h";
 constexpr const char* kLeavingUpstreams = "y";
 constexpr const char* kTunnelAddress = "t";
+constexpr const char* kPoolWork = "pw";
+constexpr const char* kPriorities = "wp"; ///< Waiting requests by priority.
+constexpr const char* kCold = "cd";
+constexpr const char* kSpeeds = "sp";
+constexpr const char* kAnnouncesContents = "ca";
 
 // Further keys of a summary.
 constexpr const char* kCell = "e";
@@ -45,6 +50,11 @@
 constexpr Duration kMaxAge = 24h; ///< Longer than any evidence is kept.
 constexpr double kMaxRate = 1e9;  ///< Requests a second.
 
+/// Factors of speeds are encoded as integers in percent.
+constexpr double kFactorScale = 100;
+constexpr std::uint32_t kMaxFactorPercent = 10000;
+constexpr std::uint32_t kMaxSpeedSamples = 1000;
+
 /// Call counts are encoded as integers in hundredths.
 constexpr double kCountScale = 100;
 constexpr const char* kKnownPeers = "k";
@@ -94,6 +104,28 @@
   return limits;
 }
 
+json
+EncodeCold(const ColdTimes& aTimes)
+{
+  json times = json::object();
+  for (const auto& [id, it] : aTimes) {
+    times[id] = it.count();
+  }
+  return times;
+}
+
+json
+EncodeSpeeds(const SpeedsByUpstream& aSpeeds)
+{
+  json speeds = json::object();
+  for (const auto& [id, it] : aSpeeds) {
+    speeds[id] = { std::llround(it.mFactor * kFactorScale),
+                   it.mSamples,
+                   it.mProcess };
+  }
+  return speeds;
+}
+
 json
 EncodeDemand(const DemandByService& aDemand)
 {
@@ -172,6 +204,65 @@
   return waiting;
 }
 
+json
+EncodePriorities(const PriorityWaitingByService& aWaiting)
+{
+  json services = json::object();
+  for (const auto& [service, byPriority] : aWaiting) {
+    json& rows = services[service] = json::array();
+    for (const auto& [priority, it] : byPriority) {
+      rows.push_back({ priority, it.mInTime, it.mLate });
+    }
+  }
+  return services;
+}
+
+json
+EncodePoolWork(const WorkByPool& aWork)
+{
+  json rows = json::array();
+  for (const auto& [pool, work] : aWork) {
+    rows.push_back(
+      { pool.mService, pool.mStage, pool.mZone, work.mRequests, work.mTokens });
+  }
+  return rows;
+}
+
+/// Builds that know no pools send none.
+WorkByPool
+DecodePoolWork(const json& aBody)
+{
+  WorkByPool pools;
+  if (aBody.contains(kPoolWork)) {
+    for (const json& it : aBody.at(kPoolWork)) {
+      const UpstreamPool pool{ it.at(0).get<std::string>(),
+                               it.at(1).get<int>(),
+                               it.at(2).get<std::string>() };
+      pools[pool] +=
+        { it.at(3).get<std::uint32_t>(), it.at(4).get<std::uint64_t>() };
+    }
+  }
+  return pools;
+}
+
+/// Builds that do not tell priorities send none.
+PriorityWaitingByService
+DecodePriorities(const json& aBody)
+{
+  PriorityWaitingByService waiting;
+  if (aBody.contains(kPriorities)) {
+    for (const auto& [service, rows] : aBody.at(kPriorities).items()) {
+      WaitingByPriority& byPriority = waiting[service];
+      for (const json& it : rows) {
+        byPriority[it.at(0).get<std::uint32_t>()] = {
+          it.at(1).get<std::uint32_t>(), it.at(2).get<std::uint32_t>()
+        };
+      }
+    }
+  }
+  return waiting;
+}
+
 /// Decodes a time that has passed; later ones count as the maximum.
 Duration
 DecodeAge(const json& aValue)
@@ -220,6 +311,36 @@
   return limits;
 }
 
+/// Builds that know no cold upstreams send none.
+ColdTimes
+DecodeCold(const json& aBody)
+{
+  ColdTimes times;
+  if (aBody.contains(kCold)) {
+    for (const auto& [id, it] : aBody.at(kCold).items()) {
+      times[id] = DecodeAge(it);
+    }
+  }
+  return times;
+}
+
+/// Builds that learn no speeds send none.
+SpeedsByUpstream
+DecodeSpeeds(const json& aBody)
+{
+  SpeedsByUpstream speeds;
+  if (aBody.contains(kSpeeds)) {
+    for (const auto& [id, it] : aBody.at(kSpeeds).items()) {
+      const std::uint32_t percent =
+        std::min(it.at(0).get<std::uint32_t>(), kMaxFactorPercent);
+      speeds[id] = { percent / kFactorScale,
+                     std::min(it.at(1).get<std::uint32_t>(), kMaxSpeedSamples),
+                     it.at(2).get<std::uint32_t>() };
+    }
+  }
+  return speeds;
+}
+
 json
 EncodeProcesses(const std::vector<UpstreamProcess>& aProcesses)
 {
@@ -282,12 +403,16 @@
   } else {
     message.mWaiting[""] = DecodeWaiting(aValue.at(kWaiting));
   }
+  message.mPriorities = DecodePriorities(aValue);
   message.mGoneUpstreams = aValue.at(kGone).get<std::vector<std::string>>();
   message.mFailingUpstreams = DecodeFailing(aValue.at(kFailing));
   message.mCrashReports = DecodeCrashes(aValue.at(kCrashes));
   message.mTunnelAddress = DecodeTunnel(aValue.value(kTunnelAddress, ""));
   message.mLeavingUpstreams = DecodeLeaving(aValue);
   message.mLimits = DecodeLimits(aValue);
+  message.mCold = DecodeCold(aValue);
+  message.mSpeeds = DecodeSpeeds(aValue);
+  message.mAnnouncesContents = aValue.value(kAnnouncesContents, false);
   message.mDemand = DecodeDemand(aValue);
   message.mPeers = aValue.at(kKnownPeers).get<std::vector<std::string>>();
   message.mIsRedirect = aValue.value(kRedirect, false);
@@ -352,12 +477,17 @@
   summary.mReachableVms = body.at(kReachable).get<std::uint32_t>();
   summary.mGranted = body.at(kGranted).get<GrantedTokens>();
   summary.mWaiting = DecodeWaitingByService(body.at(kWaitingByService));
+  summary.mPriorities = DecodePriorities(body);
+  summary.mPoolWork = DecodePoolWork(body);
   summary.mWork = DecodeWork(body.at(kWork));
   summary.mGoneUpstreams = body.at(kGone).get<std::vector<std::string>>();
   summary.mFailingUpstreams = DecodeFailing(body.at(kFailing));
   summary.mCrashReports = DecodeCrashes(body.at(kCrashes));
   summary.mLeavingUpstreams = DecodeLeaving(body);
   summary.mLimits = DecodeLimits(body);
+  summary.mCold = DecodeCold(body);
+  summary.mSpeeds = DecodeSpeeds(body);
+  summary.mAnnounceContents = body.value(kAnnouncesContents, false);
   summary.mCallers = DecodeCallers(body.at(kCallers));
   return summary;
 }
@@ -388,6 +518,9 @@
     response.mVmDigest = aValue.at(6).get<std::uint64_t>();
     response.mViewAddress = aValue.at(7).get<std::string>();
   }
+  if (aValue.size() > 8) { // Older builds know no evacuated zones.
+    response.mEvacuationDigest = aValue.at(8).get<std::uint64_t>();
+  }
   return response;
 }
 
@@ -418,6 +551,12 @@
                 { kFailing, EncodeFailing(aMessage.mFailingUpstreams) },
                 { kCrashes, EncodeCrashes(aMessage.mCrashReports) },
                 { kKnownPeers, aMessage.mPeers } };
+  if (aMessage.mAnnouncesContents) {
+    body[kAnnouncesContents] = true;
+  }
+  if (!aMessage.mPriorities.empty()) {
+    body[kPriorities] = EncodePriorities(aMessage.mPriorities);
+  }
   if (!aMessage.mTunnelAddress.empty()) {
     body[kTunnelAddress] = aMessage.mTunnelAddress;
   }
@@ -427,6 +566,12 @@
   if (!aMessage.mLimits.empty()) {
     body[kLimits] = EncodeLimits(aMessage.mLimits);
   }
+  if (!aMessage.mCold.empty()) {
+    body[kCold] = EncodeCold(aMessage.mCold);
+  }
+  if (!aMessage.mSpeeds.empty()) {
+    body[kSpeeds] = EncodeSpeeds(aMessage.mSpeeds);
+  }
   if (!aMessage.mDemand.empty()) {
     body[kDemand] = EncodeDemand(aMessage.mDemand);
   }
@@ -455,12 +600,27 @@
                 { kFailing, EncodeFailing(aSummary.mFailingUpstreams) },
                 { kCrashes, EncodeCrashes(aSummary.mCrashReports) },
                 { kCallers, EncodeCallers(aSummary.mCallers) } };
+  if (!aSummary.mPoolWork.empty()) {
+    body[kPoolWork] = EncodePoolWork(aSummary.mPoolWork);
+  }
+  if (aSummary.mAnnounceContents) {
+    body[kAnnouncesContents] = true;
+  }
+  if (!aSummary.mPriorities.empty()) {
+    body[kPriorities] = EncodePriorities(aSummary.mPriorities);
+  }
   if (!aSummary.mLeavingUpstreams.empty()) {
     body[kLeavingUpstreams] = EncodeProcesses(aSummary.mLeavingUpstreams);
   }
   if (!aSummary.mLimits.empty()) {
     body[kLimits] = EncodeLimits(aSummary.mLimits);
   }
+  if (!aSummary.mCold.empty()) {
+    body[kCold] = EncodeCold(aSummary.mCold);
+  }
+  if (!aSummary.mSpeeds.empty()) {
+    body[kSpeeds] = EncodeSpeeds(aSummary.mSpeeds);
+  }
   if (aSummary.mCell) {
     body[kCell] = { aSummary.mCell->mZone, aSummary.mCell->mNumber };
   }
@@ -496,7 +656,8 @@
                               aResponse.mListDigest,
                               aResponse.mListAge.count(),
                               aResponse.mVmDigest,
-                              aResponse.mViewAddress }));
+                              aResponse.mViewAddress,
+                              aResponse.mEvacuationDigest }));
 }
 
 std::optional<ViewResponse>
--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -24,6 +24,10 @@
 /// cell's leader, to the other leaders, and to the VMs of their cells.
 constexpr int kIntervalsAcrossCells = 3;
 
+/// Messages with speeds of upstreams: one in this many. An odd number, because
+/// summaries for other zones are made from the messages of every other round.
+constexpr std::uint64_t kMessagesPerSpeedReport = 7;
+
 } // namespace
 
 std::unique_ptr<NodeGossip>
@@ -57,6 +61,12 @@
                                            aReactor,
                                            gossip->mSocket.get(),
                                            aListener);
+  gossip->mContentOrigins =
+    std::make_unique<ContentOriginExchange>(aSettings.mContentOrigins,
+                                            aSettings.Record(),
+                                            aReactor,
+                                            gossip->mSocket.get(),
+                                            aListener);
   gossip->Tick();
   return gossip;
 }
@@ -114,8 +124,12 @@
 void
 NodeGossip::Tick()
 {
+  if (!AllAnnounceContents()) {
+    mContentOrigins->OnUnannounced();
+  }
   RemoveSilentPeers();
   mMachine->Crashes().DropExpired(mReactor->Now());
+  LogSpeeds(mMachine->Speeds().Update(mReactor->Now()));
   Publish(mSettings.mGossipFanOut);
   UpdateMaxGossipAge();
   mListener->OnMembersChanged();
@@ -154,6 +168,17 @@
   }
 }
 
+/// Returns whether all VMs that are heard announce origins by content.
+bool
+NodeGossip::AllAnnounceContents() const
+{
+  const auto& members = mMembers.Members();
+  return mCells.Summaries().AnnounceContents() &&
+         std::all_of(members.begin(), members.end(), [](const auto& aEntry) {
+           return aEntry.second.mLastMessage.mAnnouncesContents;
+         });
+}
+
 /// Lets origins of streams be kept by the registered VMs and by peers whose
 /// registration has not been read yet.
 void
@@ -165,6 +190,7 @@
     vms.emplace(name, VmRecord{ name, message.mZone, message.mPeerAddress });
   }
   mOrigins->SetVms(vms);
+  mContentOrigins->SetVms(vms);
 }
 
 std::vector<CallerAddress>
@@ -307,6 +333,7 @@
   message.mGranted = mRateLimiter->Granted();
   message.mWork = mMachine->Loads().OwnWork();
   message.mWaiting = mMachine->ClassifyWaiting(now);
+  message.mPriorities = mMachine->ClassifyPriorities(now);
   message.mGoneUpstreams = mMachine->Loads().GoneUpstreams(now);
   message.mFailingUpstreams =
     mMachine->Loads().Outcomes().FailingUpstreams(now);
@@ -314,6 +341,15 @@
     mMachine->Crashes().Reports(now), mSettings.mMaxCrashReports, mSequence);
   message.mLeavingUpstreams = mMachine->ListedUpstreams().OwnLeaving(now);
   message.mLimits = mMachine->Limits().OwnLimits(now);
+  message.mCold = mMachine->Limits().OwnColdTimes(now);
+  if (mSequence % kMessagesPerSpeedReport == 0) {
+    // VMs begin at different upstreams, so that a VM that has just started
+    // hears of all of them soon.
+    const SpeedsByUpstream speeds = mMachine->Speeds().OwnSpeeds();
+    const std::uint64_t first =
+      speeds.empty() ? 0 : mRandom->UniformBelow(speeds.size());
+    message.mSpeeds = SelectSpeeds(speeds, kSpeedsPerMessage, first);
+  }
   message.mDemand = mMachine->Limits().ReportDemand(now);
   // Each message carries one random peer address: over time all VMs learn all
   // addresses while messages stay small.
@@ -323,6 +359,7 @@
     std::advance(it, mRandom->UniformBelow(peers.size()));
     message.mPeers.push_back(*it);
   }
+  message.mAnnouncesContents = true;
   mListener->FillServingState(message);
   return message;
 }
@@ -330,7 +367,7 @@
 void
 NodeGossip::OnMessage(std::string_view aBytes)
 {
-  if (mOrigins->OnMessage(aBytes)) {
+  if (mOrigins->OnMessage(aBytes) || mContentOrigins->OnMessage(aBytes)) {
     return;
   }
   if (auto message = DecodeGossipMessage(aBytes)) {
@@ -408,9 +445,12 @@
     LogStatedLeaving(it, copy.mVm);
   }
   mMachine->OnPeerLimits(copy.mLimits, now);
+  mMachine->OnPeerCold(copy.mCold, now);
+  mMachine->OnPeerSpeeds(copy.mSpeeds, now);
   mMachine->Limits().OnPeerDemand(copy.mVm, copy.mDemand);
   mListener->OnMembersChanged();
   mMachine->Loads().OnPeerWaiting(copy.mVm, copy.mWaiting);
+  mMachine->Loads().OnPeerPriorities(copy.mVm, copy.mPriorities);
   mListener->OnPeerWork(copy.mVm, copy.mWork);
 }
 
--- a/Peridothoist/Node/NodeLog.cpp
+++ b/Peridothoist/Node/NodeLog.cpp
@@ -4,6 +4,8 @@
 #include <Peridothoist/Core/DurationUnits.h>
 #include <Peridothoist/Shell/Log.h>
 
+#include <algorithm>
+
 namespace peridothoist {
 
 void
@@ -31,7 +33,9 @@
   for (const auto& [id, entry] : aAfter) {
     const auto known = aBefore.find(id);
     const bool isNew = known == aBefore.end();
+    const bool isCold = entry.mUpstream.mColdRemaining > Duration(0);
     if (isNew ||
+        (known->second.mUpstream.mColdRemaining > Duration(0)) != isCold ||
         known->second.mUpstream.mIsLeaving != entry.mUpstream.mIsLeaving ||
         known->second.mIsMissing != entry.mIsMissing ||
         known->second.mUpstream.mStage != entry.mUpstream.mStage ||
@@ -45,6 +49,7 @@
         .Field("stage", ToName(entry.mUpstream.mStage))
         .Field("software", entry.mUpstream.mSoftwareVersion)
         .Field("leaving", entry.mUpstream.mIsLeaving)
+        .Field("cold_ms", ToMillis(entry.mUpstream.mColdRemaining))
         .Field("lapsed", entry.mIsMissing);
     }
   }
@@ -57,6 +62,45 @@
   }
 }
 
+namespace {
+
+std::size_t
+UpstreamsIn(const UpstreamList& aUpstreams, const std::string& aZone)
+{
+  const auto& all = aUpstreams.All();
+  return static_cast<std::size_t>(
+    std::count_if(all.begin(), all.end(), [&](const auto& aIt) {
+      return aIt.second.mUpstream.mZone == aZone;
+    }));
+}
+
+} // namespace
+
+void
+LogEvacuations(const std::set<std::string>& aBefore,
+               const UpstreamList& aUpstreams,
+               Duration aAge,
+               std::size_t aWaiting)
+{
+  const std::set<std::string>& now = aUpstreams.EvacuatedZones();
+  std::set<std::string> zones = aBefore;
+  zones.insert(now.begin(), now.end());
+  for (const std::string& zone : zones) {
+    const bool isEvacuated = now.count(zone) > 0;
+    if (isEvacuated == (aBefore.count(zone) > 0)) {
+      continue;
+    }
+    const std::size_t upstreams = UpstreamsIn(aUpstreams, zone);
+    (upstreams == 0 ? Log::Warning("zone_without_upstreams_evacuated")
+                    : Log::Info("zone_evacuated"))
+      .Field("zone", zone)
+      .Field("evacuated", isEvacuated)
+      .Field("upstreams", upstreams)
+      .Field("age_ms", ToMillis(aAge))
+      .Field("waiting", aWaiting);
+  }
+}
+
 void
 LogStatedLeaving(const UpstreamProcess& aProcess, std::string_view aSource)
 {
@@ -66,6 +110,18 @@
     .Field("heard_by", aSource);
 }
 
+void
+LogSpeeds(const std::vector<SpeedChange>& aChanges)
+{
+  for (const SpeedChange& it : aChanges) {
+    Log::Info("upstream_speed")
+      .Field("upstream", it.mUpstream)
+      .Field("factor", it.mFactor)
+      .Field("samples", it.mSamples)
+      .Field("source", ToName(it.mSource));
+  }
+}
+
 void
 CrashEvidenceLog::OnContentQuarantined(const std::string& aContent,
                                        std::size_t aCrashes,
--- a/Peridothoist/Node/NodeLog.h
+++ b/Peridothoist/Node/NodeLog.h
@@ -5,6 +5,7 @@
 #include <Peridothoist/Relay/CrashEvidence.h>
 #include <Peridothoist/Relay/RelayConfiguration.h>
 #include <Peridothoist/Relay/UpstreamList.h>
+#include <Peridothoist/Routing/UpstreamSpeeds.h>
 
 namespace peridothoist {
 
@@ -19,11 +20,23 @@
 LogListChanges(const std::map<std::string, UpstreamList::Entry>& aBefore,
                const std::map<std::string, UpstreamList::Entry>& aAfter);
 
+/// Logs which availability zones are evacuated or no longer are. aBefore: the
+/// evacuated zones before. aAge: of the read that showed it.
+void
+LogEvacuations(const std::set<std::string>& aBefore,
+               const UpstreamList& aUpstreams,
+               Duration aAge,
+               std::size_t aWaiting);
+
 /// Logs that a process of an upstream stated that it leaves. aSource: the kind
 /// of call whose response stated it, or the VM that reported it.
 void
 LogStatedLeaving(const UpstreamProcess& aProcess, std::string_view aSource);
 
+/// Logs which upstreams' speeds were learnt or changed.
+void
+LogSpeeds(const std::vector<SpeedChange>& aChanges);
+
 /// Logs which contents of requests are quarantined.
 class CrashEvidenceLog : public CrashEvidenceListener
 {
--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -23,6 +23,10 @@
     mMetrics.GetHistogram("peridothoist_first_event_seconds", kind)
       .Observe(aSummary.mTimeToFirstEvent);
   }
+  if (aSummary.mPausedTime > Duration(0)) {
+    mMetrics.GetHistogram("peridothoist_paused_seconds", kind)
+      .Observe(aSummary.mPausedTime);
+  }
   if (aSummary.mEventCount > 1) {
     mMetrics.GetHistogram("peridothoist_longest_gap_seconds", kind)
       .Observe(aSummary.mMaxEventGap);
@@ -48,6 +52,14 @@
     .Add();
 }
 
+void
+NodeMetrics::ObserveAllowanceWait(const char* aResult, Duration aWaited)
+{
+  const MetricLabels result = { { "result", aResult } };
+  mMetrics.GetHistogram("peridothoist_allowance_wait_seconds", result)
+    .Observe(aWaited);
+}
+
 void
 NodeMetrics::ObserveLoopLag(Duration aLag)
 {
@@ -112,6 +124,24 @@
     .Set(static_cast<double>(aEvidence.Size()));
 }
 
+void
+NodeMetrics::UpdateContentOriginCounts(const ContentOriginCounts& aCounts)
+{
+  const std::string prefix = "peridothoist_content_origins_";
+  SetCounter(prefix + "announced_total", aCounts.mAnnounced);
+  SetCounter(prefix + "notices_sent_total", aCounts.mNoticesSent);
+  SetCounter(prefix + "queries_sent_total", aCounts.mQueriesSent);
+  const std::pair<const char*, std::uint64_t> results[] = {
+    { "found", aCounts.mFound },
+    { "ambiguous", aCounts.mAmbiguous },
+    { "uncertain", aCounts.mUncertain },
+    { "unknown", aCounts.mUnknown },
+  };
+  for (const auto& [result, count] : results) {
+    SetCounter(prefix + "lookups_total", count, { { "result", result } });
+  }
+}
+
 void
 NodeMetrics::UpdateOriginCounts(const StreamOriginCounts& aCounts)
 {
@@ -165,8 +195,20 @@
   set("peridothoist_open_requests", static_cast<double>(aGauges.mOpenRequests));
   set("peridothoist_waiting_requests",
       static_cast<double>(aGauges.mWaitingRequests));
+  set("peridothoist_waiting_for_allowance",
+      static_cast<double>(aGauges.mWaitingForAllowance));
+  set("peridothoist_buffered_bytes",
+      static_cast<double>(aGauges.mBufferedBytes));
   set("peridothoist_limited_upstreams",
       static_cast<double>(aGauges.mLimitedUpstreams));
+  set("peridothoist_cold_upstreams",
+      static_cast<double>(aGauges.mColdUpstreams));
+  set("peridothoist_upstream_speeds_known",
+      static_cast<double>(aGauges.mSpeeds.mKnown));
+  set("peridothoist_upstream_speed_min", aGauges.mSpeeds.mMin);
+  set("peridothoist_upstream_speed_max", aGauges.mSpeeds.mMax);
+  set("peridothoist_evacuated_zones",
+      static_cast<double>(aGauges.mEvacuatedZones));
   set("peridothoist_tunnels", static_cast<double>(aGauges.mTunnels));
   set("peridothoist_upstreams_reached", aGauges.mReachesUpstreams ? 1 : 0);
 }
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -3,6 +3,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/RelayExecutor.h>
+#include <Peridothoist/Node/ContentOriginExchange.h>
 #include <Peridothoist/Node/StreamOriginExchange.h>
 #include <Peridothoist/Shell/Log.h>
 #include <Peridothoist/Shell/Metrics.h>
@@ -20,9 +21,14 @@
   double mReachableFraction = 0; ///< Fraction of mVmCount.
   std::size_t mOpenRequests = 0;
   std::size_t mWaitingRequests = 0;
-  std::size_t mLimitedUpstreams = 0; ///< That state a limit.
-  std::size_t mTunnels = 0;          ///< Open, from other VMs.
-  bool mReachesUpstreams = true;     ///< It can connect to upstreams itself.
+  std::size_t mWaitingForAllowance = 0;
+  std::size_t mBufferedBytes = 0;    ///< Unsent, of all callers' responses.
+  std::size_t mLimitedUpstreams = 0; ///< That state a limit, or are cold.
+  std::size_t mColdUpstreams = 0;
+  SpeedRange mSpeeds;
+  std::size_t mEvacuatedZones = 0;
+  std::size_t mTunnels = 0;      ///< Open, from other VMs.
+  bool mReachesUpstreams = true; ///< It can connect to upstreams itself.
   std::map<std::string, double> mRetryBudgetLeft; ///< By service.
   /// By workspace that has a limit.
   std::map<std::string, double> mAllowanceTokensLeft;
@@ -38,6 +44,10 @@
   /// Records a request that was refused on arrival.
   void ObserveRefusal(RefusalKind aKind);
 
+  /// Records the end of a wait for a workspace's allowance. aResult:
+  /// "admitted", "refused" or "left".
+  void ObserveAllowanceWait(const char* aResult, Duration aWaited);
+
   /// Records a finished call to an upstream.
   void ObserveCall(RelayCallKind aKind, bool aSucceeded, Duration aDuration);
 
@@ -49,6 +59,7 @@
   void UpdateCounters(const RelayCounters& aCounters);
   void UpdateCrashEvidence(const CrashEvidence& aEvidence);
   void UpdateOriginCounts(const StreamOriginCounts& aCounts);
+  void UpdateContentOriginCounts(const ContentOriginCounts& aCounts);
   void UpdateGauges(const NodeGauges& aGauges);
   void UpdateLogLosses(const DroppedLogLines& aLosses);
 
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -5,6 +5,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Cells/HomeEngines.h>
+#include <Peridothoist/Node/AdmissionExecutor.h>
 #include <Peridothoist/Node/CallerProtocol.h>
 #include <Peridothoist/Node/InstrumentedRowStore.h>
 #include <Peridothoist/Node/NodeLog.h>
@@ -17,6 +18,7 @@
 #include <Peridothoist/Node/UpstreamProtocol.h>
 #include <Peridothoist/Node/ViewUpdater.h>
 #include <Peridothoist/Node/VmRegistry.h>
+#include <Peridothoist/Relay/BufferBudget.h>
 #include <Peridothoist/Relay/RelayAdmission.h>
 #include <Peridothoist/Shell/HttpServer.h>
 #include <Peridothoist/Shell/LoopMonitor.h>
@@ -38,6 +40,7 @@
   , public ViewUpdaterListener
   , public NodeGossipListener
   , public RelayExecutorListener
+  , public AdmissionExecutorListener
   , public LoopMonitorListener
   , public TunnelServerListener
 {
@@ -81,10 +84,19 @@
   NodeGauges Gauges();
   std::string RenderMetrics();
   void CheckLeaveProgress();
+  void RefuseOnArrival(HttpExchange& aExchange,
+                       const std::optional<IncomingRequest>& aRequest,
+                       const Refusal& aRefusal,
+                       const Reason& aReason,
+                       Duration aWaited = Duration(0));
   void LogRefusal(const std::optional<IncomingRequest>& aRequest,
                   const Refusal& aRefusal,
-                  const Reason& aReason);
+                  const Reason& aReason,
+                  Duration aWaited);
+  void ApplyEvacuations(const RelayConfiguration& aConfiguration,
+                        TimePoint aConfirmedAt);
   std::optional<Refusal> RefuseWhileLeaving(const AdmittedRequest& aAdmitted);
+  std::optional<Refusal> RefuseForBuffers(const AdmittedRequest& aAdmitted);
   bool IsOrderLeader() const;
   void UpdateStageOrders();
   void UpdateHomeEngines();
@@ -119,6 +131,16 @@
   void OnOriginDecided(const std::string& aKey,
                        const StreamOrigin& aOrigin) override;
   void OnOriginNeeded(const std::string& aKey) override;
+  // See: AdmissionExecutorListener
+  void OnAdmitted(std::shared_ptr<HttpExchange> aExchange,
+                  AdmittedRequest aAdmitted,
+                  const IncomingRequest& aRequest,
+                  Duration aWaited) override;
+  void OnRefused(HttpExchange& aExchange,
+                 const IncomingRequest& aRequest,
+                 const Refusal& aRefusal,
+                 std::optional<Duration> aWaited) override;
+  void OnCallerLeft(const IncomingRequest& aRequest, Duration aWaited) override;
   // See: TunnelServerListener
   TunnelVerdict CheckTarget(const std::string& aTarget) override;
   void OnTargetTried(const std::string& aTarget, bool aIsConnected) override;
@@ -134,11 +156,13 @@
   ConfirmedView mView;
   WorkspaceRateLimiter mRateLimiter;
   RelayAdmission mAdmission;
+  WaitingAdmission mWaitingAdmission;
   CrashEvidenceLog mCrashLog;
   RelayStateMachine mMachine;
   CallerDirectory mDirectory;
   NodeMetrics mMetrics;
   RelayExecutor mExecutor;
+  AdmissionExecutor mAdmissionExecutor;
   InstrumentedRowStore mStore;
   ViewUpdater mViews;
   VmRegistry mRegistry;
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -13,6 +13,9 @@
   if (aEntry.mUpstream.mIsLeaving) {
     return "leaving";
   }
+  if (aEntry.mUpstream.mIsEvacuated) {
+    return "evacuated";
+  }
   if (aEntry.mIsMissing) {
     return "lapsed";
   }
@@ -112,7 +115,7 @@
     return TunnelVerdict::Unavailable;
   }
   const RelayUpstream* upstream = FindByAddress(aTarget);
-  return upstream != nullptr && !upstream->mIsLeaving
+  return upstream != nullptr && upstream->AcceptsRequests()
            ? TunnelVerdict::Allowed
            : TunnelVerdict::NotAllowed;
 }
@@ -165,7 +168,12 @@
   gauges.mReachableFraction = mGossip->Members().ReachableFraction(now);
   gauges.mOpenRequests = mMachine.OpenRequestCount();
   gauges.mWaitingRequests = mMachine.WaitingRequestCount();
+  gauges.mWaitingForAllowance = mWaitingAdmission.Queue().Count();
+  gauges.mBufferedBytes = mCallerServer->BufferedBytes();
   gauges.mLimitedUpstreams = mMachine.Limits().LimitedCount(mReactor->Now());
+  gauges.mSpeeds = mMachine.Speeds().KnownRange();
+  gauges.mColdUpstreams = mMachine.Limits().ColdCount(mReactor->Now());
+  gauges.mEvacuatedZones = mMachine.ListedUpstreams().EvacuatedZones().size();
   gauges.mTunnels = mTunnels == nullptr ? 0 : mTunnels->OpenCount();
   gauges.mReachesUpstreams = !mMachine.Reach().IsCutOff();
   gauges.mRetryBudgetLeft = mMachine.RetriesLeft(now);
@@ -179,6 +187,7 @@
   mMetrics.UpdateCounters(mMachine.Counters());
   mMetrics.UpdateCrashEvidence(mMachine.Crashes());
   mMetrics.UpdateOriginCounts(mGossip->Origins().Counts());
+  mMetrics.UpdateContentOriginCounts(mGossip->ContentOrigins().Counts());
   mMetrics.UpdateGauges(Gauges());
   mMetrics.UpdateLogLosses(Log::DroppedLines());
   return mMetrics.Render();
--- a/Peridothoist/Node/RelayExecutorControl.cpp
+++ b/Peridothoist/Node/RelayExecutorControl.cpp
@@ -49,6 +49,22 @@
   if (aHead.mLimit) {
     OnLimitStated(aProcess.mUpstream, *aHead.mLimit);
   }
+  const bool isFromUpstream =
+    !aHead.mIsWrongProcess && !aHead.mIsForOtherRequest;
+  if (isFromUpstream && aHead.mLoad && aHead.mLoad->mWorkTimePercent) {
+    mMachine->OnWorkTimeStated(
+      aProcess, *aHead.mLoad->mWorkTimePercent, mReactor->Now());
+  }
+  const bool isColdChanged =
+    aHead.mColdRemaining && mMachine->OnColdStated(aProcess.mUpstream,
+                                                   *aHead.mColdRemaining,
+                                                   mReactor->Now());
+  if (isColdChanged) {
+    Log::Info("upstream_cold")
+      .Field("upstream", aProcess.mUpstream)
+      .Field("cold_ms", ToMillis(*aHead.mColdRemaining))
+      .Field("heard_by", aSource);
+  }
   const bool isNewlyLeaving =
     aHead.mStatesLeaving &&
     mMachine->OnLeavingStated(aProcess, mReactor->Now());
--- a/Peridothoist/Relay/MembershipTable.h
+++ b/Peridothoist/Relay/MembershipTable.h
@@ -8,6 +8,7 @@
 #include <Peridothoist/Relay/UpstreamList.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/WorkspaceRateLimiter.h>
+#include <Peridothoist/Routing/UpstreamSpeeds.h>
 
 #include <set>
 
@@ -49,13 +50,18 @@
   bool mIsLeaving = false;                 ///< It will stop soon.
   GrantedTokens mGranted;                  ///< Since the instance started.
   WaitingByService mWaiting;               ///< They wait for upstream capacity.
+  PriorityWaitingByService mPriorities;    ///< The same by priority.
   WorkByUpstream mWork;                    ///< Its open requests.
   std::vector<std::string> mGoneUpstreams; ///< Upstreams that it found gone.
   CountsByUpstream mFailingUpstreams;      ///< Upstreams that fail its calls.
   /// Processes of upstreams that stated to it that they leave.
   std::vector<UpstreamProcess> mLeavingUpstreams;
   std::vector<CrashReport> mCrashReports;
-  LimitsByUpstream mLimits;        ///< As upstreams stated them to this VM.
+  LimitsByUpstream mLimits; ///< As upstreams stated them to this VM.
+  ColdTimes mCold;          ///< Cold upstreams that it learnt of.
+  SpeedsByUpstream mSpeeds; ///< Of some upstreams, as it learnt them.
+  /// It announces the origins of streams by content; older builds don't.
+  bool mAnnouncesContents = false;
   DemandByService mDemand;         ///< For services with limited upstreams.
   std::vector<std::string> mPeers; ///< Peer addresses that it knows.
   /// It answers a VM of another cell with the addresses of that VM's cell.
@@ -124,6 +130,9 @@
   {
     GossipMessage mLastMessage; ///< The last message.
     TimePoint mLastSeen;        ///< When it was received.
+    /// Speeds that it told last, which most messages don't tell.
+    SpeedsByUpstream mSpeeds;
+    std::uint64_t mSpeedsSequence = 0; ///< Of the message that told them.
   };
   const std::map<std::string, Member>& Members() const { return mMembers; }
 
--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -3,6 +3,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/RelayStateMachine.h>
 
+#include <Peridothoist/Core/DurationUnits.h>
+
 #include <algorithm>
 #include <array>
 
@@ -36,6 +38,7 @@
   KeepCallWithEvent(state, aAttempt);
   call = &*state.mCall;
   call->mLastActivity = aNow;
+  LearnPace(*call);
   if (!call->mHasEvent) {
     call->mHasEvent = true;
     call->mFirstEventAt = aNow;
@@ -57,12 +60,25 @@
   }
   const EngineLimits* engines = EnginesOf(state);
   if (engines != nullptr) {
-    call->mTokens += engines->mTokensPerEvent;
-    mLoads.OnMemoryGrown(call->mUpstream, engines->mTokensPerEvent);
+    CountEvent(*call, engines->mTokensPerEvent);
   }
   Command(RelayCommandKind::SendEvent, state).mEvent = std::move(aEvent.mText);
 }
 
+/// Counts the memory of one event of a stream. A stream whose whole expected
+/// output is counted grows only beyond that.
+void
+RelayStateMachine::CountEvent(Call& aCall, std::uint64_t aTokens)
+{
+  aCall.mUsedTokens += aTokens;
+  std::uint64_t grown = aTokens;
+  if (CountsWholeOutput()) {
+    grown = std::max(aCall.mUsedTokens, aCall.mTokens) - aCall.mTokens;
+  }
+  aCall.mTokens += grown;
+  mLoads.OnMemoryGrown(aCall.mUpstream, grown);
+}
+
 void
 RelayStateMachine::OnCallEnd(std::uint64_t aId,
                              std::uint32_t aAttempt,
@@ -127,11 +143,44 @@
   const bool isPrefill = aCall.mKind == RelayCallKind::Prefill;
   const bool succeeded = outcome.IsSuccess() && (aEnd.mIsVerified || isPrefill);
   mLoads.Outcomes().OnOutcome(aCall.mUpstream, !succeeded, mNow);
+  if (succeeded) {
+    LearnCallTime(aCall);
+  }
   if (succeeded && !isPrefill) {
     mCallTimes[aState.mRequest.mService].Add(mNow - aCall.mStartedAt);
   }
 }
 
+/// Learns the speed of a decode engine from the events of a stream.
+void
+RelayStateMachine::LearnPace(Call& aCall)
+{
+  const auto pace = aCall.mPace.OnEvent(mNow);
+  const RelayUpstream* upstream = pace ? ProcessOf(aCall) : nullptr;
+  if (upstream != nullptr && upstream->mStage == RelayStage::Decode) {
+    mSpeeds.OnMeasured(SubjectOf(*upstream), ToSeconds(*pace), mNow);
+  }
+}
+
+/// Learns the speed of a prefill engine or a plain upstream from a call that
+/// succeeded.
+void
+RelayStateMachine::LearnCallTime(const Call& aCall)
+{
+  const bool isWhole = aCall.mKind == RelayCallKind::Whole;
+  if (!isWhole && aCall.mKind != RelayCallKind::Prefill) {
+    return;
+  }
+  const RelayStage stage = isWhole ? RelayStage::Plain : RelayStage::Prefill;
+  const RelayUpstream* upstream = ProcessOf(aCall);
+  if (upstream != nullptr && upstream->mStage == stage &&
+      aCall.mWorkUnits > 0) {
+    mSpeeds.OnMeasured(SubjectOf(*upstream),
+                       ToSeconds(mNow - aCall.mStartedAt) / aCall.mWorkUnits,
+                       mNow);
+  }
+}
+
 RelayStateMachine::Call
 RelayStateMachine::CloseCall(std::optional<Call>& aCall)
 {
@@ -211,7 +260,8 @@
 {
   ReleaseMemory(aState);
   aState.mDecodeUpstream = aUpstream;
-  mLoads.OnSent(aUpstream, aState.mRequest.mMemoryTokens);
+  aState.mHeldTokens = MemoryToCount(aState);
+  mLoads.OnSent(aUpstream, aState.mHeldTokens);
   if (aState.mChargedUpstream != aUpstream) {
     mLimiter.OnSent(aUpstream, mNow);
     aState.mChargedUpstream = aUpstream;
@@ -222,7 +272,7 @@
 RelayStateMachine::ReleaseMemory(State& aState)
 {
   if (!aState.mDecodeUpstream.empty()) {
-    mLoads.OnDone(aState.mDecodeUpstream, aState.mRequest.mMemoryTokens);
+    mLoads.OnDone(aState.mDecodeUpstream, aState.mHeldTokens);
     aState.mDecodeUpstream.clear();
   }
 }
@@ -308,7 +358,7 @@
       mNow + (engines == nullptr ? Duration(0) : engines->mHandleLifetime);
     const RelayUpstream* decode = mUpstreamList.Find(aState.mDecodeUpstream);
     ReleaseMemory(aState);
-    if (decode != nullptr && !decode->mIsLeaving) {
+    if (decode != nullptr && decode->AcceptsRequests()) {
       StartCallOn(aState, *decode, RelayCallKind::Stream);
       return;
     }
@@ -346,7 +396,7 @@
   }
   KeepReservation(aState, aCall, aEnd);
   const RelayUpstream* decode = mUpstreamList.Find(aCall.mUpstream);
-  if (decode == nullptr || decode->mIsLeaving) {
+  if (decode == nullptr || !decode->AcceptsRequests()) {
     ReleaseMemory(aState);
     PlaceRequest(aState);
     return;
--- a/Peridothoist/Relay/RelayConfiguration.cpp
+++ b/Peridothoist/Relay/RelayConfiguration.cpp
@@ -1,6 +1,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/RelayConfiguration.h>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 
@@ -108,4 +110,68 @@
   mWorkspaces[name] = std::move(aWorkspace);
 }
 
+void
+RelayConfiguration::FindPriorities()
+{
+  std::set<std::uint32_t> byWorkspace; // Those that workspaces have.
+  bool isAnyWithout = mWorkspaces.empty();
+  for (const auto& [name, workspace] : mWorkspaces) {
+    if (workspace.mPriority) {
+      byWorkspace.insert(*workspace.mPriority);
+    } else {
+      isAnyWithout = true;
+    }
+  }
+  std::map<std::string, std::set<PriorityPair>> priorities; // By service.
+  for (const auto& route : mRoutes) {
+    for (const RouteTarget& target : route->mTargets) {
+      std::set<PriorityPair>& all = priorities[target.mService];
+      if (isAnyWithout || route->mIsOpenToAll) {
+        all.insert({ route->mPriority, route->mPriority });
+      }
+      if (!route->mIsOpenToAll) {
+        for (const std::uint32_t priority : byWorkspace) {
+          all.insert({ priority, route->mPriority });
+        }
+      }
+    }
+  }
+  mPriorityRanks.clear();
+  for (const auto& [service, all] : priorities) {
+    if (all.size() > 1) {
+      mPriorityRanks[service].assign(all.begin(), all.end());
+    }
+  }
+}
+
+std::uint32_t
+RelayConfiguration::PriorityOf(const std::string& aService,
+                               const RelayRoute& aRoute,
+                               const RelayWorkspace* aWorkspace) const
+{
+  std::uint32_t first = aRoute.mPriority;
+  if (aWorkspace != nullptr && aWorkspace->mPriority) {
+    first = *aWorkspace->mPriority;
+  }
+  const auto ranks = mPriorityRanks.find(aService);
+  if (ranks == mPriorityRanks.end()) {
+    return first;
+  }
+  const auto it = std::lower_bound(ranks->second.begin(),
+                                   ranks->second.end(),
+                                   PriorityPair(first, aRoute.mPriority));
+  return static_cast<std::uint32_t>(it - ranks->second.begin());
+}
+
+std::uint64_t
+RelayConfiguration::EvacuationDigest() const
+{
+  std::string text;
+  for (const std::string& zone : mEvacuatedZones) {
+    text += zone + '\n';
+  }
+  // 0 stands for a digest that was not stated.
+  return std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size()));
+}
+
 } // namespace peridothoist
--- a/Peridothoist/Relay/RelayConfiguration.h
+++ b/Peridothoist/Relay/RelayConfiguration.h
@@ -5,6 +5,8 @@
 
 #include <Peridothoist/Peridothoist.h>
 
+#include <set>
+
 namespace peridothoist {
 
 /// How a route's requests may be run, and the form of their responses.
@@ -66,11 +68,19 @@
   Duration mHandleLifetime = 500ms;  ///< Lifetime of a prefill result.
 };
 
+/// What upstreams of a service bear while they are cold.
+struct ColdStart
+{
+  Duration mPeriod{ 0 }; ///< After a start, or after an evacuation has ended.
+  double mPerSecond = 0; ///< Requests a second from all VMs; 0: not limited.
+};
+
 /// One service.
 struct RelayService
 {
   std::string mName;
   std::optional<EngineLimits> mEngines; ///< Empty: not a model service.
+  ColdStart mCold;
 };
 
 /// One workspace.
@@ -110,6 +120,25 @@
   const RelayWorkspace* FindWorkspace(const std::string& aName) const;
   const RelayService* FindService(const std::string& aName) const;
 
+  /// Returns whether the requests for a service differ in priority, by route or
+  /// by workspace.
+  bool HasPriorities(const std::string& aService) const
+  {
+    return mPriorityRanks.count(aService) > 0;
+  }
+
+  /// Returns the priority of a request, 0 is the highest. The priority of its
+  /// workspace takes precedence; among workspaces of one priority, or where it
+  /// has none, that of the route decides. aWorkspace: null if it has none. Of a
+  /// service whose requests differ, it is the rank among its priorities.
+  std::uint32_t PriorityOf(const std::string& aService,
+                           const RelayRoute& aRoute,
+                           const RelayWorkspace* aWorkspace) const;
+
+  /// Finds the services whose requests differ in priority. To be called after
+  /// the last route and workspace were added.
+  void FindPriorities();
+
   /// Returns whether requests need a key on routes that aren't open to all.
   bool NeedsKeys() const { return !mWorkspaces.empty(); }
 
@@ -121,6 +150,19 @@
 
   std::uint64_t mVersion = 0;                    ///< Rises with each change.
   std::map<std::string, RelayService> mServices; ///< By name.
+  /// Availability zones whose upstreams get nothing. They change without a new
+  /// version.
+  std::set<std::string> mEvacuatedZones;
+
+  /// Returns a digest of the evacuated zones; never 0.
+  std::uint64_t EvacuationDigest() const;
+
+  /// Returns whether version and evacuated zones equal those of aOther.
+  bool HasSameState(const RelayConfiguration& aOther) const
+  {
+    return mVersion == aOther.mVersion &&
+           mEvacuatedZones == aOther.mEvacuatedZones;
+  }
 
   const std::vector<std::shared_ptr<const RelayRoute>>& Routes() const
   {
@@ -132,9 +174,15 @@
   }
 
 private:
+  /// Priority of the workspace, or else of the route; then that of the route.
+  using PriorityPair = std::pair<std::uint32_t, std::uint32_t>;
+
   std::vector<std::shared_ptr<const RelayRoute>> mRoutes;
   std::map<std::string, RelayWorkspace> mWorkspaces;
   std::map<std::string, std::string> mWorkspaceByKey; ///< Names by key.
+  /// The priorities of workspace and route of each request, in order, by
+  /// service. Services whose requests do not differ are left out.
+  std::map<std::string, std::vector<PriorityPair>> mPriorityRanks;
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -39,7 +39,8 @@
   query.mService = aState.mRequest.mService;
   query.mStage = aStage;
   query.mZone = mSettings.mZone;
-  query.mNeededTokens = aState.mRequest.mMemoryTokens;
+  query.mNeededTokens = MemoryToCount(aState);
+  query.mPromptTokens = aState.mRequest.mPromptTokens;
   query.mExcludedUpstreams = aState.mExcludedUpstreams;
   query.mSoftwareVersion = VersionOf(aState);
   const EngineLimits* engines = EnginesOf(aState);
@@ -91,6 +92,8 @@
   prefillQuery.mDecodeWork = mLoads.Work(decode.mUpstream->mId);
   if (prefill.mUpstream != nullptr) {
     prefillQuery.mPrefillWork = mLoads.Work(prefill.mUpstream->mId);
+    prefillQuery.mPrefillFactor =
+      mSpeeds.FactorOf(prefill.mUpstream->mId, mNow);
   }
   if (!aState.mSkipPrefill && mPlanner.ShouldUsePrefillEngine(prefillQuery)) {
     HoldMemory(aState, decode.mUpstream->mId);
@@ -125,18 +128,27 @@
   return StartCallOn(aState, *prefill.mUpstream, RelayCallKind::Prefill);
 }
 
-/// Returns the memory to reserve at a decode engine. While load reports of
-/// other VMs are old, these add streams to the engine that are not counted
-/// here, so that none may rely on memory to be free when it grows. A stream
-/// that runs already may have generated most of its output.
+/// Returns the memory to count for a request from its start. While load reports
+/// of other VMs are old, these add streams to the engine that are not counted
+/// here, so that none may rely on memory to be free when it grows: its whole
+/// expected output is counted and reserved.
+std::uint64_t
+RelayStateMachine::MemoryToCount(const State& aState) const
+{
+  const AdmittedRequest& request = aState.mRequest;
+  return CountsWholeOutput()
+           ? std::max(request.mFinalMemoryTokens, request.mMemoryTokens)
+           : request.mMemoryTokens;
+}
+
+/// Returns the memory to reserve at a decode engine. A stream that runs already
+/// may have generated most of its output.
 std::uint64_t
 RelayStateMachine::TokensToReserve(const State& aState) const
 {
   const bool runs =
     aState.mCall && aState.mCall->mKind == RelayCallKind::Stream;
-  return runs || mLoads.PeerLoadAgeSeconds() > 0
-           ? aState.mRequest.mFinalMemoryTokens
-           : aState.mRequest.mMemoryTokens;
+  return runs ? aState.mRequest.mFinalMemoryTokens : MemoryToCount(aState);
 }
 
 bool
@@ -199,6 +211,31 @@
   return true;
 }
 
+/// Returns the tokens that a call counts as at its upstream.
+std::uint64_t
+RelayStateMachine::TokensOf(const State& aState, RelayCallKind aKind) const
+{
+  if (aKind == RelayCallKind::Reserve) {
+    return 0; // HoldMemory() counted them.
+  }
+  return aKind == RelayCallKind::Prefill ? aState.mRequest.mPromptTokens
+                                         : MemoryToCount(aState);
+}
+
+/// Returns by what the time of a call that starts now is divided to compare it
+/// with calls to other upstreams: the prompt tokens that a prefill engine has
+/// to read, or the requests for each slot of a plain upstream.
+double
+RelayStateMachine::WorkUnitsOf(const RelayUpstream& aUpstream) const
+{
+  const UpstreamWork work = mLoads.Work(aUpstream.mId);
+  if (aUpstream.mStage == RelayStage::Prefill) {
+    return static_cast<double>(work.mTokens);
+  }
+  const double slots = std::max<std::uint32_t>(1, aUpstream.mSlots);
+  return std::max(1.0, work.mRequests / slots);
+}
+
 /// Issues the command for a call and returns the call's state.
 RelayStateMachine::Call
 RelayStateMachine::StartCall(State& aState,
@@ -216,8 +253,8 @@
   call.mKind = aKind;
   call.mIsRetry = std::exchange(aState.mIsRetryCharged, false);
   const bool isReserve = aKind == RelayCallKind::Reserve;
-  call.mTokens =
-    isReserve ? 0 : request.mMemoryTokens; // HoldMemory() counted it.
+  call.mTokens = TokensOf(aState, aKind);
+  call.mUsedTokens = request.mPromptTokens;
   call.mStartedAt = mNow;
   call.mLastActivity = mNow;
   call.mUsesHandle = aKind == RelayCallKind::Stream && !aState.mHandle.empty();
@@ -230,7 +267,7 @@
   mCounters.mTunnelled += call.mTunnel.empty() ? 0 : 1;
   command.mCallKind = aKind;
   command.mWorkspace = request.mWorkspace;
-  command.mPriority = request.mPriority;
+  command.mPriority = request.mEnginePriority;
   command.mTimeLeft = request.mDeadline - mNow;
   command.mLastEventId = aState.mLastEventId;
   if (call.mUsesHandle) {
@@ -256,6 +293,7 @@
     aState.mTriedUpstreams.insert(aUpstream.mId);
   }
   mLoads.OnSent(call.mUpstream, call.mTokens);
+  call.mWorkUnits = WorkUnitsOf(aUpstream);
   const bool isCharged =
     aKind == RelayCallKind::Stream && aState.mChargedUpstream == call.mUpstream;
   if (isCharged) {
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -18,8 +18,14 @@
   , mUpstreamList(aSettings.mUpstreamList)
   , mLoads(aSettings.mLoads)
   , mLimiter(aSettings.mLimits)
+  , mSpeeds(aSettings.mSpeeds)
   , mReach(aSettings.mReach)
-  , mChooser(aSettings.mChooser, &mUpstreamList, &mLoads, &mLimiter, aRandom)
+  , mChooser(aSettings.mChooser,
+             &mUpstreamList,
+             &mLoads,
+             &mLimiter,
+             &mSpeeds,
+             aRandom)
   , mPlanner(aSettings.mPlanner)
   , mCrashEvidence(aSettings.mCrashEvidence)
   , mBrokenCalls(aSettings.mCrashWindow)
@@ -121,7 +127,7 @@
     PlaceResumed(state);
     return;
   }
-  PlaceRequest(state);
+  PlaceArrival(state);
 }
 
 // Ends of requests
@@ -169,12 +175,25 @@
   }
 }
 
+/// Returns whether the upstream's availability zone is evacuated, so that it is
+/// sent nothing at all.
+bool
+RelayStateMachine::IsEvacuated(const std::string& aUpstream) const
+{
+  const RelayUpstream* upstream = mUpstreamList.Find(aUpstream);
+  return upstream != nullptr && upstream->mIsEvacuated;
+}
+
 void
 RelayStateMachine::ReleaseHandle(State& aState)
 {
   if (aState.mHandle.empty()) {
     return;
   }
+  if (IsEvacuated(aState.mHandleUpstream)) {
+    aState.mHandle.clear(); // It expires.
+    return;
+  }
   mLimiter.OnSent(aState.mHandleUpstream, mNow);
   RelayCommand& command = Command(RelayCommandKind::ReleaseHandle, aState);
   command.mUpstream = aState.mHandleUpstream;
@@ -190,13 +209,16 @@
   if (aState.mReservation.empty()) {
     return;
   }
-  if (mNow < aState.mReservationExpiresAt) {
+  const bool isReleased = mNow < aState.mReservationExpiresAt &&
+                          !IsEvacuated(aState.mReservationUpstream);
+  if (isReleased) {
     RelayCommand& command =
       Command(RelayCommandKind::ReleaseReservation, aState);
     command.mUpstream = aState.mReservationUpstream;
     command.mTunnel = ChooseTunnel(aState);
     command.mReservation = std::move(aState.mReservation);
     command.mAddress = aState.mReservationAddress;
+    mLimiter.OnSent(aState.mReservationUpstream, mNow);
   }
   aState.mReservation.clear();
 }
@@ -275,6 +297,7 @@
     }
     mLoads.Forget(it.mId);
     mLimiter.Forget(it.mId);
+    mSpeeds.Forget(it.mId);
     mReach.Forget(it.mId);
   }
 }
@@ -303,6 +326,167 @@
   ScheduleLimitCheck(aNow);
 }
 
+/// Limits the requests to a cold upstream, if its service says what it bears.
+void
+RelayStateMachine::SetCold(const RelayUpstream& aUpstream,
+                           TimePoint aUntil,
+                           ColdSource aSource,
+                           TimePoint aNow)
+{
+  const RelayService* service = mConfiguration->FindService(aUpstream.mService);
+  if (service != nullptr && service->mCold.mPerSecond > 0) {
+    mLimiter.OnCold(aUpstream.mId,
+                    aUpstream.mService,
+                    { service->mCold.mPerSecond, aUntil },
+                    aSource,
+                    aNow);
+  }
+}
+
+/// Applies what the list states about cold upstreams.
+void
+RelayStateMachine::LearnColdUpstreams(TimePoint aListedAt, ColdSource aSource)
+{
+  for (const auto& [id, entry] : mUpstreamList.All()) {
+    const RelayUpstream& upstream = entry.mUpstream;
+    if (upstream.mColdRemaining > Duration(0)) {
+      SetCold(upstream, aListedAt + upstream.mColdRemaining, aSource, mNow);
+    }
+  }
+  if (aSource == ColdSource::Own) {
+    EndAssumedCold();
+  }
+}
+
+/// Ends the time for which returned upstreams are assumed to be cold, where an
+/// entry that was written later does not say so. The first read after the
+/// return may have begun before it, so an entry counts as written later if it
+/// differs from that of the second read.
+void
+RelayStateMachine::EndAssumedCold()
+{
+  for (auto it = mAssumedCold.begin(); it != mAssumedCold.end();) {
+    AssumedCold& assumed = it->second;
+    const RelayUpstream* upstream = mUpstreamList.Find(it->first);
+    const bool isOver =
+      upstream == nullptr || !mLimiter.IsCold(it->first, mNow);
+    if (!isOver && ++assumed.mReads <= 2) {
+      assumed.mEntryVersion = upstream->mEntryVersion;
+    }
+    const bool isRewritten =
+      !isOver && upstream->mEntryVersion > assumed.mEntryVersion;
+    if (isRewritten && upstream->mColdRemaining == Duration(0)) {
+      mLimiter.OnWarm(it->first, mNow);
+    }
+    it = isOver || isRewritten ? mAssumedCold.erase(it) : std::next(it);
+  }
+}
+
+bool
+RelayStateMachine::OnColdStated(const std::string& aUpstream,
+                                Duration aRemaining,
+                                TimePoint aNow)
+{
+  const RelayUpstream* upstream = mUpstreamList.Find(aUpstream);
+  if (upstream == nullptr) {
+    return false;
+  }
+  const bool wasCold = mLimiter.IsCold(aUpstream, aNow);
+  if (aRemaining > Duration(0)) {
+    SetCold(*upstream, aNow + aRemaining, ColdSource::Own, aNow);
+  } else {
+    mLimiter.OnWarm(aUpstream, aNow);
+  }
+  return wasCold != mLimiter.IsCold(aUpstream, aNow);
+}
+
+void
+RelayStateMachine::OnPeerCold(const ColdTimes& aTimes, TimePoint aNow)
+{
+  for (const auto& [id, time] : aTimes) {
+    const RelayUpstream* upstream = mUpstreamList.Find(id);
+    if (upstream != nullptr) {
+      SetCold(*upstream, aNow + time, ColdSource::Heard, aNow);
+    }
+  }
+}
+
+SpeedSubject
+RelayStateMachine::SubjectOf(const RelayUpstream& aUpstream)
+{
+  static constexpr std::array<std::pair<RelayStage, WorkKind>, 3> kKinds = {
+    { { RelayStage::Plain, WorkKind::Plain },
+      { RelayStage::Prefill, WorkKind::Prefill },
+      { RelayStage::Decode, WorkKind::Decode } }
+  };
+  SpeedSubject subject;
+  subject.mUpstream = aUpstream.mId;
+  subject.mService = aUpstream.mService;
+  subject.mIncarnationId = aUpstream.mIncarnationId;
+  for (const auto& [stage, kind] : kKinds) {
+    subject.mKind = stage == aUpstream.mStage ? kind : subject.mKind;
+  }
+  return subject;
+}
+
+/// Returns the upstream of a call; null if it is not listed any more or was
+/// restarted since the call started.
+const RelayUpstream*
+RelayStateMachine::ProcessOf(const Call& aCall) const
+{
+  const RelayUpstream* upstream = mUpstreamList.Find(aCall.mUpstream);
+  const bool isSame =
+    upstream != nullptr && upstream->mIncarnationId == aCall.mIncarnationId;
+  return isSame ? upstream : nullptr;
+}
+
+void
+RelayStateMachine::OnWorkTimeStated(const UpstreamProcess& aProcess,
+                                    std::uint32_t aPercent,
+                                    TimePoint aNow)
+{
+  const RelayUpstream* upstream = mUpstreamList.Find(aProcess.mUpstream);
+  if (upstream != nullptr &&
+      upstream->mIncarnationId == aProcess.mIncarnationId) {
+    mSpeeds.OnStated(SubjectOf(*upstream), aPercent, aNow);
+  }
+}
+
+void
+RelayStateMachine::OnPeerSpeeds(const SpeedsByUpstream& aSpeeds, TimePoint aNow)
+{
+  for (const auto& [id, speed] : aSpeeds) {
+    const RelayUpstream* upstream = mUpstreamList.Find(id);
+    if (upstream != nullptr) {
+      mSpeeds.OnPeerSpeed(SubjectOf(*upstream), speed, aNow);
+    }
+  }
+}
+
+void
+RelayStateMachine::OnZonesEvacuated(const std::set<std::string>& aZones,
+                                    TimePoint aNow,
+                                    RelayCommands& aOut)
+{
+  mNow = aNow;
+  mOut = &aOut;
+  for (const std::string& id : mUpstreamList.SetEvacuatedZones(aZones)) {
+    const RelayUpstream& upstream = *mUpstreamList.Find(id);
+    const RelayService* service =
+      mConfiguration->FindService(upstream.mService);
+    if (service != nullptr) {
+      SetCold(upstream, mNow + service->mCold.mPeriod, ColdSource::Own, mNow);
+      mAssumedCold[id] = {};
+    }
+  }
+  // With an earlier configuration it may not have been known what they bear.
+  if (const auto listedAt = mUpstreamList.ListedAt()) {
+    LearnColdUpstreams(*listedAt, ColdSource::Heard);
+  }
+  RefuseUnservable();
+  DispatchWaiting();
+}
+
 bool
 RelayStateMachine::OnLeavingStated(const UpstreamProcess& aProcess,
                                    TimePoint aNow)
@@ -341,6 +525,7 @@
   mNow = aNow;
   mOut = &aOut;
   OnUpstreamsLost(mUpstreamList.OnListRead(std::move(aUpstreams), aNow));
+  LearnColdUpstreams(aNow, ColdSource::Own);
   RefuseUnservable();
   DispatchWaiting();
 }
@@ -354,6 +539,7 @@
   mNow = aNow;
   mOut = &aOut;
   OnUpstreamsLost(mUpstreamList.OnPeerList(std::move(aEntries), aConfirmedAt));
+  LearnColdUpstreams(aConfirmedAt, ColdSource::Heard);
   RefuseUnservable();
   DispatchWaiting();
 }
@@ -367,9 +553,36 @@
   mNow = aNow;
   mOut = &aOut;
   mLoads.OnPeerWork(aVm, aWork);
+  if (mLoads.TakeNewPoolWork()) {
+    UpdatePoolShares();
+  }
   DispatchWaiting();
 }
 
+/// Spreads the work in pools that is known as a sum only over their upstreams.
+void
+RelayStateMachine::UpdatePoolShares()
+{
+  const WorkByPool pools = mLoads.PoolWork();
+  WorkByUpstream shares;
+  if (!pools.empty()) {
+    std::map<UpstreamPool, std::uint32_t> sizes;
+    for (const auto& [id, entry] : mUpstreamList.All()) {
+      ++sizes[PoolOf(entry.mUpstream)];
+    }
+    for (const auto& [id, entry] : mUpstreamList.All()) {
+      const UpstreamPool pool = PoolOf(entry.mUpstream);
+      const auto known = pools.find(pool);
+      if (known != pools.end()) {
+        const std::uint32_t size = sizes[pool];
+        shares[id] = { (known->second.mRequests + size / 2) / size,
+                       known->second.mTokens / size };
+      }
+    }
+  }
+  mLoads.SetPoolShares(std::move(shares));
+}
+
 // Timers
 
 void
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -23,6 +23,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Core/Random.h>
+#include <Peridothoist/Queueing/CapacityShare.h>
 #include <Peridothoist/Relay/BrokenCallTracker.h>
 #include <Peridothoist/Relay/CallTimeEstimate.h>
 #include <Peridothoist/Relay/CrashEvidence.h>
@@ -34,6 +35,7 @@
 #include <Peridothoist/Relay/UpstreamLimiter.h>
 #include <Peridothoist/Relay/UpstreamReach.h>
 #include <Peridothoist/Request/TimerQueue.h>
+#include <Peridothoist/Routing/UpstreamSpeeds.h>
 
 #include <array>
 #include <set>
@@ -108,12 +110,15 @@
   /// Minimum time between checks of an upstream whose calls break.
   Duration mUpstreamCheckInterval = 1s;
   Duration mLimitPollInterval = 500ms; ///< Of looking for limits to check.
+  /// Minimum time between checks which requests wait in vain.
+  Duration mHopelessCheckInterval = 100ms;
   CrashEvidenceSettings mCrashEvidence;
   RelayRetryBudgetSettings mRetryBudget;
   PrefillPlannerSettings mPlanner;
   UpstreamChooserSettings mChooser;
   UpstreamLoadTrackerSettings mLoads;
   UpstreamLimiterSettings mLimits;
+  UpstreamSpeedsSettings mSpeeds;
   UpstreamListSettings mUpstreamList;
   UpstreamReachSettings mReach;
   StreamOriginTableSettings mOrigins;
@@ -181,6 +186,12 @@
   void OnStreamHead(std::uint64_t aId,
                     std::uint32_t aAttempt,
                     RelayResponse aHead);
+  /// Called when the response of a call is no longer read, since the caller
+  /// reads too slowly, and when it is read again. The upstream does not count
+  /// as silent meanwhile.
+  void OnCallPaused(std::uint64_t aId, std::uint32_t aAttempt, TimePoint aNow);
+  void OnCallResumed(std::uint64_t aId, std::uint32_t aAttempt, TimePoint aNow);
+
   void OnEvent(std::uint64_t aId,
                std::uint32_t aAttempt,
                RelayEvent aEvent,
@@ -228,6 +239,7 @@
   UpstreamLoadTracker& Loads() { return mLoads; }
   CrashEvidence& Crashes() { return mCrashEvidence; }
   UpstreamLimiter& Limits() { return mLimiter; }
+  UpstreamSpeeds& Speeds() { return mSpeeds; }
   const UpstreamReach& Reach() const { return mReach; }
 
   /// Called with what a response of the upstream states about its limit.
@@ -235,6 +247,25 @@
   bool OnLimitStated(const std::string& aUpstream,
                      const StatedLimit& aLimit,
                      TimePoint aNow);
+  /// Called when an upstream stated for how long it stays cold. Returns whether
+  /// that it is cold, or is no longer, was not known.
+  bool OnColdStated(const std::string& aUpstream,
+                    Duration aRemaining,
+                    TimePoint aNow);
+  /// Called with what other VMs learnt of cold upstreams.
+  void OnPeerCold(const ColdTimes& aTimes, TimePoint aNow);
+  /// Called when a process of an upstream stated how long work takes there.
+  void OnWorkTimeStated(const UpstreamProcess& aProcess,
+                        std::uint32_t aPercent,
+                        TimePoint aNow);
+  /// Called with what other VMs learnt of the speeds of upstreams.
+  void OnPeerSpeeds(const SpeedsByUpstream& aSpeeds, TimePoint aNow);
+  /// Called after each change of the configuration; sets the availability
+  /// zones that are evacuated. Upstreams of zones that no longer are may have
+  /// become cold meanwhile.
+  void OnZonesEvacuated(const std::set<std::string>& aZones,
+                        TimePoint aNow,
+                        RelayCommands& aOut);
   /// Called when a process of an upstream stated that it leaves. Returns
   /// whether that was not known.
   bool OnLeavingStated(const UpstreamProcess& aProcess, TimePoint aNow);
@@ -273,6 +304,8 @@
   /// Returns, by service, the numbers of waiting requests that can still be in
   /// time and of those that are late.
   WaitingByService ClassifyWaiting(TimePoint aNow);
+  /// Returns the same by priority, for services whose requests differ in it.
+  PriorityWaitingByService ClassifyPriorities(TimePoint aNow);
   const RelayCounters& Counters() const { return mCounters; }
 
 private:
@@ -286,7 +319,10 @@
     std::string mSoftwareVersion; ///< As listed when the call started.
     std::uint64_t mIncarnationId = 0; ///< The same.
     RelayCallKind mKind = RelayCallKind::Whole;
-    std::uint64_t mTokens = 0; ///< KV memory counted in mLoads.
+    std::uint64_t mTokens = 0;     ///< KV memory counted in mLoads.
+    std::uint64_t mUsedTokens = 0; ///< Of the prompt and the events so far.
+    double mWorkUnits = 0;         ///< See WorkUnitsOf().
+    EventPace mPace;               ///< Of a stream's events.
     bool mMayHaveBeenSent = false;
     bool mIsRetry = false;  ///< Counted by the retry budget.
     bool mHasEvent = false; ///< Stream: an event was received.
@@ -294,6 +330,7 @@
     TimePoint mFirstEventAt;   ///< With mHasEvent.
     TimePoint mPartsExcusedAt; ///< See ExcusePartsOf().
     TimePoint mLastActivity;   ///< Start, or the last event.
+    bool mIsPaused = false;    ///< Its response is not read at present.
     RelayResponse mHead;       ///< Stream: status and headers.
     bool mUsesHandle = false;
     std::string mHandle; ///< The prefill result that it uses.
@@ -341,6 +378,7 @@
     /// The decode engine at which the request's memory is counted during the
     /// prefill; empty: none.
     std::string mDecodeUpstream;
+    std::uint64_t mHeldTokens = 0; ///< Counted at mDecodeUpstream.
     /// The upstream whose limit was charged for a stream that is not sent yet.
     std::string mChargedUpstream;
     /// End of the wait for capacity; set when the request first waits.
@@ -361,6 +399,8 @@
   Call StartCall(State& aState,
                  const RelayUpstream& aUpstream,
                  RelayCallKind aKind);
+  std::uint64_t TokensOf(const State& aState, RelayCallKind aKind) const;
+  double WorkUnitsOf(const RelayUpstream& aUpstream) const;
   bool HasRetryBudget(const State& aState);
   bool ChargeRetry(State& aState);
   void OnNoUpstreamChosen(State& aState, NoChoiceReason aReason);
@@ -374,6 +414,9 @@
   void PlaceResumed(State& aState);
   void ContinueAt(State& aState, const StreamOrigin& aOrigin);
   void ContinueAtSoleVersion(State& aState);
+  void AnnounceOrigin(const State& aState, const std::string& aKey);
+  static const std::string& LookupKeyOf(const State& aState);
+  std::optional<StreamOrigin> SoleOriginOf(const State& aState) const;
   void RefuseUnknownOrigin(State& aState);
   void StopAwaitingOrigin(State& aState);
   void OnWaitTimer(State& aState);
@@ -387,6 +430,8 @@
   };
   bool StartWaiting(State& aState);
   Duration ExpectedWait(const State& aState) const;
+  Duration WaitBehind(const State& aState, double aAhead) const;
+  double CountWaitingAhead(const State& aState) const;
   std::optional<Duration> LimitedWait(const State& aState) const;
   std::size_t WaitingAtThisVm(const std::string& aService) const;
   void ArmLimitTimer(const State& aState);
@@ -399,10 +444,33 @@
   void DispatchWithinFraction(const std::vector<std::uint64_t>& aRequests,
                               double aFraction);
   double ChooseStarts(const UpstreamQuery& aQuery, double aFraction);
+  double RoundAtRandom(double aNumber);
+
+  // Waiting by priority
+  using WaitingByLevel = std::map<UrgencyLevel, std::vector<std::uint64_t>>;
+  using StartsByLevel = std::map<UrgencyLevel, double>;
+  bool MayOrderByPriority(const std::string& aService) const;
+  UrgencyLevel LevelOf(const State& aState) const;
+  WaitingByLevel WaitingLevels(const std::string& aService) const;
+  DemandByLevel DemandFor(const std::string& aService,
+                          const WaitingByLevel& aOwn) const;
+  void PlaceArrival(State& aState);
+  bool DispatchByPriority(const std::string& aService);
+  StartsByLevel ChooseStartsByLevel(const UpstreamQuery& aQuery,
+                                    const DemandByLevel& aDemand);
+  void RefuseHopeless(const std::string& aService,
+                      const WaitingByLevel& aWaiting,
+                      const DemandByLevel& aDemand);
   RelayStage RunningStage(const State& aState) const;
   bool IsLate(const State& aState) const;
   const EngineLimits* EnginesOf(const State& aState) const;
 
+  // Speeds of upstreams
+  static SpeedSubject SubjectOf(const RelayUpstream& aUpstream);
+  const RelayUpstream* ProcessOf(const Call& aCall) const;
+  void LearnPace(Call& aCall);
+  void LearnCallTime(const Call& aCall);
+
   // Ends of calls
   using CallEndHandler = void (RelayStateMachine::*)(State&,
                                                      const Call&,
@@ -424,11 +492,14 @@
   void OnCallFailed(State& aState, const Call& aCall, bool aBroken);
   void RetryOrRefuse(State& aState, RefusalKind aRefusal);
   bool MayRetry(const State& aState) const;
+  void CountEvent(Call& aCall, std::uint64_t aTokens);
   Call CloseCall(std::optional<Call>& aCall);
   void CancelCall(State& aState, CancelReason aReason);
   void Cancel(State& aState, const Call& aCall, CancelReason aReason);
   void ReleaseHandle(State& aState);
   void ReleaseReservation(State& aState);
+  bool CountsWholeOutput() const { return mLoads.PeerLoadAgeSeconds() > 0; }
+  std::uint64_t MemoryToCount(const State& aState) const;
   std::uint64_t TokensToReserve(const State& aState) const;
   bool HasReservationAt(const State& aState,
                         const std::string& aUpstream) const;
@@ -490,6 +561,22 @@
   void OnUpstreamLost(const std::string& aUpstream);
   void OnUpstreamsLost(const std::vector<UpstreamLoss>& aLost);
 
+  void UpdatePoolShares();
+
+  // Evacuated zones and cold upstreams
+  struct AssumedCold
+  {
+    int mReads = 0; ///< Of the list by this VM since the return.
+    std::uint64_t mEntryVersion = 0; ///< As of the second of them.
+  };
+  bool IsEvacuated(const std::string& aUpstream) const;
+  void SetCold(const RelayUpstream& aUpstream,
+               TimePoint aUntil,
+               ColdSource aSource,
+               TimePoint aNow);
+  void LearnColdUpstreams(TimePoint aListedAt, ColdSource aSource);
+  void EndAssumedCold();
+
   // Timers
   void OnDeadline(State& aState);
 
@@ -509,6 +596,7 @@
   UpstreamList mUpstreamList;
   UpstreamLoadTracker mLoads;
   UpstreamLimiter mLimiter;
+  UpstreamSpeeds mSpeeds;
   UpstreamReach mReach;
   UpstreamChooser mChooser;
   PrefillPlanner mPlanner;
@@ -519,6 +607,10 @@
   bool mHasLeavingNews = false; ///< Waiting requests may be unservable now.
   std::optional<TimePoint> mLimitCheckAt; ///< The next; none: no limits.
   std::optional<TimePoint> mLimitTimerAt; ///< The earliest that is pending.
+  /// Upstreams of returned zones that are assumed to be cold.
+  std::map<std::string, AssumedCold> mAssumedCold;
+  /// By service: when it was last checked which requests wait in vain.
+  std::map<std::string, TimePoint> mHopelessCheckedAt;
   /// Requests that wait for capacity, by priority and then by id.
   std::set<std::pair<std::uint32_t, std::uint64_t>> mWaiting;
   TimerQueue mTimers;
--- a/Peridothoist/Relay/UpstreamLimiter.cpp
+++ b/Peridothoist/Relay/UpstreamLimiter.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Larger numbers of sharers are not told apart; no fleet is as large.
+constexpr double kMaxSharers = 100000;
+
 /// Returns a number from 0 to 1 that differs between VMs and upstreams. Buckets
 /// that started empty at the same moment would all be full at the same moment.
 double
@@ -34,6 +37,15 @@
   }
 }
 
+void
+MergeColdTimes(ColdTimes& aTo, const ColdTimes& aFrom)
+{
+  for (const auto& [upstream, time] : aFrom) {
+    Duration& known = aTo[upstream];
+    known = std::max(known, time);
+  }
+}
+
 void
 UpstreamLimiter::SetSharers(const LimitSharers* aSharers, std::string aSelf)
 {
@@ -80,13 +92,14 @@
                           TimePoint aNow)
 {
   const auto known = mLimits.find(aUpstream);
-  if (known == mLimits.end() && !aLimit.mPerSecond) {
+  const bool wasStated =
+    known != mLimits.end() && known->second.mStatedAt != TimePoint();
+  if (!wasStated && !aLimit.mPerSecond) {
     return false;
   }
-  const Limit* before = FindLimited(aUpstream, aNow);
+  const bool isKnown = known != mLimits.end() && IsStated(known->second, aNow);
   const bool isChanged =
-    (before == nullptr ? std::nullopt : before->mPerSecond) !=
-    aLimit.mPerSecond;
+    (isKnown ? known->second.mPerSecond : std::nullopt) != aLimit.mPerSecond;
   const bool wasOwn = known != mLimits.end() && known->second.mIsOwn;
   if (isChanged || !wasOwn || aLimit.mPerSecond) {
     SetLimit(aUpstream, aService, aLimit.mPerSecond, aNow, aNow);
@@ -101,18 +114,76 @@
                           std::optional<double> aPerSecond,
                           TimePoint aStatedAt,
                           TimePoint aNow)
+{
+  ChangeLimit(aUpstream, aService, aNow, [&](Limit& aLimit) {
+    aLimit.mPerSecond = aPerSecond;
+    aLimit.mStatedAt = aStatedAt;
+  });
+}
+
+/// Applies aChange to the limit of an upstream, which keeps its tokens.
+template<typename Change>
+void
+UpstreamLimiter::ChangeLimit(const std::string& aUpstream,
+                             const std::string& aService,
+                             TimePoint aNow,
+                             Change aChange)
 {
   const Limit* before = FindLimited(aUpstream, aNow);
   const double tokens = before == nullptr ? InitialTokens(aUpstream, mSelf)
                                           : TokensOf(aUpstream, *before, aNow);
   Limit& limit = mLimits[aUpstream];
   limit.mService = aService;
-  limit.mPerSecond = aPerSecond;
-  limit.mStatedAt = aStatedAt;
+  aChange(limit);
   limit.mTokens = tokens;
   limit.mTokensAt = aNow;
 }
 
+void
+UpstreamLimiter::OnCold(const std::string& aUpstream,
+                        const std::string& aService,
+                        const ColdLimit& aLimit,
+                        ColdSource aSource,
+                        TimePoint aNow)
+{
+  if (aLimit.mUntil <= aNow || aLimit.mPerSecond <= 0) {
+    return;
+  }
+  const auto known = mLimits.find(aUpstream);
+  const bool isOutdated = aSource == ColdSource::Heard &&
+                          known != mLimits.end() &&
+                          aNow < known->second.mHeardIgnoredUntil;
+  if (isOutdated) {
+    return;
+  }
+  ChangeLimit(aUpstream, aService, aNow, [&](Limit& aChanged) {
+    const TimePoint knownUntil =
+      IsCold(aChanged, aNow) ? aChanged.mCold->mUntil : aNow;
+    aChanged.mCold = { aLimit.mPerSecond, std::max(knownUntil, aLimit.mUntil) };
+    if (aSource == ColdSource::Own) {
+      const bool wasOwn = aNow < aChanged.mOwnColdUntil;
+      aChanged.mOwnColdSince = wasOwn ? aChanged.mOwnColdSince : aNow;
+      aChanged.mOwnColdUntil = std::max(aChanged.mOwnColdUntil, aLimit.mUntil);
+      aChanged.mHeardIgnoredUntil = TimePoint();
+    }
+  });
+}
+
+void
+UpstreamLimiter::OnWarm(const std::string& aUpstream, TimePoint aNow)
+{
+  const auto it = mLimits.find(aUpstream);
+  if (it != mLimits.end() && it->second.mCold) {
+    const std::string service = it->second.mService;
+    ChangeLimit(aUpstream, service, aNow, [&](Limit& aChanged) {
+      aChanged.mHeardIgnoredUntil =
+        std::max(aNow + mSettings.mWarmHoldPeriod, aChanged.mCold->mUntil);
+      aChanged.mCold.reset();
+      aChanged.mOwnColdUntil = TimePoint();
+    });
+  }
+}
+
 void
 UpstreamLimiter::OnSent(const std::string& aUpstream, TimePoint aNow)
 {
@@ -178,14 +249,58 @@
   return limits;
 }
 
+ColdTimes
+UpstreamLimiter::OwnColdTimes(TimePoint aNow) const
+{
+  ColdTimes times;
+  for (const auto& [upstream, limit] : mLimits) {
+    const bool isReported =
+      limit.mOwnColdUntil > aNow + mSettings.mMinReportedCold &&
+      aNow < limit.mOwnColdSince + mSettings.mColdReportPeriod;
+    if (isReported) {
+      times[upstream] = limit.mOwnColdUntil - aNow;
+    }
+  }
+  return times;
+}
+
+/// Returns whether a limit that the upstream stated is in force.
+bool
+UpstreamLimiter::IsStated(const Limit& aLimit, TimePoint aNow) const
+{
+  return aLimit.mPerSecond &&
+         aNow < aLimit.mStatedAt + mSettings.mStatementLifetime;
+}
+
+bool
+UpstreamLimiter::IsCold(const Limit& aLimit, TimePoint aNow)
+{
+  return aLimit.mCold && aNow < aLimit.mCold->mUntil;
+}
+
+bool
+UpstreamLimiter::IsCold(const std::string& aUpstream, TimePoint aNow) const
+{
+  const auto it = mLimits.find(aUpstream);
+  return it != mLimits.end() && IsCold(it->second, aNow);
+}
+
+std::size_t
+UpstreamLimiter::ColdCount(TimePoint aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mLimits.begin(), mLimits.end(), [&](const auto& aIt) {
+      return IsCold(aIt.second, aNow);
+    }));
+}
+
 /// Returns null if the upstream has no limit.
 const UpstreamLimiter::Limit*
 UpstreamLimiter::FindLimited(const std::string& aUpstream, TimePoint aNow) const
 {
   const auto it = mLimits.find(aUpstream);
-  const bool isLimited =
-    it != mLimits.end() && it->second.mPerSecond &&
-    aNow < it->second.mStatedAt + mSettings.mStatementLifetime;
+  const bool isLimited = it != mLimits.end() && (IsStated(it->second, aNow) ||
+                                                 IsCold(it->second, aNow));
   return isLimited ? &it->second : nullptr;
 }
 
@@ -206,15 +321,53 @@
 }
 
 double
-UpstreamLimiter::RateOf(const Limit& aLimit) const
+UpstreamLimiter::RateOf(const Limit& aLimit, TimePoint aNow) const
 {
-  return std::max(*aLimit.mPerSecond, mSettings.mMinRate);
+  double rate = std::numeric_limits<double>::max();
+  if (IsStated(aLimit, aNow)) {
+    rate = std::max(*aLimit.mPerSecond, mSettings.mMinRate);
+  }
+  return IsCold(aLimit, aNow) ? std::min(rate, aLimit.mCold->mPerSecond) : rate;
 }
 
+/// Returns the size of a sharer's bucket. What a cold upstream bears beyond its
+/// rate is used up by the shares and the number of sharers.
 double
-UpstreamLimiter::BurstOf(double aShare) const
+UpstreamLimiter::BurstOf(const Limit& aLimit,
+                         double aShare,
+                         TimePoint aNow) const
+{
+  return IsCold(aLimit, aNow)
+           ? 1.0
+           : std::max(1.0, aShare * ToSeconds(mSettings.mBurst));
+}
+
+/// Returns the largest part of the limit that one of aSharers may have. The
+/// parts by demand of sharers that don't hear each other can add up to more
+/// than the limit; a cold upstream would crash by that.
+double
+UpstreamLimiter::MaxShareOf(const Limit& aLimit,
+                            std::size_t aSharers,
+                            TimePoint aNow) const
+{
+  return IsCold(aLimit, aNow) ? std::max(1.0, mSettings.mColdOverage) /
+                                  static_cast<double>(aSharers)
+                              : 1.0;
+}
+
+/// Returns how many VMs may send to the upstream. The bucket of each sharer
+/// holds one request, so a cold upstream has no more of them than requests that
+/// it bears beyond its rate.
+std::size_t
+UpstreamLimiter::SharerCountOf(const Limit& aLimit, TimePoint aNow) const
 {
-  return std::max(1.0, aShare * ToSeconds(mSettings.mBurst));
+  const double byRequests =
+    std::min(RateOf(aLimit, aNow) * mSettings.mSharersPerRequest, kMaxSharers);
+  const auto byRate =
+    mSettings.mMinSharers + static_cast<std::size_t>(byRequests);
+  const auto bySlack =
+    static_cast<std::size_t>(std::max(1.0, mSettings.mColdSlack));
+  return IsCold(aLimit, aNow) ? std::min(byRate, bySlack) : byRate;
 }
 
 /// Returns the VMs that may send to the upstream.
@@ -223,18 +376,17 @@
                            const Limit& aLimit,
                            TimePoint aNow) const
 {
-  const bool isCurrent =
-    aLimit.mSharersAt && aNow < *aLimit.mSharersAt + mSettings.mSharersLifetime;
+  const std::size_t count = SharerCountOf(aLimit, aNow);
+  const bool isCurrent = aLimit.mSharersAt && aLimit.mSharerCount == count &&
+                         aNow < *aLimit.mSharersAt + mSettings.mSharersLifetime;
   if (!isCurrent) {
     std::vector<std::string> candidates = { mSelf };
     if (mSharers != nullptr) {
       candidates = mSharers->CandidatesFor(aUpstream);
     }
-    const auto count =
-      mSettings.mMinSharers +
-      static_cast<std::size_t>(RateOf(aLimit) * mSettings.mSharersPerRequest);
     aLimit.mSharers = TopRendezvousNodes(
       aUpstream, candidates, std::min(count, candidates.size()));
+    aLimit.mSharerCount = count;
     aLimit.mSharersAt = aNow;
   }
   return aLimit.mSharers;
@@ -271,7 +423,8 @@
   }
   const double all = known * static_cast<double>(sharers.size()) /
                      static_cast<double>(knownCount);
-  return RateOf(aLimit) * own / all;
+  return RateOf(aLimit, aNow) *
+         std::min(own / all, MaxShareOf(aLimit, sharers.size(), aNow));
 }
 
 double
@@ -282,7 +435,7 @@
   const double share = ShareOf(aUpstream, aLimit, aNow);
   const double refilled =
     aLimit.mTokens + share * ToSeconds(aNow - aLimit.mTokensAt);
-  return std::min(BurstOf(share), refilled);
+  return std::min(BurstOf(aLimit, share, aNow), refilled);
 }
 
 std::optional<double>
@@ -301,7 +454,7 @@
 {
   std::vector<std::string> due;
   for (const auto& [upstream, limit] : mLimits) {
-    if (!IsLimited(upstream, aNow)) {
+    if (!IsStated(limit, aNow)) {
       continue;
     }
     const std::vector<std::string>& sharers = SharersOf(upstream, limit, aNow);
--- a/Peridothoist/Relay/UpstreamLimiter.h
+++ b/Peridothoist/Relay/UpstreamLimiter.h
@@ -1,5 +1,5 @@
 /// Keeps all VMs together to the limits that upstreams state for their
-/// requests.
+/// requests, and to what they bear while they are cold.
 ///
 /// A limit is divided over a few VMs, its sharers, which are the same wherever
 /// they are computed. Each has a token bucket, whose rate is the sharer's part
@@ -8,6 +8,12 @@
 /// (W + mBurst) + the number of sharers, which grows with L only, whatever the
 /// number of VMs is. The other VMs send it nothing.
 ///
+/// The limit of a cold upstream ends by itself. It has no more sharers than
+/// mColdSlack, each with a bucket of one request and at most mColdOverage times
+/// an equal part of the rate. In any second the upstream therefore gets at most
+/// the rate times mColdOverage plus mColdSlack, even if sharers don't hear each
+/// other.
+///
 /// Sharers that are not heard may be serving callers: their part stays theirs.
 #pragma once
 
@@ -37,7 +43,21 @@
   Duration mCheckInterval = 2s;
   /// The end of a limit is reported to other VMs for this long.
   Duration mEndReportPeriod = 5s;
+  /// After an upstream stated that it is not cold, what other VMs report is
+  /// ignored for this long, or until the end of the time known before: they go
+  /// on reporting that.
+  Duration mWarmHoldPeriod = 5s;
   Duration mSharersLifetime = 1s; ///< Time until sharers are looked up again.
+  // In any second a cold upstream bears its rate times mColdOverage, plus
+  // mColdSlack requests.
+  double mColdOverage = 1.5;
+  double mColdSlack = 5;
+  /// Cold limits that this VM learnt itself are reported to other VMs if they
+  /// last longer than this; it takes as long until all know it.
+  Duration mMinReportedCold = 250ms;
+  /// They are reported for this long after they were learnt. VMs that start
+  /// later learn them from the list.
+  Duration mColdReportPeriod = 5s;
 };
 
 /// What an upstream states with a response; nullopt: no limit.
@@ -55,6 +75,27 @@
 
 using LimitsByUpstream = std::map<std::string, ReportedLimit>;
 
+/// For how long upstreams stay cold, as VMs tell each other.
+using ColdTimes = std::map<std::string, Duration>;
+
+/// Adds the times of aFrom to aTo; of two about one upstream the longer one.
+void
+MergeColdTimes(ColdTimes& aTo, const ColdTimes& aFrom);
+
+/// How a VM learnt that an upstream is cold.
+enum class ColdSource
+{
+  Own,  ///< By its entry, its response or a return; reported to other VMs.
+  Heard ///< From another VM.
+};
+
+/// What a cold upstream bears.
+struct ColdLimit
+{
+  double mPerSecond = 0; ///< Requests a second, from all VMs; above 0.
+  TimePoint mUntil;
+};
+
 /// Requests a second that a VM receives, by service.
 using DemandByService = std::map<std::string, double>;
 
@@ -97,6 +138,14 @@
                 const std::string& aService,
                 const StatedLimit& aLimit,
                 TimePoint aNow);
+  /// Called when an upstream is cold. Of two times the later one holds.
+  void OnCold(const std::string& aUpstream,
+              const std::string& aService,
+              const ColdLimit& aLimit,
+              ColdSource aSource,
+              TimePoint aNow);
+  /// Called when an upstream stated that it is not cold.
+  void OnWarm(const std::string& aUpstream, TimePoint aNow);
   /// Called when a request was sent to the upstream.
   void OnSent(const std::string& aUpstream, TimePoint aNow);
   /// Called when the upstream is gone or was restarted.
@@ -119,8 +168,13 @@
   /// Returns what upstreams stated to this VM itself.
   LimitsByUpstream OwnLimits(TimePoint aNow) const;
 
-  /// Returns the number of upstreams that have a limit.
+  /// Returns the cold upstreams of which this VM learnt itself.
+  ColdTimes OwnColdTimes(TimePoint aNow) const;
+
+  /// Returns the number of upstreams that have a limit, stated or cold.
   std::size_t LimitedCount(TimePoint aNow) const;
+  std::size_t ColdCount(TimePoint aNow) const;
+  bool IsCold(const std::string& aUpstream, TimePoint aNow) const;
   bool IsLimited(const std::string& aUpstream, TimePoint aNow) const;
   /// Returns how many requests this VM may send to the upstream now; nullopt if
   /// it has no limit.
@@ -138,12 +192,20 @@
   {
     std::string mService;
     std::optional<double> mPerSecond;
-    TimePoint mStatedAt;
+    TimePoint mStatedAt; ///< TimePoint(): it was never stated.
     bool mIsOwn = false; ///< It was stated to this VM.
-    double mTokens = 0;  ///< At mTokensAt; may be negative.
+    std::optional<ColdLimit> mCold;
+    /// Until when it is cold as far as this VM learnt itself. Only this is
+    /// reported: VMs that passed on what they heard would extend it by the
+    /// messages' delay each time, without end.
+    TimePoint mOwnColdUntil;
+    TimePoint mOwnColdSince;      ///< When this VM learnt it.
+    TimePoint mHeardIgnoredUntil; ///< See mWarmHoldPeriod.
+    double mTokens = 0;           ///< At mTokensAt; may be negative.
     TimePoint mTokensAt;
-    // The sharers as of mSharersAt.
+    // The sharers as of mSharersAt, of which there may be mSharerCount.
     mutable std::vector<std::string> mSharers;
+    mutable std::size_t mSharerCount = 0;
     mutable std::optional<TimePoint> mSharersAt;
   };
   struct Demand
@@ -158,8 +220,19 @@
                 std::optional<double> aPerSecond,
                 TimePoint aStatedAt,
                 TimePoint aNow);
-  double RateOf(const Limit& aLimit) const;
-  double BurstOf(double aShare) const;
+  bool IsStated(const Limit& aLimit, TimePoint aNow) const;
+  static bool IsCold(const Limit& aLimit, TimePoint aNow);
+  double RateOf(const Limit& aLimit, TimePoint aNow) const;
+  double BurstOf(const Limit& aLimit, double aShare, TimePoint aNow) const;
+  double MaxShareOf(const Limit& aLimit,
+                    std::size_t aSharers,
+                    TimePoint aNow) const;
+  std::size_t SharerCountOf(const Limit& aLimit, TimePoint aNow) const;
+  template<typename Change>
+  void ChangeLimit(const std::string& aUpstream,
+                   const std::string& aService,
+                   TimePoint aNow,
+                   Change aChange);
   double ShareOf(const std::string& aUpstream,
                  const Limit& aLimit,
                  TimePoint aNow) const;
--- a/Peridothoist/Relay/UpstreamList.h
+++ b/Peridothoist/Relay/UpstreamList.h
@@ -4,11 +4,15 @@
 ///
 /// Invariant: an upstream whose process stated that it leaves counts as leaving
 /// for as long as that process is listed, whatever the list says, and again if
-/// the list drops and restores it.
+/// the list drops and restores it. Upstreams of an evacuated zone count as
+/// evacuated in every list.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/UpstreamLoadTracker.h>
 
+#include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace peridothoist {
@@ -24,6 +28,19 @@
 const char*
 ToName(RelayStage aStage);
 
+/// Longer times for which an upstream stays cold are not told apart.
+constexpr Duration kMaxColdTime = 1h;
+
+/// Returns the time for which an upstream stays cold, as it is stated in
+/// milliseconds.
+inline Duration
+ColdTimeFromMillis(std::uint64_t aMillis)
+{
+  using std::chrono::milliseconds;
+  const std::uint64_t max = milliseconds(kMaxColdTime / 1ms).count();
+  return milliseconds(std::min(aMillis, max));
+}
+
 /// An entry of the upstream list.
 struct RelayUpstream
 {
@@ -36,8 +53,20 @@
   bool mIsLeaving = false;          ///< Gets no new requests: listed or stated.
   std::uint64_t mIncarnationId = 0; ///< New with each start; 0: unknown.
   std::string mSoftwareVersion;     ///< Empty: not stated.
+  /// Time for which it stays cold, as of the confirmation of the list.
+  Duration mColdRemaining{ 0 };
+  bool mIsEvacuated = false; ///< Its availability zone gets nothing.
+  /// Increases with each write of the entry; 0: not read by this VM itself.
+  std::uint64_t mEntryVersion = 0;
+
+  /// Returns whether it may be sent requests.
+  bool AcceptsRequests() const { return !mIsLeaving && !mIsEvacuated; }
 };
 
+/// Returns the pool that the upstream belongs to.
+UpstreamPool
+PoolOf(const RelayUpstream& aUpstream);
+
 /// Identifies one process of an upstream.
 struct UpstreamProcess
 {
@@ -135,7 +164,15 @@
   bool AcceptsRequests(const std::string& aId) const
   {
     const RelayUpstream* upstream = Find(aId);
-    return upstream != nullptr && !upstream->mIsLeaving;
+    return upstream != nullptr && upstream->AcceptsRequests();
+  }
+
+  /// Sets the availability zones that are evacuated. Returns the upstreams in
+  /// zones that no longer are.
+  std::vector<std::string> SetEvacuatedZones(std::set<std::string> aZones);
+  const std::set<std::string>& EvacuatedZones() const
+  {
+    return mEvacuatedZones;
   }
 
   /// Returns whether the entry is missing from the list since an outage and
@@ -181,11 +218,14 @@
                        bool aIsOwn,
                        TimePoint aNow);
   void ApplyStatements(TimePoint aListedAt);
+  void ApplyEvacuation();
   void OnConfirmed(TimePoint aAt);
+  void AgeColdTimes(Duration aAge);
   void RememberVersions();
 
   Settings mSettings;
   std::map<std::string, Entry> mEntries;
+  std::set<std::string> mEvacuatedZones;
   std::map<UpstreamProcess, Statement> mStatedLeaving;
   std::optional<TimePoint> mListedAt;
   TimePoint mKnownSince; ///< No longer gap between confirmations since then.
--- a/Peridothoist/Relay/UpstreamLoadTracker.cpp
+++ b/Peridothoist/Relay/UpstreamLoadTracker.cpp
@@ -53,6 +53,61 @@
   return waiting;
 }
 
+void
+AddPoolWork(WorkByPool& aTo, const WorkByPool& aFrom)
+{
+  for (const auto& [pool, work] : aFrom) {
+    aTo[pool] += work;
+  }
+}
+
+WorkByPool
+UpstreamLoadTracker::PoolWork() const
+{
+  WorkByPool sum;
+  for (const auto& [peer, work] : mPeersPoolWork) {
+    AddPoolWork(sum, work);
+  }
+  return sum;
+}
+
+void
+AddWaiting(PriorityWaitingByService& aTo, const PriorityWaitingByService& aFrom)
+{
+  for (const auto& [service, byPriority] : aFrom) {
+    for (const auto& [priority, counts] : byPriority) {
+      aTo[service][priority] += counts;
+    }
+  }
+}
+
+WaitingByPriority
+UpstreamLoadTracker::PeersWaitingByPriority(
+  const std::string& aService,
+  std::uint32_t aDefaultPriority) const
+{
+  WaitingByPriority waiting;
+  for (const auto& [peer, byService] : mPeersWaiting) {
+    const auto known = mPeerPriorities.find(peer);
+    if (known != mPeerPriorities.end()) {
+      const auto it = known->second.find(aService);
+      if (it != known->second.end()) {
+        for (const auto& [priority, counts] : it->second) {
+          waiting[priority] += counts;
+        }
+        continue;
+      }
+    }
+    for (const std::string& service : { aService, std::string() }) {
+      const auto it = byService.find(service);
+      if (it != byService.end()) {
+        waiting[aDefaultPriority] += it->second;
+      }
+    }
+  }
+  return waiting;
+}
+
 void
 UpstreamLoadTracker::OnDone(const std::string& aUpstream, std::uint64_t aTokens)
 {
@@ -99,6 +154,8 @@
   OnPeerWork(aPeer, {});
   mPeers.erase(aPeer);
   mPeersWaiting.erase(aPeer);
+  mPeerPriorities.erase(aPeer);
+  mHasNewPoolWork = mPeersPoolWork.erase(aPeer) > 0 || mHasNewPoolWork;
   mOutcomes.ForgetPeer(aPeer);
 }
 
@@ -188,9 +245,11 @@
   if (own != mOwn.end()) {
     work += own->second;
   }
-  const auto peers = mPeerTotals.find(aUpstream);
-  if (peers != mPeerTotals.end()) {
-    work += peers->second;
+  for (const WorkByUpstream* it : { &mPeerTotals, &mPoolShares }) {
+    const auto others = it->find(aUpstream);
+    if (others != it->end()) {
+      work += others->second;
+    }
   }
   return work;
 }
--- a/Peridothoist/Relay/UpstreamLoadTracker.h
+++ b/Peridothoist/Relay/UpstreamLoadTracker.h
@@ -6,6 +6,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/CallOutcomeTracker.h>
 
+#include <tuple>
+
 namespace peridothoist {
 
 /// Open work at one upstream.
@@ -32,12 +34,36 @@
 /// are left out.
 using WorkByUpstream = std::map<std::string, UpstreamWork>;
 
+/// The upstreams of one service, stage and availability zone.
+struct UpstreamPool
+{
+  std::string mService;
+  int mStage = 0; ///< A RelayStage.
+  std::string mZone;
+
+  bool operator<(const UpstreamPool& aOther) const
+  {
+    return std::tie(mService, mStage, mZone) <
+           std::tie(aOther.mService, aOther.mStage, aOther.mZone);
+  }
+};
+
+/// Work by pool. Cells tell each other the work at the upstreams of a zone one
+/// by one only within that zone, and as one sum for each pool elsewhere.
+using WorkByPool = std::map<UpstreamPool, UpstreamWork>;
+
+/// Adds the work of aFrom to aTo.
+void
+AddPoolWork(WorkByPool& aTo, const WorkByPool& aFrom);
+
 /// The load that an upstream states about itself.
 struct StatedLoad
 {
   std::uint32_t mRunning = 0;
   std::uint32_t mWaiting = 0;
   std::uint32_t mSlots = 0; ///< 0: not stated.
+  /// How long work takes there now, in percent of what is usual.
+  std::optional<std::uint32_t> mWorkTimePercent;
 };
 
 /// Requests that wait at a VM for upstream capacity.
@@ -60,6 +86,15 @@
 /// name stands for any service, in reports of builds that do not tell which.
 using WaitingByService = std::map<std::string, WaitingRequests>;
 
+/// Waiting requests by priority, of the services whose requests differ in it.
+using WaitingByPriority = std::map<std::uint32_t, WaitingRequests>;
+using PriorityWaitingByService = std::map<std::string, WaitingByPriority>;
+
+/// Adds the counts of aFrom to aTo.
+void
+AddWaiting(PriorityWaitingByService& aTo,
+           const PriorityWaitingByService& aFrom);
+
 /// Settings of UpstreamLoadTracker.
 struct UpstreamLoadTrackerSettings
 {
@@ -101,6 +136,22 @@
 
   /// Replaces what another VM reported of its work.
   void OnPeerWork(const std::string& aPeer, WorkByUpstream aWork);
+  /// Replaces what another VM reported of work in pools.
+  void OnPeerPoolWork(const std::string& aPeer, WorkByPool aWork)
+  {
+    mPeersPoolWork[aPeer] = std::move(aWork);
+    mHasNewPoolWork = true;
+  }
+  /// Returns whether PoolWork() may have changed since the last call.
+  bool TakeNewPoolWork() { return std::exchange(mHasNewPoolWork, false); }
+  /// Returns the work in each pool that is not known upstream by upstream.
+  WorkByPool PoolWork() const;
+  /// Sets the part of the work in its pool that each upstream is assumed to
+  /// have.
+  void SetPoolShares(WorkByUpstream aShares)
+  {
+    mPoolShares = std::move(aShares);
+  }
   /// Sets how old the load reports of other VMs may be.
   void SetPeerLoadAge(Duration aAge) { mPeerLoadAge = aAge; }
   double PeerLoadAgeSeconds() const
@@ -112,10 +163,21 @@
   {
     mPeersWaiting[aPeer] = aWaiting;
   }
+  /// The same by priority, for services whose requests differ in it.
+  void OnPeerPriorities(const std::string& aPeer,
+                        const PriorityWaitingByService& aWaiting)
+  {
+    mPeerPriorities[aPeer] = aWaiting;
+  }
   /// Returns all requests that wait at other VMs.
   WaitingRequests PeersWaiting() const;
   /// Returns the requests for a service that wait at other VMs.
   WaitingRequests PeersWaiting(const std::string& aService) const;
+  /// Returns the same by priority. Requests at VMs that do not tell their
+  /// priority count as of aDefaultPriority.
+  WaitingByPriority PeersWaitingByPriority(
+    const std::string& aService,
+    std::uint32_t aDefaultPriority) const;
   void ForgetPeer(const std::string& aPeer);
 
   /// Called when a call to the upstream failed or was rejected.
@@ -180,11 +242,16 @@
   WorkByUpstream mOwn;
   std::uint64_t mRevision = 0;
   Duration mPeerLoadAge{ 0 };
-  std::map<std::string, WorkByUpstream> mPeers;          ///< By peer.
-  WorkByUpstream mPeerTotals;                            ///< Sum over mPeers.
+  std::map<std::string, WorkByUpstream> mPeers;     ///< By peer.
+  WorkByUpstream mPeerTotals;                       ///< Sum over mPeers.
+  std::map<std::string, WorkByPool> mPeersPoolWork; ///< By peer.
+  bool mHasNewPoolWork = false;
+  WorkByUpstream mPoolShares; ///< Part of mPeersPoolWork, by upstream.
   std::map<std::string, WaitingByService> mPeersWaiting; ///< By peer.
-  std::map<std::string, Stated> mStated;                 ///< By upstream.
-  std::map<std::string, Failures> mFailures;             ///< By upstream.
+  std::map<std::string, PriorityWaitingByService>
+    mPeerPriorities;                         ///< The same.
+  std::map<std::string, Stated> mStated;     ///< By upstream.
+  std::map<std::string, Failures> mFailures; ///< By upstream.
   CallOutcomeTracker mOutcomes;
 };
 
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -2,6 +2,7 @@
 /// outages, the other VMs, and the confirmation of views by peers.
 #define BOOST_TEST_MODULE RelayView
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/ContentKey.h>
 #include <Peridothoist/Relay/ConfirmedView.h>
 #include <Peridothoist/Relay/CallerDirectory.h>
 #include <Peridothoist/Relay/MembershipTable.h>
@@ -141,8 +142,9 @@
     (admission.CurrentServingState(kNow + 1h) == ServingState::OpenRoutes));
 }
 
-// A resumed stream is looked up under the id of the new attempt.
-BOOST_AUTO_TEST_CASE(AResumedStreamHasTheKeyOfItsFirstAttempt)
+// A resumed stream is looked up under the id of the new attempt, which nobody
+// can know, or an attempt that names none under no content.
+BOOST_AUTO_TEST_CASE(AResumedStreamHasTheKeyOfItsFirstAttemptOrNone)
 {
   ConfirmedView view({ 5s, 700ms });
   WorkspaceRateLimiter limiter({ 8s }, kNow);
@@ -170,10 +172,73 @@
   BOOST_TEST(keyOf("/stream/", 0, "") == "/new");
   BOOST_TEST(keyOf("/stream/", 0, "first") == "/new");
   BOOST_TEST(keyOf("/stream/", 3, "first") == "/first resumed");
-  BOOST_TEST(keyOf("/stream/", 3, "") == "/new resumed");
+  BOOST_TEST(keyOf("/stream/", 3, "") == " resumed");
   BOOST_TEST(keyOf("/plain/", 3, "first") == "/new");
 }
 
+// Attempts of one stream have different keys, or those of different streams
+// have the same one.
+BOOST_AUTO_TEST_CASE(TheContentKeyDependsOnTheContentOnly)
+{
+  const StreamContent content{ "w", "digest", "a:10,b:20", 30, 40 };
+  const std::string key = MakeContentKey(content);
+  BOOST_TEST(MakeContentKey(content) == key);
+  BOOST_TEST(IsContentKey(key));
+  BOOST_TEST(!IsContentKey("w/attempt"));
+  StreamContent other = content;
+  other.mWorkspace = "x";
+  BOOST_TEST(MakeContentKey(other) != key);
+  other = content;
+  other.mDigest = "other";
+  BOOST_TEST(MakeContentKey(other) != key);
+  other = content;
+  other.mPromptParts = "a:10,c:20"; // The last part differs.
+  BOOST_TEST(MakeContentKey(other) != key);
+  other = content;
+  other.mPromptTokens = 31;
+  BOOST_TEST(MakeContentKey(other) != key);
+  other = content;
+  other.mOutputTokens = 41;
+  BOOST_TEST(MakeContentKey(other) != key);
+}
+
+// Streams that can't be resumed are announced, or those that can are not found
+// by a new attempt, whose id and last event differ.
+BOOST_AUTO_TEST_CASE(AttemptsOfAStreamHaveOneContentKey)
+{
+  ConfirmedView view({ 5s, 700ms });
+  WorkspaceRateLimiter limiter({ 8s }, kNow);
+  Random random(1);
+  RelayAdmission admission(&view, &limiter, &random);
+  auto configuration = std::make_shared<RelayConfiguration>();
+  RelayRoute route = MakeRoute("/stream/", true);
+  route.mKind = RouteKind::Stream;
+  configuration->AddRoute(route);
+  route = MakeRoute("/resumable/", true);
+  route.mKind = RouteKind::Stream;
+  route.mIsResumable = true;
+  configuration->AddRoute(route);
+  view.OnRead(configuration, kNow);
+  IncomingRequest request;
+  request.mHost = "h";
+  request.mName = "first";
+  request.mPath = "/resumable/";
+  request.mDigest = "digest";
+  const auto keyOf = [&] {
+    Refusal refusal;
+    return admission.Admit(1, request, kNow, &refusal)->mContentKey;
+  };
+  const std::string first = keyOf();
+  BOOST_TEST(IsContentKey(first));
+  request.mName = "second";
+  request.mLastEventId = 3;
+  BOOST_TEST(keyOf() == first);
+  request.mPromptParts = "a:1";
+  BOOST_TEST(keyOf() != first);
+  request.mPath = "/stream/";
+  BOOST_TEST(keyOf() == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(UpstreamLists)
@@ -404,6 +469,106 @@
   BOOST_TEST(!back.mShouldReadUpstreams);
 }
 
+namespace {
+
+std::shared_ptr<const RelayConfiguration>
+WithZones(std::uint64_t aVersion, std::set<std::string> aZones)
+{
+  auto configuration =
+    std::make_shared<RelayConfiguration>(*MakeConfiguration(aVersion));
+  configuration->mEvacuatedZones = std::move(aZones);
+  return configuration;
+}
+
+/// A VM that knows of evacuations.
+struct ZoneView : VmView
+{
+  ZoneView()
+  {
+    ConfirmedViewSettings settings;
+    settings.mHasEvacuations = true;
+    mView.SetSettings(settings);
+  }
+
+  void ReadZones(std::set<std::string> aZones, TimePoint aNow)
+  {
+    mView.OnRead(WithZones(1, std::move(aZones)), aNow);
+    mUpstreamList.OnListRead({ MakeUpstream("u") }, aNow);
+  }
+
+  /// Returns this VM's response to a query sent at aNow.
+  ViewResponse RespondAt(TimePoint aNow) const
+  {
+    return *mExchange.MakeResponse({ ViewExchange::TimestampOf(aNow), "" },
+                                   aNow);
+  }
+};
+
+} // namespace
+
+// Guards against a VM that keeps an evacuation, or its end, to itself: the
+// version of the configuration does not tell it.
+BOOST_AUTO_TEST_CASE(ALaterStateOfTheZonesIsReadInBothDirections)
+{
+  ZoneView reader;
+  ZoneView follower;
+  follower.ReadZones({}, kNow);
+  TimePoint now = kNow;
+  const std::vector<std::set<std::string>> states = { { "a" },
+                                                      { "a", "b" },
+                                                      {} };
+  for (const auto& zones : states) {
+    now += 1s;
+    reader.ReadZones(zones, now);
+    const auto outcome =
+      follower.mExchange.OnPeerResponse(reader.RespondAt(now), now);
+    BOOST_TEST(outcome.mShouldReadConfiguration);
+    BOOST_TEST((follower.mView.Age(now) == Duration(1s)));
+    follower.ReadZones(zones, now);
+    BOOST_TEST((follower.mView.Configuration()->mEvacuatedZones == zones));
+  }
+}
+
+// Guards against an evacuation that is undone by a late response, by a peer
+// that knows less, or by a read that began earlier and ended later.
+BOOST_AUTO_TEST_CASE(AnEarlierStateOfTheZonesChangesNothing)
+{
+  ZoneView old;
+  ZoneView current;
+  old.ReadZones({}, kNow);
+  const ViewResponse late = old.RespondAt(kNow + 1s);
+  current.ReadZones({ "a" }, kNow + 2s);
+  for (const TimePoint at : { kNow + 2s, kNow + 10s }) {
+    for (const ViewResponse& it : { late, old.RespondAt(at) }) {
+      const auto outcome = current.mExchange.OnPeerResponse(it, at);
+      BOOST_TEST(!outcome.mShouldReadConfiguration);
+    }
+  }
+  BOOST_TEST((current.mView.Age(kNow + 10s) == Duration(8s)));
+  BOOST_TEST(!current.mView.OnRead(WithZones(1, {}), kNow + 1s));
+  BOOST_TEST(current.mView.Configuration()->mEvacuatedZones.count("a") == 1U);
+  BOOST_TEST(!current.mView.HasStateOf(*WithZones(1, {})));
+}
+
+// Guards against a peer of an older build, which states no digest, that
+// confirms zones which it does not know; without evacuations it still counts.
+BOOST_AUTO_TEST_CASE(AnOlderBuildsResponseConfirmsNoZones)
+{
+  ZoneView older;
+  ZoneView current;
+  current.ReadZones({ "a" }, kNow);
+  older.ReadZones({}, kNow + 3s);
+  ViewResponse response = older.RespondAt(kNow + 4s);
+  response.mEvacuationDigest = 0;
+  const auto outcome = current.mExchange.OnPeerResponse(response, kNow + 4s);
+  BOOST_TEST(!outcome.mShouldReadConfiguration);
+  BOOST_TEST((current.mView.Age(kNow + 4s) == Duration(4s)));
+  VmView without;
+  without.Read(1, kNow);
+  without.mExchange.OnPeerResponse(response, kNow + 4s);
+  BOOST_TEST((without.mView.Age(kNow + 4s) == Duration(1s)));
+}
+
 BOOST_AUTO_TEST_CASE(AResponseWithAFutureTimestampIsIgnored)
 {
   VmView reader;
