Show that the tests of uneven upstreams detect naive counterparts

WaitingBehindPromptsIsNotSlowness passed with a naive counterpart that ignores the backlog: the second report of the peer's work replaced the first, so that no prompt waited. Report both engines at once, and check after each prompt that no difference is taken for known.

naive_counterparts.py with UNEVEN-tokens, UNEVEN-process, UNEVEN-stall and UNEVEN-chance: detected. UNEVEN-backlog: not detected before this change, detected after it (by hand with the same replacement).

--- a/UnitTests/Relay/UnevenUpstreamsTest.cpp
+++ b/UnitTests/Relay/UnevenUpstreamsTest.cpp
@@ -66,11 +66,13 @@
          Upstream("q", RelayStage::Prefill),
          Upstream("d", RelayStage::Decode) });
   for (int n = 0; n < 120; ++n) {
-    // Other VMs have two prompts at "p", and enough at "q" or not.
-    mMachine.Loads().OnPeerWork("vm", { { "p", { 2, 6000 } } });
+    // Other VMs always have two prompts at "p", and every other time three at
+    // "q", which is chosen when it is idle.
+    WorkByUpstream work = { { "p", { 2, 6000 } } };
     if (n % 2 == 0) {
-      mMachine.Loads().OnPeerWork("vm", { { "q", { 3, 9000 } } });
+      work["q"] = { 3, 9000 };
     }
+    mMachine.Loads().OnPeerWork("vm", work);
     const std::uint64_t id = Arrive(Route(RouteKind::Stream, 2));
     const RelayCommand prefill = Call(id);
     const auto tokens = mMachine.Loads().Work(prefill.mUpstream).mTokens;
@@ -79,9 +81,9 @@
     End(Call(id), Responded(200));
     Advance(200ms);
     mMachine.Speeds().Update(mNow);
+    BOOST_REQUIRE(!mMachine.Speeds().Differ("engines", WorkKind::Prefill));
   }
-  BOOST_TEST(FactorOf("p") == 1);
-  BOOST_TEST(FactorOf("q") == 1);
+  BOOST_TEST(mMachine.Speeds().KnownRange().mKnown == 2U);
 }
 
 // A decode engine whose events come slowly gets as many streams as others.
--- a/UnitTests/naive_counterparts.py
+++ b/UnitTests/naive_counterparts.py
@@ -33,6 +33,7 @@
 
 
 RELAY = "Peridothoist/Relay/"
+ROUTING = "Peridothoist/Routing/"
 ROWS = [
     Row("MIXED", "forwards any response that it receives",
         "platform/PlatformUpstreamProtocol.cpp",
@@ -95,6 +96,26 @@
     Row("BUDGET-send", "checks for quarantined contents only before the call",
         RELAY + "RelayPlacement.cpp", "!IsQuarantined(state, aNow) &&", "",
         "RelayCrashesTest"),
+    Row("UNEVEN-tokens", "counts the requests at a prefill engine, not tokens",
+        RELAY + "UpstreamChooser.cpp", "  if (!countsTokens) {",
+        "  if (!countsTokens || true) {", "UpstreamChooserTest"),
+    Row("UNEVEN-backlog", "takes the wait behind other prompts for slowness",
+        RELAY + "RelayPlacement.cpp",
+        "return static_cast<double>(work.mTokens);", "return 1;",
+        "UnevenUpstreamsTest"),
+    Row("UNEVEN-process", "applies a peer's figures to any process",
+        ROUTING + "UpstreamSpeeds.cpp",
+        "if (!isCurrent || samples == 0) {",
+        "if ((!isCurrent && false) || samples == 0) {",
+        "UpstreamSpeedsTest"),
+    Row("UNEVEN-stall", "counts all calls that a stall delays, in full",
+        ROUTING + "UpstreamSpeeds.cpp",
+        "std::clamp(difference, -kMaxDeviation, kMaxDeviation);",
+        "difference;", "UpstreamSpeedsTest"),
+    Row("UNEVEN-chance", "takes any measured difference for a speed",
+        ROUTING + "UpstreamSpeeds.cpp",
+        "return kStandardErrors * error <", "return 0 * error <",
+        "UpstreamSpeedsTest"),
     Row("LIMIT-share", "uses the whole limit of an upstream at each VM",
         RELAY + "UpstreamLimiter.cpp", "return RateOf(aLimit) * own / all;",
         "return RateOf(aLimit) + 0 * own / all;", "UpstreamLimiterTest"),
