--- a/UnitTests/Relay/EvacuationTest.cpp
+++ b/UnitTests/Relay/EvacuationTest.cpp
@@ -37,7 +37,7 @@
     mMachine.SetConfiguration(configuration);
   }
 
-  void Evacuate(std::set<std::string> aZones)
+  void Evacuate(const std::set<std::string>& aZones)
   {
     RelayCommands out;
     mMachine.OnZonesEvacuated(aZones, mNow, out);
--- a/UnitTests/Relay/UpstreamLimiterTest.cpp
+++ b/UnitTests/Relay/UpstreamLimiterTest.cpp
@@ -514,6 +514,7 @@
   TimePoint now = kStart;
   for (; now < kStart + 14s; now += kDelay) {
     std::vector<ColdTimes> reports;
+    reports.reserve(vms.size());
     for (const UpstreamLimiter& vm : vms) {
       reports.push_back(vm.OwnColdTimes(now));
     }
