Say in test_evacuation what it does to the upstreams

Cause: a comment spoke of restarts, but the upstreams only become cold. Change: two comments. Result: no code changed; the file compiles, and was not run again.

--- a/SystemTests/test_evacuation.py
+++ b/SystemTests/test_evacuation.py
@@ -14,7 +14,6 @@
 COLD = {"coldStartS": 8, "coldPerS": 4}
 ZONE = "zone-a"
 INTERVAL_SECONDS = 0.02
-# Both kinds together: more than the upstreams of a zone bear while they are cold.
 WARM_SECONDS = 9.0  # From the start of the upstreams.
 EVACUATED_SECONDS = 9.0
 RETURNED_SECONDS = 12.0
@@ -45,8 +44,8 @@
         store.evacuate(ZONE)
         self.evacuated_at = time.monotonic()
         await asyncio.sleep(EVACUATED_SECONDS)
-        # Restarts a moment before the return, under the same ids, and writes an
-        # entry that does not say so yet.
+        # They become cold a moment before the return, and their entries do not say
+        # so yet.
         for upstream in self.cluster.upstreams:
             if upstream.zone == ZONE:
                 upstream.cool()
