--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -114,6 +114,7 @@
 void
 NodeGossip::Tick()
 {
+  mMembers.OnRunning(mReactor->Now());
   RemoveSilentPeers();
   mMachine->Crashes().DropExpired(mReactor->Now());
   Publish(mSettings.mGossipFanOut);
--- a/Peridothoist/Relay/MembershipTable.cpp
+++ b/Peridothoist/Relay/MembershipTable.cpp
@@ -58,6 +58,22 @@
   }
 }
 
+void
+MembershipTable::OnRunning(TimePoint aNow)
+{
+  if (HasPaused(aNow)) {
+    RestartSilence(aNow);
+  }
+  mLastRunning = aNow;
+}
+
+/// Returns whether this process was paused or delayed just before aNow.
+bool
+MembershipTable::HasPaused(TimePoint aNow) const
+{
+  return mLastRunning && aNow - *mLastRunning > mSettings.mSilenceTimeout;
+}
+
 bool
 MembershipTable::IsReachable(const std::string& aVm, TimePoint aNow) const
 {
@@ -112,6 +128,9 @@
 MembershipTable::RegisteredButSilent(Duration aSilentFor, TimePoint aNow) const
 {
   std::vector<std::string> silent;
+  if (HasPaused(aNow)) {
+    return silent;
+  }
   for (const auto& [name, since] : mRegisteredSince) {
     const auto member = mMembers.find(name);
     const TimePoint last =
--- a/Peridothoist/Relay/MembershipTable.h
+++ b/Peridothoist/Relay/MembershipTable.h
@@ -94,6 +94,10 @@
   /// starts to hear others than before, which it can't expect to have heard.
   void RestartSilence(TimePoint aNow);
 
+  /// Called at each gossip interval. After a pause of this process, the silence
+  /// of all others is counted anew: it is this VM that did not hear them.
+  void OnRunning(TimePoint aNow);
+
   /// Returns whether a message of the VM arrived within the silence timeout.
   bool IsReachable(const std::string& aVm, TimePoint aNow) const;
 
@@ -137,7 +141,10 @@
   std::vector<std::string> DropSilent(Duration aSilentFor, TimePoint aNow);
 
 private:
+  bool HasPaused(TimePoint aNow) const;
+
   Settings mSettings;
+  std::optional<TimePoint> mLastRunning; ///< Last call of OnRunning().
   std::string mSelf;
   std::map<std::string, Member> mMembers; ///< By name, without this VM.
   std::map<std::string, TimePoint> mRegisteredSince; ///< By name.
--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -11,6 +11,7 @@
 #include <Peridothoist/Shell/SocketOptions.h>
 
 #include <microhttpd.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <array>
@@ -24,6 +25,11 @@
 /// Interval of the checks for slow connections and, while draining, idle ones.
 constexpr Duration kCloseStaleInterval = 500ms;
 
+/// Maximum number of runs of libmicrohttpd in which the callers that have
+/// connected before a drain are accepted. A run accepts 10 of them; at the
+/// limit of connections none.
+constexpr int kMaxAcceptRuns = 500;
+
 /// A body that exceeds the limit by more than this factor is not read to its
 /// end.
 constexpr std::uint64_t kMaxDiscardedBodyFactor = 4;
@@ -50,6 +56,7 @@
   bool Start(std::string* aReason);
   void StartDrain();
   void StopAccepting();
+  bool HasUnacceptedCallers() const;
 
   // See: DescriptorListener
   void OnReadable(int aDescriptor) override;
@@ -210,10 +217,27 @@
   }
 }
 
+/// Returns whether callers have connected that are not accepted yet.
+bool
+HttpServer::Impl::HasUnacceptedCallers() const
+{
+  const MHD_DaemonInfo* info =
+    MHD_get_daemon_info(mDaemon, MHD_DAEMON_INFO_LISTEN_FD);
+  if (info == nullptr || info->listen_fd == MHD_INVALID_SOCKET) {
+    return false;
+  }
+  pollfd listener = { info->listen_fd, POLLIN, 0 };
+  return ::poll(&listener, 1, 0) > 0;
+}
+
 void
 HttpServer::Impl::StopAccepting()
 {
-  RunDaemon(); // Accepts callers that have already connected.
+  // Closing the listener resets the callers that have connected already and are
+  // not accepted yet. libmicrohttpd accepts only some of them in each run.
+  for (int n = 0; n < kMaxAcceptRuns && HasUnacceptedCallers(); ++n) {
+    RunDaemon();
+  }
   const MHD_socket listener = MHD_quiesce_daemon(mDaemon);
   if (listener != MHD_INVALID_SOCKET) {
     ::close(listener);
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -652,6 +652,50 @@
   BOOST_TEST(CallAndWait(MakeRequest("/a/x", "k1"))->mStatus == 200);
 }
 
+// Guards against a stalled stream that never ends since its upstream sends a
+// byte now and then: bytes that complete no event do not extend its deadline.
+BOOST_AUTO_TEST_CASE(StreamOfSingleBytesEndsAtItsDeadline)
+{
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  mHandler.mRespond = [](HttpExchange& aExchange) {
+    aExchange.StartStream(
+      200, { { "request-id", "id-1" }, { "response-seal", "s" } });
+    aExchange.Write("id: 1\ndata: x\n\ndata: ");
+  };
+  HttpCall call = MakeRequest("/s/x", "k1");
+  call.mHeaders["request-deadline"] = "600";
+  const auto caller = std::make_shared<CallRecorder>();
+  const TimePoint start = mReactor->Now();
+  mClient->Start(call, caller);
+  while (caller->mEnds == 0 && mReactor->Now() - start < 5s) {
+    BOOST_REQUIRE(RunFor(20ms));
+    if (mHandler.mLastExchange != nullptr) {
+      mHandler.mLastExchange->Write("y");
+    }
+  }
+  BOOST_TEST((mReactor->Now() - start < 2s));
+  BOOST_TEST((caller->mResult.mFailure == CallFailure::Broken));
+  BOOST_TEST(caller->mBody == "id: 1\ndata: x\n\n");
+}
+
+// Guards against a run that is repeated after its response was lost, and
+// against a caller who is told that it has not run.
+BOOST_AUTO_TEST_CASE(LostResponseIsNeitherRepeatedNorCalledNotRun)
+{
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  int runs = 0; // The node also asks whether the upstream is gone.
+  mHandler.mRespond = [&runs](HttpExchange& aExchange) {
+    runs += aExchange.Request().mTarget == "/a/x" ? 1 : 0;
+    aExchange.AbortStream();
+  };
+  const auto result = CallAndWait(MakeRequest("/a/x", "k1"));
+  BOOST_TEST(runs == 1);
+  BOOST_TEST(result->mStatus == 502);
+  BOOST_TEST(json::parse(result->mBody)["error"]["run"] != "not-run");
+}
+
 BOOST_AUTO_TEST_CASE(MetricsEndpointReturnsMetrics)
 {
   StartNode();
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -316,6 +316,22 @@
   BOOST_TEST(members.RegisteredButSilent(30s, kNow + 91s).size() == 1U);
 }
 
+// Guards against a VM that was paused itself, takes all others for silent when
+// it continues, and removes their registrations.
+BOOST_AUTO_TEST_CASE(APausedVmTakesNoOtherForSilent)
+{
+  MembershipTable members({ 1s }, "me");
+  members.SetRegistered({ "me", "a" }, kNow);
+  members.OnRunning(kNow);
+  BOOST_TEST(members.RegisteredButSilent(30s, kNow + 40s).empty());
+  members.OnRunning(kNow + 40s);
+  BOOST_TEST(members.RegisteredButSilent(30s, kNow + 40s).empty());
+  for (int n = 0; n <= 31; ++n) {
+    members.OnRunning(kNow + 40s + n * Duration(1s));
+  }
+  BOOST_TEST(members.RegisteredButSilent(30s, kNow + 71s).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(VmsSilentForTooLongAreFound)
 {
   MembershipTable members({ 1s }, "me");
--- a/UnitTests/Shell/HttpServerTest.cpp
+++ b/UnitTests/Shell/HttpServerTest.cpp
@@ -332,6 +332,38 @@
   BOOST_TEST(mHandler.mDisconnects == 0);
 }
 
+// Load: requests that arrive as the drain begins, on new connections and on
+// kept ones. Guards against requests that are cut off without a response.
+BOOST_AUTO_TEST_CASE(DrainServesRequestsThatHaveArrived)
+{
+  constexpr std::size_t kCallers = 200;
+  mHandler.mRespond = [](HttpExchange& aExchange) {
+    aExchange.Respond(200, {}, "whole");
+  };
+  Serve();
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (std::size_t n = 0; n < kCallers / 2; ++n) {
+    callers.push_back(std::make_unique<RawCaller>(mServer->Port()));
+    callers.back()->Send(kRequest);
+  }
+  BOOST_REQUIRE(Until([&] { return mHandler.mRequests == int(kCallers / 2); }));
+  BOOST_REQUIRE(Until([&] { return mServer->OpenExchangeCount() == 0; }));
+  for (const auto& kept : callers) {
+    kept->Receive();
+    kept->mReceived.clear();
+    kept->Send(kRequest);
+  }
+  for (std::size_t n = 0; n < kCallers / 2; ++n) {
+    callers.push_back(std::make_unique<RawCaller>(mServer->Port()));
+    callers.back()->Send(kRequest);
+  }
+  mServer->StartDrain(); // The server has not read any of these requests.
+  for (const auto& caller : callers) {
+    BOOST_REQUIRE(Until([&] { return caller->Receive(); }));
+    BOOST_TEST(caller->mReceived.find("whole") != std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DrainFromRequestHandler)
 {
   mHandler.mRespond = [this](HttpExchange& aExchange) {
