--- a/Peridothoist/Queueing/AllowanceQueue.cpp
+++ b/Peridothoist/Queueing/AllowanceQueue.cpp
@@ -55,9 +55,8 @@
 AllowanceWaiter
 AllowanceQueue::RemoveLast(const std::string& aWorkspace)
 {
-  const AllowanceWaiter last = *mGroups.at(aWorkspace).mWaiting.rbegin();
-  Remove(last.mId);
-  return last;
+  const std::uint64_t last = mGroups.at(aWorkspace).mWaiting.rbegin()->mId;
+  return *Remove(last);
 }
 
 std::optional<AllowanceWaiter>
