--- a/Peridothoist/Node/NodeGossip.cpp
+++ b/Peridothoist/Node/NodeGossip.cpp
@@ -127,6 +127,7 @@
   if (!AllAnnounceContents()) {
     mContentOrigins->OnUnannounced();
   }
+  mMembers.OnRunning(mReactor->Now());
   RemoveSilentPeers();
   mMachine->Crashes().DropExpired(mReactor->Now());
   LogSpeeds(mMachine->Speeds().Update(mReactor->Now()));
