Keep in the store which versions each service has had

Whether a single version can have begun a stream was known only to VMs that had read the list for 30 s themselves, so after a start, a roll or the loss of all VMs every stream of unknown origin was refused.

A row for each service in the table "service_versions" now states the versions that are listed, and when each other one was last listed, by the store's steady clock (nowMs in its responses). A stream that can be resumed begins only at upstreams of recorded versions, so a record that is read after an attempt has arrived contains the version that began its stream. A stream of unknown origin goes on if the record, read since, states a single version for longer than 37 s (30 s for a stream; 7 s for VMs that use an old list and for calls of the store), and this VM's own current list has no other one. A record of two versions also overrules this VM's own memory.

Without an answer of the store for the first 2 s, or where it states no clock or refuses the table, streams begin at any version as before. Requests that have begun, or can't be resumed, don't wait.

--- a/Peridothoist/Node/InstrumentedRowStore.h
+++ b/Peridothoist/Node/InstrumentedRowStore.h
@@ -24,6 +24,7 @@
   // See: RowStore
   void ReadTable(const std::string& aTable, ReadCallback aCallback) override;
   void Change(const RowChange& aChange, ChangeCallback aCallback) override;
+  std::optional<StoreClock> Clock() const override { return mStore->Clock(); }
 
 private:
   void RecordCall(const char* aOperation,
--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -112,6 +112,15 @@
     .Set(static_cast<double>(aEvidence.Size()));
 }
 
+void
+NodeMetrics::UpdateServiceVersionCounts(const ServiceVersionCounts& aCounts)
+{
+  const std::string prefix = "peridothoist_service_versions_";
+  SetCounter(prefix + "reads_total", aCounts.mReads);
+  SetCounter(prefix + "writes_total", aCounts.mWrites);
+  SetCounter(prefix + "conflicts_total", aCounts.mConflicts);
+}
+
 void
 NodeMetrics::UpdateContentOriginCounts(const ContentOriginCounts& aCounts)
 {
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -4,6 +4,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/RelayExecutor.h>
 #include <Peridothoist/Node/ContentOriginExchange.h>
+#include <Peridothoist/Node/ServiceVersionStore.h>
 #include <Peridothoist/Node/StreamOriginExchange.h>
 #include <Peridothoist/Shell/Log.h>
 #include <Peridothoist/Shell/Metrics.h>
@@ -52,6 +53,7 @@
   void UpdateCounters(const RelayCounters& aCounters);
   void UpdateCrashEvidence(const CrashEvidence& aEvidence);
   void UpdateOriginCounts(const StreamOriginCounts& aCounts);
+  void UpdateServiceVersionCounts(const ServiceVersionCounts& aCounts);
   void UpdateContentOriginCounts(const ContentOriginCounts& aCounts);
   void UpdateGauges(const NodeGauges& aGauges);
   void UpdateLogLosses(const DroppedLogLines& aLosses);
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -94,6 +94,11 @@
               aReactor,
               &mStore,
               [this] { mViews.RereadVms(); })
+  , mVersions(aSettings.mVersions,
+              aReactor,
+              &mStore,
+              &mMachine.ListedUpstreams(),
+              this)
   , mStageOrders(aSettings.mStageOrders,
                  aSettings.mVm,
                  aReactor,
@@ -103,6 +108,7 @@
                  &mMachine)
 {
   mMachine.Crashes().SetListener(&mCrashLog);
+  mMachine.ListedUpstreams().SetRecordedVersions(ListedVersions());
 }
 
 NodeProcess::~NodeProcess()
@@ -115,6 +121,7 @@
 NodeProcess::Start(Reason* aReason)
 {
   mViews.Start();
+  mVersions.Refresh();
   if (!StartCallerServer(aReason) || !StartEndpoints(aReason) ||
       !StartTunnels(aReason)) {
     return false;
@@ -293,6 +300,7 @@
     });
   LogListChanges(before, mMachine.ListedUpstreams().All());
   UpdateHomeEngines();
+  UpdateVersions();
 }
 
 void
@@ -306,6 +314,14 @@
     });
   LogListChanges(before, mMachine.ListedUpstreams().All());
   UpdateHomeEngines();
+  UpdateVersions();
+}
+
+/// Lets the versions of the listed upstreams be recorded.
+void
+NodeProcess::UpdateVersions()
+{
+  mVersions.Update(mGossip == nullptr || RoleForView().mIsReader);
 }
 
 void
@@ -463,6 +479,7 @@
 void
 NodeProcess::OnOriginNeeded(const std::string& aKey)
 {
+  mVersions.Refresh(); // Decides if no VM knows the origin.
   if (IsContentKey(aKey)) {
     mGossip->ContentOrigins().Find(aKey);
   } else {
@@ -494,10 +511,38 @@
 void
 NodeProcess::OnOriginFound(const std::string& aKey,
                            std::optional<StreamOrigin> aOrigin)
+{
+  const auto deliver = [this, aKey, aOrigin] {
+    mExecutor.Deliver(
+      [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
+        aMachine.OnOriginFound(aKey, aOrigin, aNow, aOut);
+      });
+  };
+  if (aOrigin) {
+    deliver();
+  } else {
+    mVersions.WhenRead(deliver);
+  }
+}
+
+void
+NodeProcess::OnServiceVersionsRead(VersionsByService aRecords,
+                                   std::optional<std::uint64_t> aNowMs,
+                                   TimePoint aStartedAt)
+{
+  mExecutor.Deliver(
+    [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
+      aMachine.OnVersionsRead(
+        std::move(aRecords), aNowMs, aStartedAt, aNow, aOut);
+    });
+}
+
+void
+NodeProcess::OnServiceVersionsUnavailable()
 {
   mExecutor.Deliver(
     [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
-      aMachine.OnOriginFound(aKey, std::move(aOrigin), aNow, aOut);
+      aMachine.OnBeginnersChanged(std::nullopt, aNow, aOut);
     });
 }
 
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -40,6 +40,7 @@
   , public RelayExecutorListener
   , public LoopMonitorListener
   , public TunnelServerListener
+  , public ServiceVersionListener
 {
 public:
   using Settings = NodeSettings;
@@ -90,6 +91,7 @@
   bool IsOrderLeader() const;
   void UpdateStageOrders();
   void UpdateHomeEngines();
+  void UpdateVersions();
   void RemoveSilentVms();
 
   // See: HttpRequestHandler
@@ -112,6 +114,12 @@
   void OnPeerWork(const std::string& aVm, const WorkByUpstream& aWork) override;
   void OnOriginFound(const std::string& aKey,
                      std::optional<StreamOrigin> aOrigin) override;
+
+  // See: ServiceVersionListener
+  void OnServiceVersionsRead(VersionsByService aRecords,
+                             std::optional<std::uint64_t> aNowMs,
+                             TimePoint aStartedAt) override;
+  void OnServiceVersionsUnavailable() override;
   // See: RelayExecutorListener
   void OnRequestFinished(const RelayRequestSummary& aSummary) override;
   void OnCallFinished(RelayCallKind aKind,
@@ -144,6 +152,7 @@
   InstrumentedRowStore mStore;
   ViewUpdater mViews;
   VmRegistry mRegistry;
+  ServiceVersionStore mVersions;
   StageOrderManager mStageOrders;
   std::unique_ptr<NodeGossip> mGossip;
   std::unique_ptr<HttpServer> mCallerServer;
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -184,6 +184,7 @@
   mMetrics.UpdateCounters(mMachine.Counters());
   mMetrics.UpdateCrashEvidence(mMachine.Crashes());
   mMetrics.UpdateOriginCounts(mGossip->Origins().Counts());
+  mMetrics.UpdateServiceVersionCounts(mVersions.Counts());
   mMetrics.UpdateContentOriginCounts(mGossip->ContentOrigins().Counts());
   mMetrics.UpdateGauges(Gauges());
   mMetrics.UpdateLogLosses(Log::DroppedLines());
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -6,6 +6,7 @@
 #include <Peridothoist/Cells/CellMembership.h>
 #include <Peridothoist/Node/StageOrderManager.h>
 #include <Peridothoist/Node/ContentOriginExchange.h>
+#include <Peridothoist/Node/ServiceVersionStore.h>
 #include <Peridothoist/Node/StreamOriginExchange.h>
 #include <Peridothoist/Node/TunnelServer.h>
 #include <Peridothoist/Node/ViewUpdater.h>
@@ -86,6 +87,7 @@
   RelayStateMachineSettings mMachine;
   StreamOriginExchangeSettings mOrigins;
   ContentOriginExchangeSettings mContentOrigins;
+  ServiceVersionStoreSettings mVersions;
   TunnelServerSettings mTunnels;
 
   /// Returns this VM's registration.
--- a/Peridothoist/Node/RowStore.h
+++ b/Peridothoist/Node/RowStore.h
@@ -26,6 +26,14 @@
   std::optional<std::uint64_t> mExpectedVersion;
 };
 
+/// A reading of a store's steady clock, which is common to all VMs and goes on
+/// while none of them runs.
+struct StoreClock
+{
+  std::uint64_t mNowMs = 0; ///< Arbitrary origin.
+  TimePoint mReceivedAt;    ///< By this VM's clock; later than the reading.
+};
+
 /// Reads and writes rows. Callbacks run on the reactor's thread, never before
 /// the method has returned.
 class RowStore
@@ -46,6 +54,9 @@
   using ChangeCallback =
     std::function<void(const Reason& aReason, std::uint64_t aVersion)>;
   virtual void Change(const RowChange& aChange, ChangeCallback aCallback) = 0;
+
+  /// Returns the clock as of the last response; nullopt: not stated.
+  virtual std::optional<StoreClock> Clock() const { return std::nullopt; }
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Relay/RelayOrigins.cpp
+++ b/Peridothoist/Relay/RelayOrigins.cpp
@@ -11,11 +11,23 @@
 RelayStateMachine::FitsOrigin(const State& aState,
                               const RelayUpstream& aUpstream) const
 {
-  return !aState.mOrigin ||
-         (aState.mOrigin->mService == aUpstream.mService &&
+  if (!aState.mOrigin) {
+    return !BeginsResumableStream(aState) || aUpstream.mMayBeginStreams;
+  }
+  return (aState.mOrigin->mService == aUpstream.mService &&
           aState.mOrigin->mSoftwareVersion == aUpstream.mSoftwareVersion);
 }
 
+/// Returns whether the request is a stream that can be resumed and has not
+/// begun.
+bool
+RelayStateMachine::BeginsResumableStream(const State& aState)
+{
+  const RelayRoute& route = *aState.mRequest.mRoute;
+  return route.mKind == RouteKind::Stream && route.mIsResumable &&
+         !aState.mOrigin;
+}
+
 /// Returns whether the list still states the software version that the upstream
 /// of a stream's call had when the call started.
 bool
@@ -187,14 +199,61 @@
   if (request.mRoute->mTargets.size() != 1) {
     return std::nullopt;
   }
-  const auto version = mUpstreamList.SoleVersion(
+  auto version = mUpstreamList.SoleVersion(
     request.mService, mNow - mSettings.mSoleVersionPeriod, mNow);
+  const ServiceVersions* record = mVersions.Find(request.mService);
+  const bool isContradicted =
+    version && record != nullptr && record->mListed.size() > 1;
+  if (!version || isContradicted) {
+    version = RecordedSoleVersion(request);
+  }
   if (!version) {
     return std::nullopt;
   }
   return StreamOrigin{ request.mService, *version };
 }
 
+/// Returns the only version of the request's service by the record, if that was
+/// read since the request arrived and this VM lists no other version.
+std::optional<std::string>
+RelayStateMachine::RecordedSoleVersion(const AdmittedRequest& aRequest) const
+{
+  const auto version = mVersions.SoleVersion(aRequest.mService,
+                                             mSettings.mSoleVersionPeriod +
+                                               mSettings.mVersionRecordMargin,
+                                             aRequest.mArrivedAt);
+  if (!version || !mUpstreamList.IsCurrent(mNow)) {
+    return std::nullopt;
+  }
+  const ListedVersions listed = mUpstreamList.Versions();
+  const auto own = listed.find(aRequest.mService);
+  const bool isAlone =
+    own == listed.end() || own->second == std::set<std::string>{ *version };
+  return isAlone ? version : std::nullopt;
+}
+
+void
+RelayStateMachine::OnVersionsRead(VersionsByService aRecords,
+                                  std::optional<std::uint64_t> aNowMs,
+                                  TimePoint aStartedAt,
+                                  TimePoint aNow,
+                                  RelayCommands& aOut)
+{
+  mVersions.OnRead(std::move(aRecords), aNowMs, aStartedAt);
+  OnBeginnersChanged(mVersions.Listed(), aNow, aOut);
+}
+
+void
+RelayStateMachine::OnBeginnersChanged(std::optional<ListedVersions> aVersions,
+                                      TimePoint aNow,
+                                      RelayCommands& aOut)
+{
+  mNow = aNow;
+  mOut = &aOut;
+  mUpstreamList.SetRecordedVersions(std::move(aVersions));
+  DispatchWaiting();
+}
+
 /// Continues a stream of unknown origin if it can only have begun at one
 /// version.
 void
--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -42,6 +42,8 @@
   query.mNeededTokens = aState.mRequest.mMemoryTokens;
   query.mExcludedUpstreams = aState.mExcludedUpstreams;
   query.mSoftwareVersion = VersionOf(aState);
+  query.mBeginsStream =
+    aStage != RelayStage::Prefill && BeginsResumableStream(aState);
   const EngineLimits* engines = EnginesOf(aState);
   query.mEngineMemoryTokens = engines == nullptr ? 0 : engines->mMemoryTokens;
   return query;
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -99,6 +99,10 @@
   Duration mCrashWindow = 6s;
   /// Resumed streams: maximum wait for other VMs to state the origin.
   Duration mOriginLookupTimeout = 300ms;
+  /// Added to mSoleVersionPeriod for versions that the record states as gone.
+  /// Exceeds UpstreamListSettings::mMaxConfirmationGap, for which VMs may use
+  /// an old list, by the time of two calls of the store.
+  Duration mVersionRecordMargin = 7s;
   /// A resumed stream of unknown origin continues if only one software version
   /// of its service was listed for this time; longer than a stream of an
   /// upstream that is gone is resumed.
@@ -195,6 +199,20 @@
                  TimePoint aNow,
                  RelayCommands& aOut);
 
+  /// Called when the records of the services' versions were read. aNowMs: see
+  /// SoftwareVersions.
+  void OnVersionsRead(VersionsByService aRecords,
+                      std::optional<std::uint64_t> aNowMs,
+                      TimePoint aStartedAt,
+                      TimePoint aNow,
+                      RelayCommands& aOut);
+
+  /// Sets at which versions streams that can be resumed may begin; nullopt: at
+  /// any.
+  void OnBeginnersChanged(std::optional<ListedVersions> aVersions,
+                          TimePoint aNow,
+                          RelayCommands& aOut);
+
   /// Called when other VMs stated the origin of the stream with aKey, or that
   /// it is not known.
   void OnOriginFound(const std::string& aKey,
@@ -392,8 +410,11 @@
   void ContinueAt(State& aState, const StreamOrigin& aOrigin);
   void ContinueAtSoleVersion(State& aState);
   void AnnounceOrigin(const State& aState, const std::string& aKey);
+  static bool BeginsResumableStream(const State& aState);
   static const std::string& LookupKeyOf(const State& aState);
   std::optional<StreamOrigin> SoleOriginOf(const State& aState) const;
+  std::optional<std::string> RecordedSoleVersion(
+    const AdmittedRequest& aRequest) const;
   void RefuseUnknownOrigin(State& aState);
   void StopAwaitingOrigin(State& aState);
   void OnWaitTimer(State& aState);
@@ -574,6 +595,7 @@
   TimerQueue mTimers;
   BrokenCallTracker mBrokenCalls;
   StreamOriginTable mOrigins;
+  SoftwareVersions mVersions;
   /// Resumed streams that wait for their origin, by its key.
   std::map<std::string, std::set<std::uint64_t>> mAwaitingOrigin;
   RelayCounters mCounters;
--- a/Peridothoist/Relay/UpstreamChooser.cpp
+++ b/Peridothoist/Relay/UpstreamChooser.cpp
@@ -66,7 +66,8 @@
     }
     const bool avoided = mLoads->IsAvoided(id, aNow);
     anyHealthy = anyHealthy || !avoided;
-    if (IsFull(upstream, aQuery, aNow)) {
+    const bool isBarred = aQuery.mBeginsStream && !upstream.mMayBeginStreams;
+    if (isBarred || IsFull(upstream, aQuery, aNow)) {
       anyFull = true;
       continue;
     }
--- a/Peridothoist/Relay/UpstreamChooser.h
+++ b/Peridothoist/Relay/UpstreamChooser.h
@@ -25,6 +25,8 @@
   std::set<std::string> mExcludedUpstreams; ///< Ids not to be chosen.
   /// Only upstreams of this software version generate the output.
   std::optional<std::string> mSoftwareVersion;
+  /// A stream that can be resumed begins; see RelayUpstream::mMayBeginStreams.
+  bool mBeginsStream = false;
 };
 
 /// Why no upstream was chosen.
--- a/Peridothoist/Relay/UpstreamList.cpp
+++ b/Peridothoist/Relay/UpstreamList.cpp
@@ -114,9 +114,44 @@
   mDigest = DigestOf(mEntries);
   ApplyStatements(aListedAt);
   ApplyEvacuation();
+  ApplyRecordedVersions();
   return lost;
 }
 
+void
+UpstreamList::SetRecordedVersions(std::optional<ListedVersions> aVersions)
+{
+  mRecordedVersions = std::move(aVersions);
+  ApplyRecordedVersions();
+}
+
+void
+UpstreamList::ApplyRecordedVersions()
+{
+  for (auto& [id, entry] : mEntries) {
+    RelayUpstream& upstream = entry.mUpstream;
+    if (!mRecordedVersions) {
+      upstream.mMayBeginStreams = true;
+      continue;
+    }
+    const auto service = mRecordedVersions->find(upstream.mService);
+    upstream.mMayBeginStreams =
+      service != mRecordedVersions->end() &&
+      service->second.count(upstream.mSoftwareVersion) > 0;
+  }
+}
+
+ListedVersions
+UpstreamList::Versions() const
+{
+  ListedVersions versions;
+  for (const auto& [id, entry] : mEntries) {
+    const RelayUpstream& upstream = entry.mUpstream;
+    versions[upstream.mService].insert(upstream.mSoftwareVersion);
+  }
+  return versions;
+}
+
 std::vector<std::string>
 UpstreamList::SetEvacuatedZones(std::set<std::string> aZones)
 {
--- a/Peridothoist/Relay/UpstreamList.h
+++ b/Peridothoist/Relay/UpstreamList.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Relay/SoftwareVersions.h>
 
 #include <set>
 #include <tuple>
@@ -41,6 +42,8 @@
   /// Time for which it stays cold, as of the confirmation of the list.
   Duration mColdRemaining{ 0 };
   bool mIsEvacuated = false; ///< Its availability zone gets nothing.
+  /// Its version is recorded, so streams that can be resumed may begin at it.
+  bool mMayBeginStreams = true;
 
   /// Returns whether it may be sent requests.
   bool AcceptsRequests() const { return !mIsLeaving && !mIsEvacuated; }
@@ -154,6 +157,19 @@
     return mEvacuatedZones;
   }
 
+  /// Lets streams that can be resumed begin only at upstreams of these
+  /// versions; nullopt: of any.
+  void SetRecordedVersions(std::optional<ListedVersions> aVersions);
+
+  /// Returns the versions of the listed upstreams by service.
+  ListedVersions Versions() const;
+
+  /// Returns whether the list was confirmed within mMaxConfirmationGap.
+  bool IsCurrent(TimePoint aNow) const
+  {
+    return mListedAt && aNow <= *mListedAt + mSettings.mMaxConfirmationGap;
+  }
+
   /// Returns whether the entry is missing from the list since an outage and
   /// still kept.
   bool IsMissing(const std::string& aId) const;
@@ -198,12 +214,14 @@
                        TimePoint aNow);
   void ApplyStatements(TimePoint aListedAt);
   void ApplyEvacuation();
+  void ApplyRecordedVersions();
   void OnConfirmed(TimePoint aAt);
   void RememberVersions();
 
   Settings mSettings;
   std::map<std::string, Entry> mEntries;
   std::set<std::string> mEvacuatedZones;
+  std::optional<ListedVersions> mRecordedVersions;
   std::map<UpstreamProcess, Statement> mStatedLeaving;
   std::optional<TimePoint> mListedAt;
   TimePoint mKnownSince; ///< No longer gap between confirmations since then.
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -336,6 +336,22 @@
     "5c1e07a2:800,e4402b7d:250");
 }
 
+// Guards against records of versions that are dated by a clock which the store
+// did not state, or not dated although it did.
+BOOST_AUTO_TEST_CASE(PagesOfRowsStateTheStoresClock)
+{
+  const auto clockOf = [](const std::string& aFields) {
+    const auto page = PlatformRowStore::DecodeRows(
+      R"({"rows":[],"hasMore":false)" + aFields + "}");
+    BOOST_REQUIRE(page.has_value());
+    return page->mNowMs.value_or(0);
+  };
+  BOOST_TEST(clockOf(R"(,"nowMs":123456)") == 123456U);
+  BOOST_TEST(clockOf("") == 0U);
+  BOOST_TEST(clockOf(R"(,"nowMs":"123")") == 0U);
+  BOOST_TEST(clockOf(R"(,"nowMs":-1)") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(RequestWithoutIdIsRejected)
 {
   HttpRequest request = ExampleRequest();
--- a/UnitTests/Relay/SoftwareVersionTest.cpp
+++ b/UnitTests/Relay/SoftwareVersionTest.cpp
@@ -90,6 +90,23 @@
     Append(std::move(out));
   }
 
+  /// Passes the record of the service to the machine, as read now, when the
+  /// store's clock is at 1,000 s.
+  void ReadRecord(const ServiceVersions& aRecord)
+  {
+    RelayCommands out;
+    mMachine.OnVersionsRead(
+      { { "engines", aRecord } }, 1000 * 1000, mNow, mNow, out);
+    Append(std::move(out));
+  }
+
+  void SetBeginners(std::optional<ListedVersions> aVersions)
+  {
+    RelayCommands out;
+    mMachine.OnBeginnersChanged(std::move(aVersions), mNow, out);
+    Append(std::move(out));
+  }
+
   /// Lists engines of one version every second for aTime.
   void ListOnly(const std::string& aVersion, Duration aTime)
   {
@@ -638,6 +655,135 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(RecordedVersions, VersionFixture)
+
+namespace {
+
+constexpr std::uint64_t kStoreNowMs = 1000 * 1000;
+
+} // namespace
+
+// A VM that started a second ago refuses all streams that others began, also
+// after the loss of all VMs.
+BOOST_AUTO_TEST_CASE(AVmThatHasJustStartedContinuesTheOnlyVersion)
+{
+  ListOnly("v1", 1s);
+  ArriveStream("", 2, nullptr, "content");
+  ReadRecord({ { "v1" }, {}, 0 });
+  FindOrigin("content", std::nullopt);
+  BOOST_TEST(Called() == Ids{ "d1" }, boost::test_tools::per_element());
+  TakeCommands();
+  ArriveStream("a", 2);
+  ReadRecord({ { "v1" }, {}, 0 });
+  FindOrigin("a", std::nullopt);
+  BOOST_TEST(Called().size() == 1U);
+}
+
+// A stream goes on at any version while two serve or did moments before the
+// loss of all VMs.
+BOOST_AUTO_TEST_CASE(StreamsBesideAReleaseAreRefused)
+{
+  ListOnly("v1", 1s);
+  const ServiceVersions records[] = {
+    { { "v1", "v2" }, {}, 0 },
+    { { "v1" }, { { "v2", kStoreNowMs - 36000 } }, 0 },
+    { { "v2" }, {}, 0 },
+    { { "v1" }, {}, kStoreNowMs - 36000 },
+  };
+  for (const ServiceVersions& it : records) {
+    ArriveStream("", 2, nullptr, "content");
+    ReadRecord(it);
+    FindOrigin("content", std::nullopt);
+    CheckRefused(RefusalKind::OriginUnknown);
+    TakeCommands();
+  }
+  ArriveStream("", 2, nullptr, "content");
+  ReadRecord({ { "v1" }, { { "v2", kStoreNowMs - 37000 } }, 0 });
+  FindOrigin("content", std::nullopt);
+  BOOST_TEST(Called().size() == 1U);
+}
+
+// A record that was read before the attempt arrived lacks a version that began
+// its stream since.
+BOOST_AUTO_TEST_CASE(ARecordReadEarlierProvesNothing)
+{
+  ListOnly("v1", 1s);
+  ReadRecord({ { "v1" }, {}, 0 });
+  Advance(1ms);
+  ArriveStream("", 2, nullptr, "content");
+  FindOrigin("content", std::nullopt);
+  CheckRefused(RefusalKind::OriginUnknown);
+}
+
+// A VM that has listed one version for long doesn't know the list yet with
+// which others begin streams.
+BOOST_AUTO_TEST_CASE(ARecordOfTwoVersionsContradictsTheOwnList)
+{
+  ListOnly("v1", 40s);
+  ReadRecord({ { "v1", "v2" }, {}, 0 });
+  ArriveStream("", 2, nullptr, "content");
+  FindOrigin("content", std::nullopt);
+  CheckRefused(RefusalKind::OriginUnknown);
+}
+
+// A VM that is cut off from the list takes its own last one for current.
+BOOST_AUTO_TEST_CASE(AnOldListProvesNothing)
+{
+  ListOnly("v1", 1s);
+  Advance(6s);
+  ArriveStream("", 2, nullptr, "content");
+  ReadRecord({ { "v1" }, {}, 0 });
+  FindOrigin("content", std::nullopt);
+  CheckRefused(RefusalKind::OriginUnknown);
+}
+
+// A stream begins at a version that is not recorded, so that the loss of all
+// VMs right after leaves a record without it.
+BOOST_AUTO_TEST_CASE(StreamsBeginAtRecordedVersionsOnly)
+{
+  ListEngines({ "d3" });
+  ReadRecord({ { "v2" }, {}, 0 });
+  ArriveStream("a");
+  BOOST_TEST(Called() == Ids{ "d2" }, boost::test_tools::per_element());
+  TakeCommands();
+  ListEngines({ "d2", "d3" });
+  ArriveStream("b");
+  BOOST_TEST(Called().empty());
+  BOOST_TEST(mMachine.WaitingRequestCount() == 1U);
+  ArriveStream("c", 0, Route(RouteKind::Stream, 1, false));
+  BOOST_TEST(Called() == Ids{ "d1" }, boost::test_tools::per_element());
+  TakeCommands();
+  ReadRecord({ { "v1", "v2" }, {}, 0 });
+  BOOST_TEST(Called() == Ids{ "d1" }, boost::test_tools::per_element());
+  BOOST_TEST(mMachine.WaitingRequestCount() == 0U);
+}
+
+// Streams never begin while the store is out.
+BOOST_AUTO_TEST_CASE(WithoutRecordsStreamsBeginAnywhere)
+{
+  ListEngines({ "d3" });
+  SetBeginners(ListedVersions());
+  ArriveStream("a");
+  BOOST_TEST(Called().empty());
+  SetBeginners(std::nullopt);
+  BOOST_TEST(Called() == Ids{ "d1" }, boost::test_tools::per_element());
+}
+
+// An engine that was restarted with a version that is not recorded counts as
+// the process before.
+BOOST_AUTO_TEST_CASE(ARestartedEngineIsBarredAtOnce)
+{
+  ReadRecord({ { "v1" }, {}, 0 });
+  List({ Engine("d1", "a", "v1") });
+  BOOST_TEST(mMachine.ListedUpstreams().Find("d1")->mMayBeginStreams);
+  List({ Engine("d1", "a", "v3") });
+  BOOST_TEST(!mMachine.ListedUpstreams().Find("d1")->mMayBeginStreams);
+  ArriveStream("a");
+  BOOST_TEST(Called().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 namespace {
 
 /// Plays streams that break and are resumed by their callers at one of two VMs,
