--- a/UnitTests/Node/ContentOriginExchangeTest.cpp
+++ b/UnitTests/Node/ContentOriginExchangeTest.cpp
@@ -366,6 +366,21 @@
   BOOST_TEST((response->mKnown.mOrigins == std::vector{ kV1, kV2 }));
 }
 
+// Guards against messages that grow. CAPACITY.md states these sizes.
+BOOST_AUTO_TEST_CASE(MessagesOfOneStreamAreSmall)
+{
+  const std::string key = "workspac\n" + std::string(32, 'd');
+  const StreamOrigin origin{ std::string(12, 's'), std::string(12, 'v') };
+  constexpr std::uint64_t kId = 0x0000ffffffffffffU;
+  BOOST_TEST(EncodeContentOriginNotice({ key, origin }).size() == 74U);
+  BOOST_TEST(
+    EncodeContentOriginQuery({ kId, key, "100.100.100.100:7600" }).size() ==
+    78U);
+  BOOST_TEST(
+    EncodeContentOriginResponse({ kId, key, { { origin }, 60s } }).size() ==
+    88U);
+}
+
 // Guards against a crash by, or memory for, datagrams of other shapes.
 BOOST_AUTO_TEST_CASE(MessagesOfOtherShapesAreRejected)
 {
