Continue streams as soon as the record proves their version

An attempt of unknown origin waited for VMs that are gone, up to 250 ms, although the record of its service had been read meanwhile and proved a single version. It goes on when the record is read now.

A further test covers an engine that is restarted with a version that is not recorded while the prompt is read.

--- a/Peridothoist/Relay/RelayOrigins.cpp
+++ b/Peridothoist/Relay/RelayOrigins.cpp
@@ -241,6 +241,26 @@
 {
   mVersions.OnRead(std::move(aRecords), aNowMs, aStartedAt);
   OnBeginnersChanged(mVersions.Listed(), aNow, aOut);
+  ContinueProven();
+}
+
+/// Continues the streams that wait for their origin if a single version can
+/// have begun them. VMs that are gone don't respond, and would be waited for.
+void
+RelayStateMachine::ContinueProven()
+{
+  std::vector<std::uint64_t> ids;
+  for (const auto& [key, waiting] : mAwaitingOrigin) {
+    ids.insert(ids.end(), waiting.begin(), waiting.end());
+  }
+  for (const std::uint64_t id : ids) {
+    State* state = Find(id);
+    const auto origin = state == nullptr ? std::nullopt : SoleOriginOf(*state);
+    if (origin) {
+      StopAwaitingOrigin(*state);
+      ContinueAt(*state, *origin);
+    }
+  }
 }
 
 void
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -410,6 +410,7 @@
   void ContinueAt(State& aState, const StreamOrigin& aOrigin);
   void ContinueAtSoleVersion(State& aState);
   void AnnounceOrigin(const State& aState, const std::string& aKey);
+  void ContinueProven();
   static bool BeginsResumableStream(const State& aState);
   static const std::string& LookupKeyOf(const State& aState);
   std::optional<StreamOrigin> SoleOriginOf(const State& aState) const;
--- a/UnitTests/Relay/SoftwareVersionTest.cpp
+++ b/UnitTests/Relay/SoftwareVersionTest.cpp
@@ -71,6 +71,7 @@
     request.mDigest = "d" + std::to_string(mLastId);
     request.mOriginKey = aKey;
     request.mContentKey = aContentKey;
+    request.mPromptTokens = mPromptTokens;
     request.mIsResumed = aLastEventId > 0;
     request.mLastEventId = aLastEventId;
     request.mArrivedAt = mNow;
@@ -82,6 +83,8 @@
     return mLastId;
   }
 
+  std::uint64_t mPromptTokens = 0; ///< Of streams that arrive.
+
   /// Passes the origin of aKey to the machine, as stated by other VMs.
   void FindOrigin(const std::string& aKey, std::optional<StreamOrigin> aOrigin)
   {
@@ -679,6 +682,20 @@
   BOOST_TEST(Called().size() == 1U);
 }
 
+// A stream waits for VMs that are gone although the record proves its version.
+BOOST_AUTO_TEST_CASE(ARecordThatProvesTheVersionEndsTheLookup)
+{
+  ListOnly("v1", 1s);
+  ArriveStream("", 2, nullptr, "content");
+  BOOST_TEST(Called().empty());
+  ReadRecord({ { "v1" }, {}, 0 });
+  BOOST_TEST(Called() == Ids{ "d1" }, boost::test_tools::per_element());
+  TakeCommands();
+  FindOrigin("content", std::nullopt);
+  Advance(400ms);
+  BOOST_TEST(Count(RelayCommandKind::SendRefusal) == 0U);
+}
+
 // A stream goes on at any version while two serve or did moments before the
 // loss of all VMs.
 BOOST_AUTO_TEST_CASE(StreamsBesideAReleaseAreRefused)
@@ -758,6 +775,25 @@
   BOOST_TEST(mMachine.WaitingRequestCount() == 0U);
 }
 
+// An engine is restarted with a version that is not recorded while a prefill
+// engine reads the prompt, and the stream begins there.
+BOOST_AUTO_TEST_CASE(AStreamDoesNotBeginAtAVersionListedDuringItsPrefill)
+{
+  ReadRecord({ { "v1" }, {}, 0 });
+  const RelayUpstream prefill = Upstream("f1", RelayStage::Prefill);
+  List({ Engine("d1", "a", "v1"), prefill });
+  mMachine.Loads().OnSent("d1", 0); // An idle engine reads prompts itself.
+  mPromptTokens = 3000;
+  const auto call = Call(ArriveStream("a"));
+  BOOST_REQUIRE((call.mCallKind == RelayCallKind::Prefill));
+  List({ Engine("d1", "a", "v3"), prefill });
+  TakeCommands();
+  End(call, Prefilled("h"));
+  BOOST_TEST(Called().empty());
+  ReadRecord({ { "v1", "v3" }, {}, 0 });
+  BOOST_TEST(Called() == Ids{ "d1" }, boost::test_tools::per_element());
+}
+
 // Streams never begin while the store is out.
 BOOST_AUTO_TEST_CASE(WithoutRecordsStreamsBeginAnywhere)
 {
