--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -43,6 +43,8 @@
   query.mPromptTokens = aState.mRequest.mPromptTokens;
   query.mExcludedUpstreams = aState.mExcludedUpstreams;
   query.mSoftwareVersion = VersionOf(aState);
+  query.mBeginsStream =
+    aStage != RelayStage::Prefill && BeginsResumableStream(aState);
   const EngineLimits* engines = EnginesOf(aState);
   query.mEngineMemoryTokens = engines == nullptr ? 0 : engines->mMemoryTokens;
   return query;
--- a/Peridothoist/Relay/UpstreamList.h
+++ b/Peridothoist/Relay/UpstreamList.h
@@ -10,6 +10,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
+#include <Peridothoist/Relay/SoftwareVersions.h>
 
 #include <algorithm>
 #include <set>
@@ -58,6 +59,8 @@
   bool mIsEvacuated = false; ///< Its availability zone gets nothing.
   /// Increases with each write of the entry; 0: not read by this VM itself.
   std::uint64_t mEntryVersion = 0;
+  /// Its version is recorded, so streams that can be resumed may begin at it.
+  bool mMayBeginStreams = true;
 
   /// Returns whether it may be sent requests.
   bool AcceptsRequests() const { return !mIsLeaving && !mIsEvacuated; }
@@ -175,6 +178,19 @@
     return mEvacuatedZones;
   }
 
+  /// Lets streams that can be resumed begin only at upstreams of these
+  /// versions; nullopt: of any.
+  void SetRecordedVersions(std::optional<ListedVersions> aVersions);
+
+  /// Returns the versions of the listed upstreams by service.
+  ListedVersions Versions() const;
+
+  /// Returns whether the list was confirmed within mMaxConfirmationGap.
+  bool IsCurrent(TimePoint aNow) const
+  {
+    return mListedAt && aNow <= *mListedAt + mSettings.mMaxConfirmationGap;
+  }
+
   /// Returns whether the entry is missing from the list since an outage and
   /// still kept.
   bool IsMissing(const std::string& aId) const;
@@ -219,6 +235,7 @@
                        TimePoint aNow);
   void ApplyStatements(TimePoint aListedAt);
   void ApplyEvacuation();
+  void ApplyRecordedVersions();
   void OnConfirmed(TimePoint aAt);
   void AgeColdTimes(Duration aAge);
   void RememberVersions();
@@ -226,6 +243,7 @@
   Settings mSettings;
   std::map<std::string, Entry> mEntries;
   std::set<std::string> mEvacuatedZones;
+  std::optional<ListedVersions> mRecordedVersions;
   std::map<UpstreamProcess, Statement> mStatedLeaving;
   std::optional<TimePoint> mListedAt;
   TimePoint mKnownSince; ///< No longer gap between confirmations since then.
