Let short calls neither wait for allowances nor be held back by old sums

The bound on unsent responses took the rank of a priority for the priority. Change: requests whose target latency is under 400 ms do not wait for allowances; pools of plain upstreams are not summed up; the bound takes the configured priority.

--- a/Peridothoist/Cells/CellMembership.cpp
+++ b/Peridothoist/Cells/CellMembership.cpp
@@ -222,7 +222,8 @@
     }
     if (upstream->mZone == aZone) {
       aSummary.mWork[id] += work;
-    } else {
+    } else if (upstream->mStage != RelayStage::Plain) {
+      // Plain calls end before a summary has arrived.
       aSummary.mPoolWork[PoolOf(*upstream)] += work;
     }
   }
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -272,7 +272,8 @@
 NodeProcess::RefuseForBuffers(const AdmittedRequest& aAdmitted)
 {
   const BufferBudget budget(mSettings.mMaxBufferedBytes);
-  if (budget.MayStart(aAdmitted.mPriority, mCallerServer->BufferedBytes())) {
+  if (budget.MayStart(aAdmitted.mConfiguredPriority,
+                      mCallerServer->BufferedBytes())) {
     return std::nullopt;
   }
   const auto wait = std::chrono::duration_cast<Duration>(
--- a/Peridothoist/Relay/RelayAdmission.cpp
+++ b/Peridothoist/Relay/RelayAdmission.cpp
@@ -156,7 +156,7 @@
   admitted.mRoute = route;
   admitted.mService = *service;
   admitted.mPriority = configuration->PriorityOf(*service, *route, workspace);
-  admitted.mEnginePriority = route->mPriority;
+  admitted.mConfiguredPriority = route->mPriority;
   admitted.mPromptTokens = aRequest.mPromptTokens.value_or(0);
   admitted.mTokens = admitted.mPromptTokens + aRequest.mOutputTokens;
   admitted.mMemoryTokens = EstimateMemory(aRequest, kInitialOutputFraction);
@@ -164,7 +164,7 @@
   if (workspace != nullptr) {
     admitted.mWorkspace = workspace->mName;
     admitted.mKey = aRequest.mKey;
-    admitted.mEnginePriority = workspace->mPriority.value_or(route->mPriority);
+    admitted.mConfiguredPriority = workspace->mPriority.value_or(route->mPriority);
     admitted.mCost = CostOf(*workspace, aRequest);
   }
   admitted.mDigest =
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -29,10 +29,10 @@
   std::uint64_t mMemoryTokens = 0;
   std::uint64_t mFinalMemoryTokens = 0;
   std::uint64_t mPromptTokens = 0; ///< 0: not stated.
-  std::uint32_t mPriority = 5;     ///< 0 is the highest.
-  /// Priority at engines. They preempt streams for more urgent ones and read
-  /// their prompts again, so it is not ranked by route and workspace together.
-  std::uint32_t mEnginePriority = 5;
+  std::uint32_t mPriority = 5; ///< Among those of its service; 0 is highest.
+  /// That of the workspace, or else of the route. Engines are told this one:
+  /// they preempt streams for more urgent ones and read their prompts again.
+  std::uint32_t mConfiguredPriority = 5;
   std::uint64_t mLastEventId = 0; ///< Last event the caller already has.
   /// The caller resumes a stream of an earlier attempt.
   bool mIsResumed = false;
--- a/Peridothoist/Relay/RelayPlacement.cpp
+++ b/Peridothoist/Relay/RelayPlacement.cpp
@@ -269,7 +269,7 @@
   mCounters.mTunnelled += call.mTunnel.empty() ? 0 : 1;
   command.mCallKind = aKind;
   command.mWorkspace = request.mWorkspace;
-  command.mPriority = request.mEnginePriority;
+  command.mPriority = request.mConfiguredPriority;
   command.mTimeLeft = request.mDeadline - mNow;
   command.mLastEventId = aState.mLastEventId;
   if (call.mUsesHandle) {
--- a/Peridothoist/Relay/WaitingAdmission.cpp
+++ b/Peridothoist/Relay/WaitingAdmission.cpp
@@ -79,8 +79,9 @@
 {
   const Duration latency =
     std::min(aPrepared.mRoute->mTargetLatency, aPrepared.mCallerTimeout);
-  const auto wait =
-    std::chrono::duration_cast<Duration>(latency * mSettings.mWaitPart);
+  const double part =
+    latency >= mSettings.mMinTargetLatency ? mSettings.mWaitPart : 0;
+  const auto wait = std::chrono::duration_cast<Duration>(latency * part);
   AllowanceWaiter waiter;
   waiter.mId = aPrepared.mId;
   waiter.mWorkspace = aPrepared.mWorkspace;
--- a/Peridothoist/Relay/WaitingAdmission.h
+++ b/Peridothoist/Relay/WaitingAdmission.h
@@ -15,6 +15,9 @@
   /// Part of its route's target latency for which a request may wait for its
   /// allowance. The rest is left for its start. 0: none waits.
   double mWaitPart = 0.5;
+  /// Requests with a shorter target latency do not wait: it leaves no time for
+  /// the call after the wait.
+  Duration mMinTargetLatency = 400ms;
   AllowanceQueueSettings mQueue;
 };
 
