--- a/Peridothoist/Relay/RelayAdmission.cpp
+++ b/Peridothoist/Relay/RelayAdmission.cpp
@@ -164,7 +164,8 @@
   if (workspace != nullptr) {
     admitted.mWorkspace = workspace->mName;
     admitted.mKey = aRequest.mKey;
-    admitted.mConfiguredPriority = workspace->mPriority.value_or(route->mPriority);
+    admitted.mConfiguredPriority =
+      workspace->mPriority.value_or(route->mPriority);
     admitted.mCost = CostOf(*workspace, aRequest);
   }
   admitted.mDigest =
