Log and count how a configuration reaches a VM

The hypotheses could not be told apart: nothing stated when a VM heard of a newer version, how reads of peers went, how many bytes a read had received when it was given up, or how long decoding took. Now: newer_configuration_heard, configuration_caught_up, peer_view_read, store_read_slow, store_read_failed, and reads, failures and bytes from peers by part as metrics. No decision is changed.

--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -176,6 +176,19 @@
   }
 }
 
+void
+NodeMetrics::UpdatePeerReads(
+  const std::map<std::string, PeerReadCounts>& aReads)
+{
+  const std::string prefix = "peridothoist_peer_view_";
+  for (const auto& [part, counts] : aReads) {
+    const MetricLabels labels = { { "part", part } };
+    SetCounter(prefix + "reads_total", counts.mReads, labels);
+    SetCounter(prefix + "read_failures_total", counts.mFailures, labels);
+    SetCounter(prefix + "bytes_total", counts.mBytes, labels);
+  }
+}
+
 void
 NodeMetrics::UpdateGauges(const NodeGauges& aGauges)
 {
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -6,6 +6,7 @@
 #include <Peridothoist/Node/ContentOriginExchange.h>
 #include <Peridothoist/Node/ServiceVersionStore.h>
 #include <Peridothoist/Node/StreamOriginExchange.h>
+#include <Peridothoist/Node/ViewUpdater.h>
 #include <Peridothoist/Shell/Log.h>
 #include <Peridothoist/Shell/Metrics.h>
 
@@ -62,6 +63,7 @@
   void UpdateOriginCounts(const StreamOriginCounts& aCounts);
   void UpdateServiceVersionCounts(const ServiceVersionCounts& aCounts);
   void UpdateContentOriginCounts(const ContentOriginCounts& aCounts);
+  void UpdatePeerReads(const std::map<std::string, PeerReadCounts>& aReads);
   void UpdateGauges(const NodeGauges& aGauges);
   void UpdateLogLosses(const DroppedLogLines& aLosses);
 
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -189,6 +189,7 @@
   mMetrics.UpdateOriginCounts(mGossip->Origins().Counts());
   mMetrics.UpdateServiceVersionCounts(mVersions.Counts());
   mMetrics.UpdateContentOriginCounts(mGossip->ContentOrigins().Counts());
+  mMetrics.UpdatePeerReads(mViews.PeerReads());
   mMetrics.UpdateGauges(Gauges());
   mMetrics.UpdateLogLosses(Log::DroppedLines());
   return mMetrics.Render();
--- a/Peridothoist/Node/PeerViews.cpp
+++ b/Peridothoist/Node/PeerViews.cpp
@@ -29,6 +29,17 @@
   return { kOk, { { "content-type", "application/cbor" } }, aEncode(*aPart) };
 }
 
+/// Returns why a read failed; empty if it did not.
+std::string
+FailureOf(const HttpCallResult& aResult)
+{
+  if (aResult.mFailure != CallFailure::None) {
+    return ToName(aResult.mFailure);
+  }
+  return aResult.mStatus == kOk ? ""
+                                : "status " + std::to_string(aResult.mStatus);
+}
+
 } // namespace
 
 std::unique_ptr<EndpointServer>
@@ -66,13 +77,21 @@
   call.mConnectTimeout = kConnectTimeout;
   call.mTotalTimeout = kTotalTimeout;
   call.mSendOnce = true; // A kept connection may have gone silent.
-  mClient->Fetch(std::move(call),
-                 [aDecode, aCallback](const HttpCallResult& aResult,
-                                      const std::string& aBody) {
-                   const bool isWhole = aResult.mFailure == CallFailure::None &&
-                                        aResult.mStatus == kOk;
-                   aCallback(isWhole ? aDecode(aBody) : std::nullopt);
-                 });
+  mClient->Fetch(
+    std::move(call),
+    [aAddress, aDecode, aCallback, startedAt = Reactor::ReadClock()](
+      const HttpCallResult& aResult, const std::string& aBody) {
+      Report report{ aAddress,
+                     aBody.size(),
+                     Reactor::ReadClock() - startedAt,
+                     FailureOf(aResult) };
+      std::optional<Part> part;
+      if (report.mFailure.empty()) {
+        part = aDecode(aBody);
+        report.mFailure = part ? "" : "unreadable";
+      }
+      aCallback(std::move(part), report);
+    });
 }
 
 void
--- a/Peridothoist/Node/PeerViews.h
+++ b/Peridothoist/Node/PeerViews.h
@@ -40,9 +40,19 @@
   {
   }
 
+  /// How a read went, for logs and metrics.
+  struct Report
+  {
+    std::string mPeer;       ///< "ip:port".
+    std::size_t mBytes = 0;  ///< Received, also of a read that failed.
+    Duration mDuration{ 0 }; ///< From the start of the read to its end.
+    std::string mFailure;    ///< Empty if the part was received.
+  };
+
   /// Receives the part, or nullopt if the peer did not send it.
   template<typename Part>
-  using Callback = std::function<void(std::optional<Part> aPart)>;
+  using Callback =
+    std::function<void(std::optional<Part> aPart, const Report& aReport)>;
 
   void FetchConfiguration(const std::string& aAddress,
                           Callback<SharedConfiguration> aCallback);
--- a/Peridothoist/Node/ViewPoller.cpp
+++ b/Peridothoist/Node/ViewPoller.cpp
@@ -1,6 +1,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/ViewPoller.h>
 
+#include <Peridothoist/Core/DurationUnits.h>
 #include <Peridothoist/Shell/Log.h>
 
 #include <algorithm>
@@ -11,6 +12,9 @@
 
 constexpr std::uint32_t kMaxDoublings = 8;
 
+/// Reads that take longer are logged with their parts.
+constexpr Duration kSlowRead = 400ms;
+
 } // namespace
 
 ViewPoller::ViewPoller(const Settings& aSettings,
@@ -103,6 +107,12 @@
       .Field("code", ToName(aReason.mCode))
       .Field("reason", aReason.mText);
   }
+  if (!aSucceeded && aLoop.mFailures > 0) {
+    Log::Routine("store_read_failed")
+      .Field("table", aLoop.mName)
+      .Field("ms", ToMillis(mReactor->Now() - aLoop.mStartedAt))
+      .Field("reason", aReason.mText);
+  }
   aLoop.mFailures = aSucceeded ? 0 : aLoop.mFailures + 1;
   aLoop.mIsReading = false;
   const Duration elapsed = mReactor->Now() - aLoop.mStartedAt;
@@ -113,6 +123,20 @@
     wait, [this, &aLoop] { StartReadUnlessFollowing(aLoop); });
 }
 
+/// Logs how long a read took that has been decoded now, if it was long.
+/// aReadAt: when all bytes had arrived.
+void
+ViewPoller::LogSlowRead(const PollLoop& aLoop, TimePoint aReadAt) const
+{
+  const TimePoint now = Reactor::ReadClock();
+  if (now - aLoop.mStartedAt >= kSlowRead) {
+    Log::Info("store_read_slow")
+      .Field("table", aLoop.mName)
+      .Field("read_ms", ToMillis(aReadAt - aLoop.mStartedAt))
+      .Field("decode_ms", ToMillis(now - aReadAt));
+  }
+}
+
 /// Returns the delay before the next read after failures. During an outage only
 /// the VMs that read for all retry often; the others learn from them that the
 /// store is available again.
@@ -169,7 +193,9 @@
       Reason reason = aReason;
       std::shared_ptr<const RelayConfiguration> configuration;
       if (aRows) {
+        const TimePoint readAt = Reactor::ReadClock();
         configuration = mDecoder->DecodeConfiguration(*aRows, &reason);
+        LogSlowRead(mConfigurationLoop, readAt);
       }
       if (configuration != nullptr) {
         mListener->OnConfigurationRead(
--- a/Peridothoist/Node/ViewPoller.h
+++ b/Peridothoist/Node/ViewPoller.h
@@ -106,6 +106,7 @@
   void ReadUpstreams();
   void ReadVms();
   void FinishRead(PollLoop& aLoop, bool aSucceeded, const Reason& aReason);
+  void LogSlowRead(const PollLoop& aLoop, TimePoint aReadAt) const;
   void StartReadUnlessFollowing(PollLoop& aLoop);
   void StartRead(PollLoop& aLoop);
   Duration PollInterval(const PollLoop& aLoop) const;
--- a/Peridothoist/Node/ViewUpdater.cpp
+++ b/Peridothoist/Node/ViewUpdater.cpp
@@ -1,6 +1,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/ViewUpdater.h>
 
+#include <Peridothoist/Core/DurationUnits.h>
 #include <Peridothoist/Node/VmRegistry.h>
 #include <Peridothoist/Shell/Log.h>
 
@@ -137,6 +138,7 @@
 {
   const TimePoint now = Reactor::ReadClock();
   const ViewExchangeResult result = mExchange.OnPeerResponse(aResponse, now);
+  OnNewerHeard(aResponse.mVersion, aResponse.mViewAddress);
   // A build that knows no evacuated zones confirms the rows of its
   // configuration by their version only, so its rows may state past zones.
   const bool canShareConfiguration =
@@ -165,6 +167,43 @@
   }
 }
 
+/// Logs the first statement of a newer version of the configuration.
+void
+ViewUpdater::OnNewerHeard(std::uint64_t aVersion, const std::string& aPeer)
+{
+  if (aVersion <= std::max(mView->Version(), mHeardVersion)) {
+    return;
+  }
+  mHeardVersion = aVersion;
+  mHeardAt = Reactor::ReadClock();
+  Log::Info("newer_configuration_heard")
+    .Field("version", aVersion)
+    .Field("held", mView->Version())
+    .Field("view_age_ms", ToMillis(mView->Age(mHeardAt)))
+    .Field("peer", aPeer);
+}
+
+/// Counts a read from a peer; logs it if it failed or was one of the
+/// configuration, which is read only when it has changed.
+void
+ViewUpdater::CountPeerRead(const char* aPart,
+                           const PeerViewClient::Report& aReport)
+{
+  PeerReadCounts& counts = mPeerReads[aPart];
+  ++counts.mReads;
+  counts.mFailures += aReport.mFailure.empty() ? 0 : 1;
+  counts.mBytes += aReport.mBytes;
+  LogLine line = aReport.mFailure.empty() ? Log::Routine("peer_view_read")
+                                          : Log::Info("peer_view_read");
+  line.Field("part", aPart)
+    .Field("peer", aReport.mPeer)
+    .Field("bytes", aReport.mBytes)
+    .Field("ms", ToMillis(aReport.mDuration))
+    .Field("failure", aReport.mFailure)
+    .Field("held", mView->Version())
+    .Field("heard", mHeardVersion);
+}
+
 /// Called when a peer has stated that the known registrations are current. A VM
 /// that is missing in them goes on reading the store until it is registered.
 void
@@ -184,11 +223,13 @@
   const TimePoint sentAt = Reactor::ReadClock();
   mPeers.FetchConfiguration(
     aPeer,
-    [this, sentAt, alive = mAlive](std::optional<SharedConfiguration> aPart) {
+    [this, sentAt, alive = mAlive](std::optional<SharedConfiguration> aPart,
+                                   const PeerViewClient::Report& aReport) {
       if (!*alive) {
         return;
       }
       mIsFetchingConfiguration = false;
+      CountPeerRead("configuration", aReport);
       if (aPart) {
         OnPeerConfiguration(*aPart, sentAt);
       } else {
@@ -221,11 +262,13 @@
   const TimePoint sentAt = Reactor::ReadClock();
   mPeers.FetchUpstreams(
     aPeer,
-    [this, sentAt, alive = mAlive](std::optional<SharedUpstreams> aPart) {
+    [this, sentAt, alive = mAlive](std::optional<SharedUpstreams> aPart,
+                                   const PeerViewClient::Report& aReport) {
       if (!*alive) {
         return;
       }
       mIsFetchingUpstreams = false;
+      CountPeerRead("upstreams", aReport);
       if (!aPart || aPart->mAge < Duration(0)) {
         mPoller.ReadUpstreamsNow();
         return;
@@ -244,18 +287,22 @@
   if (std::exchange(mIsFetchingVms, true)) {
     return;
   }
-  mPeers.FetchVms(aPeer, [this, alive = mAlive](std::optional<VmRecords> aVms) {
-    if (!*alive) {
-      return;
-    }
-    mIsFetchingVms = false;
-    if (aVms) {
-      mVms = std::move(*aVms);
-      mVmDigest = DigestOf(*mVms);
-      ConfirmVms();
-      mListener->OnVms(*mVms, false);
-    }
-  });
+  mPeers.FetchVms(
+    aPeer,
+    [this, alive = mAlive](std::optional<VmRecords> aVms,
+                           const PeerViewClient::Report& aReport) {
+      if (!*alive) {
+        return;
+      }
+      mIsFetchingVms = false;
+      CountPeerRead("vms", aReport);
+      if (aVms) {
+        mVms = std::move(*aVms);
+        mVmDigest = DigestOf(*mVms);
+        ConfirmVms();
+        mListener->OnVms(*mVms, false);
+      }
+    });
 }
 
 void
@@ -264,7 +311,14 @@
   std::vector<StoredRow> aRows,
   TimePoint aStartedAt)
 {
+  const std::uint64_t before = mView->Version();
   mListener->OnConfiguration(aConfiguration, aStartedAt);
+  if (mView->Version() > before && mView->Version() >= mHeardVersion &&
+      mHeardVersion > before) {
+    Log::Info("configuration_caught_up")
+      .Field("version", mView->Version())
+      .Field("ms", ToMillis(Reactor::ReadClock() - mHeardAt));
+  }
   if (mView->HasStateOf(*aConfiguration)) {
     mConfigurationRows = std::move(aRows);
   }
--- a/Peridothoist/Node/ViewUpdater.h
+++ b/Peridothoist/Node/ViewUpdater.h
@@ -63,6 +63,14 @@
   void SetChangeLimit(Duration aLimit);
 };
 
+/// Reads of one part of a view from peers, for metrics.
+struct PeerReadCounts
+{
+  std::uint64_t mReads = 0;
+  std::uint64_t mFailures = 0;
+  std::uint64_t mBytes = 0; ///< Received, also by reads that failed.
+};
+
 /// Keeps the view of one VM current.
 class ViewUpdater
   : public ViewPollerListener
@@ -103,6 +111,12 @@
   /// Handles a peer's response.
   void OnResponse(const ViewResponse& aResponse);
 
+  /// Returns the reads from peers by the part that was read.
+  const std::map<std::string, PeerReadCounts>& PeerReads() const
+  {
+    return mPeerReads;
+  }
+
   // See: ViewPollerListener
   void OnConfigurationRead(
     std::shared_ptr<const RelayConfiguration> aConfiguration,
@@ -127,6 +141,8 @@
   void FetchUpstreams(const std::string& aPeer);
   void FetchVms(const std::string& aPeer);
   void OnPeerConfiguration(const SharedConfiguration& aPart, TimePoint aSentAt);
+  void OnNewerHeard(std::uint64_t aVersion, const std::string& aPeer);
+  void CountPeerRead(const char* aPart, const PeerViewClient::Report& aReport);
 
   Settings mSettings;
   VmRecord mSelf;
@@ -145,7 +161,10 @@
   bool mIsFetchingConfiguration = false;
   bool mIsFetchingUpstreams = false;
   bool mIsFetchingVms = false;
-  std::size_t mQueriesSent = 0; ///< Selects the next peer.
+  std::size_t mQueriesSent = 0;                     ///< Selects the next peer.
+  std::map<std::string, PeerReadCounts> mPeerReads; ///< By part.
+  std::uint64_t mHeardVersion = 0; ///< The newest that a peer has stated.
+  TimePoint mHeardAt;              ///< When it was first stated.
   Reactor::TimerId mTimer = 0;
   /// Set to false by the destructor; checked by pending callbacks.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
