--- a/SystemTests/harness/tcp_proxy.py
+++ b/SystemTests/harness/tcp_proxy.py
@@ -72,6 +72,8 @@
         self.cut_owners = set()
         self.is_response_cut = False
         self.delay_seconds = 0.0
+        self.bytes_per_second = 0  # Of responses; 0: no limit.
+        self.free_at = 0.0  # When the limited link has sent what it was given.
         self.server = None
         self.writers = set()
         self.bytes_forwarded = 0  # Total of both directions.
@@ -98,11 +100,16 @@
         self.is_response_cut = True
 
     def heal(self):
-        """Removes all cuts and the delay."""
+        """Removes all cuts, the delay and the limit."""
         self.is_cut_for_all = False
         self.is_response_cut = False
         self.cut_owners = set()
         self.delay_seconds = 0.0
+        self.bytes_per_second = 0
+
+    def narrow(self, bytes_per_second):
+        """Limits the bytes that come from the target, over all connections."""
+        self.bytes_per_second = bytes_per_second
 
     def delay(self, seconds):
         """Delays all further bytes by this number of seconds."""
@@ -157,10 +164,18 @@
             writer.close()
             target_writer.close()
 
+    async def _wait_for_link(self, size):
+        """Waits until the limited link has sent this many more bytes."""
+        now = self.proxy_loop.loop.time()
+        self.free_at = max(self.free_at, now) + size / self.bytes_per_second
+        await asyncio.sleep(self.free_at - now)
+
     async def _forward(self, source, reader, writer, is_response):
         try:
             while True:
                 data = await reader.read(CHUNK_BYTES)
+                if is_response and self.bytes_per_second:
+                    await self._wait_for_link(len(data))
                 if self.delay_seconds:
                     await asyncio.sleep(self.delay_seconds)
                 while self._is_cut(source) or (is_response and self.is_response_cut):
