Take only a list read since an attempt arrived for proof of its version

What other operators report (ORDER): a VM that was cut off or paused for some seconds while upstreams of a new version joined took up streams that had begun there through other VMs, and went on at another version.

Cause: a VM took its own list for proof that a single version serves while the list was up to 5 s old. What was listed since, it can't know. Without a name of the first attempt nothing was looked up at all; with one, the list decided after a lookup without an answer. The class: what a VM has not heard of is taken for what is not there.

Fix: the list proves a version for an attempt only if it was confirmed at the attempt's arrival or later. Until then the origin is looked up at other VMs, and the record in the store is read, as before; whatever proves the version first ends the wait, now a list that is read meanwhile, too.

Changed tests: NothingIsLookedUpWhileASingleVersionServes is replaced by AListReadSinceTheArrivalEndsTheLookup, which demands the same of a list that proves it; two others list once more at the arrival. SoftwareVersionTest (46 cases) and RelayViewTest (30) pass.

--- a/Peridothoist/Relay/RelayOrigins.cpp
+++ b/Peridothoist/Relay/RelayOrigins.cpp
@@ -190,8 +190,9 @@
 }
 
 /// Returns the only origin that a stream can have: its route leads to one
-/// service, of which no other version was listed recently. nullopt: it may have
-/// begun at several.
+/// service, of which no other version was listed until this attempt arrived.
+/// nullopt: it may have begun at several, perhaps at one that was listed while
+/// this VM was cut off or paused.
 std::optional<StreamOrigin>
 RelayStateMachine::SoleOriginOf(const State& aState) const
 {
@@ -199,8 +200,10 @@
   if (request.mRoute->mTargets.size() != 1) {
     return std::nullopt;
   }
-  auto version = mUpstreamList.SoleVersion(
-    request.mService, mNow - mSettings.mSoleVersionPeriod, mNow);
+  auto version =
+    mUpstreamList.SoleVersion(request.mService,
+                              request.mArrivedAt - mSettings.mSoleVersionPeriod,
+                              request.mArrivedAt);
   const ServiceVersions* record = mVersions.Find(request.mService);
   const bool isContradicted =
     version && record != nullptr && record->mListed.size() > 1;
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -528,6 +528,7 @@
   OnUpstreamsLost(
     mUpstreamList.OnListRead(std::move(aUpstreams), aNow, aStartedAt));
   LearnColdUpstreams(aNow, ColdSource::Own);
+  ContinueProven();
   RefuseUnservable();
   DispatchWaiting();
 }
@@ -542,6 +543,7 @@
   mOut = &aOut;
   OnUpstreamsLost(mUpstreamList.OnPeerList(std::move(aEntries), aConfirmedAt));
   LearnColdUpstreams(aConfirmedAt, ColdSource::Heard);
+  ContinueProven();
   RefuseUnservable();
   DispatchWaiting();
 }
--- a/Peridothoist/Relay/UpstreamList.cpp
+++ b/Peridothoist/Relay/UpstreamList.cpp
@@ -315,10 +315,10 @@
 std::optional<std::string>
 UpstreamList::SoleVersion(const std::string& aService,
                           TimePoint aSince,
-                          TimePoint aNow) const
+                          TimePoint aUntil) const
 {
-  const bool isKnown = mListedAt && mKnownSince <= aSince &&
-                       aNow <= *mListedAt + mSettings.mMaxConfirmationGap;
+  const bool isKnown =
+    mListedAt && mKnownSince <= aSince && aUntil <= *mListedAt;
   if (!isKnown) {
     return std::nullopt;
   }
--- a/Peridothoist/Relay/UpstreamList.h
+++ b/Peridothoist/Relay/UpstreamList.h
@@ -212,11 +212,12 @@
   }
 
   /// Returns the software version of the service's upstreams if all that were
-  /// listed since aSince state the same one; nullopt if they don't, or if it is
-  /// not known what was listed for all of that time.
+  /// listed from aSince to aUntil state the same one; nullopt if they don't, or
+  /// if it is not known what was listed for all of that time. A list that was
+  /// last confirmed before aUntil doesn't tell what has been listed since.
   std::optional<std::string> SoleVersion(const std::string& aService,
                                          TimePoint aSince,
-                                         TimePoint aNow) const;
+                                         TimePoint aUntil) const;
 
   /// Returns a digest of the list; equal lists have equal digests. What
   /// upstreams stated does not count.
--- a/UnitTests/Relay/SoftwareVersionTest.cpp
+++ b/UnitTests/Relay/SoftwareVersionTest.cpp
@@ -119,6 +119,12 @@
     }
   }
 
+  /// Lists engines of one version now.
+  void ListNow(const std::string& aVersion)
+  {
+    List({ Engine("d1", "a", aVersion), Engine("d3", "b", aVersion) });
+  }
+
   /// Checks that the only response so far is a refusal which states that the
   /// request was not run and that another try may help.
   void CheckRefused(RefusalKind aKind)
@@ -566,13 +572,40 @@
   BOOST_TEST(Announced() == Ids{ "content" }, boost::test_tools::per_element());
 }
 
-// Attempts are delayed by a lookup while only one version serves.
-BOOST_AUTO_TEST_CASE(NothingIsLookedUpWhileASingleVersionServes)
+// Attempts wait for a lookup although the list, read since they arrived, proves
+// that only one version serves.
+BOOST_AUTO_TEST_CASE(AListReadSinceTheArrivalEndsTheLookup)
 {
   ListOnly("v1", 40s);
   ArriveStream("", 2, nullptr, "content");
-  BOOST_TEST(Count(RelayCommandKind::FindOrigin) == 0U);
+  BOOST_TEST(Called().empty());
+  ListNow("v1");
   BOOST_TEST(Called() == Ids{ "d1" }, boost::test_tools::per_element());
+  TakeCommands();
+  ArriveStream("", 2, nullptr, "content");
+  BOOST_TEST(Count(RelayCommandKind::FindOrigin) == 0U);
+  BOOST_TEST(Called().size() == 1U);
+}
+
+// A VM that was cut off or paused for a moment while upstreams of a new version
+// joined continues a stream of theirs at the old version (ORDER).
+BOOST_AUTO_TEST_CASE(AListFromBeforeTheArrivalProvesNothing)
+{
+  for (const char* key : { "", "a" }) {
+    TakeCommands();
+    ListOnly("v1", 40s); // Read for the last time a second ago.
+    ArriveStream(key, 2, nullptr, "content");
+    BOOST_TEST(Count(RelayCommandKind::FindOrigin) == 1U);
+    BOOST_TEST(Called().empty());
+    FindOrigin(*key == '\0' ? "content" : key, std::nullopt);
+    CheckRefused(RefusalKind::OriginUnknown);
+  }
+  TakeCommands();
+  ListOnly("v1", 40s);
+  ArriveStream("", 2, nullptr, "content");
+  List({ Engine("d1", "a", "v1"), Engine("d3", "b", "v2") });
+  FindOrigin("content", std::nullopt);
+  CheckRefused(RefusalKind::OriginUnknown);
 }
 
 // An attempt without any key is looked up under the empty one.
@@ -592,6 +625,7 @@
 BOOST_AUTO_TEST_CASE(TheOnlyVersionOfAServiceIsUsed)
 {
   ListOnly("v1", 40s);
+  ListNow("v1");
   ArriveStream("a", 2);
   FindOrigin("a", std::nullopt);
   BOOST_TEST(Called() == Ids{ "d1" }, boost::test_tools::per_element());
@@ -611,6 +645,7 @@
   CheckRefused(RefusalKind::OriginUnknown);
   TakeCommands();
   ListOnly("v2", 10s);
+  ListNow("v2");
   ArriveStream("a", 2);
   FindOrigin("a", std::nullopt);
   BOOST_TEST(Called().size() == 1U);
