Reject entries whose figures or ids no upstream can have

What other operators report: another writer left one odd entry among the upstreams, and the machines that read the list ended again and again, or stopped following it.

Looked for here, entry by entry (PlatformProtocolTest/AnOddEntryIsRejected): deep nesting (1,000,000 levels), numbers beyond doubles and 64 bits, invalid UTF-8 and ports of 70000 were rejected before, without harm to the other entries. Found by the same table: slots of became 0 after a cast, port 0 was taken, and an id or an engine's handle with CR and LF would have shaped the head of the next request.

--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -191,6 +191,70 @@
   BOOST_TEST(upstream->mIncarnationId == 1700000000000U);
 }
 
+// Guards against an odd entry by another writer that ends the process, or hides
+// the other entries.
+BOOST_AUTO_TEST_CASE(AnOddEntryIsRejected)
+{
+  const auto isRejected = [](const std::string& aValue) {
+    return !PlatformViewDecoder().DecodeUpstream({ "i-1", aValue, 1 }, nullptr);
+  };
+  const auto with = [](const std::string& aField, const std::string& aValue) {
+    json value = ExampleUpstream();
+    value[aField] = "@";
+    std::string text = value.dump();
+    return text.replace(text.find("\"@\""), 3, aValue);
+  };
+  BOOST_TEST(!isRejected(with("slots", "64")));
+  for (const char* slots : { "0",
+                             "-1",
+                             "0.5",
+                             "4294967296", // 0 in 32 bits.
+                             "18446744073709551616",
+                             "1e999",
+                             "true",
+                             "\"64\"" }) {
+    BOOST_TEST(isRejected(with("slots", slots)), slots);
+  }
+  for (const char* address : { "10.0.0.9:0",
+                               "10.0.0.9:70000",
+                               "10.0.0.9:-1",
+                               "10.0.0.9:4294967376",
+                               "10.0.0.9",
+                               "10.0.0.9:80 ",
+                               "host:80" }) {
+    BOOST_TEST(isRejected(with("address", json(address).dump())), address);
+  }
+  const std::string invalidUtf8 = "\"\xff\xfe\"";
+  BOOST_TEST(isRejected(with("zone", invalidUtf8)));
+  // As deep as a row of 64 KB can be, and deeper.
+  for (const std::size_t depth : { std::size_t(32000), std::size_t(1000000) }) {
+    const std::string nested =
+      std::string(depth, '[') + std::string(depth, ']');
+    BOOST_TEST(isRejected(nested));
+    BOOST_TEST(isRejected(std::string(depth, '[')));
+    BOOST_TEST(isRejected(with("slots", nested)));
+    BOOST_TEST(!isRejected(with("born", nested))); // Taken as not stated.
+  }
+  BOOST_TEST(isRejected(""));
+  BOOST_TEST(isRejected("null"));
+}
+
+// Guards against an entry whose id shapes the requests that are sent to its
+// upstream.
+BOOST_AUTO_TEST_CASE(AnIdThatNoHeaderCanHoldIsRejected)
+{
+  const std::string value = ExampleUpstream().dump();
+  for (const std::string& id : { std::string(),
+                                 std::string("a\r\nx: y"),
+                                 std::string("a b"),
+                                 std::string("\0", 1),
+                                 std::string("\xff"),
+                                 std::string(201, 'a') }) {
+    BOOST_TEST(
+      !PlatformViewDecoder().DecodeUpstream({ id, value, 1 }, nullptr));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(InvalidUpstreamRowsAreRejected)
 {
   const char* fields[] = { "service", "address", "zone", "state", "slots" };
@@ -639,6 +703,9 @@
   BOOST_TEST(upstreams.ParseHandle(R"({"handle":"h","tokens":3})") == "h");
   BOOST_TEST(upstreams.ParseHandle(R"({"handle":3})").empty());
   BOOST_TEST(upstreams.ParseHandle("not json").empty());
+  // It would shape the next request.
+  BOOST_TEST(upstreams.ParseHandle(R"({"handle":"h\r\nx: y"})").empty());
+  BOOST_TEST(upstreams.ParseReservation(R"({"hold":"a b"})").empty());
 }
 
 // An upstream that states a fourth figure counts as idle: without the statement
