--- a/UnitTests/Platform/PlatformRowStoreTest.cpp
+++ b/UnitTests/Platform/PlatformRowStoreTest.cpp
@@ -170,6 +170,21 @@
   BOOST_TEST(mTargets == targets, boost::test_tools::per_element());
 }
 
+// Guards against a row that is used although it was removed, because it was
+// written and removed between two reads (DRAIN).
+BOOST_FIXTURE_TEST_CASE(TheLastOfSeveralChangesOfARowCounts,
+                        ChangingStoreFixture)
+{
+  Read();
+  mFeed = R"({"rows":[{"key":"a","ver":8,"deleted":true},)"
+          R"({"key":"c","value":"NA==","ver":9},)"
+          R"({"key":"c","ver":10,"deleted":true},)"
+          R"({"key":"a","value":"NQ==","ver":11},)"
+          R"({"key":"b","value":"Ng==","ver":12},)"
+          R"({"key":"b","value":"Nw==","ver":13}],"ver":13})";
+  BOOST_TEST(Read() == "a=5@11,b=7@13,");
+}
+
 BOOST_FIXTURE_TEST_CASE(ATableIsReadWholeWhenItsChangesAreNotKnown,
                         ChangingStoreFixture)
 {
