Need keys wherever the configuration states who may call

Cause: whether keys are needed followed from whether any workspace was known. The class: what is empty or can't be read is taken for what is not restricted.

Fix: whether the field is there decides.

--- a/Peridothoist/Relay/RelayConfiguration.cpp
+++ b/Peridothoist/Relay/RelayConfiguration.cpp
@@ -103,6 +103,7 @@
 void
 RelayConfiguration::AddWorkspace(RelayWorkspace aWorkspace)
 {
+  RequireKeys();
   for (const std::string& key : aWorkspace.mKeys) {
     mWorkspaceByKey[key] = aWorkspace.mName;
   }
--- a/Peridothoist/Relay/RelayConfiguration.h
+++ b/Peridothoist/Relay/RelayConfiguration.h
@@ -140,7 +140,10 @@
   void FindPriorities();
 
   /// Returns whether requests need a key on routes that aren't open to all.
-  bool NeedsKeys() const { return !mWorkspaces.empty(); }
+  bool NeedsKeys() const { return mNeedsKeys; }
+
+  /// Lets requests need keys although there may be no workspace that holds any.
+  void RequireKeys() { mNeedsKeys = true; }
 
   /// Returns whether some route can be served without a key.
   bool HasOpenRoutes() const;
@@ -180,6 +183,10 @@
   std::vector<std::shared_ptr<const RelayRoute>> mRoutes;
   std::map<std::string, RelayWorkspace> mWorkspaces;
   std::map<std::string, std::string> mWorkspaceByKey; ///< Names by key.
+  /// The configuration states who may call. Without it all routes are open;
+  /// with it, a request whose key is not known is refused, also when no key is
+  /// known at all.
+  bool mNeedsKeys = false;
   /// The priorities of workspace and route of each request, in order, by
   /// service. Services whose requests do not differ are left out.
   std::map<std::string, std::vector<PriorityPair>> mPriorityRanks;
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -172,6 +172,73 @@
   BOOST_TEST(*workspace->mPriority == 3U);
 }
 
+// Guards against a configuration that opens all routes because it holds no key,
+// or none that can be read.
+BOOST_AUTO_TEST_CASE(OnlyAConfigurationWithoutTenantsNeedsNoKeys)
+{
+  const auto needsKeys = [](const json* aTenants) {
+    json value = ExampleConfiguration();
+    value.erase("tenants");
+    if (aTenants != nullptr) {
+      value["tenants"] = *aTenants;
+    }
+    return DecodeConfiguration(value)->NeedsKeys();
+  };
+  BOOST_TEST(!needsKeys(nullptr));
+  for (const char* text : { "[]",
+                            "null",
+                            "{}",
+                            "7",
+                            "[7]",
+                            R"([{"apiKeys":["k"]}])",
+                            R"([{"name":7,"apiKeys":["k"]}])",
+                            R"([{"name":"w"}])",
+                            R"([{"name":"w","apiKeys":"k"}])" }) {
+    const json tenants = json::parse(text);
+    BOOST_TEST(needsKeys(&tenants), text);
+  }
+}
+
+// Guards against a limit that can't be read and so limits nothing.
+BOOST_AUTO_TEST_CASE(KeysOfAWorkspaceWithAnUnreadableLimitAreUnknown)
+{
+  const auto isKnown = [](const std::string& aLimit) {
+    json value = ExampleConfiguration();
+    value["tenants"] =
+      json::parse(R"([{"name":"w","apiKeys":["k"])" + aLimit + "}]");
+    return DecodeConfiguration(value)->FindWorkspaceByKey("k") != nullptr;
+  };
+  BOOST_TEST(isKnown(""));
+  BOOST_TEST(isKnown(R"(,"ratePerS":0,"burst":0)")); // 0: no limit.
+  BOOST_TEST(isKnown(R"(,"ratePerS":7.5,"burst":9)"));
+  BOOST_TEST(!isKnown(R"(,"ratePerS":-1)"));
+  BOOST_TEST(!isKnown(R"(,"ratePerS":"7")"));
+  BOOST_TEST(!isKnown(R"(,"ratePerS":null)"));
+  BOOST_TEST(!isKnown(R"(,"ratePerS":7,"burst":[])"));
+}
+
+BOOST_AUTO_TEST_CASE(UnusableConfigurationsAreRejected)
+{
+  for (const char* text : { R"({"version":7})",
+                            R"({"version":7,"routes":{}})",
+                            R"({"version":-7,"routes":[]})",
+                            R"({"version":1e3,"routes":[]})",
+                            R"({"routes":[]})",
+                            "[]" }) {
+    BOOST_TEST((DecodeConfiguration(json::parse(text)) == nullptr), text);
+  }
+  BOOST_TEST((DecodeConfiguration(
+                json::parse(R"({"version":7,"routes":[]})")) != nullptr));
+  // A time that is too large for a clock is a very long one.
+  json value = ExampleConfiguration();
+  for (json& it : value["routes"]) {
+    it["timeoutMs"] = UINT64_MAX;
+  }
+  const auto configuration = DecodeConfiguration(value);
+  BOOST_REQUIRE(!configuration->Routes().empty());
+  BOOST_TEST((configuration->Routes().front()->mTimeout == 24h));
+}
+
 BOOST_AUTO_TEST_CASE(MissingConfigurationIsReported)
 {
   Reason reason;
