Don't bring back upstreams that left while the store turned this VM away

Cause: a VM took its own failed reads for an outage of the store and kept what was missing after it for 2 s, since it might have expired meanwhile. The VMs that were turned away were those that read for the others, and these took the mixed list as confirmed. The class: a VM's own failure is taken for one of all, and what is kept for lack of knowledge is told to others as known.

Fix, by what a VM can know: if another VM's list was confirmed after this VM's reads began to fail, and a read begun after that failed again, the store serves others, and nothing is kept. An entry that a peer only keeps is never taken back by a VM that has dropped it; one without any list yet takes it. Readers of a single cell that hear no other reader ask all VMs, which read by themselves when the readers' views get old. An outage for all is as before: expired entries are kept for 2 s.

--- a/Peridothoist/Cells/CellMembership.cpp
+++ b/Peridothoist/Cells/CellMembership.cpp
@@ -111,19 +111,21 @@
     }
   }
   ViewRole role;
-  std::size_t readers = 0;
+  std::vector<std::string> others; // VMs that read only when they have to.
+  std::size_t count = 0;
   for (const auto& [name, address] : addresses) {
-    if (++readers > mSettings.mMinReaders) {
-      break;
-    }
+    const bool isReader = ++count <= mSettings.mMinReaders;
     if (name == mSelf.mName) {
-      role.mIsReader = true;
+      role.mIsReader = isReader;
     } else {
-      role.mPeers.push_back(address);
+      (isReader ? role.mPeers : others).push_back(address);
     }
   }
   if (role.mIsReader) {
+    // If the store turns all readers away, the others read it themselves.
     std::swap(role.mPeers, role.mFallbackPeers);
+    role.mFallbackPeers.insert(
+      role.mFallbackPeers.end(), others.begin(), others.end());
   }
   role.mIsReader = role.mIsReader || role.mPeers.empty();
   return role;
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -406,9 +406,9 @@
 }
 
 void
-NodeProcess::OnUpstreamsUnreachable()
+NodeProcess::OnUpstreamsUnreachable(TimePoint aStartedAt)
 {
-  mMachine.OnListUnreachable();
+  mMachine.OnListUnreachable(aStartedAt, mReactor->Now());
 }
 
 void
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -113,7 +113,7 @@
                    TimePoint aStartedAt) override;
   void OnPeerUpstreams(std::vector<UpstreamList::Entry> aEntries,
                        TimePoint aConfirmedAt) override;
-  void OnUpstreamsUnreachable() override;
+  void OnUpstreamsUnreachable(TimePoint aStartedAt) override;
   void OnVms(const VmRecords& aVms, bool aFromStore) override;
   ViewRole RoleForView() override;
   void SendViewQuery(const std::string& aPeer) override;
--- a/Peridothoist/Node/ViewPoller.cpp
+++ b/Peridothoist/Node/ViewPoller.cpp
@@ -230,7 +230,7 @@
         return;
       }
       if (!aRows) {
-        mListener->OnUpstreamsUnreachable();
+        mListener->OnUpstreamsUnreachable(mUpstreamLoop.mStartedAt);
         FinishRead(mUpstreamLoop, false, aReason);
         return;
       }
--- a/Peridothoist/Node/ViewPoller.h
+++ b/Peridothoist/Node/ViewPoller.h
@@ -27,8 +27,9 @@
   virtual void OnUpstreamsRead(std::vector<RelayUpstream> aUpstreams,
                                TimePoint aStartedAt) = 0;
 
-  /// Called when a read of the upstreams has failed.
-  virtual void OnUpstreamsUnreachable() = 0;
+  /// Called when a read of the upstreams has failed that was started at
+  /// aStartedAt.
+  virtual void OnUpstreamsUnreachable(TimePoint aStartedAt) = 0;
 
   /// Called after each successful read of the registered VMs, one row each.
   virtual void OnVmsRead(std::vector<StoredRow> aRows) = 0;
--- a/Peridothoist/Node/ViewUpdater.cpp
+++ b/Peridothoist/Node/ViewUpdater.cpp
@@ -365,9 +365,9 @@
 }
 
 void
-ViewUpdater::OnUpstreamsUnreachable()
+ViewUpdater::OnUpstreamsUnreachable(TimePoint aStartedAt)
 {
-  mListener->OnUpstreamsUnreachable();
+  mListener->OnUpstreamsUnreachable(aStartedAt);
 }
 
 void
--- a/Peridothoist/Node/ViewUpdater.h
+++ b/Peridothoist/Node/ViewUpdater.h
@@ -34,8 +34,9 @@
   virtual void OnPeerUpstreams(std::vector<UpstreamList::Entry> aEntries,
                                TimePoint aConfirmedAt) = 0;
 
-  /// Called when a read of the upstreams has failed.
-  virtual void OnUpstreamsUnreachable() = 0;
+  /// Called when a read of the upstreams has failed that was started at
+  /// aStartedAt.
+  virtual void OnUpstreamsUnreachable(TimePoint aStartedAt) = 0;
 
   /// Called with the registered VMs. aFromStore: as the store has them now.
   virtual void OnVms(const VmRecords& aVms, bool aFromStore) = 0;
@@ -127,7 +128,7 @@
     TimePoint aStartedAt) override;
   void OnUpstreamsRead(std::vector<RelayUpstream> aUpstreams,
                        TimePoint aStartedAt) override;
-  void OnUpstreamsUnreachable() override;
+  void OnUpstreamsUnreachable(TimePoint aStartedAt) override;
   void OnVmsRead(std::vector<StoredRow> aRows) override;
 
   // See: PeerViewSource
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -255,7 +255,11 @@
                   const WorkByUpstream& aWork,
                   TimePoint aNow,
                   RelayCommands& aOut);
-  void OnListUnreachable() { mUpstreamList.OnUnreachable(); }
+  /// Called when a read of the list failed that was started at aStartedAt.
+  void OnListUnreachable(TimePoint aStartedAt, TimePoint aNow)
+  {
+    mUpstreamList.OnUnreachable(aStartedAt, aNow);
+  }
   const UpstreamList& ListedUpstreams() const { return mUpstreamList; }
   UpstreamList& ListedUpstreams() { return mUpstreamList; }
   UpstreamLoadTracker& Loads() { return mLoads; }
--- a/Peridothoist/Relay/UpstreamList.cpp
+++ b/Peridothoist/Relay/UpstreamList.cpp
@@ -71,10 +71,11 @@
                          TimePoint aNow,
                          std::optional<TimePoint> aStartedAt)
 {
-  if (mUnreachable) {
-    mUnreachable = false;
+  if (mUnreachableSince && !mIsTurnedAway) {
     mKeepMissingUntil = aNow + mSettings.mMissingGracePeriod;
   }
+  mUnreachableSince.reset();
+  mIsTurnedAway = false;
   const TimePoint startedAt = aStartedAt.value_or(aNow);
   if (mListedAt && startedAt < *mListedAt) {
     return {};
@@ -97,12 +98,15 @@
 std::vector<UpstreamLoss>
 UpstreamList::OnPeerList(std::vector<Entry> aEntries, TimePoint aConfirmedAt)
 {
-  mUnreachable = false;
+  const bool isFirst = !mListedAt;
   OnConfirmed(aConfirmedAt);
+  OnPeerConfirmed(aConfirmedAt);
   std::map<std::string, Entry> entries;
   for (Entry& it : aEntries) {
     const std::string id = it.mUpstream.mId;
-    entries[id] = std::move(it);
+    if (!it.mIsMissing || isFirst || mEntries.count(id) > 0) {
+      entries[id] = std::move(it);
+    }
   }
   return Replace(std::move(entries), aConfirmedAt);
 }
@@ -276,6 +280,25 @@
   return leaving;
 }
 
+void
+UpstreamList::OnUnreachable(TimePoint aStartedAt, TimePoint aNow)
+{
+  if (!mUnreachableSince) {
+    mUnreachableSince = aNow;
+  }
+  const bool wereOthersServed = mPeerConfirmedAt &&
+                                *mPeerConfirmedAt >= *mUnreachableSince &&
+                                *mPeerConfirmedAt <= aStartedAt;
+  mIsTurnedAway = mIsTurnedAway || wereOthersServed;
+}
+
+/// Notes that another VM's read of the list, started at aAt, was served.
+void
+UpstreamList::OnPeerConfirmed(TimePoint aAt)
+{
+  mPeerConfirmedAt = std::max(mPeerConfirmedAt.value_or(aAt), aAt);
+}
+
 void
 UpstreamList::OnConfirmed(TimePoint aAt)
 {
--- a/Peridothoist/Relay/UpstreamList.h
+++ b/Peridothoist/Relay/UpstreamList.h
@@ -145,7 +145,8 @@
   };
 
   /// Replaces the list by that of a peer, which was confirmed at aConfirmedAt.
-  /// Returns the lost upstreams.
+  /// Entries that the peer only keeps are not taken back. Returns the lost
+  /// upstreams.
   std::vector<UpstreamLoss> OnPeerList(std::vector<Entry> aEntries,
                                        TimePoint aConfirmedAt);
 
@@ -162,8 +163,9 @@
   /// Returns the processes that stated recently to this VM that they leave.
   std::vector<UpstreamProcess> OwnLeaving(TimePoint aNow) const;
 
-  /// Called when a read of the list failed; the last list stays in use.
-  void OnUnreachable() { mUnreachable = true; }
+  /// Called when a read of the list failed that was started at aStartedAt; the
+  /// last list stays in use.
+  void OnUnreachable(TimePoint aStartedAt, TimePoint aNow);
 
   /// Returns null when the upstream is not listed.
   const RelayUpstream* Find(const std::string& aId) const;
@@ -208,6 +210,7 @@
   {
     if (mListedAt) {
       OnConfirmed(aAt);
+      OnPeerConfirmed(aAt);
     }
   }
 
@@ -243,10 +246,15 @@
   void ApplyEvacuation();
   void ApplyRecordedVersions();
   void OnConfirmed(TimePoint aAt);
+  void OnPeerConfirmed(TimePoint aAt);
   void AgeColdTimes(Duration aAge);
   void RememberVersions();
 
   Settings mSettings;
+  /// Entries with mIsMissing are kept for lack of knowledge: they may have
+  /// expired while the list was away for all. Such an entry was in this VM's
+  /// list, or in the first one that it got; a VM that knows that an entry is
+  /// gone never takes it back from one that keeps it.
   std::map<std::string, Entry> mEntries;
   std::set<std::string> mEvacuatedZones;
   std::optional<ListedVersions> mRecordedVersions;
@@ -257,7 +265,11 @@
   /// that were replaced.
   std::map<std::string, std::map<std::string, TimePoint>> mVersionsBefore;
   std::uint64_t mDigest = 0;
-  bool mUnreachable = false;   ///< The last read failed.
+  /// When reads began to fail that have not succeeded since.
+  std::optional<TimePoint> mUnreachableSince;
+  std::optional<TimePoint> mPeerConfirmedAt; ///< Latest, by another VM.
+  /// Reads have failed here after others were served: nothing has expired.
+  bool mIsTurnedAway = false;
   TimePoint mKeepMissingUntil; ///< mMissingGracePeriod after the last outage.
 };
 
--- a/UnitTests/Node/ViewUpdaterTest.cpp
+++ b/UnitTests/Node/ViewUpdaterTest.cpp
@@ -91,7 +91,7 @@
   }
   void OnUpstreams(std::vector<RelayUpstream>, TimePoint) override {}
   void OnPeerUpstreams(std::vector<UpstreamList::Entry>, TimePoint) override {}
-  void OnUpstreamsUnreachable() override {}
+  void OnUpstreamsUnreachable(TimePoint) override {}
   void OnVms(const VmRecords&, bool) override {}
   ViewRole RoleForView() override { return {}; }
   void SendViewQuery(const std::string&) override {}
--- a/UnitTests/Platform/ViewPollerTest.cpp
+++ b/UnitTests/Platform/ViewPollerTest.cpp
@@ -45,7 +45,7 @@
   {
   }
   void OnUpstreamsRead(std::vector<RelayUpstream>, TimePoint) override {}
-  void OnUpstreamsUnreachable() override {}
+  void OnUpstreamsUnreachable(TimePoint) override {}
   void OnVmsRead(std::vector<StoredRow>) override {}
 };
 
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -323,7 +323,7 @@
 {
   UpstreamList upstreams({ 2s });
   upstreams.OnListRead({ MakeUpstream("back"), MakeUpstream("gone") }, kNow);
-  upstreams.OnUnreachable();
+  upstreams.OnUnreachable(kNow + 1s, kNow + 1s);
   BOOST_TEST(upstreams.AcceptsRequests("gone"));
   upstreams.OnListRead({}, kNow + 10s);
   BOOST_TEST(upstreams.AcceptsRequests("back"));
@@ -336,6 +336,49 @@
   BOOST_TEST(!upstreams.AcceptsRequests("gone"));
 }
 
+// Guards against an upstream that left and is used again, because the VM that
+// read the list for others was turned away by the store while these were served
+// (DRAIN).
+BOOST_AUTO_TEST_CASE(NothingIsKeptAfterOthersWereServed)
+{
+  const auto isKept = [](std::optional<TimePoint> aPeerConfirmedAt) {
+    UpstreamList upstreams({ 2s });
+    upstreams.OnListRead({ MakeUpstream("a"), MakeUpstream("left") }, kNow);
+    upstreams.OnUnreachable(kNow + 1s, kNow + 2s);
+    if (aPeerConfirmedAt) {
+      upstreams.Confirm(*aPeerConfirmedAt);
+    }
+    upstreams.OnUnreachable(kNow + 4s, kNow + 5s);
+    upstreams.OnListRead({ MakeUpstream("a") }, kNow + 6s);
+    return upstreams.AcceptsRequests("left");
+  };
+  BOOST_TEST(isKept(std::nullopt));  // The list was away, for all one knows.
+  BOOST_TEST(!isKept(kNow + 3s));    // It served others meanwhile.
+  BOOST_TEST(isKept(kNow + 500ms));  // That was before.
+  BOOST_TEST(isKept(kNow + 4500ms)); // It may have come back just then.
+}
+
+// The same by a peer that keeps the entry because it knows no better.
+BOOST_AUTO_TEST_CASE(AnEntryThatAPeerOnlyKeepsIsNotTakenBack)
+{
+  UpstreamList upstreams({ 2s });
+  upstreams.OnListRead({ MakeUpstream("a"), MakeUpstream("kept") }, kNow);
+  upstreams.OnListRead({ MakeUpstream("a"), MakeUpstream("kept") }, kNow + 1s);
+  const std::vector<UpstreamList::Entry> mixed = {
+    { MakeUpstream("a") },
+    { MakeUpstream("kept"), true },
+    { MakeUpstream("left"), true }
+  };
+  upstreams.OnPeerList(mixed, kNow + 2s);
+  BOOST_TEST(upstreams.AcceptsRequests("a"));
+  BOOST_TEST(upstreams.IsMissing("kept"));
+  BOOST_TEST(!upstreams.AcceptsRequests("left"));
+  // A VM that has just started knows nothing of its own.
+  UpstreamList first({ 2s });
+  first.OnPeerList(mixed, kNow + 2s);
+  BOOST_TEST(first.AcceptsRequests("left"));
+}
+
 BOOST_AUTO_TEST_CASE(ARestartUnderTheSameIdCountsAsALoss)
 {
   UpstreamList upstreams({ 2s });
