Show that a refusal written once more reaches no other request

What other operators report (REFUSED, TWICE): a faulty upstream wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that had run, or such a request ran at a second upstream.

--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -88,6 +88,85 @@
 };
 
 /// A node with one caller and one upstream.
+/// An upstream that keeps connections open and, once it has refused a request
+/// on one, writes that refusal before each later response there. Its id is that
+/// of the request whose response is expected.
+class RefusalRepeatingUpstream : public RawServer
+{
+public:
+  explicit RefusalRepeatingUpstream(Reactor& aReactor)
+    : RawServer(aReactor, "")
+    , mReactor(aReactor)
+  {
+  }
+  ~RefusalRepeatingUpstream() override
+  {
+    for (const auto& [connection, refusal] : mRefusals) {
+      mReactor.Unwatch(connection);
+      ::close(connection);
+    }
+  }
+
+  // See: DescriptorListener
+  void OnReadable(int aDescriptor) override
+  {
+    if (aDescriptor == Socket()) {
+      const int connection = ::accept(aDescriptor, nullptr, nullptr);
+      mRefusals[connection] = "";
+      mReactor.Watch(connection, this);
+      return;
+    }
+    std::array<char, 65536> buffer = {};
+    const auto n = ::recv(aDescriptor, buffer.data(), buffer.size(), 0);
+    if (n <= 0) {
+      mReactor.Unwatch(aDescriptor);
+      ::close(aDescriptor);
+      mRefusals.erase(aDescriptor);
+      return;
+    }
+    const std::string request(buffer.data(), static_cast<std::size_t>(n));
+    const bool isCheck = request.find("/-/report") != std::string::npos;
+    const std::string refusal =
+      Head(503, request) + "Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string answer =
+      Head(200, request) + "Response-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+    std::string& earlier = mRefusals[aDescriptor];
+    const std::string sent = earlier + (mRefuses ? refusal : answer);
+    mRuns += mRefuses || isCheck ? 0 : 1;
+    earlier = mRefuses ? refusal : earlier;
+    ::send(aDescriptor, sent.data(), sent.size(), MSG_NOSIGNAL);
+  }
+
+  bool mRefuses = true;
+  int mRuns = 0;
+
+private:
+  static std::string Head(int aStatus, const std::string& aRequest)
+  {
+    const std::string name = "request-id: ";
+    const auto lower = ToLower(aRequest);
+    const auto at = lower.find(name);
+    const std::string id =
+      at == std::string::npos
+        ? ""
+        : aRequest.substr(at + name.size(),
+                          aRequest.find('\r', at) - at - name.size());
+    return "HTTP/1.1 " + std::to_string(aStatus) + " X\r\nRequest-Id: " + id +
+           "\r\n";
+  }
+
+  static std::string ToLower(std::string aText)
+  {
+    for (char& it : aText) {
+      it = static_cast<char>(std::tolower(static_cast<unsigned char>(it)));
+    }
+    return aText;
+  }
+
+  Reactor& mReactor;
+  std::map<int, std::string> mRefusals; ///< Written last, by connection.
+};
+
 struct NodeFixture : ShellFixture
 {
   NodeFixture()
@@ -158,10 +237,14 @@
   }
 
   void WriteUpstream(const std::string& aState)
+  {
+    WriteUpstreamAt(aState, mServer->Port());
+  }
+
+  void WriteUpstreamAt(const std::string& aState, std::uint16_t aPort)
   {
     const json body = { { "service", "s" },
-                        { "address",
-                          "127.0.0.1:" + std::to_string(mServer->Port()) },
+                        { "address", "127.0.0.1:" + std::to_string(aPort) },
                         { "zone", "a" },
                         { "slots", 6 },
                         { "state", aState } };
@@ -724,6 +807,44 @@
   BOOST_TEST(json::parse(result->mBody)["error"]["run"] != "not-run");
 }
 
+// Guards against a verdict "has not run" by a refusal that belongs to another
+// request (REFUSED, TWICE).
+BOOST_AUTO_TEST_CASE(ARefusalOfAnotherRequestIsNoVerdict)
+{
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  for (const int status : { 503, 429, 421 }) {
+    int runs = 0; // The node also asks whether the upstream is gone.
+    mHandler.mRespond = [&](HttpExchange& aExchange) {
+      runs += aExchange.Request().mTarget == "/a/x" ? 1 : 0;
+      aExchange.Respond(
+        status, { { "request-id", "earlier" }, { "not-processed", "1" } }, "");
+    };
+    const auto result = CallAndWait(MakeRequest("/a/x", "k1"));
+    BOOST_TEST(runs == 1, status);
+    BOOST_TEST(result->mStatus == 502, status);
+    BOOST_TEST(json::parse(result->mBody)["error"]["run"] != "not-run");
+  }
+}
+
+// Guards against an upstream that writes an earlier refusal once more on a kept
+// connection, before the response to the next request: that one would be called
+// not run, although it runs.
+BOOST_AUTO_TEST_CASE(ARefusalWrittenOnceMoreReachesNoOtherRequest)
+{
+  StartNode();
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 200));
+  RefusalRepeatingUpstream upstream(*mReactor);
+  WriteUpstreamAt("ready", upstream.mPort);
+  BOOST_REQUIRE(CallUntil(MakeRequest("/a/x", "k1"), 503));
+  for (int n = 0; n < 5; ++n) {
+    upstream.mRefuses = n % 2 == 0;
+    const auto result = CallAndWait(MakeRequest("/a/x", "k1"));
+    BOOST_TEST(result->mStatus == (upstream.mRefuses ? 503 : 200));
+  }
+  BOOST_TEST(upstream.mRuns == 2);
+}
+
 BOOST_AUTO_TEST_CASE(MetricsEndpointReturnsMetrics)
 {
   StartNode();
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -691,6 +691,9 @@
   // A response that carries another request's id proves nothing.
   BOOST_TEST(!parse(503, { { "not-processed", "1" }, { "request-id", "id-2" } })
                 .mNotRun);
+  const auto other = parse(421, { { "request-id", "id-2" } });
+  BOOST_TEST(!other.mNotRun);
+  BOOST_TEST(!other.mIsWrongProcess);
 }
 
 // Guards against limits that are misread, taken from another process, or passed
--- a/UnitTests/Shell/ShellFixture.h
+++ b/UnitTests/Shell/ShellFixture.h
@@ -213,6 +213,9 @@
     ::close(aDescriptor);
   }
 
+  /// Returns the listening socket.
+  int Socket() const { return mSocket; }
+
   std::string mResponse;
   std::uint16_t mPort = 0;
   int mRequests = 0;
