Keep the platform's header names of a test in platform/tests

test_growing_configuration built a request of its own with the platform's headers, which belong in one folder. get_status() of the callers' stand-in does it now.

--- a/SystemTests/test_growing_configuration.py
+++ b/SystemTests/test_growing_configuration.py
@@ -8,6 +8,7 @@
 from harness.caller import call
 from harness.process import wait_until
 from test_nodes import NodeClusterTest
+from users_platform.callers import get_status
 from users_platform.nodes import METRICS, ROUTES, configuration
 
 APPLY_SECONDS = 3.0  # Within which a change must be in force everywhere.
@@ -48,11 +49,7 @@
         return time.monotonic()
 
     def status_of_last_route(self, node, count):
-        headers = {"Host": "site", "Authorization": "Bearer k1",
-                   "Request-Id": f"grown-{time.monotonic_ns()}",
-                   "Request-Deadline": "1000"}
-        path = f"/grown-{count - 1}/x"
-        return call(node.address(), "GET", path, headers=headers, timeout=2).status
+        return get_status(node.address(), f"/grown-{count - 1}/x", "k1")
 
     def check_in_force(self, acknowledged_at, count):
         """Checks that all nodes serve the last added route in time."""
