Let a confirmation refute an earlier statement of a newer version

What callers could have seen, found by reading the change once more: a VM that once heard of a version that does not exist (a damaged message, a store that was restored from an older copy) counted as outdated until it restarted. In an outage of the store it would then have stopped serving at the change limit, on open routes for as long as the outage lasted, although its version was current.

Cause: the newest version stated was kept without the time of the statement.

Fix: a statement counts only until the held version is confirmed as of a later time. A version that was accepted before it was stated would have been found by that confirmation, so the bound of a change holds as before. The same number stood in ViewUpdater as well; now ConfirmedView alone keeps it.

RelayViewTest/AConfirmationRefutesAnEarlierStatement guards it (new; it would fail before, since nothing refuted a statement). In the case above it, version 14 is now read before 15 is heard of: read later it would have proved that 15 does not exist.

--- a/Peridothoist/Node/ViewUpdater.cpp
+++ b/Peridothoist/Node/ViewUpdater.cpp
@@ -138,7 +138,7 @@
 {
   const TimePoint now = Reactor::ReadClock();
   const ViewExchangeResult result = mExchange.OnPeerResponse(aResponse, now);
-  OnNewerHeard(aResponse.mVersion, aResponse.mViewAddress);
+  OnPeerVersion(aResponse.mVersion, aResponse.mViewAddress);
   // A build that knows no evacuated zones confirms the rows of its
   // configuration by their version only, so its rows may state past zones.
   const bool canShareConfiguration =
@@ -167,21 +167,19 @@
   }
 }
 
-/// Logs the first statement of a newer version of the configuration.
+/// Notes the version that a peer holds; logs the first statement of a newer
+/// one.
 void
-ViewUpdater::OnNewerHeard(std::uint64_t aVersion, const std::string& aPeer)
+ViewUpdater::OnPeerVersion(std::uint64_t aVersion, const std::string& aPeer)
 {
-  if (aVersion <= std::max(mView->Version(), mHeardVersion)) {
-    return;
+  const TimePoint now = Reactor::ReadClock();
+  if (mView->OnPeerVersion(aVersion, now)) {
+    Log::Info("newer_configuration_heard")
+      .Field("version", aVersion)
+      .Field("held", mView->Version())
+      .Field("view_age_ms", ToMillis(mView->Age(now)))
+      .Field("peer", aPeer);
   }
-  mHeardVersion = aVersion;
-  mHeardAt = Reactor::ReadClock();
-  mView->OnNewerKnown(aVersion);
-  Log::Info("newer_configuration_heard")
-    .Field("version", aVersion)
-    .Field("held", mView->Version())
-    .Field("view_age_ms", ToMillis(mView->Age(mHeardAt)))
-    .Field("peer", aPeer);
 }
 
 /// Counts a read from a peer; logs it if it failed or was one of the
@@ -202,7 +200,7 @@
     .Field("ms", ToMillis(aReport.mDuration))
     .Field("failure", aReport.mFailure)
     .Field("held", mView->Version())
-    .Field("heard", mHeardVersion);
+    .Field("heard", mView->NewestKnown());
 }
 
 /// Called when a peer has stated that the known registrations are current. A VM
@@ -344,11 +342,11 @@
 {
   const std::uint64_t before = mView->Version();
   mListener->OnConfiguration(aConfiguration, aStartedAt);
-  if (mView->Version() > before && mView->Version() >= mHeardVersion &&
-      mHeardVersion > before) {
+  const std::uint64_t newest = mView->NewestKnown();
+  if (before < newest && newest <= mView->Version()) {
     Log::Info("configuration_caught_up")
       .Field("version", mView->Version())
-      .Field("ms", ToMillis(Reactor::ReadClock() - mHeardAt));
+      .Field("ms", ToMillis(Reactor::ReadClock() - mView->NewestKnownAt()));
   }
   const bool isHeld = mView->HasStateOf(*aConfiguration);
   if (isHeld && DigestOf(aRows) != DigestOf(mConfigurationRows)) {
--- a/Peridothoist/Node/ViewUpdater.h
+++ b/Peridothoist/Node/ViewUpdater.h
@@ -149,7 +149,7 @@
   void FetchUpstreams(const std::string& aPeer);
   void FetchVms(const std::string& aPeer);
   void OnPeerConfiguration(const SharedConfiguration& aPart, TimePoint aSentAt);
-  void OnNewerHeard(std::uint64_t aVersion, const std::string& aPeer);
+  void OnPeerVersion(std::uint64_t aVersion, const std::string& aPeer);
   void CountPeerRead(const char* aPart, const PeerViewClient::Report& aReport);
 
   Settings mSettings;
@@ -172,8 +172,6 @@
   bool mIsFetchingVms = false;
   std::size_t mQueriesSent = 0;                     ///< Selects the next peer.
   std::map<std::string, PeerReadCounts> mPeerReads; ///< By part.
-  std::uint64_t mHeardVersion = 0; ///< The newest that a peer has stated.
-  TimePoint mHeardAt;              ///< When it was first stated.
   Reactor::TimerId mTimer = 0;
   /// Set to false by the destructor; checked by pending callbacks.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/Peridothoist/Relay/ConfirmedView.h
+++ b/Peridothoist/Relay/ConfirmedView.h
@@ -78,12 +78,23 @@
     return newer;
   }
 
-  /// Called when a peer has stated that it holds aVersion.
-  void OnNewerKnown(std::uint64_t aVersion)
+  /// Called when a peer stated at aNow that it holds aVersion. Returns whether
+  /// that is newer than all that was known.
+  bool OnPeerVersion(std::uint64_t aVersion, TimePoint aNow)
   {
-    mNewestKnown = std::max(mNewestKnown, aVersion);
+    if (aVersion <= std::max(Version(), mNewestKnown)) {
+      return false;
+    }
+    mNewestKnown = aVersion;
+    mNewestKnownAt = aNow;
+    return true;
   }
 
+  /// Returns the newest version that a peer has stated; 0: none. Its first
+  /// statement was received at NewestKnownAt().
+  std::uint64_t NewestKnown() const { return mNewestKnown; }
+  TimePoint NewestKnownAt() const { return mNewestKnownAt; }
+
   /// Called when a peer confirmed this version as of aAt.
   void Confirm(TimePoint aAt) { mConfirmedAt = std::max(mConfirmedAt, aAt); }
 
@@ -118,8 +129,13 @@
   /// Returns the time since the last confirming read began.
   Duration Age(TimePoint aNow) const { return aNow - mConfirmedAt; }
 
-  /// Returns whether a newer version than the one held is known to exist.
-  bool IsOutdated() const { return Version() < mNewestKnown; }
+  /// Returns whether a newer version than the one held is known to exist. If
+  /// the held one was confirmed later than the statement, that was wrong, or
+  /// the store has been restored from an older copy.
+  bool IsOutdated() const
+  {
+    return Version() < mNewestKnown && mConfirmedAt <= mNewestKnownAt;
+  }
 
   /// Returns whether new requests may be served, with or without keys. A
   /// version that was current until its last confirmation may be used for as
@@ -149,7 +165,8 @@
   Settings mSettings;
   std::shared_ptr<const RelayConfiguration> mConfiguration;
   TimePoint mConfirmedAt;         ///< Start of the last read that confirmed it.
-  std::uint64_t mNewestKnown = 0; ///< Version; never decreases.
+  std::uint64_t mNewestKnown = 0; ///< Stated by a peer; never decreases.
+  TimePoint mNewestKnownAt;       ///< When it was first stated.
 };
 
 } // namespace peridothoist
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -165,21 +165,41 @@
   // No newer version is known: the store may be away for all.
   BOOST_TEST(kindAt("/a/x", kNow + 4s) == "in");
   BOOST_TEST(kindAt("/open/x", kNow + 1h) == "in");
-  view.OnNewerKnown(15);
+  BOOST_TEST(view.OnPeerVersion(15, kNow + 1s));
+  BOOST_TEST(!view.OnPeerVersion(15, kNow + 2s));
   for (const char* path : { "/a/x", "/open/x" }) {
     BOOST_TEST(kindAt(path, kNow + 2900ms) == "in");
     BOOST_TEST(kindAt(path, kNow + 3s) == "view_stale");
   }
   BOOST_TEST(
     (admission.CurrentServingState(kNow + 3s) == ServingState::Nothing));
-  view.OnRead(MakeConfiguration(14, true), kNow + 4s);
-  BOOST_TEST(kindAt("/a/x", kNow + 6900ms) == "in");
-  BOOST_TEST(kindAt("/a/x", kNow + 7s) == "view_stale");
+  view.OnRead(MakeConfiguration(14, true), kNow + 500ms);
+  BOOST_TEST(kindAt("/a/x", kNow + 3400ms) == "in");
+  BOOST_TEST(kindAt("/a/x", kNow + 3500ms) == "view_stale");
   view.OnRead(MakeConfiguration(15, true), kNow + 8s);
   BOOST_TEST(kindAt("/a/x", kNow + 12s) == "in");
   BOOST_TEST(kindAt("/open/x", kNow + 1h) == "in");
 }
 
+// Guards against a statement that is wrong, or was true before the store was
+// restored from a copy, and that ends service for good.
+BOOST_AUTO_TEST_CASE(AConfirmationRefutesAnEarlierStatement)
+{
+  ConfirmedViewSettings settings;
+  settings.mChangeLimit = 3s;
+  ConfirmedView view(settings);
+  view.OnRead(MakeConfiguration(13), kNow);
+  view.OnPeerVersion(15, kNow + 1s);
+  view.Confirm(kNow + 1s); // It may have come right then.
+  BOOST_TEST(view.IsOutdated());
+  BOOST_TEST(!view.MayServe(kNow + 4s));
+  view.OnRead(MakeConfiguration(13), kNow + 2s);
+  BOOST_TEST(!view.IsOutdated());
+  BOOST_TEST(view.MayServe(kNow + 1h));
+  view.OnPeerVersion(16, kNow + 3s);
+  BOOST_TEST(view.IsOutdated());
+}
+
 // A resumed stream is looked up under the id of the new attempt, which nobody
 // can know, or an attempt that names none under no content.
 BOOST_AUTO_TEST_CASE(AResumedStreamHasTheKeyOfItsFirstAttemptOrNone)
