Log which requests a leaving VM takes and which are open when it ends

'left' counted open requests and named none, so the hypotheses could not be told apart: admitted_while_leaving states when a request came after SIGTERM and how long it may take, cut_at_exit names each request that is open at the end with its calls and its upstream, and 'left' counts answers that are not yet written. No change of logic.

--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -210,6 +210,13 @@
     RefuseOnArrival(*aExchange, aRequest, *refusal, Reason(), aWaited);
     return;
   }
+  if (mIsLeaving) {
+    Log::Info("admitted_while_leaving")
+      .Field("id", aRequest.mName)
+      .Field("request", aAdmitted.mId)
+      .Field("since_ms", ToMillis(mReactor->Now() - mLeavingSince))
+      .Field("left_ms", ToMillis(aAdmitted.mDeadline - mReactor->Now()));
+  }
   mExecutor.Admit(
     std::move(aExchange), std::move(aAdmitted), aRequest.mName, aWaited);
 }
@@ -703,8 +710,10 @@
   const bool isLate =
     since >= mSettings.mGracePeriod - mSettings.mGracePeriodMargin;
   if (isDone || isLate) {
+    mExecutor.LogOpenRequests();
     Log::Info("left")
       .Field("open", mExecutor.OpenRequestCount())
+      .Field("unwritten", mCallerServer->OpenExchangeCount())
       .Field("ms", ToMillis(since));
     mReactor->Stop();
     return;
--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -319,6 +319,24 @@
     });
 }
 
+void
+RelayExecutor::LogOpenRequests() const
+{
+  for (const auto& [id, request] : mRequests) {
+    const RelayRequestSummary& summary = request.mSummary;
+    Log::Warning("cut_at_exit")
+      .Field("id", summary.mCallerRequestId)
+      .Field("request", id)
+      .Field("route", summary.mRoute)
+      .Field("kind", ToName(summary.mKind))
+      .Field("calls", summary.mCallCount)
+      .Field("upstream", summary.mUpstream)
+      .Field("status", summary.mStatus)
+      .Field("events", summary.mEventCount)
+      .Field("ms", ToMillis(mReactor->Now() - summary.mArrivedAt));
+  }
+}
+
 void
 RelayExecutor::Deliver(const MachineEvent& aEvent)
 {
--- a/Peridothoist/Node/RelayExecutor.h
+++ b/Peridothoist/Node/RelayExecutor.h
@@ -105,6 +105,10 @@
   /// Returns the number of open requests.
   std::size_t OpenRequestCount() const { return mRequests.size(); }
 
+  /// Logs each open request, with what is known of its call. Called when the
+  /// process ends although requests are open.
+  void LogOpenRequests() const;
+
 private:
   class CallerListener;
   class UpstreamCall;
