Answer what is open before a leaving VM's process ends

Cause: a request was taken whenever it was complete, without asking whether its end lies before that of the process, and the process ended 7.5 s after the signal whatever was open. With silent upstreams, requests whose last byte came 3.7 to 4.2 s after the signal were passed on and cut.

Fix: LeavingSchedule divides the grace period. A request is served here only if its deadline, or twice the typical time of a call of its service, lies before the final answers; others are told at once that they have not run. Before the end everything open gets its final answer, by the same verdicts as every refusal. Requests that are still coming in are waited for and refused. What arrives on a connection that was shut is not passed on.

NodeProcessTest, RelayStateMachineTest and HttpServerTest pass.

The settings of the drain, which were three constants of one grace period, are parts of it now; Retry-After of a leaving VM is 10 ms, since other VMs can serve the request at once.

--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -18,8 +18,8 @@
 
 constexpr Duration kLeaveCheckInterval = 50ms;
 
-/// Retry delay of requests that wait for their allowance when this VM stops to
-/// accept connections. Another VM can serve them at once.
+/// Retry delay of requests that a leaving VM refuses. Another VM can serve them
+/// at once.
 constexpr Duration kLeavingRetryAfter = 10ms;
 
 /// Interval between reports of lost log lines.
@@ -214,7 +214,7 @@
     Log::Info("admitted_while_leaving")
       .Field("id", aRequest.mName)
       .Field("request", aAdmitted.mId)
-      .Field("since_ms", ToMillis(mReactor->Now() - mLeavingSince))
+      .Field("since_ms", ToMillis(mReactor->Now() - mSchedule->StartedAt()))
       .Field("left_ms", ToMillis(aAdmitted.mDeadline - mReactor->Now()));
   }
   mExecutor.Admit(
@@ -258,19 +258,22 @@
   mExecutor.Refuse(aExchange, aRefusal);
 }
 
-/// Returns a refusal if the request is a stream that might not finish before
-/// this process ends.
+/// Returns a refusal if the request is better served by another VM, since this
+/// process ends.
 std::optional<Refusal>
 NodeProcess::RefuseWhileLeaving(const AdmittedRequest& aAdmitted)
 {
-  const bool isLate = mIsLeaving && mReactor->Now() - mLeavingSince >=
-                                      mSettings.mLeavingStreamPeriod;
-  if (!isLate || aAdmitted.mRoute->mKind != RouteKind::Stream) {
+  const bool isTaken =
+    !mIsLeaving ||
+    mSchedule->Takes(aAdmitted.mRoute->mKind,
+                     aAdmitted.mDeadline,
+                     mMachine.TypicalCallTime(aAdmitted.mService),
+                     mReactor->Now());
+  if (isTaken) {
     return std::nullopt;
   }
-  const auto wait = std::chrono::duration_cast<Duration>(
-    MaxRetryWait(aAdmitted.mCallerTimeout) * mRandom.UniformFraction());
-  return Refusal::Make(RefusalKind::Leaving, RunVerdictTracker(), wait);
+  return Refusal::Make(
+    RefusalKind::Leaving, RunVerdictTracker(), kLeavingRetryAfter);
 }
 
 /// Returns a refusal if callers that read slowly occupy the memory that a
@@ -670,7 +673,7 @@
     return false;
   }
   mSettings.mView = aSettings.mView;
-  mSettings.mGracePeriod = aSettings.mGracePeriod;
+  mSettings.mLeaving = aSettings.mLeaving;
   mView.SetSettings(aSettings.mView);
   mViews.SetSettings(aSettings.mViews);
   mMachine.SetRetryBudget(aSettings.mMachine.mRetryBudget);
@@ -686,35 +689,32 @@
     return;
   }
   mIsLeaving = true;
-  mLeavingSince = mReactor->Now();
+  mSchedule.emplace(mSettings.mLeaving, mReactor->Now());
   Log::Info("leaving").Field("open", mExecutor.OpenRequestCount());
   mCallerServer->CloseAfterResponses();
   mGossip->PublishToAll();
   CheckLeaveProgress();
 }
 
+/// Takes the next steps of the shutdown that are due.
 void
 NodeProcess::CheckLeaveProgress()
 {
-  const Duration since = mReactor->Now() - mLeavingSince;
-  if (since >= mSettings.mLeavingAcceptPeriod && !mIsDraining) {
-    mIsDraining = true;
-    const auto leaving = Refusal::Make(
-      RefusalKind::Leaving, RunVerdictTracker(), kLeavingRetryAfter);
-    mAdmissionExecutor.StopWaiting(leaving);
-    mCallerServer->StartDrain();
+  const TimePoint now = mReactor->Now();
+  if (now >= mSchedule->AcceptsUntil() && !mIsDraining) {
+    StopTakingRequests();
   }
-  const bool isDone = mIsDraining && mExecutor.OpenRequestCount() == 0 &&
-                      mCallerServer->OpenExchangeCount() == 0 &&
-                      (mTunnels == nullptr || mTunnels->OpenCount() == 0);
-  const bool isLate =
-    since >= mSettings.mGracePeriod - mSettings.mGracePeriodMargin;
-  if (isDone || isLate) {
+  if (now >= mSchedule->AnswersAt() && !mIsServiceEnded) {
+    EndService();
+  }
+  const bool isDone = mIsDraining && !HasOpenWork();
+  if (isDone || now >= mSchedule->EndsAt()) {
     mExecutor.LogOpenRequests();
     Log::Info("left")
       .Field("open", mExecutor.OpenRequestCount())
       .Field("unwritten", mCallerServer->OpenExchangeCount())
-      .Field("ms", ToMillis(since));
+      .Field("incoming", mCallerServer->IncomingRequestCount())
+      .Field("ms", ToMillis(now - mSchedule->StartedAt()));
     mReactor->Stop();
     return;
   }
@@ -722,4 +722,38 @@
     mReactor->Schedule(kLeaveCheckInterval, [this] { CheckLeaveProgress(); });
 }
 
+/// Stops accepting connections. Requests that are still coming in on open ones
+/// are refused when they are complete.
+void
+NodeProcess::StopTakingRequests()
+{
+  mIsDraining = true;
+  mAdmissionExecutor.StopWaiting(Refusal::Make(
+    RefusalKind::Leaving, RunVerdictTracker(), kLeavingRetryAfter));
+  mCallerServer->StartDrain();
+}
+
+/// Answers all that is open, while there is time to write the answers.
+void
+NodeProcess::EndService()
+{
+  mIsServiceEnded = true;
+  Log::Info("service_ended").Field("open", mExecutor.OpenRequestCount());
+  mExecutor.Deliver(
+    [](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
+      aMachine.EndService(aNow, aOut);
+    });
+}
+
+/// Returns whether a request is open, coming in, or not yet answered to its
+/// last byte, here or through a tunnel.
+bool
+NodeProcess::HasOpenWork() const
+{
+  return mExecutor.OpenRequestCount() > 0 ||
+         mCallerServer->OpenExchangeCount() > 0 ||
+         mCallerServer->IncomingRequestCount() > 0 ||
+         (mTunnels != nullptr && mTunnels->OpenCount() > 0);
+}
+
 } // namespace peridothoist
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -85,6 +85,9 @@
   NodeGauges Gauges();
   std::string RenderMetrics();
   void CheckLeaveProgress();
+  void StopTakingRequests();
+  void EndService();
+  bool HasOpenWork() const;
   void RefuseOnArrival(HttpExchange& aExchange,
                        const std::optional<IncomingRequest>& aRequest,
                        const Refusal& aRefusal,
@@ -187,8 +190,9 @@
 
   // Graceful shutdown
   bool mIsLeaving = false;
-  bool mIsDraining = false; ///< Connections are no longer accepted.
-  TimePoint mLeavingSince;
+  std::optional<LeavingSchedule> mSchedule; ///< Set while mIsLeaving.
+  bool mIsDraining = false;     ///< Connections are no longer accepted.
+  bool mIsServiceEnded = false; ///< Open requests have got their final answer.
   Reactor::TimerId mLeaveTimer = 0;
 
   Reactor::TimerId mStageOrderTimer = 0;
--- a/Peridothoist/Node/NodeSettings.cpp
+++ b/Peridothoist/Node/NodeSettings.cpp
@@ -63,6 +63,10 @@
                    "setting change_limit_ms or leave_limit_ms is too short; "
                    "allowed: 100 and more" };
   }
+  if (mLeaving.mGracePeriod <= Duration(0)) {
+    return Reason{ ReasonCode::Invalid,
+                   "setting grace_s is not positive; allowed: more than 0" };
+  }
   const double prefill = mStageOrders.mBalance.mPrefillFraction;
   if (!(prefill >= 0 && prefill <= 1)) {
     return Reason{ ReasonCode::Invalid,
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -12,6 +12,7 @@
 #include <Peridothoist/Node/ViewUpdater.h>
 #include <Peridothoist/Relay/CallerDirectory.h>
 #include <Peridothoist/Relay/ConfirmedView.h>
+#include <Peridothoist/Relay/LeavingSchedule.h>
 #include <Peridothoist/Relay/MembershipTable.h>
 #include <Peridothoist/Relay/RelayStateMachine.h>
 #include <Peridothoist/Relay/WaitingAdmission.h>
@@ -46,16 +47,7 @@
   std::size_t mMaxBufferedBytes = 16u << 20;
   Duration mAddressTtl = 1s; ///< How long callers may cache addresses.
 
-  // Graceful shutdown
-  Duration mGracePeriod = 8s; ///< From the signal to the forced termination.
-  /// The process ends this long before the end of the grace period.
-  Duration mGracePeriodMargin = 500ms;
-  /// Connections are accepted for this long after the signal, for callers that
-  /// have cached this node's address.
-  Duration mLeavingAcceptPeriod = 3500ms;
-  /// Streams that arrive later than this after the signal are refused, since
-  /// they might not finish within the grace period.
-  Duration mLeavingStreamPeriod = 2500ms;
+  LeavingScheduleSettings mLeaving; ///< Graceful shutdown.
 
   // Gossip
   Duration mGossipInterval = 250ms; ///< Between regular messages.
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -75,10 +75,11 @@
   CallerGone,     ///< The caller disconnected.
   DeadlinePassed, ///< The request's deadline passed.
   Silent,         ///< The upstream sent nothing for too long.
-  NotNeeded       ///< Another call of the request succeeded.
+  NotNeeded,      ///< Another call of the request succeeded.
+  VmLeaves        ///< This VM's process ends.
 };
 
-constexpr std::size_t kCancelReasons = 4; ///< Count of CancelReason.
+constexpr std::size_t kCancelReasons = 5; ///< Count of CancelReason.
 
 const char*
 ToName(CancelReason aReason);
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -119,6 +119,10 @@
   mTimers.Add(state.mRequest.mDeadline, { TimerKind::Deadline, id, 0 });
   RetryBudgetOf(state.mRequest.mService).OnRequest(aNow);
   mLimiter.OnRequest(state.mRequest.mService, aNow);
+  if (mIsServiceEnded) {
+    Refuse(state, RefusalKind::Leaving);
+    return;
+  }
   if (IsQuarantined(state, aNow)) {
     Refuse(state, RefusalKind::Quarantined);
     return;
@@ -256,7 +260,8 @@
   const Duration left = request.mArrivedAt + request.mCallerTimeout - mNow;
   const Duration maxWait = MaxRetryWait(left);
   // Another VM may serve the request at once.
-  const bool elsewhere = aKind == RefusalKind::ViewStale;
+  const bool elsewhere =
+    aKind == RefusalKind::ViewStale || aKind == RefusalKind::Leaving;
   const auto limitedWait =
     aKind == RefusalKind::TooLate ? LimitedWait(aState) : std::nullopt;
   if (limitedWait && *limitedWait < maxWait) {
@@ -622,6 +627,30 @@
   }
 }
 
+void
+RelayStateMachine::EndService(TimePoint aNow, RelayCommands& aOut)
+{
+  mNow = aNow;
+  mOut = &aOut;
+  mIsServiceEnded = true;
+  std::vector<std::uint64_t> open;
+  for (const auto& [id, state] : mRequests) {
+    open.push_back(id);
+  }
+  for (const std::uint64_t id : open) {
+    State& state = *Find(id);
+    CancelCall(state, CancelReason::VmLeaves);
+    Refuse(state, RefusalKind::Leaving);
+  }
+}
+
+Duration
+RelayStateMachine::TypicalCallTime(const std::string& aService) const
+{
+  const auto it = mCallTimes.find(aService);
+  return it == mCallTimes.end() ? Duration(0) : it->second.Typical();
+}
+
 void
 RelayStateMachine::OnDeadline(State& aState)
 {
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -319,6 +319,13 @@
                            bool aIsConnected,
                            TimePoint aNow);
 
+  // Shutdown
+  /// Gives each open request its final answer. Requests that arrive later are
+  /// refused.
+  void EndService(TimePoint aNow, RelayCommands& aOut);
+  /// Returns the typical time of a call to the service; 0: not known.
+  Duration TypicalCallTime(const std::string& aService) const;
+
   /// Handles expired timers. To be called at NextTick().
   void OnTick(TimePoint aNow, RelayCommands& aOut);
   std::optional<TimePoint> NextTick() const;
@@ -634,6 +641,7 @@
   std::map<std::string, RelayRetryBudget> mRetryBudgets; ///< By service.
   std::map<std::string, CallTimeEstimate> mCallTimes;    ///< By service.
   std::unordered_map<std::uint64_t, State> mRequests;
+  bool mIsServiceEnded = false; ///< See EndService().
   bool mHasLeavingNews = false; ///< Waiting requests may be unservable now.
   std::optional<TimePoint> mLimitCheckAt; ///< The next; none: no limits.
   std::optional<TimePoint> mLimitTimerAt; ///< The earliest that is pending.
--- a/Peridothoist/Relay/RelayWaiting.cpp
+++ b/Peridothoist/Relay/RelayWaiting.cpp
@@ -514,8 +514,7 @@
   const AdmittedRequest& request = aState.mRequest;
   Duration start = mSettings.mTypicalStartTime;
   if (request.mRoute->mKind != RouteKind::Stream) {
-    const auto it = mCallTimes.find(request.mService);
-    start = it == mCallTimes.end() ? Duration(0) : it->second.Typical();
+    start = TypicalCallTime(request.mService);
   }
   return mNow + start - request.mArrivedAt >= request.mRoute->mTargetLatency;
 }
--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -14,6 +14,7 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cstring>
 #include <unordered_set>
@@ -411,6 +412,9 @@
 MHD_Result
 HttpServer::Impl::OnRequestComplete(detail::ServerConnection& aConnection)
 {
+  if (aConnection.IsShutDown()) {
+    return MHD_NO; // Its bytes had arrived, but it can't be answered.
+  }
   const auto exchange = aConnection.mExchange;
   aConnection.EnterPhase(detail::ConnectionPhase::Responding, mReactor.Now());
   ++mOpenExchangeCount;
@@ -461,7 +465,7 @@
   const TimePoint now = mReactor.Now();
   for (detail::ServerConnection* connection : mConnections) {
     const bool isIdle = connection->Phase() == detail::ConnectionPhase::Idle &&
-                        !connection->HasPartialRequest();
+                        !connection->IsReceivingRequest();
     const bool isSlow = connection->HasRequestTimedOut(mSettings, now);
     if (isSlow) {
       Log::Info("connection_closed").Field("cause", "request_timeout");
@@ -523,6 +527,17 @@
   return static_cast<std::size_t>(mImpl->mBufferedBytes);
 }
 
+std::size_t
+HttpServer::IncomingRequestCount() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mImpl->mConnections.begin(),
+                  mImpl->mConnections.end(),
+                  [](const detail::ServerConnection* aIt) {
+                    return aIt->IsReceivingRequest();
+                  }));
+}
+
 std::size_t
 HttpServer::OpenExchangeCount() const
 {
--- a/Peridothoist/Shell/HttpServer.h
+++ b/Peridothoist/Shell/HttpServer.h
@@ -141,6 +141,9 @@
   /// Returns the number of exchanges whose response is not complete.
   std::size_t OpenExchangeCount() const;
 
+  /// Returns the number of requests of which only a part has been received.
+  std::size_t IncomingRequestCount() const;
+
 private:
   struct Impl;
   explicit HttpServer(std::unique_ptr<Impl> aImpl);
--- a/Peridothoist/Shell/ServerConnection.cpp
+++ b/Peridothoist/Shell/ServerConnection.cpp
@@ -30,6 +30,15 @@
   }
 }
 
+bool
+ServerConnection::IsReceivingRequest() const
+{
+  return mPhase == ConnectionPhase::Reading ||
+         (mPhase == ConnectionPhase::Idle && HasPartialRequest());
+}
+
+/// Returns whether bytes of the next request have been received. Used while
+/// idle, when libmicrohttpd has not reported the request yet.
 bool
 ServerConnection::HasPartialRequest() const
 {
@@ -56,8 +65,9 @@
 }
 
 void
-ServerConnection::ShutDown() const
+ServerConnection::ShutDown()
 {
+  mIsShutDown = true;
   ::shutdown(mDescriptor, SHUT_RDWR);
 }
 
--- a/Peridothoist/Shell/ServerConnection.h
+++ b/Peridothoist/Shell/ServerConnection.h
@@ -27,16 +27,16 @@
   /// Enters another phase.
   void EnterPhase(ConnectionPhase aPhase, TimePoint aNow);
 
-  /// Returns whether bytes of the next request have been received. Used while
-  /// idle, when libmicrohttpd has not reported the request yet.
-  bool HasPartialRequest() const;
+  /// Returns whether a part of a request has been received.
+  bool IsReceivingRequest() const;
 
   /// Returns whether the caller has exceeded the time to send a request.
   bool HasRequestTimedOut(const HttpServerSettings& aSettings, TimePoint aNow);
 
   /// Shuts down both directions of the socket; libmicrohttpd then closes the
   /// connection.
-  void ShutDown() const;
+  void ShutDown();
+  bool IsShutDown() const { return mIsShutDown; }
 
   MHD_Connection* Handle() const { return mHandle; }
   int Descriptor() const { return mDescriptor; }
@@ -50,9 +50,11 @@
 
 private:
   std::uint64_t BytesReceived() const;
+  bool HasPartialRequest() const;
 
   MHD_Connection* mHandle;
   int mDescriptor;
+  bool mIsShutDown = false;
   ConnectionPhase mPhase = ConnectionPhase::Idle;
   TimePoint mPhaseStartedAt; ///< Time when mPhase was entered.
   /// Bytes received on the connection when it last became idle.
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -332,8 +332,8 @@
     settings.mViews.mPoller.mUpstreamInterval = 20ms;
     settings.mViews.mPoller.mRetryInterval = 10ms;
     settings.mView = { 1500ms, 200ms, 0.5 };
-    settings.mLeavingAcceptPeriod = 50ms;
-    settings.mLeavingStreamPeriod = aLeavingStreamPeriod;
+    settings.mLeaving.mMaxAcceptPeriod = 50ms;
+    settings.mLeaving.mMaxStreamPeriod = aLeavingStreamPeriod;
     settings.mMachine.mUpstreamList.mMissingGracePeriod = 0ms;
     settings.mIdleTimeout = mIdleTimeout;
     settings.mMaxBufferedBytes = mMaxBufferedBytes;
@@ -543,7 +543,7 @@
   BOOST_REQUIRE(Until([&] { return mHandler.mRequests > before; }));
   mNode->StartLeaving();
   BOOST_TEST(CallAndWait(MakeGet(8224, "/-/ready"))->mStatus == 503);
-  // After mLeavingAcceptPeriod, only the open request delays the shutdown.
+  // After mMaxAcceptPeriod, only the open request delays the shutdown.
   BOOST_REQUIRE(RunFor(200ms));
   mHandler.mLastExchange->Respond(
     200, { { "request-id", "id-1" }, { "response-seal", "s" } }, "late");
