--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -713,7 +713,7 @@
     Log::Info("left")
       .Field("open", mExecutor.OpenRequestCount())
       .Field("unwritten", mCallerServer->OpenExchangeCount())
-      .Field("incoming", mCallerServer->IncomingRequestCount())
+      .Field("busy_connections", mCallerServer->BusyConnectionCount())
       .Field("ms", ToMillis(now - mSchedule->StartedAt()));
     mReactor->Stop();
     return;
@@ -745,14 +745,13 @@
     });
 }
 
-/// Returns whether a request is open, coming in, or not yet answered to its
-/// last byte, here or through a tunnel.
+/// Returns whether a request is open or coming in, an answer is not written, or
+/// its caller may still be reading it, here or through a tunnel.
 bool
 NodeProcess::HasOpenWork() const
 {
   return mExecutor.OpenRequestCount() > 0 ||
-         mCallerServer->OpenExchangeCount() > 0 ||
-         mCallerServer->IncomingRequestCount() > 0 ||
+         mCallerServer->BusyConnectionCount() > 0 ||
          (mTunnels != nullptr && mTunnels->OpenCount() > 0);
 }
 
--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -1,46 +1,40 @@
-/// An HTTP server on libmicrohttpd without threads of its own. The reactor
-/// watches the library's epoll descriptor and runs its timeouts.
+/// The HTTP server: accepts connections, waits for their events with an epoll
+/// descriptor that the reactor watches, and keeps the limits that concern all
+/// of them together.
 #include <Peridothoist/Peridothoist.h>
-#include <Peridothoist/Shell/CallerDisconnectMonitor.h>
-#include <Peridothoist/Shell/HttpDaemon.h>
 #include <Peridothoist/Shell/HttpServer.h>
-#include <Peridothoist/Shell/Log.h>
-#include <Peridothoist/Shell/RequestReader.h>
+
 #include <Peridothoist/Shell/ServerConnection.h>
-#include <Peridothoist/Shell/ServerExchange.h>
-#include <Peridothoist/Shell/SocketOptions.h>
+#include <Peridothoist/Shell/ServerSocket.h>
 
-#include <microhttpd.h>
-#include <poll.h>
+#include <sys/epoll.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
-#include <cstring>
-#include <unordered_set>
+#include <unordered_map>
 
 namespace peridothoist {
 
 namespace {
 
-/// Interval of the checks for slow connections and, while draining, idle ones.
+/// Interval of the checks for slow and idle connections.
 constexpr Duration kCloseStaleInterval = 500ms;
 
-/// Maximum number of runs of libmicrohttpd in which the callers that have
-/// connected before a drain are accepted. A run accepts 10 of them; at the
-/// limit of connections none.
-constexpr int kMaxAcceptRuns = 500;
+constexpr int kMaxEventsPerWait = 128;
+
+/// Connections that are accepted in one iteration of the event loop.
+constexpr int kMaxAcceptsPerEvent = 64;
 
-/// A body that exceeds the limit by more than this factor is not read to its
-/// end.
-constexpr std::uint64_t kMaxDiscardedBodyFactor = 4;
+/// Id of the listener among the epoll events; those of connections follow.
+constexpr std::uint64_t kListenerId = 0;
 
 } // namespace
 
-/// The server with its libmicrohttpd daemon.
+/// The server with its connections.
 struct HttpServer::Impl
   : DescriptorListener
-  , detail::ServerExchangeDelegate
+  , detail::ServerConnectionDelegate
 {
   Impl(Reactor& aReactor,
        const Settings& aSettings,
@@ -48,6 +42,7 @@
     : mReactor(aReactor)
     , mSettings(aSettings)
     , mHandler(aHandler)
+    , mTls(nullptr, &SSL_CTX_free)
   {
   }
   ~Impl() override;
@@ -56,429 +51,310 @@
 
   bool Start(std::string* aReason);
   void StartDrain();
-  void StopAccepting();
-  bool HasUnacceptedCallers() const;
+  std::size_t BusyConnectionCount() const;
 
   // See: DescriptorListener
   void OnReadable(int aDescriptor) override;
 
-  // See: ServerExchangeDelegate
-  void ScheduleRun() override { ScheduleRunWithin(Duration::zero()); }
-  void OnBufferedBytesChanged(std::ptrdiff_t aDelta) override
+  // See: ServerConnectionDelegate
+  void OnRequest(std::shared_ptr<HttpExchange> aExchange) override
+  {
+    mHandler->OnRequest(std::move(aExchange));
+  }
+  void OnResponding(bool aIsResponding) override
+  {
+    mOpenExchangeCount += aIsResponding ? 1 : -1;
+  }
+  void OnUnsentBytesChanged(std::ptrdiff_t aDelta) override
   {
-    mBufferedBytes += aDelta;
+    mUnsentBytes += aDelta;
   }
   bool HoldsTooMuch() const override
   {
     return mSettings.mMaxBufferedBytes > 0 &&
-           static_cast<std::size_t>(mBufferedBytes) >
-             mSettings.mMaxBufferedBytes;
+           static_cast<std::size_t>(mUnsentBytes) > mSettings.mMaxBufferedBytes;
   }
   bool ShouldCloseConnections() const override
   {
     return mIsDraining || mShouldCloseAfterResponses;
   }
+  bool IsDraining() const override { return mIsDraining; }
+  void UpdateEvents(const detail::ServerConnection& aConnection) override;
+  void ContinueLater(const detail::ServerConnection& aConnection) override;
+  void OnClosed(const detail::ServerConnection& aConnection) override;
 
-  // libmicrohttpd's callbacks.
-  static void* OnRequestLine(void* aSelf,
-                             const char* aTarget,
-                             MHD_Connection* aConnection);
-  static MHD_Result OnAccess(void* aSelf,
-                             MHD_Connection* aConnection,
-                             const char* aPath,
-                             const char* aMethod,
-                             const char* aVersion,
-                             const char* aUpload,
-                             std::size_t* aUploadSize,
-                             void** aRequest);
-  static void OnCompleted(void* aSelf,
-                          MHD_Connection* aConnection,
-                          void** aRequest,
-                          MHD_RequestTerminationCode aCode);
-  static void OnConnection(void* aSelf,
-                           MHD_Connection* aConnection,
-                           void** aContext,
-                           MHD_ConnectionNotificationCode aCode);
-
-  // Steps of a request.
-  MHD_Result OnRequestHead(detail::ServerConnection& aConnection,
-                           const char* aMethod,
-                           const char* aPath,
-                           bool aIsHttp10);
-  MHD_Result OnBodyData(detail::ServerConnection& aConnection,
-                        const char* aUpload,
-                        std::size_t* aUploadSize);
-  MHD_Result OnRequestComplete(detail::ServerConnection& aConnection);
-
-  // The loop.
-  void RunDaemon();
-  void ScheduleRunWithin(Duration aDelay);
+  int Accept();
+  bool MayAccept() const;
+  void AddConnection(int aDescriptor, std::string aPeer);
+  void StopAccepting();
+  void WatchListener(bool aIsWatched);
   void CloseStaleConnections();
-  static void LogUnsentResponse(const detail::ServerConnection& aConnection,
-                                MHD_RequestTerminationCode aCode);
+  void ScheduleCloseStale();
+
+  struct Entry
+  {
+    std::unique_ptr<detail::ServerConnection> mConnection;
+    std::uint32_t mEvents = 0; ///< That epoll reports.
+  };
 
   Reactor& mReactor;
   const Settings mSettings;
   HttpRequestHandler* mHandler;
-  std::unique_ptr<detail::CallerDisconnectMonitor> mDisconnectMonitor;
-  MHD_Daemon* mDaemon = nullptr;
+  detail::TlsContext mTls;
   int mEpoll = -1;
+  int mListener = -1; ///< Negative after StartDrain().
   std::uint16_t mPort = 0;
+  bool mIsListenerWatched = false;
   bool mIsDraining = false;
   bool mShouldCloseAfterResponses = false; ///< See CloseAfterResponses().
-  std::size_t mOpenExchangeCount = 0;
-  std::ptrdiff_t mBufferedBytes = 0; ///< Of all exchanges; never negative.
-  std::unordered_set<detail::ServerConnection*> mConnections;
-
-  // Timers. mRunAt is when mRunTimer next runs libmicrohttpd without an event.
-  Reactor::TimerId mRunTimer = 0;
-  TimePoint mRunAt;
+  std::ptrdiff_t mOpenExchangeCount = 0;   ///< Never negative.
+  std::ptrdiff_t mUnsentBytes = 0;         ///< Never negative.
+  std::uint64_t mLastId = kListenerId;
+  std::unordered_map<std::uint64_t, Entry> mConnections;
+  std::unordered_map<std::string, std::uint32_t> mCountByPeer;
+  /// Connections that have ended, until no call on them is active.
+  std::vector<std::unique_ptr<detail::ServerConnection>> mClosed;
   Reactor::TimerId mCloseStaleTimer = 0;
-  Reactor::TimerId mDrainTimer = 0;
-  bool mIsDaemonRunning = false; ///< MHD_run() is active; it isn't reentrant.
+  /// Set to false by the destructor; posted tasks hold it.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
-namespace {
-
-detail::ServerConnection&
-ConnectionOf(MHD_Connection* aConnection)
-{
-  const MHD_ConnectionInfo* info =
-    MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-  return *static_cast<detail::ServerConnection*>(info->socket_context);
-}
-
-const char*
-ToName(MHD_RequestTerminationCode aCode)
-{
-  static constexpr std::array<const char*, 6> kNames = {
-    "completed",       "connection_error", "timeout",
-    "server_shutdown", "read_error",       "caller_gone"
-  };
-  return kNames[static_cast<std::size_t>(aCode)];
-}
-
-} // namespace
-
 HttpServer::Impl::~Impl()
 {
-  mReactor.CancelTimer(mRunTimer);
+  *mAlive = false;
   mReactor.CancelTimer(mCloseStaleTimer);
-  mReactor.CancelTimer(mDrainTimer);
-  if (mDaemon == nullptr) {
-    return;
+  for (auto& [id, entry] : mConnections) {
+    entry.mConnection->DetachExchange();
   }
-  mReactor.Unwatch(mEpoll);
-  for (detail::ServerConnection* connection : mConnections) {
-    if (connection->mExchange) {
-      connection->mExchange->Detach();
-    }
+  mConnections.clear();
+  mClosed.clear();
+  if (mListener >= 0) {
+    ::close(mListener);
+  }
+  if (mEpoll >= 0) {
+    mReactor.Unwatch(mEpoll);
+    ::close(mEpoll);
   }
-  MHD_stop_daemon(mDaemon);
 }
 
 bool
 HttpServer::Impl::Start(std::string* aReason)
 {
-  mDisconnectMonitor = detail::CallerDisconnectMonitor::Create(mReactor);
-  if (mDisconnectMonitor == nullptr) {
-    *aReason = "cannot create an epoll descriptor for caller connections";
+  mTls = detail::MakeTlsContext(mSettings, aReason);
+  if (!aReason->empty()) {
     return false;
   }
-  const detail::HttpDaemonCallbacks callbacks = {
-    this, &OnAccess, &OnRequestLine, &OnCompleted, &OnConnection
-  };
-  mDaemon = detail::StartHttpDaemon(mSettings, callbacks, aReason);
-  if (mDaemon == nullptr) {
+  mListener = detail::OpenListener(mSettings, aReason);
+  if (mListener < 0) {
     return false;
   }
-  mPort = MHD_get_daemon_info(mDaemon, MHD_DAEMON_INFO_BIND_PORT)->port;
-  mEpoll = MHD_get_daemon_info(mDaemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
-  if (!mReactor.Watch(mEpoll, this)) {
-    *aReason = "the reactor cannot watch the server's descriptor";
+  mPort = detail::PortOf(mListener);
+  mEpoll = ::epoll_create1(EPOLL_CLOEXEC);
+  if (mEpoll < 0 || !mReactor.Watch(mEpoll, this)) {
+    *aReason = "no descriptor is available for the server's events";
     return false;
   }
-  mCloseStaleTimer =
-    mReactor.Schedule(kCloseStaleInterval, [this] { CloseStaleConnections(); });
-  ScheduleRun();
+  WatchListener(true);
+  ScheduleCloseStale();
   return true;
 }
 
 void
-HttpServer::Impl::StartDrain()
+HttpServer::Impl::WatchListener(bool aIsWatched)
 {
-  if (mIsDraining) {
+  if (mListener < 0 || aIsWatched == mIsListenerWatched) {
     return;
   }
-  mIsDraining = true;
-  if (mIsDaemonRunning) {
-    mDrainTimer =
-      mReactor.Schedule(Duration::zero(), [this] { StopAccepting(); });
-  } else {
-    StopAccepting();
-  }
-}
-
-/// Returns whether callers have connected that are not accepted yet.
-bool
-HttpServer::Impl::HasUnacceptedCallers() const
-{
-  const MHD_DaemonInfo* info =
-    MHD_get_daemon_info(mDaemon, MHD_DAEMON_INFO_LISTEN_FD);
-  if (info == nullptr || info->listen_fd == MHD_INVALID_SOCKET) {
-    return false;
-  }
-  pollfd listener = { info->listen_fd, POLLIN, 0 };
-  return ::poll(&listener, 1, 0) > 0;
-}
-
-void
-HttpServer::Impl::StopAccepting()
-{
-  // Closing the listener resets the callers that have connected already and are
-  // not accepted yet. libmicrohttpd accepts only some of them in each run.
-  for (int n = 0; n < kMaxAcceptRuns && HasUnacceptedCallers(); ++n) {
-    RunDaemon();
-  }
-  const MHD_socket listener = MHD_quiesce_daemon(mDaemon);
-  if (listener != MHD_INVALID_SOCKET) {
-    ::close(listener);
-  }
-  CloseStaleConnections();
+  mIsListenerWatched = aIsWatched;
+  epoll_event event = {};
+  event.events = EPOLLIN;
+  event.data.u64 = kListenerId;
+  ::epoll_ctl(
+    mEpoll, aIsWatched ? EPOLL_CTL_ADD : EPOLL_CTL_DEL, mListener, &event);
 }
 
 void
 HttpServer::Impl::OnReadable(int /*aDescriptor*/)
 {
-  RunDaemon();
+  mClosed.clear();
+  std::array<epoll_event, kMaxEventsPerWait> events = {};
+  const int count = ::epoll_wait(mEpoll, events.data(), kMaxEventsPerWait, 0);
+  for (int n = 0; n < count; ++n) {
+    const epoll_event& event = events[static_cast<std::size_t>(n)];
+    if (event.data.u64 == kListenerId) {
+      Accept();
+      continue;
+    }
+    const auto it = mConnections.find(event.data.u64);
+    if (it != mConnections.end()) {
+      it->second.mConnection->OnEvents(event.events, mReactor.Now());
+    }
+  }
+  mClosed.clear();
 }
 
-void*
-HttpServer::Impl::OnRequestLine(void* aSelf,
-                                const char* aTarget,
-                                MHD_Connection* aConnection)
+bool
+HttpServer::Impl::MayAccept() const
 {
-  auto& self = *static_cast<Impl*>(aSelf);
-  detail::ServerConnection& connection = ConnectionOf(aConnection);
-  connection.EnterPhase(detail::ConnectionPhase::Reading, self.mReactor.Now());
-  connection.mTarget = aTarget;
-  return nullptr;
+  return mConnections.size() < mSettings.mMaxConnections;
 }
 
-MHD_Result
-HttpServer::Impl::OnAccess(void* aSelf,
-                           MHD_Connection* aConnection,
-                           const char* aPath,
-                           const char* aMethod,
-                           const char* aVersion,
-                           const char* aUpload,
-                           std::size_t* aUploadSize,
-                           void** /*aRequest*/)
+/// Accepts some connections. Returns how many. At the limit of connections, the
+/// others wait until one ends.
+int
+HttpServer::Impl::Accept()
 {
-  auto& self = *static_cast<Impl*>(aSelf);
-  detail::ServerConnection& connection = ConnectionOf(aConnection);
-  if (!connection.mExchange) {
-    const bool isHttp10 = std::strcmp(aVersion, MHD_HTTP_VERSION_1_0) == 0;
-    const MHD_Result read =
-      self.OnRequestHead(connection, aMethod, aPath, isHttp10);
-    if (isHttp10) {
-      connection.mExchange->SetStreamsEndWithClose();
+  int count = 0;
+  while (count < kMaxAcceptsPerEvent && mListener >= 0) {
+    if (!MayAccept()) {
+      WatchListener(false);
+      break;
+    }
+    std::string peer;
+    const int descriptor = detail::AcceptConnection(mListener, peer);
+    if (descriptor < 0) {
+      break;
+    }
+    ++count;
+    if (mCountByPeer[peer] >= mSettings.mMaxConnectionsPerAddress) {
+      ::close(descriptor);
+    } else {
+      AddConnection(descriptor, std::move(peer));
     }
-    return read;
-  }
-  if (*aUploadSize > 0) {
-    return self.OnBodyData(connection, aUpload, aUploadSize);
-  }
-  if (connection.Phase() == detail::ConnectionPhase::Reading) {
-    return self.OnRequestComplete(connection);
   }
-  return connection.mExchange->QueueOrSuspend();
+  return count;
 }
 
 void
-HttpServer::Impl::OnCompleted(void* aSelf,
-                              MHD_Connection* aConnection,
-                              void** /*aRequest*/,
-                              MHD_RequestTerminationCode aCode)
+HttpServer::Impl::AddConnection(int aDescriptor, std::string aPeer)
 {
-  auto& self = *static_cast<Impl*>(aSelf);
-  detail::ServerConnection& connection = ConnectionOf(aConnection);
-  self.mDisconnectMonitor->Remove(connection.Descriptor());
-  if (connection.Phase() == detail::ConnectionPhase::Responding) {
-    --self.mOpenExchangeCount;
-    LogUnsentResponse(connection, aCode);
-  }
-  connection.EnterPhase(detail::ConnectionPhase::Idle, self.mReactor.Now());
-  connection.mIsBodyTooLarge = false;
-  connection.mBodyBytes = 0;
-  if (const auto exchange = std::move(connection.mExchange)) {
-    exchange->OnCompleted();
-  }
+  ++mCountByPeer[aPeer];
+  const std::uint64_t id = ++mLastId;
+  Entry& entry = mConnections[id];
+  entry.mConnection =
+    std::make_unique<detail::ServerConnection>(*this,
+                                               mSettings,
+                                               id,
+                                               aDescriptor,
+                                               mTls.get(),
+                                               std::move(aPeer),
+                                               mReactor.Now());
+  entry.mEvents = entry.mConnection->WantedEvents();
+  epoll_event event = {};
+  event.events = entry.mEvents;
+  event.data.u64 = id;
+  ::epoll_ctl(mEpoll, EPOLL_CTL_ADD, aDescriptor, &event);
 }
 
 void
-HttpServer::Impl::OnConnection(void* aSelf,
-                               MHD_Connection* aConnection,
-                               void** aContext,
-                               MHD_ConnectionNotificationCode aCode)
+HttpServer::Impl::UpdateEvents(const detail::ServerConnection& aConnection)
 {
-  auto& self = *static_cast<Impl*>(aSelf);
-  if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
-    auto connection = std::make_unique<detail::ServerConnection>(
-      aConnection, self.mReactor.Now());
-    detail::EnableKeepAlive(connection->Descriptor());
-    detail::LimitSendBuffer(connection->Descriptor());
-    self.mConnections.insert(connection.get());
-    *aContext = connection.release();
+  const auto it = mConnections.find(aConnection.Id());
+  const std::uint32_t events = aConnection.WantedEvents();
+  if (it == mConnections.end() || it->second.mEvents == events) {
     return;
   }
-  const std::unique_ptr<detail::ServerConnection> connection(
-    static_cast<detail::ServerConnection*>(*aContext));
-  *aContext = nullptr;
-  self.mConnections.erase(connection.get());
+  it->second.mEvents = events;
+  epoll_event event = {};
+  event.events = events;
+  event.data.u64 = aConnection.Id();
+  ::epoll_ctl(mEpoll, EPOLL_CTL_MOD, aConnection.Descriptor(), &event);
 }
 
-/// Logs the end of a connection on which a completely received request has no
-/// complete response, unless the caller or the handler ended it.
 void
-HttpServer::Impl::LogUnsentResponse(const detail::ServerConnection& aConnection,
-                                    MHD_RequestTerminationCode aCode)
+HttpServer::Impl::ContinueLater(const detail::ServerConnection& aConnection)
 {
-  const auto& exchange = aConnection.mExchange;
-  const bool isCut = aCode != MHD_REQUEST_TERMINATED_COMPLETED_OK &&
-                     exchange != nullptr && exchange->AwaitsDelivery();
-  if (isCut) {
-    Log::Warning("response_cut")
-      .Field("target", aConnection.mTarget)
-      .Field("cause", ToName(aCode));
-  }
-}
-
-/// Called when the head of a request has been received. Rejects the request or
-/// accepts its body.
-MHD_Result
-HttpServer::Impl::OnRequestHead(detail::ServerConnection& aConnection,
-                                const char* aMethod,
-                                const char* aPath,
-                                bool aIsHttp10)
-{
-  aConnection.mExchange = std::make_shared<detail::ServerExchange>(
-    *this, aConnection.Handle(), aConnection.Descriptor(), mSettings);
-  detail::ServerExchange& exchange = *aConnection.mExchange;
-  HttpRequest& request = exchange.MutableRequest();
-  request =
-    detail::ReadHead(aConnection.Handle(), aMethod, aPath, aConnection.mTarget);
-  auto error =
-    detail::CheckHead(aConnection.Handle(), request, aIsHttp10, mSettings);
-  const std::uint64_t length = detail::ContentLength(request);
-  if (!error && length > kMaxDiscardedBodyFactor * mSettings.mMaxBodyBytes) {
-    error = detail::MakeBodyTooLargeError(mSettings);
-  }
-  if (error) {
-    // What follows on the connection may be the body of this request.
-    exchange.RespondWithErrorAndClose(
-      error->mStatus, error->mType, error->mMessage);
-    return exchange.QueueOrSuspend();
-  }
-  aConnection.mIsBodyTooLarge = length > mSettings.mMaxBodyBytes;
-  return MHD_YES;
+  mReactor.Post([this, alive = mAlive, id = aConnection.Id()] {
+    if (!*alive) {
+      return;
+    }
+    const auto it = mConnections.find(id);
+    if (it != mConnections.end()) {
+      it->second.mConnection->Continue(mReactor.Now());
+    }
+  });
 }
 
-/// Called when a part of the body has been received. A body that is too large
-/// is still read to its end, so that the caller reads the error response.
-MHD_Result
-HttpServer::Impl::OnBodyData(detail::ServerConnection& aConnection,
-                             const char* aUpload,
-                             std::size_t* aUploadSize)
+void
+HttpServer::Impl::OnClosed(const detail::ServerConnection& aConnection)
 {
-  const std::size_t size = std::exchange(*aUploadSize, 0);
-  aConnection.mBodyBytes += size;
-  if (aConnection.mBodyBytes >
-      kMaxDiscardedBodyFactor * mSettings.mMaxBodyBytes) {
-    return MHD_NO;
-  }
-  std::string& body = aConnection.mExchange->MutableRequest().mBody;
-  if (aConnection.mBodyBytes > mSettings.mMaxBodyBytes) {
-    aConnection.mIsBodyTooLarge = true;
-    std::string().swap(body);
-  }
-  if (!aConnection.mIsBodyTooLarge) {
-    body.append(aUpload, size);
-  }
-  return MHD_YES;
+  ::epoll_ctl(mEpoll, EPOLL_CTL_DEL, aConnection.Descriptor(), nullptr);
+  const auto it = mConnections.find(aConnection.Id());
+  PH_ASSERT(it != mConnections.end());
+  const auto count = mCountByPeer.find(aConnection.Peer());
+  if (--count->second == 0) {
+    mCountByPeer.erase(count);
+  }
+  if (mClosed.empty()) {
+    mReactor.Post([this, alive = mAlive] {
+      if (*alive) {
+        mClosed.clear();
+      }
+    });
+  }
+  mClosed.push_back(std::move(it->second.mConnection));
+  mConnections.erase(it);
+  WatchListener(true);
 }
 
-/// Called when the request is complete. Rejects it or passes it to the handler.
-MHD_Result
-HttpServer::Impl::OnRequestComplete(detail::ServerConnection& aConnection)
+void
+HttpServer::Impl::StartDrain()
 {
-  if (aConnection.IsShutDown()) {
-    return MHD_NO; // Its bytes had arrived, but it can't be answered.
-  }
-  const auto exchange = aConnection.mExchange;
-  aConnection.EnterPhase(detail::ConnectionPhase::Responding, mReactor.Now());
-  ++mOpenExchangeCount;
-  if (aConnection.mIsBodyTooLarge) {
-    const auto error = detail::MakeBodyTooLargeError(mSettings);
-    exchange->RespondWithError(error.mStatus, error.mType, error.mMessage);
-    return exchange->QueueOrSuspend();
+  if (mIsDraining) {
+    return;
   }
-  mDisconnectMonitor->Add(aConnection.Descriptor(), exchange);
-  mHandler->OnRequest(exchange->MakeHandlerReference());
-  return exchange->QueueOrSuspend();
+  mIsDraining = true;
+  StopAccepting();
 }
 
+/// Accepts the callers that have connected already, whom closing the listener
+/// would reset, and closes it. Idle connections are closed in a later iteration
+/// of the event loop, since this may run within a call of one.
 void
-HttpServer::Impl::RunDaemon()
+HttpServer::Impl::StopAccepting()
 {
-  PH_ASSERT(!mIsDaemonRunning);
-  mIsDaemonRunning = true;
-  MHD_run(mDaemon);
-  mIsDaemonRunning = false;
-  MHD_UNSIGNED_LONG_LONG millis = 0;
-  if (MHD_get_timeout(mDaemon, &millis) == MHD_YES) {
-    ScheduleRunWithin(std::chrono::milliseconds(millis));
+  while (Accept() > 0) {
   }
+  WatchListener(false);
+  ::close(std::exchange(mListener, -1));
+  mReactor.CancelTimer(mCloseStaleTimer);
+  mCloseStaleTimer =
+    mReactor.Schedule(Duration::zero(), [this] { CloseStaleConnections(); });
 }
 
-/// Schedules a run of libmicrohttpd within aDelay.
+/// Closes connections whose callers exceed a time limit and, while draining,
+/// idle ones.
 void
-HttpServer::Impl::ScheduleRunWithin(Duration aDelay)
+HttpServer::Impl::CloseStaleConnections()
 {
-  const TimePoint runAt = mReactor.Now() + aDelay;
-  if (mRunTimer != 0 && mRunAt <= runAt) {
-    return;
+  std::vector<detail::ServerConnection*> connections;
+  connections.reserve(mConnections.size());
+  for (const auto& [id, entry] : mConnections) {
+    connections.push_back(entry.mConnection.get());
   }
-  mReactor.CancelTimer(mRunTimer);
-  mRunAt = runAt;
-  mRunTimer = mReactor.Schedule(aDelay, [this] {
-    mRunTimer = 0;
-    RunDaemon();
-  });
+  // A connection that ends meanwhile stays in mClosed.
+  for (detail::ServerConnection* it : connections) {
+    it->CloseIfStale(mReactor.Now());
+  }
+  ScheduleCloseStale();
 }
 
-/// Closes connections whose callers exceed the time to send a request and,
-/// while draining, idle connections.
 void
-HttpServer::Impl::CloseStaleConnections()
+HttpServer::Impl::ScheduleCloseStale()
 {
-  const TimePoint now = mReactor.Now();
-  for (detail::ServerConnection* connection : mConnections) {
-    const bool isIdle = connection->Phase() == detail::ConnectionPhase::Idle &&
-                        !connection->IsReceivingRequest();
-    const bool isSlow = connection->HasRequestTimedOut(mSettings, now);
-    if (isSlow) {
-      Log::Info("connection_closed").Field("cause", "request_timeout");
-    }
-    if (isSlow || (mIsDraining && isIdle)) {
-      connection->ShutDown();
-    }
-  }
-  mReactor.CancelTimer(mCloseStaleTimer);
   mCloseStaleTimer =
     mReactor.Schedule(kCloseStaleInterval, [this] { CloseStaleConnections(); });
 }
 
+std::size_t
+HttpServer::Impl::BusyConnectionCount() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mConnections.begin(), mConnections.end(), [](const auto& aIt) {
+      return aIt.second.mConnection->Phase() != detail::ConnectionPhase::Idle;
+    }));
+}
+
 HttpServer::HttpServer(std::unique_ptr<Impl> aImpl)
   : mImpl(std::move(aImpl))
 {
@@ -524,24 +400,19 @@
 std::size_t
 HttpServer::BufferedBytes() const
 {
-  return static_cast<std::size_t>(mImpl->mBufferedBytes);
+  return static_cast<std::size_t>(mImpl->mUnsentBytes);
 }
 
 std::size_t
-HttpServer::IncomingRequestCount() const
+HttpServer::OpenExchangeCount() const
 {
-  return static_cast<std::size_t>(
-    std::count_if(mImpl->mConnections.begin(),
-                  mImpl->mConnections.end(),
-                  [](const detail::ServerConnection* aIt) {
-                    return aIt->IsReceivingRequest();
-                  }));
+  return static_cast<std::size_t>(mImpl->mOpenExchangeCount);
 }
 
 std::size_t
-HttpServer::OpenExchangeCount() const
+HttpServer::BusyConnectionCount() const
 {
-  return mImpl->mOpenExchangeCount;
+  return mImpl->BusyConnectionCount();
 }
 
 } // namespace peridothoist
--- a/Peridothoist/Shell/HttpServer.h
+++ b/Peridothoist/Shell/HttpServer.h
@@ -1,5 +1,5 @@
-/// An HTTP server on libmicrohttpd. The reactor drives it through the library's
-/// epoll descriptor. The entry serves callers with it and control serves
+/// An HTTP server for HTTP/1.1 and 1.0, with or without TLS. The reactor drives
+/// it through an epoll descriptor. The entry serves callers with it and control serves
 /// operators; the stand-ins of other services for tests use it as well.
 #pragma once
 
@@ -141,8 +141,9 @@
   /// Returns the number of exchanges whose response is not complete.
   std::size_t OpenExchangeCount() const;
 
-  /// Returns the number of requests of which only a part has been received.
-  std::size_t IncomingRequestCount() const;
+  /// Returns the number of connections on which a request is coming in or open,
+  /// or whose caller may not yet have read its last response.
+  std::size_t BusyConnectionCount() const;
 
 private:
   struct Impl;
--- a/Peridothoist/Shell/ServerConnection.cpp
+++ b/Peridothoist/Shell/ServerConnection.cpp
@@ -1,85 +1,474 @@
-/// The HTTP server's state of one caller's connection.
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Shell/ServerConnection.h>
 
-// The kernel's header is needed because the C library's tcp_info has no
-// tcpi_bytes_received.
-#include <linux/tcp.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
+#include <Peridothoist/Shell/Log.h>
+#include <Peridothoist/Shell/ResponseHead.h>
+
+#include <nlohmann/json.hpp>
+#include <sys/epoll.h>
+
+#include <array>
 
 namespace peridothoist::detail {
 
-ServerConnection::ServerConnection(MHD_Connection* aHandle, TimePoint aNow)
-  : mHandle(aHandle)
-  , mDescriptor(
-      MHD_get_connection_info(aHandle, MHD_CONNECTION_INFO_CONNECTION_FD)
-        ->connect_fd)
+namespace {
+
+constexpr std::size_t kReadBytes = 32 * 1024; ///< Of each read.
+
+/// Bytes that are sent are dropped from the buffer in parts of this size.
+constexpr std::size_t kDropBytes = 64 * 1024;
+
+/// A connection whose response is sent stays this long for its caller to close
+/// it. Closing it at once, with bytes unread, would reset it, and the caller
+/// might lose the response.
+constexpr Duration kClosingPeriod = 2s;
+
+/// A body that is too large is read to this multiple of the limit, so that its
+/// caller reads the error response.
+constexpr std::size_t kMaxDroppedBodyFactor = 4;
+
+const char*
+ToName(ConnectionEnd aEnd)
+{
+  static constexpr std::array<const char*, 4> kNames = {
+    "completed", "connection_error", "timeout", "caller_gone"
+  };
+  return kNames[static_cast<std::size_t>(aEnd)];
+}
+
+std::string
+MakeErrorBody(const HttpRequestError& aError)
+{
+  const nlohmann::json body = {
+    { "error", { { "type", aError.mType }, { "message", aError.mMessage } } }
+  };
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(ServerConnectionDelegate& aDelegate,
+                                   const HttpServerSettings& aSettings,
+                                   std::uint64_t aId,
+                                   int aDescriptor,
+                                   SSL_CTX* aTls,
+                                   std::string aPeer,
+                                   TimePoint aNow)
+  : mDelegate(aDelegate)
+  , mSettings(aSettings)
+  , mId(aId)
+  , mSocket(aDescriptor, aTls)
+  , mPeer(std::move(aPeer))
+  , mNow(aNow)
   , mPhaseStartedAt(aNow)
+  , mLastProgressAt(aNow)
+  , mParser(aSettings)
+{
+}
+
+ServerConnection::~ServerConnection()
 {
+  mOutput.clear();
+  mOutputStart = 0;
+  SetOutputCount();
+}
+
+std::uint32_t
+ServerConnection::WantedEvents() const
+{
+  const bool reads = mPhase != ConnectionPhase::Responding && !mHasCallerEnded;
+  const bool writes = UnsentBytes() > 0 || mSocket.ReadNeedsWrite();
+  std::uint32_t events = 0;
+  events |= reads ? static_cast<std::uint32_t>(EPOLLIN) : 0U;
+  events |= writes ? static_cast<std::uint32_t>(EPOLLOUT) : 0U;
+  events |= mHasCallerEnded ? 0U : static_cast<std::uint32_t>(EPOLLRDHUP);
+  return events;
+}
+
+void
+ServerConnection::OnEvents(std::uint32_t aEvents, TimePoint aNow)
+{
+  mNow = aNow;
+  constexpr std::uint32_t kFailed = EPOLLHUP | EPOLLERR;
+  constexpr std::uint32_t kEnded = EPOLLRDHUP | kFailed;
+  const bool isResponding = mPhase == ConnectionPhase::Responding;
+  if (isResponding && (aEvents & kEnded) != 0) {
+    mHasCallerEnded = true;
+    // A caller that only ends its side may still read a response that ends.
+    if ((aEvents & kFailed) != 0 || !mIsResponseEnded) {
+      Close(ConnectionEnd::CallerGone);
+      return;
+    }
+  }
+  if ((aEvents & EPOLLOUT) != 0) {
+    Flush();
+    AfterFlush();
+  }
+  const bool reads = mPhase == ConnectionPhase::Idle ||
+                     mPhase == ConnectionPhase::Reading ||
+                     mPhase == ConnectionPhase::Closing;
+  if (reads && (aEvents & ~static_cast<std::uint32_t>(EPOLLOUT)) != 0) {
+    ReadInput();
+  } else if (reads && mSocket.ReadNeedsWrite()) {
+    ReadInput();
+  }
+  if (mPhase != ConnectionPhase::Closed) {
+    mDelegate.UpdateEvents(*this);
+  }
 }
 
 void
-ServerConnection::EnterPhase(ConnectionPhase aPhase, TimePoint aNow)
+ServerConnection::Continue(TimePoint aNow)
 {
+  mNow = aNow;
+  if (mPhase == ConnectionPhase::Idle || mPhase == ConnectionPhase::Reading) {
+    HandleInput();
+  }
+  if (mPhase == ConnectionPhase::Idle || mPhase == ConnectionPhase::Reading) {
+    ReadInput();
+  }
+  if (mPhase == ConnectionPhase::Idle && mDelegate.IsDraining()) {
+    Close(ConnectionEnd::Completed); // No request has arrived by now.
+  }
+  if (mPhase != ConnectionPhase::Closed) {
+    mDelegate.UpdateEvents(*this);
+  }
+}
+
+void
+ServerConnection::EnterPhase(ConnectionPhase aPhase)
+{
+  const bool wasResponding = mPhase == ConnectionPhase::Responding;
+  const bool isResponding = aPhase == ConnectionPhase::Responding;
   mPhase = aPhase;
-  mPhaseStartedAt = aNow;
-  mPartialRequestSeenAt.reset();
-  if (aPhase == ConnectionPhase::Idle) {
-    mBytesBeforeRequest = BytesReceived();
+  mPhaseStartedAt = mNow;
+  if (wasResponding != isResponding) {
+    mDelegate.OnResponding(isResponding);
   }
 }
 
-bool
-ServerConnection::IsReceivingRequest() const
+/// Reads what has arrived, until a request is complete.
+void
+ServerConnection::ReadInput()
 {
-  return mPhase == ConnectionPhase::Reading ||
-         (mPhase == ConnectionPhase::Idle && HasPartialRequest());
+  std::array<char, kReadBytes> buffer; // NOLINT: filled before it is read.
+  while (mPhase == ConnectionPhase::Idle ||
+         mPhase == ConnectionPhase::Reading ||
+         mPhase == ConnectionPhase::Closing) {
+    const Transfer read = mSocket.Read(buffer.data(), buffer.size());
+    if (read.mEnd == TransferEnd::WouldBlock) {
+      return;
+    }
+    if (read.mEnd == TransferEnd::Closed) {
+      Close(ConnectionEnd::CallerGone);
+      return;
+    }
+    mLastProgressAt = mNow;
+    if (mPhase == ConnectionPhase::Closing) {
+      mDroppedBytes += read.mBytes;
+      if (mDroppedBytes > kMaxDroppedBodyFactor * mSettings.mMaxBodyBytes) {
+        Close(ConnectionEnd::Completed);
+      }
+      continue;
+    }
+    mInput.append(buffer.data(), read.mBytes);
+    HandleInput();
+    if (read.mBytes < buffer.size() && !mSocket.HasPendingInput()) {
+      return; // Anything more leads to another event.
+    }
+  }
 }
 
-/// Returns whether bytes of the next request have been received. Used while
-/// idle, when libmicrohttpd has not reported the request yet.
-bool
-ServerConnection::HasPartialRequest() const
+/// Handles the requests in mInput, one after the other.
+void
+ServerConnection::HandleInput()
+{
+  if (mIsHandlingInput) {
+    return;
+  }
+  mIsHandlingInput = true;
+  while (!mInput.empty() && (mPhase == ConnectionPhase::Idle ||
+                             mPhase == ConnectionPhase::Reading)) {
+    const bool hadHead = mParser.HasHead();
+    const std::size_t n = mParser.Parse(mInput);
+    mInput.erase(0, n);
+    if (mPhase == ConnectionPhase::Idle &&
+        (mParser.HasBegun() || mParser.Error())) {
+      EnterPhase(ConnectionPhase::Reading);
+    }
+    if (mParser.Error()) {
+      Reject(*mParser.Error());
+    } else if (mParser.IsComplete()) {
+      StartResponse();
+    } else {
+      if (!hadHead && mInput.empty() && mParser.ExpectsContinue()) {
+        Send(kContinueResponse);
+      }
+      break;
+    }
+  }
+  if (mInput.empty()) {
+    std::string().swap(mInput);
+  }
+  mIsHandlingInput = false;
+}
+
+/// Passes the complete request to the handler.
+void
+ServerConnection::StartResponse()
 {
-  return BytesReceived() > mBytesBeforeRequest;
+  mClosesAfterResponse = !mParser.KeepsConnection();
+  mIsResponseEnded = false;
+  const ServerExchange::Protocol protocol = { mParser.IsHttp10(),
+                                              mParser.IsHead() };
+  HttpRequest request = mParser.TakeRequest();
+  request.mPeerAddress = mPeer;
+  mExchange = std::make_shared<ServerExchange>(
+    static_cast<ServerExchangeDelegate&>(*this),
+    std::move(request),
+    protocol,
+    mSettings);
+  EnterPhase(ConnectionPhase::Responding);
+  mDelegate.OnRequest(mExchange->MakeHandlerReference());
+}
+
+/// Sends an error response that says that the request has not been executed,
+/// and ends the connection after it.
+void
+ServerConnection::Reject(const HttpRequestError& aError)
+{
+  EnterPhase(ConnectionPhase::Responding);
+  mClosesAfterResponse = true;
+  const HttpHeaders headers = { { "content-type", "application/json" },
+                                { "peridothoist-run", "not-run" } };
+  const std::string body = MakeErrorBody(aError);
+  ResponseHead head{ aError.mStatus, headers };
+  head.mFraming = BodyFraming::Length;
+  head.mLength = body.size();
+  head.mClosesConnection = true;
+  Send(FormatResponseHead(head) + body);
+  OnResponseEnded();
+}
+
+void
+ServerConnection::Send(std::string_view aData)
+{
+  if (mPhase == ConnectionPhase::Closed) {
+    return;
+  }
+  const bool isFirst = UnsentBytes() == 0;
+  mOutput.append(aData);
+  if (isFirst) {
+    Flush(); // Otherwise the socket takes no more at present.
+  } else {
+    SetOutputCount();
+  }
 }
 
 bool
-ServerConnection::HasRequestTimedOut(const HttpServerSettings& aSettings,
-                                     TimePoint aNow)
+ServerConnection::ShouldClose() const
+{
+  return mClosesAfterResponse || mDelegate.ShouldCloseConnections();
+}
+
+void
+ServerConnection::OnResponseEnded()
 {
+  mClosesAfterResponse = ShouldClose();
+  mIsResponseEnded = true;
+  FinishResponse();
+}
+
+void
+ServerConnection::OnResponseAborted(bool aIsEndHidden)
+{
+  mIsAborted = true;
+  mIsEndHidden = aIsEndHidden;
+  FinishResponse();
+}
+
+/// Sends what the socket takes. A failure is noticed by its event.
+void
+ServerConnection::Flush()
+{
+  while (UnsentBytes() > 0) {
+    const Transfer sent =
+      mSocket.Write(std::string_view(mOutput).substr(mOutputStart));
+    if (sent.mEnd != TransferEnd::Done) {
+      break;
+    }
+    mLastProgressAt = mNow;
+    mOutputStart += sent.mBytes;
+    DropSentBytes();
+  }
+  SetOutputCount();
+  if (UnsentBytes() > 0) {
+    mDelegate.UpdateEvents(*this);
+  }
+}
+
+void
+ServerConnection::DropSentBytes()
+{
+  if (mOutputStart == mOutput.size()) {
+    std::string().swap(mOutput);
+    mOutputStart = 0;
+  } else if (mOutputStart > kDropBytes) {
+    mOutput.erase(0, mOutputStart);
+    mOutputStart = 0;
+  }
+}
+
+void
+ServerConnection::SetOutputCount()
+{
+  const std::size_t unsent = UnsentBytes();
+  const auto delta = static_cast<std::ptrdiff_t>(unsent) -
+                     static_cast<std::ptrdiff_t>(mCountedBytes);
+  mCountedBytes = unsent;
+  if (delta != 0) {
+    mDelegate.OnUnsentBytesChanged(delta);
+  }
+}
+
+/// Called after unsent bytes were sent in an event of their own.
+void
+ServerConnection::AfterFlush()
+{
+  if (mPhase != ConnectionPhase::Responding) {
+    return;
+  }
+  const auto exchange = mExchange; // The listener may end the response.
+  if (exchange != nullptr && !mIsResponseEnded && !mIsAborted) {
+    exchange->OnSent();
+  }
+  FinishResponse();
+}
+
+/// Ends the response if it has been sent to its end.
+void
+ServerConnection::FinishResponse()
+{
+  const bool isOver = mIsResponseEnded || mIsAborted;
+  if (mPhase != ConnectionPhase::Responding || !isOver || UnsentBytes() > 0) {
+    return;
+  }
+  if (mIsAborted) {
+    if (mIsEndHidden) {
+      mSocket.ResetOnClose();
+    }
+    Close(ConnectionEnd::Completed);
+    return;
+  }
+  if (mExchange != nullptr) {
+    std::exchange(mExchange, nullptr)->Detach();
+  }
+  mIsResponseEnded = false;
+  if (mHasCallerEnded) {
+    Close(ConnectionEnd::CallerGone);
+  } else if (mClosesAfterResponse) {
+    StartClosing();
+  } else {
+    EnterPhase(ConnectionPhase::Idle);
+    mLastProgressAt = mNow;
+    mDelegate.UpdateEvents(*this);
+    // HandleInput() goes on itself if it is running.
+    const bool hasMore = !mInput.empty() || mSocket.HasPendingInput();
+    if (!mIsHandlingInput && (hasMore || mDelegate.IsDraining())) {
+      mDelegate.ContinueLater(*this);
+    }
+  }
+}
+
+/// Tells the caller that the connection ends, and waits until it closes it.
+void
+ServerConnection::StartClosing()
+{
+  std::string().swap(mInput);
+  EnterPhase(ConnectionPhase::Closing);
+  mSocket.StopSending();
+  mDelegate.UpdateEvents(*this);
+}
+
+void
+ServerConnection::Close(ConnectionEnd aEnd)
+{
+  if (mPhase == ConnectionPhase::Closed) {
+    return;
+  }
+  LogCutResponse(aEnd);
+  EnterPhase(ConnectionPhase::Closed);
+  const auto exchange = std::exchange(mExchange, nullptr);
+  mDelegate.OnClosed(*this);
+  if (exchange != nullptr) {
+    exchange->Detach();
+  }
+}
+
+/// Logs the end of a connection on which a completely received request has no
+/// complete response, unless the caller or the handler ended it.
+void
+ServerConnection::LogCutResponse(ConnectionEnd aEnd) const
+{
+  const bool isCut = mExchange != nullptr && mExchange->AwaitsDelivery() &&
+                     aEnd != ConnectionEnd::CallerGone;
+  if (isCut) {
+    Log::Warning("response_cut")
+      .Field("target", mExchange->Request().mTarget)
+      .Field("cause", ToName(aEnd));
+  }
+}
+
+/// Returns why the connection is to be closed by now; nullopt if it isn't.
+std::optional<ConnectionEnd>
+ServerConnection::FindStaleness(TimePoint aNow) const
+{
+  const Duration inPhase = aNow - mPhaseStartedAt;
+  const bool isStuck = aNow - mLastProgressAt > mSettings.mIdleTimeout;
+  bool isStale = false;
   switch (mPhase) {
-    case ConnectionPhase::Responding:
-      return false;
-    case ConnectionPhase::Reading:
-      return aNow - mPhaseStartedAt > aSettings.mRequestTimeout;
     case ConnectionPhase::Idle:
+      isStale = isStuck;
+      break;
+    case ConnectionPhase::Reading:
+      isStale = inPhase > mSettings.mRequestTimeout;
+      break;
+    case ConnectionPhase::Responding:
+      isStale = isStuck && UnsentBytes() > 0;
+      break;
+    case ConnectionPhase::Closing:
+      isStale = inPhase > kClosingPeriod;
+      break;
+    case ConnectionPhase::Closed:
       break;
   }
-  if (!mPartialRequestSeenAt && HasPartialRequest()) {
-    mPartialRequestSeenAt = aNow;
-  }
-  return mPartialRequestSeenAt &&
-         aNow - *mPartialRequestSeenAt > aSettings.mRequestTimeout;
+  return isStale ? std::optional<ConnectionEnd>(ConnectionEnd::Timeout)
+                 : std::nullopt;
 }
 
 void
-ServerConnection::ShutDown()
+ServerConnection::CloseIfStale(TimePoint aNow)
 {
-  mIsShutDown = true;
-  ::shutdown(mDescriptor, SHUT_RDWR);
+  mNow = aNow;
+  if (mPhase == ConnectionPhase::Idle && mDelegate.IsDraining()) {
+    Continue(aNow);
+  }
+  const auto end = FindStaleness(aNow);
+  if (!end) {
+    return;
+  }
+  if (mPhase == ConnectionPhase::Reading) {
+    Log::Info("connection_closed").Field("cause", "request_timeout");
+  }
+  Close(*end);
 }
 
-std::uint64_t
-ServerConnection::BytesReceived() const
+void
+ServerConnection::DetachExchange()
 {
-  tcp_info info = {};
-  socklen_t size = sizeof(info);
-  if (::getsockopt(mDescriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
-    return 0;
+  if (mExchange != nullptr) {
+    std::exchange(mExchange, nullptr)->DetachSilently();
   }
-  return info.tcpi_bytes_received;
 }
 
 } // namespace peridothoist::detail
--- a/UnitTests/Shell/HttpFuzzTest.cpp
+++ b/UnitTests/Shell/HttpFuzzTest.cpp
@@ -4,6 +4,7 @@
 #define BOOST_TEST_MODULE HttpFuzz
 #include <Peridothoist/Peridothoist.h>
 #include <Shell/ShellFixture.h>
+#include <Shell/StrictRequestReader.h>
 
 #include <rapidcheck/boost_test.h>
 
@@ -159,6 +160,72 @@
   BOOST_REQUIRE(Until([&] { return mServer->OpenExchangeCount() == 0; }));
 }
 
+// Guards against requests that the server takes for others than a strict reader
+// does, also when their parts arrive apart (UNASKED): each accepted request
+// must be the one that is found at its place.
+BOOST_AUTO_TEST_CASE(AcceptedRequestsMeanTheSameToAStrictReader)
+{
+  static const std::vector<std::string> kLines = {
+    "Content-Length: 5\r\n",
+    "Content-Length: 0\r\n",
+    "Content-Length:\r\n 5\r\n",
+    "Content-Length: 0\r\n 5\r\n",
+    "Content-Length: 5, 5\r\n",
+    "Content-Length : 5\r\n",
+    "Transfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: chun\r\n ked\r\n",
+    "Transfer-Encoding\t: chunked\r\n",
+    ": x\r\n",
+    ":\n",
+    "\n",
+    "\r\n",
+    "X: a\r\n",
+    "X: a\n",
+    "X: a\rY: b\r\n",
+    std::string("X: a\0b\r\n", 8),
+    "Host: y\r\n",
+  };
+  static const std::vector<std::string> kBodies = {
+    "",
+    "hello",
+    "5\r\nhello\r\n0\r\n\r\n",
+    "5\nhello\n0\n\n",
+    "0\r\nX: 1\r\n\r\n",
+    "5;x=y\r\nhello\r\n0\r\n\r\n",
+  };
+  const bool isPassed = rc::check("accepted requests", [this] {
+    std::string bytes;
+    const int count = *rc::gen::inRange(1, 4);
+    for (int n = 0; n < count; ++n) {
+      bytes += "POST /" + std::to_string(n) + " HTTP/1.1\r\nHost: x\r\n";
+      for (const std::string& line :
+           *rc::gen::container<std::vector<std::string>>(
+             *rc::gen::inRange(0, 4), rc::gen::elementOf(kLines))) {
+        bytes += line;
+      }
+      bytes += "\r\n" + *rc::gen::elementOf(kBodies);
+    }
+    std::vector<StrictRequest> accepted;
+    mHandler.mRespond = [&](HttpExchange& aExchange) {
+      const HttpRequest& request = aExchange.Request();
+      accepted.push_back(
+        { request.mMethod, request.mTarget, request.mBody, 0 });
+      aExchange.Respond(200, {}, "good");
+    };
+    const auto cuts = *rc::gen::container<std::vector<std::size_t>>(
+      *rc::gen::inRange(0, 4), rc::gen::inRange<std::size_t>(0, bytes.size()));
+    SendInParts(bytes, cuts, true);
+    const auto strict = StrictRequestReader(bytes).ReadAll();
+    RC_ASSERT(accepted.size() <= strict.size());
+    for (std::size_t n = 0; n < accepted.size(); ++n) {
+      RC_ASSERT(accepted[n].mMethod == strict[n].mMethod);
+      RC_ASSERT(accepted[n].mTarget == strict[n].mTarget);
+      RC_ASSERT(accepted[n].mBody == strict[n].mBody);
+    }
+  });
+  BOOST_TEST(isPassed);
+}
+
 BOOST_AUTO_TEST_CASE(RandomBytes)
 {
   const bool isPassed = rc::check("random bytes", [this] {
--- a/UnitTests/Shell/HttpServerTest.cpp
+++ b/UnitTests/Shell/HttpServerTest.cpp
@@ -36,6 +36,12 @@
     return caller.mReceived;
   }
 
+  void RunUntilStopped(Duration aTime)
+  {
+    mReactor->Schedule(aTime, [this] { mReactor->Stop(); });
+    mReactor->Run();
+  }
+
   void CheckServesNextRequest()
   {
     const auto recorder = CallAndWait(Call("GET", "/next"));
@@ -161,18 +167,48 @@
     post + "Bad(Name): 1\r\n" + length,
     post + "X: a\x01z\r\n" + length,
     "POST /\x80 HTTP/1.1\r\nHost: x\r\n" + length,
+    // Folded lines.
+    post + "Content-Length: 0\r\n " + size + "\r\n",
+    post + "Content-Length:\r\n " + size + "\r\n",
+    post + "Content-Length: " + size + "\r\n\t0\r\n",
+    post + "Transfer-Encoding: chun\r\n ked\r\n" + length,
+    post + "X: a\r\n b\r\n" + length,
+    // Lines without a name, and lines that don't end in CR and LF.
+    post + ": x\r\n" + length,
+    post + ":\r\n" + length,
+    post + length + ": x\r\n",
+    post + length + ":\n",
+    post + "no colon\r\n" + length,
+    post + "X: y\n" + length,
+    post + "X: y\r" + length,
+    post + "X: y\n\r\n" + length,
+    post + length + "\n",
+    "POST / HTTP/1.1\nHost: x\r\n" + length,
+    // NULs.
+    post + "Content-Length: 0" + std::string(1, '\0') + size + "\r\n",
+    post + "X: a" + std::string(1, '\0') + "z\r\n" + length,
+    post + "X" + std::string(1, '\0') + ": z\r\n" + length,
+    "POST /" + std::string(1, '\0') + " HTTP/1.1\r\nHost: x\r\n" + length,
+    // Others that programs read differently.
+    post + "Host: y\r\n" + length,
+    "POST /a b HTTP/1.1\r\nHost: x\r\n" + length,
+    "POST / HTTP/1.1 \r\nHost: x\r\n" + length,
+    "POST  / HTTP/1.1\r\nHost: x\r\n" + length,
+    "PO(T / HTTP/1.1\r\nHost: x\r\n" + length,
+    "POST / HTTP/2.0\r\nHost: x\r\n" + length,
   };
   for (const std::string& head : heads) {
     RawCaller caller(mServer->Port());
     caller.Send(head + "\r\n" + hidden);
     BOOST_REQUIRE_MESSAGE(Until([&] { return caller.Receive(); }), head);
-    // The library rejects some by itself, and repeats the head of its response.
     const std::string status = caller.mReceived.substr(0, 13);
     const bool isTooLarge = head.find("18446744073709551616") < head.size() ||
                             head.find("99999999999999999999") < head.size();
+    const bool isOtherVersion = head.find("HTTP/2.0") < head.size();
     const bool isRejected =
       status.empty() || status.find(" 400 ") < status.size() ||
-      (isTooLarge && status.find(" 413 ") < status.size());
+      (isTooLarge && status.find(" 413 ") < status.size()) ||
+      (isOtherVersion && status.find(" 505 ") < status.size());
     BOOST_TEST(isRejected, head << caller.mReceived);
     BOOST_TEST(CountOccurrences(caller.mReceived, " 200 ") == 0, head);
   }
@@ -181,6 +217,12 @@
                             "-1\r\n",
                             "fffffffffffffffff\r\n",
                             "1 \r\nab\r\n0\r\n\r\n",
+                            "3\nabc\n0\n\n",
+                            "3\r\nabc\n0\r\n\r\n",
+                            "3\r\nabcd\r\n0\r\n\r\n",
+                            "0x0\r\n\r\n",
+                            "0\r\n: y\r\n",
+                            "0\r\nX : y\r\n\r\n",
                             "\r\n0\r\n\r\n" }) {
     RawCaller caller(mServer->Port());
     caller.Send(post + chunked + "\r\n" + body + hidden);
@@ -203,6 +245,56 @@
   BOOST_TEST(headers.at("cookie") == "a=1; b=2");
 }
 
+// Guards against a limit on the number of headers that no setting states.
+BOOST_AUTO_TEST_CASE(ManyHeadersWithinTheLimitAreServed)
+{
+  Serve();
+  std::string head = "GET / HTTP/1.1\r\nHost: x\r\n";
+  for (int n = 0; n < 1000; ++n) {
+    head += "h" + std::to_string(n) + ": 1\r\n";
+  }
+  BOOST_TEST(SendRaw(head + "\r\n", "served /").find(" 200 ") !=
+             std::string::npos);
+  BOOST_TEST(mHandler.mLastExchange->Request().mHeaders.count("h999") == 1U);
+}
+
+// Guards against a caller that waits for the request of the body.
+BOOST_AUTO_TEST_CASE(ACallerThatExpectsItIsAskedForTheBody)
+{
+  Serve();
+  RawCaller caller(mServer->Port());
+  caller.Send("POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+              "Content-Length: 2\r\n\r\n");
+  BOOST_REQUIRE(Until([&] {
+    caller.Receive();
+    return caller.mReceived == "HTTP/1.1 100 Continue\r\n\r\n";
+  }));
+  caller.Send("hi");
+  BOOST_REQUIRE(Until([&] {
+    caller.Receive();
+    return caller.mReceived.find("served /") != std::string::npos;
+  }));
+  BOOST_TEST(mHandler.mLastExchange->Request().mBody == "hi");
+}
+
+// Guards against a response that a reset destroys, because the body of its
+// request is still coming in when the connection is closed.
+BOOST_AUTO_TEST_CASE(ARejectionReachesACallerThatIsStillSending)
+{
+  HttpServerSettings settings;
+  settings.mMaxBodyBytes = 1000000;
+  Serve(settings);
+  RawCaller caller(mServer->Port());
+  caller.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n");
+  for (int n = 0; n < 20; ++n) {
+    caller.Send(std::string(50000, 'x'));
+    RunUntilStopped(5ms);
+  }
+  BOOST_REQUIRE(Until([&] { return caller.Receive(); }));
+  BOOST_TEST(caller.mReceived.find(" 413 ") != std::string::npos);
+  BOOST_TEST(!caller.mIsReset);
+}
+
 BOOST_AUTO_TEST_CASE(PipelinedRequestsInOrder)
 {
   mHandler.mRespond = nullptr;
