End a response's head at an empty line only

Cause: lines were trimmed before they were compared with the end of the head, and libcurl reports no failure when a connection closes there.

Evidence: HttpClientTest/ALineOfBlanksDoesNotEndAHead fails without the change. EveryCutOfAHeadIsBroken cuts six heads at each byte; it passed before, too.

--- a/Peridothoist/Shell/ClientCall.cpp
+++ b/Peridothoist/Shell/ClientCall.cpp
@@ -301,10 +301,11 @@
     return n;
   }
   const std::string_view line = Trim(aLine);
+  const bool isHeadEnd = aLine == "\r\n" || aLine == "\n";
   if (const int status = ParseStatusLine(line); status != 0) {
     mStatus = status;
     mHeaders.clear();
-  } else if (!line.empty()) {
+  } else if (!isHeadEnd) {
     const auto colon = std::min(line.find(':'), line.size());
     const auto value =
       colon < line.size() ? Trim(line.substr(colon + 1)) : std::string_view();
--- a/UnitTests/Shell/HttpClientTest.cpp
+++ b/UnitTests/Shell/HttpClientTest.cpp
@@ -104,6 +104,35 @@
   }
 }
 
+// Guards against a response that an upstream stopped to send within its head
+// and that is taken for one with an empty body (MIXED).
+BOOST_AUTO_TEST_CASE(EveryCutOfAHeadIsBroken)
+{
+  for (const std::string head :
+       { "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: 4\r\n\r\n",
+         "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n\r\n",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: b\r\n\r\n",
+         "HTTP/1.0 200 OK\r\nResponse-Seal: s\r\n\r\n",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+         "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" }) {
+    for (std::size_t n = 0; n < head.size(); ++n) {
+      const std::string cut = head.substr(0, n);
+      const RawServer server(*mReactor, cut);
+      const auto recorder = CallAndWait(CallTo(server));
+      BOOST_TEST((recorder->mResult.mFailure == CallFailure::Broken), cut);
+      BOOST_TEST(recorder->mBody.empty(), cut);
+    }
+  }
+}
+
+// The same by a line of blanks, which does not end a head.
+BOOST_AUTO_TEST_CASE(ALineOfBlanksDoesNotEndAHead)
+{
+  const RawServer server(*mReactor, "HTTP/1.1 200 OK\r\nA: b\r\n \r\n");
+  const auto recorder = CallAndWait(CallTo(server));
+  BOOST_TEST((recorder->mResult.mFailure == CallFailure::Broken));
+}
+
 BOOST_AUTO_TEST_CASE(CompleteResponsesInEveryFraming)
 {
   for (const char* response :
