Pass on only what continues a stream that has begun

Cause: once a stream had begun, any event with a larger id counted as the next one, and any successful end as its end.

Fix: a call that goes on with a stream sends nothing before its status and content type are those that the caller got, and its first event follows the last one by no more than the steps between ids were before. Otherwise it counts as failed (no_continuation). A silent call is no longer given up for an answer that does not continue it.

Not covered: an attempt by which the caller itself resumes a stream is checked from its second event on; the step between ids is not known before.

--- a/Peridothoist/Relay/RelayCallEnds.cpp
+++ b/Peridothoist/Relay/RelayCallEnds.cpp
@@ -35,6 +35,10 @@
     return;
   }
   State& state = *Find(aId);
+  if (!MayContinue(state, *call, aEvent)) {
+    OnNoContinuation(state, aAttempt);
+    return;
+  }
   KeepCallWithEvent(state, aAttempt);
   call = &*state.mCall;
   call->mLastActivity = aNow;
@@ -50,12 +54,18 @@
   if (aEvent.mEventId && *aEvent.mEventId <= state.mLastEventId) {
     return; // The caller already has it.
   }
+  if (!aEvent.mEventId && state.mHeadSent && !call->mHasSentEvent) {
+    call->mHasUnnumberedEvent = true;
+    return; // It doesn't tell where the stream goes on.
+  }
   if (!state.mHeadSent) {
     PinOrigin(state, *call);
-    state.mHeadSent = true;
-    Command(RelayCommandKind::SendHead, state).mResponse = call->mHead;
+    SendHead(state, *call);
   }
+  call->mHasSentEvent = true;
   if (aEvent.mEventId) {
+    state.mMaxIdStep =
+      std::max(state.mMaxIdStep, *aEvent.mEventId - state.mLastEventId);
     state.mLastEventId = *aEvent.mEventId;
   }
   const EngineLimits* engines = EnginesOf(state);
@@ -482,15 +492,14 @@
     OnWholeCallEnd(aState, aCall, aEnd);
     return;
   }
-  if (!success) {
+  if (!success || !MayEndStream(aState, aCall)) {
     OnCallFailed(aState, aCall, aEnd.mOutcome.mEnd == CallEnd::Broken);
     return;
   }
   mLoads.OnSuccess(aCall.mUpstream);
   ExcuseContentsOf(aState);
   if (!aState.mHeadSent) {
-    aState.mHeadSent = true;
-    Command(RelayCommandKind::SendHead, aState).mResponse = aCall.mHead;
+    SendHead(aState, aCall);
   }
   Command(RelayCommandKind::EndStream, aState);
   Finish(aState);
--- a/Peridothoist/Relay/RelayCommand.cpp
+++ b/Peridothoist/Relay/RelayCommand.cpp
@@ -46,7 +46,8 @@
 ToName(CancelReason aReason)
 {
   static constexpr std::array<const char*, kCancelReasons> kNames = {
-    "caller_gone", "deadline_passed", "silent", "not_needed", "vm_leaves"
+    "caller_gone", "deadline_passed", "silent",
+    "not_needed",  "vm_leaves",       "no_continuation"
   };
   return kNames[static_cast<std::size_t>(aReason)];
 }
--- a/Peridothoist/Relay/RelayCommand.h
+++ b/Peridothoist/Relay/RelayCommand.h
@@ -76,10 +76,11 @@
   DeadlinePassed, ///< The request's deadline passed.
   Silent,         ///< The upstream sent nothing for too long.
   NotNeeded,      ///< Another call of the request succeeded.
-  VmLeaves        ///< This VM's process ends.
+  VmLeaves,       ///< This VM's process ends.
+  NoContinuation  ///< The response does not continue the caller's stream.
 };
 
-constexpr std::size_t kCancelReasons = 5; ///< Count of CancelReason.
+constexpr std::size_t kCancelReasons = 6; ///< Count of CancelReason.
 
 const char*
 ToName(CancelReason aReason);
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -14,6 +14,10 @@
 ///     may be open beside it: a retry, for a stream after a reservation. The
 ///     first is given up only when the retry has responded, for a stream with
 ///     an event.
+///   - A call that goes on with a stream that has begun sends the caller
+///   nothing
+///     before its response is known to continue it: by its head, and by an
+///     event that follows the last one.
 ///   - A request that must not run twice is sent again only after its upstream
 ///     stated that it has not run it, or if none of its bytes were sent.
 ///   - A request with a content that is quarantined is not sent to an upstream.
@@ -359,6 +363,9 @@
     bool mMayHaveBeenSent = false;
     bool mIsRetry = false;  ///< Counted by the retry budget.
     bool mHasEvent = false; ///< Stream: an event was received.
+    /// Stream: an event of it was sent to the caller.
+    bool mHasSentEvent = false;
+    bool mHasUnnumberedEvent = false; ///< Stream: before any of these.
     TimePoint mStartedAt;
     TimePoint mFirstEventAt;   ///< With mHasEvent.
     TimePoint mPartsExcusedAt; ///< See ExcusePartsOf().
@@ -392,7 +399,10 @@
     /// An upstream ran it and responded with an error of its own.
     bool mHadServerError = false;
     bool mHeadSent = false;
+    RelayResponse mSentHead; ///< With mHeadSent; without a body.
     std::uint64_t mLastEventId = 0;
+    /// Largest difference between the ids of events that followed each other.
+    std::uint64_t mMaxIdStep = 0;
     /// Resumable streams: where the stream began, once that is known.
     std::optional<StreamOrigin> mOrigin;
     bool mAwaitsOrigin = false; ///< Listed in mAwaitingOrigin.
@@ -543,6 +553,14 @@
   void HoldMemory(State& aState, const std::string& aUpstream);
   void ReleaseMemory(State& aState);
 
+  // Continued streams
+  static bool FitsSentHead(const State& aState, const Call& aCall);
+  static bool MayContinue(const State& aState,
+                          const Call& aCall,
+                          const RelayEvent& aEvent);
+  static bool MayEndStream(const State& aState, const Call& aCall);
+  void OnNoContinuation(State& aState, std::uint32_t aAttempt);
+
   // Silent upstreams
   Duration InactivityTimeout(const State& aState, const Call& aCall) const;
   void ArmInactivityTimer(State& aState);
@@ -570,6 +588,7 @@
   void CancelSecondCall(State& aState, CancelReason aReason);
 
   // Responses
+  void SendHead(State& aState, const Call& aCall);
   void Respond(State& aState, RelayResponse aResponse);
   void Refuse(State& aState, RefusalKind aKind);
   Duration ChooseRetryAfter(const State& aState, RefusalKind aKind);
--- a/Peridothoist/Relay/RelayTakeover.cpp
+++ b/Peridothoist/Relay/RelayTakeover.cpp
@@ -147,7 +147,7 @@
       StartSecondStream(aState, aCall.mUpstream);
       return;
     }
-  } else if (aEnd.IsResult()) {
+  } else if (aEnd.IsResult() && MayEndStream(aState, aCall)) {
     GiveUpSilentCall(aState);
     const CallEndHandler handler = aCall.mKind == RelayCallKind::Stream
                                      ? &RelayStateMachine::OnStreamCallEnd
