Don't let a list with kept entries confirm one that lists them

Cause: the digest did not count whether an entry is listed or kept.

Fix: it does. Lists without kept entries have the digests of earlier builds.

Evidence: RelayViewTest/AKeptEntryDoesNotConfirmAListedOne fails without the change.

--- a/Peridothoist/Relay/UpstreamList.cpp
+++ b/Peridothoist/Relay/UpstreamList.cpp
@@ -45,9 +45,13 @@
             std::to_string(upstream.mSlots) + ' ' +
             std::to_string(entry.mIsListedAsLeaving ? 1 : 0) + ' ' +
             std::to_string(upstream.mIncarnationId) + '\n';
+    // Equal lists without what follows have equal digests in builds that do not
+    // count it.
     if (upstream.mColdRemaining > Duration(0)) {
-      text += "cold\n"; // Equal lists without cold ones have equal digests in
-                        // builds that do not know of it.
+      text += "cold\n";
+    }
+    if (entry.mIsMissing) {
+      text += "missing\n";
     }
   }
   return XXH3_64bits(text.data(), text.size());
--- a/Peridothoist/Relay/UpstreamList.h
+++ b/Peridothoist/Relay/UpstreamList.h
@@ -254,7 +254,9 @@
   /// Entries with mIsMissing are kept for lack of knowledge: they may have
   /// expired while the list was away for all. Such an entry was in this VM's
   /// list, or in the first one that it got; a VM that knows that an entry is
-  /// gone never takes it back from one that keeps it.
+  /// gone never takes it back from one that keeps it. Lists that differ in what
+  /// is only kept have different digests, so a list in which an entry is kept
+  /// never confirms one in which it is listed.
   std::map<std::string, Entry> mEntries;
   std::set<std::string> mEvacuatedZones;
   std::optional<ListedVersions> mRecordedVersions;
--- a/UnitTests/Relay/RelayViewTest.cpp
+++ b/UnitTests/Relay/RelayViewTest.cpp
@@ -399,6 +399,41 @@
   BOOST_TEST(first.AcceptsRequests("left"));
 }
 
+// Guards against a guess that comes back as knowledge (DRAIN): a VM keeps an
+// upstream that may have expired, another one has an older list in which it is
+// listed, and a third one has dropped it.
+BOOST_AUTO_TEST_CASE(AKeptEntryDoesNotConfirmAListedOne)
+{
+  ConfirmedView view({});
+  view.OnRead(MakeConfiguration(1), kNow);
+  UpstreamList keeping({ 2s });
+  keeping.OnListRead({ MakeUpstream("a"), MakeUpstream("left") }, kNow);
+  keeping.OnUnreachable(kNow + 1s, kNow + 2s);
+  keeping.OnListRead({ MakeUpstream("a") }, kNow + 3s);
+  BOOST_REQUIRE(keeping.IsMissing("left"));
+  UpstreamList older({ 2s });
+  older.OnListRead({ MakeUpstream("a"), MakeUpstream("left") }, kNow);
+  UpstreamList dropped({ 2s });
+  dropped.OnListRead({ MakeUpstream("a") }, kNow + 1s);
+
+  ViewExchange asker(&view, &older);
+  const ViewExchange answerer(&view, &keeping);
+  const auto response =
+    answerer.MakeResponse({ ViewExchange::TimestampOf(kNow + 3s) }, kNow + 3s);
+  BOOST_REQUIRE(response);
+  const auto result = asker.OnPeerResponse(*response, kNow + 3s);
+  BOOST_TEST(result.mShouldReadUpstreams);
+  BOOST_TEST((older.ListedAt() == kNow));
+  std::vector<UpstreamList::Entry> entries;
+  for (const auto& [id, entry] : older.All()) {
+    entries.push_back(entry);
+  }
+  if (older.ListedAt() > dropped.ListedAt()) {
+    dropped.OnPeerList(entries, *older.ListedAt());
+  }
+  BOOST_TEST(!dropped.AcceptsRequests("left"));
+}
+
 BOOST_AUTO_TEST_CASE(ARestartUnderTheSameIdCountsAsALoss)
 {
   UpstreamList upstreams({ 2s });
