--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -541,6 +541,18 @@
   BOOST_TEST(!reason.mText.empty());
 }
 
+// Guards against a request that runs under an id that no caller sent (UNASKED):
+// values of a header that is stated twice are joined.
+BOOST_AUTO_TEST_CASE(ARequestWithTwoIdsIsRejected)
+{
+  for (const char* id : { "id-1, id-2", "id-1,id-2", "id 1", "id\t1" }) {
+    HttpRequest request = ExampleRequest();
+    request.mHeaders["request-id"] = id;
+    BOOST_TEST(
+      !PlatformCallerProtocol().ParseRequest(request, nullptr).has_value(), id);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RefusalCarriesRetryAfterAndRequestId)
 {
   const Refusal refusal = Refusal::Make(
