--- a/Peridothoist/Shell/HttpServer.h
+++ b/Peridothoist/Shell/HttpServer.h
@@ -1,6 +1,6 @@
 /// An HTTP server for HTTP/1.1 and 1.0, with or without TLS. The reactor drives
-/// it through an epoll descriptor. The entry serves callers with it and control serves
-/// operators; the stand-ins of other services for tests use it as well.
+/// it through an epoll descriptor. The entry serves callers with it and control
+/// serves operators; the stand-ins of other services for tests use it as well.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
