Follow the linter in the HTTP server

A concatenation, a repeated branch and a shift of a value that can't be negative there; no change of behaviour.

--- a/Peridothoist/Shell/RequestParser.cpp
+++ b/Peridothoist/Shell/RequestParser.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 
 namespace peridothoist::detail {
 
@@ -115,16 +116,17 @@
   });
 }
 
-/// Returns the value of a hexadecimal digit, or -1.
-int
-HexValue(char aChar)
+/// Returns the byte that two hexadecimal digits state; nullopt if they aren't.
+std::optional<char>
+ParseHexByte(std::string_view aDigits)
 {
-  if (aChar >= '0' && aChar <= '9') {
-    return aChar - '0';
-  }
-  const int lower = std::tolower(static_cast<unsigned char>(aChar));
-  constexpr int kTen = 10;
-  return lower >= 'a' && lower <= 'f' ? lower - 'a' + kTen : -1;
+  constexpr int kHexadecimal = 16;
+  unsigned value = 0;
+  const char* end = aDigits.data() + aDigits.size();
+  const auto [last, ec] =
+    std::from_chars(aDigits.data(), end, value, kHexadecimal);
+  const bool isByte = aDigits.size() == 2 && ec == std::errc() && last == end;
+  return isByte ? std::optional<char>(static_cast<char>(value)) : std::nullopt;
 }
 
 /// Decodes percent-encoded bytes. Malformed ones stay as they are.
@@ -133,17 +135,10 @@
 {
   std::string decoded;
   for (std::size_t n = 0; n < aText.size(); ++n) {
-    const bool isEncoded = aText[n] == '%' && n + 2 < aText.size() &&
-                           HexValue(aText[n + 1]) >= 0 &&
-                           HexValue(aText[n + 2]) >= 0;
-    if (isEncoded) {
-      constexpr int kDigitBits = 4;
-      decoded += static_cast<char>(HexValue(aText[n + 1]) << kDigitBits |
-                                   HexValue(aText[n + 2]));
-      n += 2;
-    } else {
-      decoded += aText[n];
-    }
+    const auto byte =
+      aText[n] == '%' ? ParseHexByte(aText.substr(n + 1, 2)) : std::nullopt;
+    decoded += byte.value_or(aText[n]);
+    n += byte ? 2 : 0;
   }
   return decoded;
 }
--- a/Peridothoist/Shell/ResponseHead.cpp
+++ b/Peridothoist/Shell/ResponseHead.cpp
@@ -86,7 +86,7 @@
   }
   for (const auto& [name, value] : aHead.mHeaders) {
     if (!IsOwnHeader(name) && IsOneLine(name) && IsOneLine(value)) {
-      text += name + ": " + value + "\r\n";
+      fmt::format_to(std::back_inserter(text), "{}: {}\r\n", name, value);
     }
   }
   if (aHead.mFraming == BodyFraming::Length) {
--- a/Peridothoist/Shell/ServerConnection.cpp
+++ b/Peridothoist/Shell/ServerConnection.cpp
@@ -107,9 +107,10 @@
   const bool reads = mPhase == ConnectionPhase::Idle ||
                      mPhase == ConnectionPhase::Reading ||
                      mPhase == ConnectionPhase::Closing;
-  if (reads && (aEvents & ~static_cast<std::uint32_t>(EPOLLOUT)) != 0) {
-    ReadInput();
-  } else if (reads && mSocket.ReadNeedsWrite()) {
+  const bool hasInput =
+    (aEvents & ~static_cast<std::uint32_t>(EPOLLOUT)) != 0 ||
+    mSocket.ReadNeedsWrite();
+  if (reads && hasInput) {
     ReadInput();
   }
   if (mPhase != ConnectionPhase::Closed) {
