--- a/Peridothoist/Shell/ServerConnection.h
+++ b/Peridothoist/Shell/ServerConnection.h
@@ -124,7 +124,6 @@
   void HandleInput();
   void StartResponse();
   void Reject(const HttpRequestError& aError);
-  void DropInput();
   void Flush();
   void AfterFlush();
   void FinishResponse();
