Answer requests that come on connections which nothing said would end

What callers saw (LOST): on a connection whose stream had begun before SIGTERM, the next request was read as a whole and got no answer; the connection ended.

Cause: a connection was closed after its response whenever the server was stopping by then, although the head of the response, sent before the stop, didn't say so. What the caller sent meanwhile was read in the closing phase and dropped. While draining, a connection that had just become idle was closed at once, on callers that may have been sending. The class: an end that isn't announced.

Change: a connection ends only after a response whose head says so, or when it has been idle for 300 ms while the server drains; the next request is answered (a leaving VM refuses it as not run). Such a connection counts as open work, so the process doesn't end under it. Dropped bytes are logged (input_dropped), and a leaving VM logs each request that it finishes.

--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -485,7 +485,8 @@
   const bool succeeded = aSummary.mStatus >= 200 && aSummary.mStatus < 300 &&
                          std::string_view(aSummary.mOutcome) == "answered";
   const std::vector<std::string>& parts = aSummary.mSharedPromptParts;
-  (succeeded ? Log::Routine("request_done") : Log::Info("request_done"))
+  const bool isRoutine = succeeded && !mIsLeaving;
+  (isRoutine ? Log::Routine("request_done") : Log::Info("request_done"))
     .Field("id", aSummary.mCallerRequestId)
     .Field("request", aSummary.mId)
     .Field("route", aSummary.mRoute)
--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -20,6 +20,7 @@
 
 /// Interval of the checks for slow and idle connections.
 constexpr Duration kCloseStaleInterval = 500ms;
+constexpr Duration kCloseStaleIntervalOfDrain = 100ms;
 
 constexpr int kMaxEventsPerWait = 128;
 
@@ -342,16 +343,19 @@
 void
 HttpServer::Impl::ScheduleCloseStale()
 {
+  const Duration interval =
+    mIsDraining ? kCloseStaleIntervalOfDrain : kCloseStaleInterval;
   mCloseStaleTimer =
-    mReactor.Schedule(kCloseStaleInterval, [this] { CloseStaleConnections(); });
+    mReactor.Schedule(interval, [this] { CloseStaleConnections(); });
 }
 
 std::size_t
 HttpServer::Impl::BusyConnectionCount() const
 {
+  const TimePoint now = mReactor.Now();
   return static_cast<std::size_t>(std::count_if(
-    mConnections.begin(), mConnections.end(), [](const auto& aIt) {
-      return aIt.second.mConnection->Phase() != detail::ConnectionPhase::Idle;
+    mConnections.begin(), mConnections.end(), [now](const auto& aIt) {
+      return aIt.second.mConnection->IsBusy(now);
     }));
 }
 
--- a/Peridothoist/Shell/HttpServer.h
+++ b/Peridothoist/Shell/HttpServer.h
@@ -142,7 +142,8 @@
   std::size_t OpenExchangeCount() const;
 
   /// Returns the number of connections on which a request is coming in or open,
-  /// or whose caller may not yet have read its last response.
+  /// or whose caller may not yet have read its last response or may be sending
+  /// the next request.
   std::size_t BusyConnectionCount() const;
 
 private:
--- a/Peridothoist/Shell/ServerConnection.cpp
+++ b/Peridothoist/Shell/ServerConnection.cpp
@@ -23,6 +23,10 @@
 /// might lose the response.
 constexpr Duration kClosingPeriod = 2s;
 
+/// While the server drains, a connection that has become idle stays open this
+/// long for a request that is on its way.
+constexpr Duration kIdleLinger = 300ms;
+
 /// A body that is too large is read to this multiple of the limit, so that its
 /// caller reads the error response.
 constexpr std::size_t kMaxDroppedBodyFactor = 4;
@@ -128,7 +132,7 @@
   if (mPhase == ConnectionPhase::Idle || mPhase == ConnectionPhase::Reading) {
     ReadInput();
   }
-  if (mPhase == ConnectionPhase::Idle && mDelegate.IsDraining()) {
+  if (mDelegate.IsDraining() && !IsBusy(aNow)) {
     Close(ConnectionEnd::Completed); // No request has arrived by now.
   }
   if (mPhase != ConnectionPhase::Closed) {
@@ -136,6 +140,13 @@
   }
 }
 
+bool
+ServerConnection::IsBusy(TimePoint aNow) const
+{
+  return mPhase != ConnectionPhase::Idle ||
+         aNow - mPhaseStartedAt < kIdleLinger;
+}
+
 void
 ServerConnection::EnterPhase(ConnectionPhase aPhase)
 {
@@ -248,7 +259,7 @@
   head.mLength = body.size();
   head.mClosesConnection = true;
   Send(FormatResponseHead(head) + body);
-  OnResponseEnded();
+  OnResponseEnded(true);
 }
 
 void
@@ -273,9 +284,9 @@
 }
 
 void
-ServerConnection::OnResponseEnded()
+ServerConnection::OnResponseEnded(bool aIsCloseStated)
 {
-  mClosesAfterResponse = ShouldClose();
+  mClosesAfterResponse = aIsCloseStated;
   mIsResponseEnded = true;
   FinishResponse();
 }
@@ -398,6 +409,9 @@
     return;
   }
   LogCutResponse(aEnd);
+  if (mDroppedBytes > 0) {
+    Log::Info("input_dropped").Field("bytes", mDroppedBytes);
+  }
   EnterPhase(ConnectionPhase::Closed);
   const auto exchange = std::exchange(mExchange, nullptr);
   mDelegate.OnClosed(*this);
--- a/Peridothoist/Shell/ServerConnection.h
+++ b/Peridothoist/Shell/ServerConnection.h
@@ -4,6 +4,10 @@
 /// A connection is in one of four phases. It reads only while it is idle,
 /// reading or closing, so a caller that sends further requests before it has
 /// its response waits.
+///
+/// A connection ends only after a response that says so, or when it is idle. A
+/// response that began before its server stops doesn't say it, so its caller
+/// may send another request, which is answered.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
@@ -90,6 +94,11 @@
   const std::string& Peer() const { return mPeer; }
   ConnectionPhase Phase() const { return mPhase; }
 
+  /// Returns whether a request is coming in or open, its response is being
+  /// read, or the next one may be on its way from a caller that has connected
+  /// or read a response just now.
+  bool IsBusy(TimePoint aNow) const;
+
   /// Returns the epoll events that the connection waits for.
   std::uint32_t WantedEvents() const;
 
@@ -116,7 +125,7 @@
   bool HoldsTooMuch() const override { return mDelegate.HoldsTooMuch(); }
   bool ShouldClose() const override;
   void CloseAfterResponse() override { mClosesAfterResponse = true; }
-  void OnResponseEnded() override;
+  void OnResponseEnded(bool aIsCloseStated) override;
   void OnResponseAborted(bool aIsEndHidden) override;
 
   void EnterPhase(ConnectionPhase aPhase);
--- a/Peridothoist/Shell/ServerExchange.cpp
+++ b/Peridothoist/Shell/ServerExchange.cpp
@@ -90,7 +90,8 @@
   head.mFraming = framing;
   head.mLength = aLength.value_or(0);
   head.mIsHttp10 = mProtocol.mIsHttp10;
-  head.mClosesConnection = mDelegate->ShouldClose();
+  mIsCloseStated = mDelegate->ShouldClose();
+  head.mClosesConnection = mIsCloseStated;
   return FormatResponseHead(head);
 }
 
@@ -108,7 +109,7 @@
     response += aBody;
   }
   mDelegate->Send(response);
-  mDelegate->OnResponseEnded();
+  mDelegate->OnResponseEnded(mIsCloseStated);
 }
 
 void
@@ -151,7 +152,7 @@
   if (mSendsBody && mSendsChunks) {
     mDelegate->Send(kLastChunk);
   }
-  mDelegate->OnResponseEnded();
+  mDelegate->OnResponseEnded(mIsCloseStated);
 }
 
 void
--- a/Peridothoist/Shell/ServerExchange.h
+++ b/Peridothoist/Shell/ServerExchange.h
@@ -21,14 +21,15 @@
   /// Returns whether all connections together hold more bytes than they may.
   virtual bool HoldsTooMuch() const = 0;
 
-  /// Returns whether the connection ends after this response.
+  /// Returns whether the connection ends after a response that begins now.
   virtual bool ShouldClose() const = 0;
 
   /// Called before the head of the response: the connection ends after it.
   virtual void CloseAfterResponse() = 0;
 
   /// Called when the response has been passed to Send() to its end.
-  virtual void OnResponseEnded() = 0;
+  /// aIsCloseStated: its head says that the connection ends.
+  virtual void OnResponseEnded(bool aIsCloseStated) = 0;
 
   /// Called when the response is to end incomplete, after what was passed to
   /// Send(). aIsEndHidden: the end of the connection would look like its end.
@@ -108,6 +109,7 @@
   const HttpServerSettings& mSettings;
   HttpExchangeListener* mListener = nullptr;
   State mState = State::Pending;
+  bool mIsCloseStated = false;   ///< By the head of the response.
   bool mSendsChunks = false;     ///< Of a stream.
   bool mSendsBody = true;        ///< Of a stream.
   bool mIsAboveHighMark = false; ///< Write() has returned false.
--- a/UnitTests/Shell/HttpServerTest.cpp
+++ b/UnitTests/Shell/HttpServerTest.cpp
@@ -541,6 +541,66 @@
   }
 }
 
+// Guards against requests that come on a connection whose last response did not
+// say that it ends, since the stop began later: they were read and dropped
+// (LOST).
+BOOST_AUTO_TEST_CASE(ARequestAfterAStreamThatBeganBeforeTheStopIsAnswered)
+{
+  for (const bool drains : { false, true }) {
+    mHandler.mRespond = nullptr;
+    Serve();
+    RawCaller caller(mServer->Port());
+    caller.Send(kRequest);
+    BOOST_REQUIRE(Until([&] { return mHandler.mRequests == 1; }));
+    const auto stream = mHandler.mLastExchange;
+    stream->StartStream(200, {});
+    stream->Write("begun");
+    mServer->CloseAfterResponses();
+    if (drains) {
+      mServer->StartDrain();
+    }
+    mHandler.mRespond = [](HttpExchange& aExchange) {
+      aExchange.Respond(503, {}, "stopping");
+    };
+    stream->EndStream();
+    caller.Send(kRequest); // The caller has not read the end yet.
+    BOOST_REQUIRE(Until([&] { return caller.Receive(); }));
+    BOOST_TEST(CountOccurrences(caller.mReceived, "onnection: close") == 1,
+               caller.mReceived);
+    BOOST_TEST(CountOccurrences(caller.mReceived, "stopping") == 1,
+               caller.mReceived);
+    BOOST_TEST(!caller.mIsReset);
+    mHandler.mLastExchange.reset();
+    mHandler.mRequests = 0;
+    mServer.reset();
+  }
+}
+
+// Guards against a connection that is closed on a caller which may be sending:
+// nothing said that it ends.
+BOOST_AUTO_TEST_CASE(ADrainLetsCallersSendUntilTheyKnowOfIt)
+{
+  mHandler.mRespond = nullptr;
+  Serve();
+  RawCaller caller(mServer->Port());
+  caller.Send(kRequest);
+  BOOST_REQUIRE(Until([&] { return mHandler.mRequests == 1; }));
+  const auto stream = mHandler.mLastExchange;
+  stream->StartStream(200, {});
+  mServer->StartDrain();
+  mHandler.mRespond = [](HttpExchange& aExchange) {
+    aExchange.Respond(503, {}, "stopping");
+  };
+  stream->EndStream();
+  BOOST_TEST(mServer->BusyConnectionCount() == 1);
+  RunUntilStopped(100ms); // A slow link.
+  caller.Send(kRequest);
+  BOOST_REQUIRE(Until([&] { return caller.Receive(); }));
+  BOOST_TEST(CountOccurrences(caller.mReceived, "stopping") == 1,
+             caller.mReceived);
+  mHandler.mLastExchange.reset();
+}
+
 BOOST_AUTO_TEST_CASE(DrainFromRequestHandler)
 {
   mHandler.mRespond = [this](HttpExchange& aExchange) {
