Answer requests that had arrived before a response of a stopping node

What callers saw (LOST): of two requests sent one behind the other on a kept connection, the first was answered after SIGTERM and the second never; the connection ended up to 2 s after its last byte, when the first had timed out.

Cause: while a node stops, every response says that its connection ends, also one behind which the next request has been received already. That was read, or was held in the buffer of the connection, and dropped.

Change: a response that begins while another request has arrived (in the buffer or at the socket; empty lines don't count) doesn't say that the connection ends, so the next one is answered, and says it. Callers that ask for the end get it as before. The buffer's bytes count in input_dropped as well, which didn't name them.

RequestsThatArriveBeforeAResponseOfAStopAreAnswered fails without the change in both forms; all 26 cases of HttpServerTest pass with it.

--- a/Peridothoist/Shell/ServerConnection.cpp
+++ b/Peridothoist/Shell/ServerConnection.cpp
@@ -277,10 +277,24 @@
   }
 }
 
+/// Returns whether a caller has sent on while its response is open. Empty lines
+/// between requests don't count.
+bool
+ServerConnection::HasFurtherRequest() const
+{
+  const auto isRequest = [](std::string_view aBytes) {
+    return aBytes.find_first_not_of("\r\n") != std::string_view::npos;
+  };
+  std::array<char, 8> bytes = {};
+  return isRequest(mInput) ||
+         isRequest({ bytes.data(), mSocket.Peek(bytes.data(), bytes.size()) });
+}
+
 bool
 ServerConnection::ShouldClose() const
 {
-  return mClosesAfterResponse || mDelegate.ShouldCloseConnections();
+  return mClosesAfterResponse ||
+         (mDelegate.ShouldCloseConnections() && !HasFurtherRequest());
 }
 
 void
@@ -396,6 +410,7 @@
 void
 ServerConnection::StartClosing()
 {
+  mDroppedBytes += mInput.size();
   std::string().swap(mInput);
   EnterPhase(ConnectionPhase::Closing);
   mSocket.StopSending();
--- a/Peridothoist/Shell/ServerConnection.h
+++ b/Peridothoist/Shell/ServerConnection.h
@@ -7,7 +7,9 @@
 ///
 /// A connection ends only after a response that says so, or when it is idle. A
 /// response that began before its server stops doesn't say it, so its caller
-/// may send another request, which is answered.
+/// may send another request, which is answered. A response doesn't say it
+/// either if another request has arrived by then, unless the caller asked for
+/// the end.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
@@ -123,6 +125,7 @@
     return mOutput.size() - mOutputStart;
   }
   bool HoldsTooMuch() const override { return mDelegate.HoldsTooMuch(); }
+  bool HasFurtherRequest() const;
   bool ShouldClose() const override;
   void CloseAfterResponse() override { mClosesAfterResponse = true; }
   void OnResponseEnded(bool aIsCloseStated) override;
--- a/UnitTests/Shell/HttpServerTest.cpp
+++ b/UnitTests/Shell/HttpServerTest.cpp
@@ -576,6 +576,49 @@
   }
 }
 
+// Guards against requests that a caller sends before it has the response to the
+// one before: they were read and dropped behind a response that ends the
+// connection (LOST).
+BOOST_AUTO_TEST_CASE(RequestsThatArriveBeforeAResponseOfAStopAreAnswered)
+{
+  for (const bool isAtOnce : { false, true }) {
+    mHandler.mRespond = nullptr;
+    mHandler.mRequests = 0;
+    Serve();
+    mServer->CloseAfterResponses();
+    const std::string request = kRequest;
+    RawCaller caller(mServer->Port());
+    caller.Send(isAtOnce ? request + "\r\n" + request : request);
+    BOOST_REQUIRE(Until([&] { return mHandler.mRequests == 1; }));
+    const auto first = mHandler.mLastExchange;
+    if (!isAtOnce) {
+      caller.Send("\r\n" + request);
+      RunUntilStopped(20ms);
+    }
+    mHandler.mRespond = [](HttpExchange& aExchange) {
+      aExchange.Respond(503, {}, "stopping");
+    };
+    first->Respond(200, {}, "served");
+    BOOST_REQUIRE(Until([&] { return caller.Receive(); }));
+    BOOST_TEST(CountOccurrences(caller.mReceived, "served") == 1);
+    BOOST_TEST(CountOccurrences(caller.mReceived, "stopping") == 1,
+               caller.mReceived);
+    BOOST_TEST(CountOccurrences(caller.mReceived, "onnection: close") == 1);
+    mHandler.mLastExchange.reset();
+    mServer.reset();
+  }
+}
+
+// Guards against an empty line after a request which hides that the connection
+// ends: the caller would send its next request on it.
+BOOST_AUTO_TEST_CASE(AnEmptyLineAfterARequestIsNoFurtherRequest)
+{
+  Serve();
+  mServer->CloseAfterResponses();
+  const std::string response = SendRaw(std::string(kRequest) + "\r\n");
+  BOOST_TEST(CountOccurrences(response, "onnection: close") == 1, response);
+}
+
 // Guards against a connection that is closed on a caller which may be sending:
 // nothing said that it ends.
 BOOST_AUTO_TEST_CASE(ADrainLetsCallersSendUntilTheyKnowOfIt)
