--- a/Peridothoist/Control/UpstreamLeaseManager.cpp
+++ b/Peridothoist/Control/UpstreamLeaseManager.cpp
@@ -42,10 +42,7 @@
   }
   void OnData(std::string_view aData) override
   {
-    constexpr std::size_t kMaxResponseBytes = 4 * 1024 * 1024;
-    if (mResult.mBody.size() + aData.size() <= kMaxResponseBytes) {
-      mResult.mBody += aData;
-    }
+    mResult.mBody += aData; // Up to HttpCall::mMaxResponseBytes.
   }
   void OnEnd(const HttpCallResult& aResult) override
   {
--- a/Peridothoist/Entry/UpstreamClient.cpp
+++ b/Peridothoist/Entry/UpstreamClient.cpp
@@ -145,27 +145,18 @@
 
   void OnData(std::string_view aData) override
   {
-    if (mBody.size() + aData.size() >
-        mUpstreamClient->mSettings.mMaxResponseBytes) {
-      mIsTooLarge = true;
-      return;
-    }
-    mBody.append(aData);
+    mBody.append(aData); // Up to HttpCall::mMaxResponseBytes.
   }
 
 protected:
   // See: Call
   void OnFinished(const CallResult& aResult) override
   {
-    CallResult result = aResult;
-    if (mIsTooLarge) {
-      result.mEnd = CallEnd::Broken;
-    }
     if (mEndHandler != nullptr) {
-      (mUpstreamClient->*mEndHandler)(mCommand, result, mBody);
+      (mUpstreamClient->*mEndHandler)(mCommand, aResult, mBody);
       return;
     }
-    FinishPlain(result);
+    FinishPlain(aResult);
   }
 
 private:
@@ -183,7 +174,6 @@
   EndHandler mEndHandler; ///< Null for a call to a plain service.
   HttpHeaders mHeaders;
   std::string mBody;
-  bool mIsTooLarge = false;
 };
 
 /// A decode call: reports the tokens of its stream as they arrive.
@@ -321,6 +311,7 @@
   call.mHeaders["content-type"] = "application/json";
   call.mConnectTimeout = mSettings.mConnectTimeout;
   call.mTotalTimeout = aTimeout;
+  call.mMaxResponseBytes = mSettings.mMaxResponseBytes;
   return call;
 }
 
@@ -443,6 +434,7 @@
 {
   PH_ASSERT(aContent != nullptr);
   HttpCall call = MakeCall(aCommand, "/v1/decode", mSettings.mDecodeTimeout);
+  call.mMaxResponseBytes = 0; // Events are passed on as they come.
   call.mBody = DumpJson({ { "request", RequestId(aCommand) },
                           { "max_tokens", aCommand.mMaxTokens },
                           { "resume_from", aCommand.mResumeFrom },
@@ -465,6 +457,7 @@
   call.mBody = aContent->mBody;
   call.mConnectTimeout = mSettings.mConnectTimeout;
   call.mTotalTimeout = mSettings.mPlainTimeout;
+  call.mMaxResponseBytes = mSettings.mMaxResponseBytes;
   call.mSendOnce = aContent->mSendOnce;
   call.mHeaders["peridothoist-request"] = RequestId(aCommand);
   if (!aContent->mContentType.empty()) {
--- a/Peridothoist/Node/CallerProtocol.h
+++ b/Peridothoist/Node/CallerProtocol.h
@@ -20,12 +20,7 @@
 };
 
 /// Response of an HTTP endpoint.
-struct EndpointResponse
-{
-  int mStatus = 200;
-  HttpHeaders mHeaders;
-  std::string mBody;
-};
+using EndpointResponse = HttpResponse;
 
 /// Parses callers' requests and builds the protocol's own responses.
 class CallerProtocol
--- a/Peridothoist/Node/EndpointServer.cpp
+++ b/Peridothoist/Node/EndpointServer.cpp
@@ -10,6 +10,9 @@
 /// Endpoints have few clients, such as health checks and metrics scrapers.
 constexpr std::uint32_t kMaxConnections = 256;
 
+/// No endpoint reads a body.
+constexpr std::uint32_t kMaxBodyBytes = 4 * 1024;
+
 } // namespace
 
 std::unique_ptr<HttpServer>
@@ -34,11 +37,14 @@
 std::unique_ptr<EndpointServer>
 EndpointServer::Create(Reactor& aReactor,
                        const std::string& aAddress,
+                       const std::shared_ptr<MemoryBudget>& aMemory,
                        Handler aHandler,
                        Reason* aReason)
 {
   HttpServerSettings settings;
   settings.mMaxConnections = kMaxConnections;
+  settings.mMaxBodyBytes = kMaxBodyBytes;
+  settings.mMemory = aMemory;
   std::unique_ptr<EndpointServer> endpoint(
     new EndpointServer(std::move(aHandler)));
   endpoint->mServer =
--- a/Peridothoist/Node/EndpointServer.h
+++ b/Peridothoist/Node/EndpointServer.h
@@ -26,11 +26,14 @@
   using Handler =
     std::function<std::optional<EndpointResponse>(const HttpRequest&)>;
 
-  /// Returns nullptr and sets aReason if it cannot listen on aAddress.
-  static std::unique_ptr<EndpointServer> Create(Reactor& aReactor,
-                                                const std::string& aAddress,
-                                                Handler aHandler,
-                                                Reason* aReason);
+  /// Returns nullptr and sets aReason if it cannot listen on aAddress. aMemory:
+  /// what responses are drawn from; null: no bound.
+  static std::unique_ptr<EndpointServer> Create(
+    Reactor& aReactor,
+    const std::string& aAddress,
+    const std::shared_ptr<MemoryBudget>& aMemory,
+    Handler aHandler,
+    Reason* aReason);
 
   // See: HttpRequestHandler
   void OnRequest(std::shared_ptr<HttpExchange> aExchange) override;
--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -221,6 +221,14 @@
       static_cast<double>(aGauges.mWaitingForAllowance));
   set("peridothoist_buffered_bytes",
       static_cast<double>(aGauges.mBufferedBytes));
+  set("peridothoist_memory_bytes", static_cast<double>(aGauges.mMemoryUsed));
+  set("peridothoist_memory_peak_bytes",
+      static_cast<double>(aGauges.mMemoryPeak));
+  set("peridothoist_memory_limit_bytes",
+      static_cast<double>(aGauges.mMemoryLimit));
+  for (const auto& [use, count] : aGauges.mMemoryRefusals) {
+    SetCounter("peridothoist_memory_refused_total", count, { { "use", use } });
+  }
   set("peridothoist_limited_upstreams",
       static_cast<double>(aGauges.mLimitedUpstreams));
   set("peridothoist_cold_upstreams",
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -24,7 +24,12 @@
   std::size_t mOpenRequests = 0;
   std::size_t mWaitingRequests = 0;
   std::size_t mWaitingForAllowance = 0;
-  std::size_t mBufferedBytes = 0;    ///< Unsent, of all callers' responses.
+  std::size_t mBufferedBytes = 0; ///< Unsent, of all callers' responses.
+  // Of the memory that is held for requests, responses and peers, in bytes.
+  std::size_t mMemoryUsed = 0;
+  std::size_t mMemoryPeak = 0;
+  std::size_t mMemoryLimit = 0;                         ///< 0: none.
+  std::map<std::string, std::uint64_t> mMemoryRefusals; ///< By use.
   std::size_t mLimitedUpstreams = 0; ///< That state a limit, or are cold.
   std::size_t mColdUpstreams = 0;
   SpeedRange mSpeeds;
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -19,6 +19,9 @@
 /// Interval between reports of lost log lines.
 constexpr Duration kLogLossInterval = 1s;
 
+/// Timeout of a caller that states none, for the retry delay of a refusal.
+constexpr Duration kDefaultRefusalTimeout = 1s;
+
 /// Minimum lag of the event loop for which a warning is logged.
 constexpr Duration kLoopLagWarningThreshold = 100ms;
 
@@ -62,6 +65,7 @@
   , mProtocols(aProtocols)
   , mReactor(aReactor)
   , mClient(aClient)
+  , mMemory(std::make_shared<MemoryBudget>(aSettings.MaxHeldBytes()))
   , mInstance(fmt::format("{}-{:012x}",
                           aSettings.mVm,
                           RandomSeed() & 0xffffffffffffULL))
@@ -107,6 +111,7 @@
                  aProtocols.mUpstreams,
                  &mMachine)
 {
+  mClient->SetMemory(mMemory);
   mMachine.Crashes().SetListener(&mCrashLog);
   mMachine.ListedUpstreams().SetRecordedVersions(ListedVersions());
 }
@@ -158,6 +163,7 @@
   settings.mMaxConnectionsPerAddress = mSettings.mMaxConnections;
   settings.mIdleTimeout = mSettings.mIdleTimeout;
   settings.mMaxBufferedBytes = mSettings.mMaxBufferedBytes;
+  settings.mMemory = mMemory;
   mCallerServer =
     StartHttpServer(*mReactor, mSettings.mListen, settings, this, aReason);
   return mCallerServer != nullptr;
@@ -252,21 +258,45 @@
   mExecutor.Refuse(aExchange, aRefusal);
 }
 
-/// Returns a refusal if callers that read slowly occupy the memory that a
-/// request of this priority may use. Another VM is likely to have room.
+/// Returns a refusal if callers that read slowly, or all that is held together,
+/// occupy the memory that a request of this priority may use. Another VM is
+/// likely to have room.
 std::optional<Refusal>
 NodeProcess::RefuseForBuffers(const AdmittedRequest& aAdmitted)
 {
-  const BufferBudget budget(mSettings.mMaxBufferedBytes);
-  if (budget.MayStart(aAdmitted.mConfiguredPriority,
-                      mCallerServer->BufferedBytes())) {
+  const BufferBudget unsent(mSettings.mMaxBufferedBytes);
+  const BufferBudget held(mMemory->MaxBytes());
+  const std::uint32_t priority = aAdmitted.mConfiguredPriority;
+  if (unsent.MayStart(priority, mCallerServer->BufferedBytes()) &&
+      held.MayStart(priority, mMemory->UsedBytes())) {
     return std::nullopt;
   }
+  return MakeMemoryRefusal(aAdmitted.mCallerTimeout);
+}
+
+Refusal
+NodeProcess::MakeMemoryRefusal(Duration aCallerTimeout)
+{
   const auto wait = std::chrono::duration_cast<Duration>(
-    MaxRetryWait(aAdmitted.mCallerTimeout) * mRandom.UniformFraction());
+    MaxRetryWait(aCallerTimeout) * mRandom.UniformFraction());
   return Refusal::Make(RefusalKind::BuffersFull, RunVerdictTracker(), wait);
 }
 
+/// Refuses a request whose body there is no memory for, before it is read.
+HttpResponse
+NodeProcess::OnMemoryFull(const HttpRequest& aRequest)
+{
+  Reason reason;
+  const auto request = mProtocols.mCallers->ParseRequest(aRequest, &reason);
+  const Duration timeout = request && request->mCallerTimeout
+                             ? *request->mCallerTimeout
+                             : kDefaultRefusalTimeout;
+  const Refusal refusal = MakeMemoryRefusal(timeout);
+  mMetrics.ObserveRefusal(refusal.mKind);
+  LogRefusal(request, refusal, reason, Duration(0));
+  return mExecutor.MakeRefusal(aRequest, refusal);
+}
+
 /// Logs a refusal on arrival together with the inputs of the decision.
 void
 NodeProcess::LogRefusal(const std::optional<IncomingRequest>& aRequest,
@@ -291,6 +321,7 @@
     .Field("allowance_wait_ms", ToMillis(aWaited))
     .Field("allowance_waiting", mWaitingAdmission.Queue().Count())
     .Field("buffered_bytes", mCallerServer->BufferedBytes())
+    .Field("memory_bytes", mMemory->UsedBytes())
     .Field("ms", ToMillis(aWaited));
   if (workspace != nullptr) {
     line.Field("workspace", workspace->mName)
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -101,6 +101,7 @@
                         TimePoint aConfirmedAt);
   std::optional<Refusal> RefuseWhileLeaving(const AdmittedRequest& aAdmitted);
   std::optional<Refusal> RefuseForBuffers(const AdmittedRequest& aAdmitted);
+  Refusal MakeMemoryRefusal(Duration aCallerTimeout);
   bool IsOrderLeader() const;
   void UpdateStageOrders();
   void UpdateHomeEngines();
@@ -109,6 +110,7 @@
 
   // See: HttpRequestHandler
   void OnRequest(std::shared_ptr<HttpExchange> aExchange) override;
+  HttpResponse OnMemoryFull(const HttpRequest& aRequest) override;
   // See: ViewUpdaterListener
   void OnConfiguration(std::shared_ptr<const RelayConfiguration> aConfiguration,
                        TimePoint aConfirmedAt) override;
@@ -163,6 +165,8 @@
   NodeProtocols mProtocols;
   Reactor* mReactor;
   HttpClient* mClient;
+  /// What is held for callers, upstreams, peers and the store.
+  std::shared_ptr<MemoryBudget> mMemory;
   std::string mInstance;
   Random mRandom;
   ConfirmedView mView;
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -56,15 +56,15 @@
     if (row.mAddress.empty()) {
       continue;
     }
-    auto server =
-      EndpointServer::Create(*mReactor, row.mAddress, row.mHandler, aReason);
+    auto server = EndpointServer::Create(
+      *mReactor, row.mAddress, mMemory, row.mHandler, aReason);
     if (server == nullptr) {
       return false;
     }
     mEndpointServers.push_back(std::move(server));
   }
-  auto views =
-    StartPeerViewServer(*mReactor, mSettings.mPeerListen, &mViews, aReason);
+  auto views = StartPeerViewServer(
+    *mReactor, mSettings.mPeerListen, mMemory, &mViews, aReason);
   if (views == nullptr) {
     return false;
   }
@@ -80,6 +80,7 @@
   }
   TunnelServerSettings settings = mSettings.mTunnels;
   settings.mLocalIp = mSettings.mCallFrom;
+  settings.mMemory = mMemory;
   mTunnels = TunnelServer::Create(
     settings, *ParseSocketAddress(mSettings.mTunnelListen), mReactor, this);
   if (mTunnels == nullptr) {
@@ -170,6 +171,13 @@
   gauges.mWaitingRequests = mMachine.WaitingRequestCount();
   gauges.mWaitingForAllowance = mWaitingAdmission.Queue().Count();
   gauges.mBufferedBytes = mCallerServer->BufferedBytes();
+  gauges.mMemoryUsed = mMemory->UsedBytes();
+  gauges.mMemoryPeak = mMemory->PeakBytes();
+  gauges.mMemoryLimit = mMemory->MaxBytes();
+  for (std::size_t n = 0; n < kMemoryUses; ++n) {
+    const auto use = static_cast<MemoryUse>(n);
+    gauges.mMemoryRefusals[ToName(use)] = mMemory->RefusalCount(use);
+  }
   gauges.mLimitedUpstreams = mMachine.Limits().LimitedCount(mReactor->Now());
   gauges.mSpeeds = mMachine.Speeds().KnownRange();
   gauges.mColdUpstreams = mMachine.Limits().ColdCount(mReactor->Now());
--- a/Peridothoist/Node/NodeSettings.cpp
+++ b/Peridothoist/Node/NodeSettings.cpp
@@ -10,6 +10,9 @@
 /// Queries at shorter intervals would cost more than they show.
 constexpr Duration kMinQueryInterval = 10ms;
 
+/// With less, not even one body of the usual limit could be held.
+constexpr std::size_t kMinVmMemoryBytes = 32u << 20;
+
 } // namespace
 
 std::optional<Reason>
@@ -67,6 +70,11 @@
     return Reason{ ReasonCode::Invalid,
                    "setting grace_s is not positive; allowed: more than 0" };
   }
+  if (mVmMemoryBytes < kMinVmMemoryBytes) {
+    return Reason{ ReasonCode::Invalid,
+                   "setting memory_mb is too small; allowed: " +
+                     std::to_string(kMinVmMemoryBytes >> 20) + " and more" };
+  }
   const double prefill = mStageOrders.mBalance.mPrefillFraction;
   if (!(prefill >= 0 && prefill <= 1)) {
     return Reason{ ReasonCode::Invalid,
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -45,6 +45,11 @@
   /// Bound of the unsent bytes of all callers' responses; 0: none. The default
   /// is less than a fifth of the memory of the smallest VM (88 MB).
   std::size_t mMaxBufferedBytes = 16u << 20;
+  /// Memory of the VM; the default is that of the smallest one.
+  std::size_t mVmMemoryBytes = 88u << 20;
+  /// Part of it that may be held for callers, upstreams, peers and the store.
+  /// The rest is for the process itself, its views and buffers of the kernel.
+  double mHeldMemoryPart = 0.5;
   Duration mAddressTtl = 1s; ///< How long callers may cache addresses.
 
   LeavingScheduleSettings mLeaving; ///< Graceful shutdown.
@@ -90,6 +95,13 @@
   /// Returns this VM's registration.
   VmRecord Record() const { return { mVm, mZone, mPeerListen }; }
 
+  /// Returns how many bytes may be held; see MemoryBudget.
+  std::size_t MaxHeldBytes() const
+  {
+    return static_cast<std::size_t>(static_cast<double>(mVmMemoryBytes) *
+                                    mHeldMemoryPart);
+  }
+
   /// Returns the first invalid setting, or nullopt if all are valid.
   std::optional<Reason> Check() const;
 };
--- a/Peridothoist/Node/PeerViews.cpp
+++ b/Peridothoist/Node/PeerViews.cpp
@@ -66,6 +66,7 @@
 std::unique_ptr<EndpointServer>
 StartPeerViewServer(Reactor& aReactor,
                     const std::string& aAddress,
+                    const std::shared_ptr<MemoryBudget>& aMemory,
                     PeerViewSource* aSource,
                     Reason* aReason)
 {
@@ -87,7 +88,7 @@
     }
     return std::nullopt;
   };
-  return EndpointServer::Create(aReactor, aAddress, handler, aReason);
+  return EndpointServer::Create(aReactor, aAddress, aMemory, handler, aReason);
 }
 
 template<typename Part>
--- a/Peridothoist/Node/PeerViews.h
+++ b/Peridothoist/Node/PeerViews.h
@@ -30,6 +30,7 @@
 std::unique_ptr<EndpointServer>
 StartPeerViewServer(Reactor& aReactor,
                     const std::string& aAddress,
+                    const std::shared_ptr<MemoryBudget>& aMemory,
                     PeerViewSource* aSource,
                     Reason* aReason);
 
--- a/Peridothoist/Node/RelayExecutor.cpp
+++ b/Peridothoist/Node/RelayExecutor.cpp
@@ -1,6 +1,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/RelayExecutor.h>
 
+#include <Peridothoist/Core/BoundedBuffer.h>
 #include <Peridothoist/Core/DurationUnits.h>
 #include <Peridothoist/Core/EventSplitter.h>
 #include <Peridothoist/Node/TunnelledCall.h>
@@ -17,6 +18,18 @@
 /// Maximum size of a response that is not streamed.
 constexpr std::size_t kMaxResponseBytes = 16u << 20;
 
+/// Maximum size of a response that names a handle or a reservation.
+constexpr std::size_t kMaxControlBytes = 64 * 1024;
+
+/// Returns the maximum size of a response to a call that is not streamed.
+std::size_t
+MaxResponseBytes(RelayCallKind aKind)
+{
+  const bool isControl =
+    aKind == RelayCallKind::Prefill || aKind == RelayCallKind::Reserve;
+  return isControl ? kMaxControlBytes : kMaxResponseBytes;
+}
+
 /// Converts the HTTP client's result to the type used by the relay state
 /// machine.
 CallEnd
@@ -73,6 +86,9 @@
     , mKind(aCommand.mCallKind)
     , mExchange(std::move(aExchange))
     , mStartedAt(aExecutor.mReactor->Now())
+    , mBody(aExecutor.mClient->Memory(),
+            MaxResponseBytes(aCommand.mCallKind),
+            kResponseBuffer)
   {
   }
 
@@ -122,10 +138,8 @@
       return;
     }
     if (!mIsStreaming) {
-      mIsTooLarge =
-        mIsTooLarge || mBody.size() + aData.size() > kMaxResponseBytes;
-      if (!mIsTooLarge) {
-        mBody.append(aData);
+      if (!mIsGivenUp && !mBody.Append(aData)) {
+        GiveUp();
       }
       return;
     }
@@ -143,8 +157,7 @@
         });
       });
     if (!isWithinLimit) {
-      mIsTooLarge = true;
-      mExecutor.mClient->Cancel(mCallId);
+      GiveUp();
       return;
     }
     if (!mIsDetached && mExecutor.IsBacklogged(mId)) {
@@ -159,7 +172,7 @@
     }
     RelayCallEnd end;
     end.mOutcome.mEnd =
-      mIsTooLarge ? CallEnd::Broken : ToCallEnd(aResult.mFailure);
+      mIsGivenUp ? CallEnd::Broken : ToCallEnd(aResult.mFailure);
     end.mOutcome.mMayHaveBeenSent = aResult.mMayHaveBeenSent;
     end.mOutcome.mStatus = aResult.mStatus;
     end.mNotReached = NotReachedCauseOf(aResult, mTunnel);
@@ -171,7 +184,7 @@
       end.mOutcome.mEnd = CallEnd::Broken;
     }
     end.mResponse = std::move(mHead.mResponse);
-    end.mResponse.mBody = std::move(mBody);
+    end.mResponse.mBody = mBody.Take();
     end.mLoad = mHead.mLoad;
     const bool hasPrefilled = mKind == RelayCallKind::Prefill &&
                               end.mOutcome.IsSuccess() &&
@@ -194,6 +207,14 @@
   }
 
 private:
+  /// Ends the call, since its response exceeds a limit or the process has no
+  /// memory for it.
+  void GiveUp()
+  {
+    mIsGivenUp = true;
+    mExecutor.mClient->Cancel(mCallId);
+  }
+
   /// Stops reading the response until the caller has read what is buffered.
   void Pause()
   {
@@ -239,7 +260,16 @@
       .Field("writing_ms", ToMillis(writing))
       .Field("ms", ToMillis(now - mStartedAt))
       .Field("tunnel_status", aResult.mTunnelStatus)
-      .Field("reason", aResult.mReason);
+      .Field("reason", ReasonOf(aResult));
+  }
+
+  std::string ReasonOf(const HttpCallResult& aResult) const
+  {
+    if (!mIsGivenUp) {
+      return aResult.mReason;
+    }
+    return mBody.Error() == BufferError::NoMemory ? "no memory for the response"
+                                                  : "response too large";
   }
 
   RelayExecutor& mExecutor;
@@ -258,11 +288,11 @@
   // The response received so far
   UpstreamResponseHead mHead;
   bool mIsStreaming = false; ///< The body is forwarded as events.
-  bool mIsTooLarge = false;
+  bool mIsGivenUp = false;
   EventSplitter mSplitter;
   std::uint64_t mEventCount = 0;
   TimePoint mFirstEventAt;
-  std::string mBody;
+  BoundedBuffer mBody; ///< Stays drawn until the request is over.
 };
 
 RelayExecutor::RelayExecutor(Reactor* aReactor,
@@ -350,7 +380,7 @@
   }
   mIsExecuting = true;
   while (!mPendingCommands.empty()) {
-    const RelayCommand command = std::move(mPendingCommands.front());
+    RelayCommand command = std::move(mPendingCommands.front());
     mPendingCommands.pop_front();
     Execute(command);
   }
@@ -382,7 +412,7 @@
 }
 
 void
-RelayExecutor::Execute(const RelayCommand& aCommand)
+RelayExecutor::Execute(RelayCommand& aCommand)
 {
   if (aCommand.mKind == RelayCommandKind::CheckUpstream) {
     CheckUpstream(aCommand); // Concerns no request.
@@ -412,7 +442,7 @@
 }
 
 void
-RelayExecutor::StartCall(const RelayCommand& aCommand, Request& aRequest)
+RelayExecutor::StartCall(RelayCommand& aCommand, Request& aRequest)
 {
   if (++aRequest.mSummary.mCallCount == 1) {
     aRequest.mSummary.mTimeToFirstCall =
@@ -434,12 +464,15 @@
   aRequest.mUpstreamCalls[aCommand.mAttempt] = call;
   HttpCall request =
     mUpstreams->MakeCall(aCommand, aRequest.mExchange->Request());
+  request.mMaxResponseBytes = aCommand.mCallKind == RelayCallKind::Stream
+                                ? 0
+                                : MaxResponseBytes(aCommand.mCallKind);
   call->SetCallId(
     mClient->Start(ThroughTunnel(std::move(request), aCommand.mTunnel), call));
 }
 
 void
-RelayExecutor::CancelCall(const RelayCommand& aCommand, Request& aRequest)
+RelayExecutor::CancelCall(RelayCommand& aCommand, Request& aRequest)
 {
   Log::Info("call_cancelled")
     .Field("request", aCommand.mId)
@@ -454,7 +487,7 @@
 }
 
 void
-RelayExecutor::SendHead(const RelayCommand& aCommand, Request& aRequest)
+RelayExecutor::SendHead(RelayCommand& aCommand, Request& aRequest)
 {
   aRequest.mSummary.mStatus = aCommand.mResponse.mStatus;
   aRequest.mSummary.mTimeToFirstEvent =
@@ -464,7 +497,7 @@
 }
 
 void
-RelayExecutor::SendEvent(const RelayCommand& aCommand, Request& aRequest)
+RelayExecutor::SendEvent(RelayCommand& aCommand, Request& aRequest)
 {
   RelayRequestSummary& summary = aRequest.mSummary;
   const TimePoint now = mReactor->Now();
@@ -509,30 +542,38 @@
 }
 
 void
-RelayExecutor::SendResponse(const RelayCommand& aCommand, Request& aRequest)
+RelayExecutor::SendResponse(RelayCommand& aCommand, Request& aRequest)
 {
   aRequest.mSummary.mStatus = aCommand.mResponse.mStatus;
   aRequest.mSummary.mOutcome = "answered";
   aRequest.mExchange->Respond(aCommand.mResponse.mStatus,
                               aCommand.mResponse.mHeaders,
-                              aCommand.mResponse.mBody);
+                              std::move(aCommand.mResponse.mBody));
 }
 
 void
 RelayExecutor::Refuse(HttpExchange& aExchange, const Refusal& aRefusal) const
+{
+  HttpResponse response = MakeRefusal(aExchange.Request(), aRefusal);
+  aExchange.Respond(
+    response.mStatus, response.mHeaders, std::move(response.mBody));
+}
+
+HttpResponse
+RelayExecutor::MakeRefusal(const HttpRequest& aRequest,
+                           const Refusal& aRefusal) const
 {
   const nlohmann::json body = { { "error",
                                   { { "type", ToName(aRefusal.mKind) },
                                     { "message", aRefusal.Message() },
                                     { "run", ToName(aRefusal.mVerdict) } } } };
-  HttpHeaders headers =
-    mCallers->MakeRefusalHeaders(aExchange.Request(), aRefusal);
+  HttpHeaders headers = mCallers->MakeRefusalHeaders(aRequest, aRefusal);
   headers["content-type"] = "application/json";
-  aExchange.Respond(aRefusal.Status(), headers, body.dump());
+  return { aRefusal.Status(), std::move(headers), body.dump() };
 }
 
 void
-RelayExecutor::SendRefusal(const RelayCommand& aCommand, Request& aRequest)
+RelayExecutor::SendRefusal(RelayCommand& aCommand, Request& aRequest)
 {
   const Refusal& refusal = *aCommand.mRefusal;
   aRequest.mSummary.mStatus = refusal.Status();
@@ -565,14 +606,14 @@
 }
 
 void
-RelayExecutor::EndStream(const RelayCommand& /*aCommand*/, Request& aRequest)
+RelayExecutor::EndStream(RelayCommand& /*aCommand*/, Request& aRequest)
 {
   aRequest.mSummary.mOutcome = "answered";
   aRequest.mExchange->EndStream();
 }
 
 void
-RelayExecutor::AbortStream(const RelayCommand& aCommand, Request& aRequest)
+RelayExecutor::AbortStream(RelayCommand& aCommand, Request& aRequest)
 {
   const RelayRequestSummary& summary = aRequest.mSummary;
   aRequest.mSummary.mOutcome = ToName(aCommand.mRefusal->mKind);
@@ -584,20 +625,19 @@
 }
 
 void
-RelayExecutor::AnnounceOrigin(const RelayCommand& aCommand,
-                              Request& /*aRequest*/)
+RelayExecutor::AnnounceOrigin(RelayCommand& aCommand, Request& /*aRequest*/)
 {
   mListener->OnOriginDecided(aCommand.mOriginKey, *aCommand.mOrigin);
 }
 
 void
-RelayExecutor::FindOrigin(const RelayCommand& aCommand, Request& /*aRequest*/)
+RelayExecutor::FindOrigin(RelayCommand& aCommand, Request& /*aRequest*/)
 {
   mListener->OnOriginNeeded(aCommand.mOriginKey);
 }
 
 void
-RelayExecutor::Forget(const RelayCommand& aCommand, Request& aRequest)
+RelayExecutor::Forget(RelayCommand& aCommand, Request& aRequest)
 {
   aRequest.mExchange->SetListener(nullptr);
   if (aRequest.mIsBacklogged) {
--- a/Peridothoist/Node/RelayExecutor.h
+++ b/Peridothoist/Node/RelayExecutor.h
@@ -93,6 +93,10 @@
   /// Responds to a request with a refusal.
   void Refuse(HttpExchange& aExchange, const Refusal& aRefusal) const;
 
+  /// Returns the response that refuses a request.
+  HttpResponse MakeRefusal(const HttpRequest& aRequest,
+                           const Refusal& aRefusal) const;
+
   /// Applies aEvent to the relay state machine and executes the resulting
   /// commands.
   using MachineEvent = std::function<
@@ -127,27 +131,27 @@
     std::map<std::uint32_t, std::shared_ptr<UpstreamCall>> mUpstreamCalls;
   };
 
-  using CommandHandler = void (RelayExecutor::*)(const RelayCommand&, Request&);
+  using CommandHandler = void (RelayExecutor::*)(RelayCommand&, Request&);
 
   bool IsBacklogged(std::uint64_t aId) const;
   void OnBufferDrained(std::uint64_t aId);
-  void Execute(const RelayCommand& aCommand);
-  void StartCall(const RelayCommand& aCommand, Request& aRequest);
-  void CancelCall(const RelayCommand& aCommand, Request& aRequest);
-  void Release(const RelayCommand& aCommand, Request& aRequest);
-  void SendHead(const RelayCommand& aCommand, Request& aRequest);
-  void SendEvent(const RelayCommand& aCommand, Request& aRequest);
-  void SendResponse(const RelayCommand& aCommand, Request& aRequest);
-  void SendRefusal(const RelayCommand& aCommand, Request& aRequest);
+  void Execute(RelayCommand& aCommand);
+  void StartCall(RelayCommand& aCommand, Request& aRequest);
+  void CancelCall(RelayCommand& aCommand, Request& aRequest);
+  void Release(RelayCommand& aCommand, Request& aRequest);
+  void SendHead(RelayCommand& aCommand, Request& aRequest);
+  void SendEvent(RelayCommand& aCommand, Request& aRequest);
+  void SendResponse(RelayCommand& aCommand, Request& aRequest);
+  void SendRefusal(RelayCommand& aCommand, Request& aRequest);
   void AddRefusalFields(LogLine& aLine, const RelayCommand& aCommand) const;
-  void EndStream(const RelayCommand& aCommand, Request& aRequest);
-  void AbortStream(const RelayCommand& aCommand, Request& aRequest);
-  void AnnounceOrigin(const RelayCommand& aCommand, Request& aRequest);
-  void FindOrigin(const RelayCommand& aCommand, Request& aRequest);
+  void EndStream(RelayCommand& aCommand, Request& aRequest);
+  void AbortStream(RelayCommand& aCommand, Request& aRequest);
+  void AnnounceOrigin(RelayCommand& aCommand, Request& aRequest);
+  void FindOrigin(RelayCommand& aCommand, Request& aRequest);
   void CheckUpstream(const RelayCommand& aCommand);
   UpstreamCheck CheckOf(const HttpCallResult& aResult,
                         const std::string& aTunnel) const;
-  void Forget(const RelayCommand& aCommand, Request& aRequest);
+  void Forget(RelayCommand& aCommand, Request& aRequest);
   void OnLimitStated(const std::string& aUpstream, const StatedLimit& aLimit);
   void OnHead(const UpstreamProcess& aProcess,
               const UpstreamResponseHead& aHead,
--- a/Peridothoist/Node/RelayExecutorControl.cpp
+++ b/Peridothoist/Node/RelayExecutorControl.cpp
@@ -83,7 +83,7 @@
 }
 
 void
-RelayExecutor::Release(const RelayCommand& aCommand, Request& /*aRequest*/)
+RelayExecutor::Release(RelayCommand& aCommand, Request& /*aRequest*/)
 {
   const bool isHandle = aCommand.mKind == RelayCommandKind::ReleaseHandle;
   const std::string address =
--- a/Peridothoist/Node/TunnelServer.cpp
+++ b/Peridothoist/Node/TunnelServer.cpp
@@ -96,6 +96,7 @@
     std::string mTargetAddress;
     TimePoint mStartedAt;
     Reactor::TimerId mTimer = 0;
+    MemoryCharge mMemory; ///< Of the buffers of both directions.
   };
 
   /// Which socket of which tunnel a descriptor is.
@@ -209,7 +210,11 @@
     return;
   }
   ResetOnClose(socket);
-  if (mTunnels.size() >= mSettings.mMaxTunnels) {
+  MemoryCharge memory(mSettings.mMemory);
+  const std::size_t bytes = 2 * (mSettings.mMaxBufferedBytes + kReadBytes);
+  const bool hasRoom = mTunnels.size() < mSettings.mMaxTunnels &&
+                       memory.TryGrow(MemoryUse::Request, bytes);
+  if (!hasRoom) {
     ::close(socket);
     return;
   }
@@ -218,6 +223,7 @@
   auto tunnel = std::make_unique<Tunnel>();
   tunnel->mStartedAt = mReactor->Now();
   tunnel->mVm.mSocket = socket;
+  tunnel->mMemory = std::move(memory);
   mRegistrations[socket] = { tunnel.get(), false };
   Register(tunnel->mVm, EPOLLIN);
   ArmTimer(*tunnel, mSettings.mRequestTimeout);
--- a/Peridothoist/Node/TunnelServer.h
+++ b/Peridothoist/Node/TunnelServer.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Core/MemoryBudget.h>
 #include <Peridothoist/Shell/FlagsFromEnvironment.h>
 #include <Peridothoist/Shell/Reactor.h>
 
@@ -44,6 +45,8 @@
   Duration mConnectTimeout = 250ms;
   /// Time for the VM to close its side after the upstream has.
   Duration mCloseTimeout = 10s;
+  /// What tunnels draw from, each for its buffers; null: no bound.
+  std::shared_ptr<MemoryBudget> mMemory;
   std::string mLocalIp; ///< Of connections to targets; empty: the system's.
 };
 
--- a/Peridothoist/Node/UpstreamControlCall.cpp
+++ b/Peridothoist/Node/UpstreamControlCall.cpp
@@ -5,6 +5,9 @@
 
 namespace {
 
+/// Maximum size of a response, of which only the head is used.
+constexpr std::size_t kMaxResponseBytes = 1024 * 1024;
+
 class ControlCallListener : public HttpCallListener
 {
 public:
@@ -40,6 +43,7 @@
                  UpstreamHeadCallback aOnHead,
                  UpstreamEndCallback aOnEnd)
 {
+  aCall.mMaxResponseBytes = kMaxResponseBytes;
   aClient.Start(std::move(aCall),
                 std::make_shared<ControlCallListener>(
                   aProtocol, std::move(aOnHead), std::move(aOnEnd)));
--- a/Peridothoist/Request/Refusal.cpp
+++ b/Peridothoist/Request/Refusal.cpp
@@ -57,7 +57,10 @@
     503,
     502,
     "The software version that began the stream is not known here." },
-  { "buffers_full", 503, 502, "This VM's response buffers are full." },
+  { "buffers_full",
+    503,
+    502,
+    "This VM has no memory for the request at present." },
 } };
 
 const RefusalText&
--- a/Peridothoist/Request/Refusal.h
+++ b/Peridothoist/Request/Refusal.h
@@ -29,7 +29,7 @@
   BadRequest,             ///< The request is malformed.
   Leaving,                ///< This VM shuts down before it could respond.
   OriginUnknown,          ///< The version that began the stream is not known.
-  BuffersFull ///< Callers read too slowly; this VM's memory is used.
+  BuffersFull             ///< The memory of this VM is used.
 };
 
 /// Returns the name of a kind as used in JSON bodies and metrics.
--- a/Peridothoist/Shell/ClientCall.cpp
+++ b/Peridothoist/Shell/ClientCall.cpp
@@ -3,6 +3,8 @@
 #include <Peridothoist/Shell/ClientCall.h>
 #include <Peridothoist/Shell/SocketOptions.h>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cctype>
 #include <charconv>
@@ -14,6 +16,10 @@
 /// Size of the receive buffer of each call.
 constexpr long kReceiveBufferBytes = 8 * 1024;
 
+/// Maximum size of all interim heads, the final head and the trailers of a
+/// response together.
+constexpr std::size_t kMaxHeadBytes = 64 * 1024;
+
 /// Lowest status of a final response; 1xx statuses are interim.
 constexpr int kFirstFinalStatus = 200;
 
@@ -122,7 +128,9 @@
     return result;
   }
   result.mReason = curl_easy_strerror(aResult);
-  if (isWhole) {
+  if (!mRejection.empty()) {
+    result.mReason = mRejection;
+  } else if (isWhole) {
     result.mReason = "response without a stated end through a tunnel";
   } else if (aResult == CURLE_OK) {
     result.mReason = "connection closed before the response head was complete";
@@ -218,12 +226,13 @@
   }
   const bool mayHaveBody = mCall.mMethod == "POST" || mCall.mMethod == "PUT" ||
                            mCall.mMethod == "PATCH";
-  if (mayHaveBody || !mCall.mBody.empty()) {
+  const std::string_view body = mCall.Body();
+  if (mayHaveBody || !body.empty()) {
     curl_easy_setopt(mHandle, CURLOPT_POST, 1L);
-    curl_easy_setopt(mHandle, CURLOPT_POSTFIELDS, mCall.mBody.data());
+    curl_easy_setopt(mHandle, CURLOPT_POSTFIELDS, body.data());
     curl_easy_setopt(mHandle,
                      CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(mCall.mBody.size()));
+                     static_cast<curl_off_t>(body.size()));
   }
   curl_easy_setopt(mHandle, CURLOPT_CUSTOMREQUEST, mCall.mMethod.c_str());
 }
@@ -297,6 +306,11 @@
   if (mIsCancelled) {
     return 0;
   }
+  mHeadBytes += n;
+  if (mHeadBytes > kMaxHeadBytes) {
+    return RejectResponse(
+      fmt::format("response head and trailers over {} bytes", kMaxHeadBytes));
+  }
   if (mIsHeadComplete) {
     return n;
   }
@@ -319,6 +333,13 @@
   return mIsCancelled ? 0 : n;
 }
 
+std::size_t
+ClientCall::RejectResponse(std::string aReason)
+{
+  mRejection = std::move(aReason);
+  return 0; // Makes libcurl end the call.
+}
+
 std::size_t
 ClientCall::OnData(char* aData,
                    std::size_t aSize,
@@ -334,6 +355,12 @@
     self.mIsLibraryPaused = true;
     return CURL_WRITEFUNC_PAUSE;
   }
+  self.mBodyBytes += n;
+  const std::size_t limit = self.mCall.mMaxResponseBytes;
+  if (limit > 0 && self.mBodyBytes > limit) {
+    return self.RejectResponse(
+      fmt::format("response body over {} bytes", limit));
+  }
   self.mListener->OnData({ aData, n });
   return self.mIsCancelled ? n + 1 : n;
 }
--- a/Peridothoist/Shell/ClientCall.h
+++ b/Peridothoist/Shell/ClientCall.h
@@ -82,10 +82,16 @@
   CURL* mHandle;
   curl_slist* mHeaderList = nullptr;
 
+  /// Ends the call, since the response exceeds a limit.
+  std::size_t RejectResponse(std::string aReason);
+
   // The response so far.
   int mStatus = 0;
   HttpHeaders mHeaders;
   bool mIsHeadComplete = false; ///< Further header lines are trailers.
+  std::size_t mHeadBytes = 0;   ///< Of all heads and trailers.
+  std::size_t mBodyBytes = 0;
+  std::string mRejection; ///< Why the response was given up; empty: it wasn't.
 
   // State of the call.
   bool mMayHaveBeenSent = false;
--- a/Peridothoist/Shell/HttpClient.cpp
+++ b/Peridothoist/Shell/HttpClient.cpp
@@ -1,9 +1,11 @@
 /// An HTTP client on libcurl's multi handle. All its sockets are registered
 /// with one epoll descriptor, which the reactor watches.
 #include <Peridothoist/Peridothoist.h>
-#include <Peridothoist/Shell/ClientCall.h>
 #include <Peridothoist/Shell/HttpClient.h>
 
+#include <Peridothoist/Core/BoundedBuffer.h>
+#include <Peridothoist/Shell/ClientCall.h>
+
 #include <curl/curl.h>
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -22,16 +24,22 @@
 /// Maximum number of events for each epoll_wait().
 constexpr int kMaxEventsPerWait = 256;
 
-/// Maximum size of a response body for Fetch().
-constexpr std::size_t kMaxFetchedBytes = 64 * 1024 * 1024;
-
 /// Collects the response body for Fetch().
 class ResponseCollector : public HttpCallListener
 {
 public:
-  explicit ResponseCollector(HttpClient::FetchCallback aCallback)
+  ResponseCollector(HttpClient::FetchCallback aCallback,
+                    std::shared_ptr<MemoryBudget> aMemory,
+                    std::size_t aMaxBytes)
     : mCallback(std::move(aCallback))
+    , mBody(std::move(aMemory), aMaxBytes, kDocumentBuffer)
+  {
+  }
+
+  /// Sets what ends the call, for a body that can't be kept.
+  void SetCancel(std::function<void()> aCancel)
   {
+    mCancel = std::move(aCancel);
   }
 
   /// Returns when a part of the response arrived last, or the call began.
@@ -49,32 +57,30 @@
   void OnData(std::string_view aData) override
   {
     mLastProgress = Reactor::ReadClock();
-    if (mBody.size() + aData.size() > kMaxFetchedBytes) {
-      mIsTooLarge = true;
-      return;
+    if (mBody.Error() == BufferError::None && !mBody.Append(aData)) {
+      mCancel();
     }
-    mBody.append(aData);
   }
 
   void OnEnd(const HttpCallResult& aResult) override
   {
     HttpCallResult result = aResult;
-    if (mIsTooLarge && result.mFailure == CallFailure::None) {
+    if (mBody.Error() != BufferError::None) {
       result.mFailure = CallFailure::Broken;
-      result.mReason = "response body larger than 64 MiB";
+      result.mReason = "no memory for the response body";
     }
     if (mIsStalled) {
       result.mFailure = CallFailure::TimedOut;
       result.mReason = "no byte of the response arrived in time";
     }
-    mCallback(result, std::move(mBody));
+    mCallback(result, mBody.Take());
   }
 
 private:
   HttpClient::FetchCallback mCallback;
-  std::string mBody;
+  std::function<void()> mCancel;
+  BoundedBuffer mBody;
   TimePoint mLastProgress = Reactor::ReadClock();
-  bool mIsTooLarge = false;
   bool mIsStalled = false;
 };
 
@@ -133,6 +139,7 @@
 
   Reactor& mReactor;
   std::string mLocalIp;
+  std::shared_ptr<MemoryBudget> mMemory; ///< Null: no bound.
   CURLM* mMulti = nullptr;
   int mEpoll = -1;
   CallId mLastCall = 0;
@@ -337,6 +344,18 @@
   return std::unique_ptr<HttpClient>(new HttpClient(std::move(impl)));
 }
 
+void
+HttpClient::SetMemory(std::shared_ptr<MemoryBudget> aMemory)
+{
+  mImpl->mMemory = std::move(aMemory);
+}
+
+const std::shared_ptr<MemoryBudget>&
+HttpClient::Memory() const
+{
+  return mImpl->mMemory;
+}
+
 HttpClient::CallId
 HttpClient::Start(HttpCall aCall, std::shared_ptr<HttpCallListener> aListener)
 {
@@ -384,8 +403,10 @@
 HttpClient::Fetch(HttpCall aCall, FetchCallback aCallback)
 {
   const Duration stallTimeout = aCall.mStallTimeout;
-  auto collector = std::make_shared<ResponseCollector>(std::move(aCallback));
+  auto collector = std::make_shared<ResponseCollector>(
+    std::move(aCallback), mImpl->mMemory, aCall.mMaxResponseBytes);
   const CallId id = Start(std::move(aCall), collector);
+  collector->SetCancel([this, id] { Cancel(id); });
   if (stallTimeout > Duration(0)) {
     mImpl->WatchProgress(id, collector, stallTimeout, stallTimeout);
   }
--- a/Peridothoist/Shell/HttpClient.h
+++ b/Peridothoist/Shell/HttpClient.h
@@ -3,18 +3,34 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Core/MemoryBudget.h>
 #include <Peridothoist/Shell/HttpServer.h>
 #include <Peridothoist/Shell/Reactor.h>
 
 namespace peridothoist {
 
+/// Maximum size of a response body, unless a call states another one.
+constexpr std::size_t kDefaultMaxResponseBytes = 16 * 1024 * 1024;
+
 /// Request and options of one call.
 struct HttpCall
 {
+  /// Returns the body that is sent.
+  std::string_view Body() const
+  {
+    return mBorrowedBody.empty() ? std::string_view(mBody) : mBorrowedBody;
+  }
+
   std::string mMethod = "GET";
   std::string mUrl;
   HttpHeaders mHeaders;
   std::string mBody;
+  /// Sent in place of mBody unless it is empty. Must stay valid until the
+  /// listener is released.
+  std::string_view mBorrowedBody;
+  /// The call ends as Broken once the body of the response is larger; 0: no
+  /// limit, for bodies that are passed on as they come.
+  std::size_t mMaxResponseBytes = kDefaultMaxResponseBytes;
   Duration mConnectTimeout = 1s;
   Duration mTotalTimeout = 30s;
   /// For Fetch(): the call ends as TimedOut when no byte of the response has
@@ -93,6 +109,11 @@
                                             const std::string& aLocalIp = "");
   ~HttpClient();
 
+  /// Sets what response bodies are drawn from, by Fetch() and by listeners that
+  /// collect them; null: no bound.
+  void SetMemory(std::shared_ptr<MemoryBudget> aMemory);
+  const std::shared_ptr<MemoryBudget>& Memory() const;
+
   /// Starts a call. The client keeps the listener alive until OnEnd() returns.
   /// OnEnd() is never called from within Start().
   CallId Start(HttpCall aCall, std::shared_ptr<HttpCallListener> aListener);
@@ -109,8 +130,8 @@
   /// Receives the result and the response body of Fetch().
   using FetchCallback =
     std::function<void(const HttpCallResult& aResult, std::string aBody)>;
-  /// Starts a call and collects its response body. A body over 64 MiB ends the
-  /// call as CallFailure::Broken.
+  /// Starts a call and collects its response body, which is drawn from the
+  /// memory budget. Without room for it, the call ends as CallFailure::Broken.
   CallId Fetch(HttpCall aCall, FetchCallback aCallback);
 
 private:
--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -44,6 +44,7 @@
     , mSettings(aSettings)
     , mHandler(aHandler)
     , mTls(nullptr, &SSL_CTX_free)
+    , mUnsentCharge(aSettings.mMemory)
   {
   }
   ~Impl() override;
@@ -62,6 +63,10 @@
   {
     mHandler->OnRequest(std::move(aExchange));
   }
+  HttpResponse OnMemoryFull(const HttpRequest& aRequest) override
+  {
+    return mHandler->OnMemoryFull(aRequest);
+  }
   void OnResponding(bool aIsResponding) override
   {
     mOpenExchangeCount += aIsResponding ? 1 : -1;
@@ -69,12 +74,9 @@
   void OnUnsentBytesChanged(std::ptrdiff_t aDelta) override
   {
     mUnsentBytes += aDelta;
+    mUnsentCharge.Set(static_cast<std::size_t>(mUnsentBytes));
   }
-  bool HoldsTooMuch() const override
-  {
-    return mSettings.mMaxBufferedBytes > 0 &&
-           static_cast<std::size_t>(mUnsentBytes) > mSettings.mMaxBufferedBytes;
-  }
+  bool HoldsTooMuch() const override;
   bool ShouldCloseConnections() const override
   {
     return mIsDraining || mShouldCloseAfterResponses;
@@ -110,6 +112,7 @@
   bool mShouldCloseAfterResponses = false; ///< See CloseAfterResponses().
   std::ptrdiff_t mOpenExchangeCount = 0;   ///< Never negative.
   std::ptrdiff_t mUnsentBytes = 0;         ///< Never negative.
+  MemoryCharge mUnsentCharge;              ///< Of mUnsentBytes.
   std::uint64_t mLastId = kListenerId;
   std::unordered_map<std::uint64_t, Entry> mConnections;
   std::unordered_map<std::string, std::uint32_t> mCountByPeer;
@@ -120,6 +123,19 @@
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
+HttpResponse
+HttpRequestHandler::OnMemoryFull(const HttpRequest& /*aRequest*/)
+{
+  constexpr int kServiceUnavailable = 503;
+  return {
+    kServiceUnavailable,
+    { { "content-type", "application/json" },
+      { "peridothoist-run", "not-run" },
+      { "retry-after", "1" } },
+    R"({"error":{"type":"memory_full","message":"this process has no memory for the body at present"}})"
+  };
+}
+
 HttpServer::Impl::~Impl()
 {
   *mAlive = false;
@@ -194,6 +210,17 @@
   mClosed.clear();
 }
 
+bool
+HttpServer::Impl::HoldsTooMuch() const
+{
+  const auto unsent = static_cast<std::size_t>(mUnsentBytes);
+  const bool isOverBound =
+    mSettings.mMaxBufferedBytes > 0 && unsent > mSettings.mMaxBufferedBytes;
+  const auto& memory = mSettings.mMemory;
+  return isOverBound ||
+         (memory != nullptr && !memory->HasRoom(MemoryUse::Request, 0));
+}
+
 bool
 HttpServer::Impl::MayAccept() const
 {
--- a/Peridothoist/Shell/HttpServer.h
+++ b/Peridothoist/Shell/HttpServer.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Core/MemoryBudget.h>
 #include <Peridothoist/Shell/Reactor.h>
 
 namespace peridothoist {
@@ -23,6 +24,14 @@
   std::string mPeerAddress; ///< IP address of the caller.
 };
 
+/// A complete response.
+struct HttpResponse
+{
+  int mStatus = 200;
+  HttpHeaders mHeaders;
+  std::string mBody;
+};
+
 /// Receives events of an exchange after the handler has got the request.
 class HttpExchangeListener
 {
@@ -84,6 +93,11 @@
   /// aExchange until it has responded. When the last reference is released
   /// before that, the server responds with status 500.
   virtual void OnRequest(std::shared_ptr<HttpExchange> aExchange) = 0;
+
+  /// Called when there is no memory for the body of a request. aRequest has its
+  /// method, target and headers. Returns the response, which has to say that
+  /// the request has not been executed.
+  virtual HttpResponse OnMemoryFull(const HttpRequest& aRequest);
 };
 
 /// Limits and addresses of an HTTP server.
@@ -105,6 +119,8 @@
   /// After that, OnBufferDrained() is called when fewer bytes than this are
   /// buffered.
   std::uint32_t mStreamLowMark = 16 * 1024;
+  /// What requests and unsent responses draw from; null: no bound.
+  std::shared_ptr<MemoryBudget> mMemory;
   std::string mCertificatePem; ///< Serves TLS when set with mPrivateKeyPem.
   std::string mPrivateKeyPem;
 };
--- a/Peridothoist/Shell/RequestParser.cpp
+++ b/Peridothoist/Shell/RequestParser.cpp
@@ -1,6 +1,8 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Shell/RequestParser.h>
 
+#include <Peridothoist/Core/BoundedBuffer.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <fmt/format.h>
@@ -197,13 +199,15 @@
 {
 public:
   explicit Message(const HttpServerSettings& aSettings)
+    : mBody(aSettings.mMemory, aSettings.mMaxBodyBytes, kRequestBuffer)
   {
     header_limit(aSettings.mMaxHeaderBytes);
     body_limit(aSettings.mMaxBodyBytes);
     eager(false); // Returns after the head.
   }
 
-  HttpRequest mRequest;
+  HttpRequest mRequest; ///< Without its body.
+  BoundedBuffer mBody;
   int mVersion = 0;
   /// The first of the headers that may be stated only once and was repeated;
   /// empty: none.
@@ -254,18 +258,14 @@
     mIsHeadComplete = true;
   }
 
-  void on_body_init_impl(const boost::optional<std::uint64_t>& aLength,
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*aLength*/,
                          error_code& /*aError*/) override
   {
-    if (aLength) {
-      mRequest.mBody.reserve(*aLength); // Not above the limit.
-    }
   }
 
-  std::size_t on_body_impl(string_view aBody, error_code& /*aError*/) override
+  std::size_t on_body_impl(string_view aBody, error_code& aError) override
   {
-    mRequest.mBody.append(aBody.data(), aBody.size());
-    return aBody.size();
+    return AppendToBody(aBody, aError);
   }
 
   void on_chunk_header_impl(std::uint64_t /*aSize*/,
@@ -276,15 +276,23 @@
 
   std::size_t on_chunk_body_impl(std::uint64_t /*aRemaining*/,
                                  string_view aBody,
-                                 error_code& /*aError*/) override
+                                 error_code& aError) override
   {
-    mRequest.mBody.append(aBody.data(), aBody.size());
-    return aBody.size();
+    return AppendToBody(aBody, aError);
   }
 
   void on_finish_impl(error_code& /*aError*/) override {}
 
 private:
+  std::size_t AppendToBody(string_view aBody, error_code& aError)
+  {
+    if (!mBody.Append({ aBody.data(), aBody.size() })) {
+      aError = http::error::buffer_overflow;
+      return 0;
+    }
+    return aBody.size();
+  }
+
   bool mIsHeadComplete = false;
 };
 
@@ -345,9 +353,7 @@
   if (ec == http::error::bad_version && HasRequestLine(head)) {
     Reject(kVersionNotSupported, "bad_request", "unsupported HTTP version");
   } else if (ec == http::error::body_limit) {
-    Reject(kContentTooLarge,
-           "body_too_large",
-           fmt::format("the body exceeds {} bytes", mSettings.mMaxBodyBytes));
+    RejectBody();
   } else if (ec && ec != http::error::need_more) {
     Reject(kBadRequest, "bad_request", "malformed head: " + ec.message());
   } else {
@@ -390,6 +396,11 @@
   }
   mHasHead = true;
   mMessage->eager(true);
+  // The memory of the body is drawn before any of it is read.
+  const auto stated = mMessage->content_length();
+  if (stated && !mMessage->mBody.Reserve(*stated)) {
+    RejectForMemory();
+  }
 }
 
 std::size_t
@@ -407,9 +418,9 @@
     }
   }
   if (ec == http::error::body_limit) {
-    Reject(kContentTooLarge,
-           "body_too_large",
-           fmt::format("the body exceeds {} bytes", mSettings.mMaxBodyBytes));
+    RejectBody();
+  } else if (ec == http::error::buffer_overflow) {
+    RejectForMemory();
   } else if (ec && ec != http::error::need_more) {
     Reject(kBadRequest, "bad_request", "malformed body: " + ec.message());
   } else if (aBytes.size() - consumed > mSettings.mMaxHeaderBytes &&
@@ -425,6 +436,21 @@
   mError = HttpRequestError{ aStatus, aType, std::move(aMessage) };
 }
 
+void
+RequestParser::RejectForMemory()
+{
+  mError.emplace();
+  mError->mIsMemoryFull = true;
+}
+
+void
+RequestParser::RejectBody()
+{
+  Reject(kContentTooLarge,
+         "body_too_large",
+         fmt::format("the body exceeds {} bytes", mSettings.mMaxBodyBytes));
+}
+
 bool
 RequestParser::HasBegun() const
 {
@@ -470,10 +496,18 @@
   return mMessage->mRequest.mTarget;
 }
 
+const HttpRequest&
+RequestParser::PartialRequest() const
+{
+  return mMessage->mRequest;
+}
+
 HttpRequest
-RequestParser::TakeRequest()
+RequestParser::TakeRequest(MemoryCharge* aMemory)
 {
   HttpRequest request = std::move(mMessage->mRequest);
+  request.mBody = mMessage->mBody.Take();
+  *aMemory = mMessage->mBody.TakeCharge();
   const auto question =
     std::min(request.mTarget.find('?'), request.mTarget.size());
   const std::string_view target = request.mTarget;
--- a/Peridothoist/Shell/RequestParser.h
+++ b/Peridothoist/Shell/RequestParser.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Core/MemoryBudget.h>
 #include <Peridothoist/Shell/HttpServer.h>
 
 namespace peridothoist::detail {
@@ -18,6 +19,9 @@
   int mStatus = 0;
   const char* mType = ""; ///< Error type in the JSON response.
   std::string mMessage;
+  /// The process holds too much to read the body. The handler provides the
+  /// response; the other members are not set.
+  bool mIsMemoryFull = false;
 };
 
 /// Parses the requests of one connection, one after the other.
@@ -54,8 +58,12 @@
   bool IsHead() const;
   const std::string& Target() const;
 
-  /// Returns the complete request, and starts with the next one.
-  HttpRequest TakeRequest();
+  /// Returns the complete request, and starts with the next one. aMemory is set
+  /// to the memory that the request holds.
+  HttpRequest TakeRequest(MemoryCharge* aMemory);
+
+  /// Returns the request as far as it has been parsed.
+  const HttpRequest& PartialRequest() const;
 
 private:
   class Message;
@@ -64,6 +72,8 @@
   std::size_t ParseBody(std::string_view aBytes);
   void CheckHead(std::size_t aHeadBytes);
   void Reject(int aStatus, const char* aType, std::string aMessage);
+  void RejectBody();
+  void RejectForMemory();
 
   const HttpServerSettings& mSettings;
   std::unique_ptr<Message> mMessage;
--- a/Peridothoist/Shell/ServerConnection.cpp
+++ b/Peridothoist/Shell/ServerConnection.cpp
@@ -233,11 +233,13 @@
   mIsResponseEnded = false;
   const ServerExchange::Protocol protocol = { mParser.IsHttp10(),
                                               mParser.IsHead() };
-  HttpRequest request = mParser.TakeRequest();
+  MemoryCharge memory;
+  HttpRequest request = mParser.TakeRequest(&memory);
   request.mPeerAddress = mPeer;
   mExchange = std::make_shared<ServerExchange>(
     static_cast<ServerExchangeDelegate&>(*this),
     std::move(request),
+    std::move(memory),
     protocol,
     mSettings);
   EnterPhase(ConnectionPhase::Responding);
@@ -249,16 +251,25 @@
 void
 ServerConnection::Reject(const HttpRequestError& aError)
 {
-  EnterPhase(ConnectionPhase::Responding);
-  mClosesAfterResponse = true;
+  if (aError.mIsMemoryFull) {
+    RespondAndClose(mDelegate.OnMemoryFull(mParser.PartialRequest()));
+    return;
+  }
   const HttpHeaders headers = { { "content-type", "application/json" },
                                 { "peridothoist-run", "not-run" } };
-  const std::string body = MakeErrorBody(aError);
-  ResponseHead head{ aError.mStatus, headers };
+  RespondAndClose({ aError.mStatus, headers, MakeErrorBody(aError) });
+}
+
+void
+ServerConnection::RespondAndClose(const HttpResponse& aResponse)
+{
+  EnterPhase(ConnectionPhase::Responding);
+  mClosesAfterResponse = true;
+  ResponseHead head{ aResponse.mStatus, aResponse.mHeaders };
   head.mFraming = BodyFraming::Length;
-  head.mLength = body.size();
+  head.mLength = aResponse.mBody.size();
   head.mClosesConnection = true;
-  Send(FormatResponseHead(head) + body);
+  Send(FormatResponseHead(head) + aResponse.mBody);
   OnResponseEnded(true);
 }
 
@@ -277,6 +288,18 @@
   }
 }
 
+void
+ServerConnection::SendAll(std::string aData)
+{
+  if (mPhase == ConnectionPhase::Closed || UnsentBytes() > 0) {
+    Send(aData);
+    return;
+  }
+  mOutput = std::move(aData);
+  mOutputStart = 0;
+  Flush();
+}
+
 /// Returns whether a caller has sent on while its response is open. Empty lines
 /// between requests don't count.
 bool
--- a/Peridothoist/Shell/ServerConnection.h
+++ b/Peridothoist/Shell/ServerConnection.h
@@ -31,6 +31,9 @@
   /// Called when a request is complete.
   virtual void OnRequest(std::shared_ptr<HttpExchange> aExchange) = 0;
 
+  /// See: HttpRequestHandler
+  virtual HttpResponse OnMemoryFull(const HttpRequest& aRequest) = 0;
+
   /// Called when the phase has changed from or to Responding.
   virtual void OnResponding(bool aIsResponding) = 0;
 
@@ -120,6 +123,7 @@
 private:
   // See: ServerExchangeDelegate
   void Send(std::string_view aData) override;
+  void SendAll(std::string aData) override;
   std::size_t UnsentBytes() const override
   {
     return mOutput.size() - mOutputStart;
@@ -136,6 +140,7 @@
   void HandleInput();
   void StartResponse();
   void Reject(const HttpRequestError& aError);
+  void RespondAndClose(const HttpResponse& aResponse);
   void Flush();
   void AfterFlush();
   void FinishResponse();
--- a/Peridothoist/Shell/ServerExchange.cpp
+++ b/Peridothoist/Shell/ServerExchange.cpp
@@ -11,14 +11,19 @@
 
 constexpr int kInternalServerError = 500;
 
+/// Smaller bodies are sent together with their heads.
+constexpr std::size_t kLargeBodyBytes = 64 * 1024;
+
 } // namespace
 
 ServerExchange::ServerExchange(ServerExchangeDelegate& aDelegate,
                                HttpRequest aRequest,
+                               MemoryCharge aMemory,
                                const Protocol& aProtocol,
                                const HttpServerSettings& aSettings)
   : mDelegate(&aDelegate)
   , mRequest(std::move(aRequest))
+  , mMemory(std::move(aMemory))
   , mProtocol(aProtocol)
   , mSettings(aSettings)
 {
@@ -105,10 +110,14 @@
   }
   mState = State::Ended;
   std::string response = MakeHead(aStatus, aHeaders, aBody.size());
-  if (mSendsBody) {
+  if (mSendsBody && aBody.size() < kLargeBodyBytes) {
     response += aBody;
+    aBody.clear();
   }
   mDelegate->Send(response);
+  if (mSendsBody && !aBody.empty()) {
+    mDelegate->SendAll(std::move(aBody));
+  }
   mDelegate->OnResponseEnded(mIsCloseStated);
 }
 
--- a/Peridothoist/Shell/ServerExchange.h
+++ b/Peridothoist/Shell/ServerExchange.h
@@ -14,6 +14,8 @@
 
   /// Sends bytes of the response, or keeps them until they can be sent.
   virtual void Send(std::string_view aData) = 0;
+  /// The same for bytes that are not copied.
+  virtual void SendAll(std::string aData) = 0;
 
   /// Returns the number of bytes that are not sent yet.
   virtual std::size_t UnsentBytes() const = 0;
@@ -51,6 +53,7 @@
 
   ServerExchange(ServerExchangeDelegate& aDelegate,
                  HttpRequest aRequest,
+                 MemoryCharge aMemory,
                  const Protocol& aProtocol,
                  const HttpServerSettings& aSettings);
   ServerExchange(const ServerExchange&) = delete;
@@ -105,6 +108,7 @@
 
   ServerExchangeDelegate* mDelegate; ///< Null after Detach().
   const HttpRequest mRequest;
+  const MemoryCharge mMemory; ///< Of mRequest.
   const Protocol mProtocol;
   const HttpServerSettings& mSettings;
   HttpExchangeListener* mListener = nullptr;
--- a/Peridothoist/Shell/ServerSocket.cpp
+++ b/Peridothoist/Shell/ServerSocket.cpp
@@ -183,6 +183,7 @@
 {
   EnableKeepAlive(aDescriptor);
   LimitSendBuffer(aDescriptor);
+  LimitReceiveBuffer(aDescriptor);
   const int enabled = 1;
   ::setsockopt(
     aDescriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -361,6 +361,7 @@
     HttpCall call = MakeGet(8221, aTarget);
     call.mMethod = "POST";
     call.mBody = "body";
+    call.mMaxResponseBytes = 0; // A caller bounds nothing.
     call.mHeaders = { { "host", "site" },
                       { "request-id", "id-1" },
                       { "request-deadline", "5000" } };
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -595,7 +595,7 @@
   const HttpCall call =
     PlatformUpstreamProtocol().MakeCall(ExampleCommand(), ExampleRequest());
   BOOST_TEST(call.mUrl == "http://10.0.0.9:8080/a/x?q=1");
-  BOOST_TEST(call.mBody == "body");
+  BOOST_TEST(call.Body() == "body");
   BOOST_TEST(call.mSendOnce);
   BOOST_TEST(call.mHeaders.count("authorization") == 0U);
   BOOST_TEST(call.mHeaders.count("kv-source") == 0U);
--- a/UnitTests/Shell/HttpClientTest.cpp
+++ b/UnitTests/Shell/HttpClientTest.cpp
@@ -151,6 +151,84 @@
   }
 }
 
+// Guards against a faulty upstream that sends bytes without end: the process
+// that had called it kept them all until it ran out of memory (LOST).
+BOOST_AUTO_TEST_CASE(ResponsesWithoutEndAreGivenUp)
+{
+  struct Row
+  {
+    const char* mName;
+    std::string mBegin;
+    std::string mRepeated;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string block(1000, 'x');
+  const std::string line = "X-Header: " + block + "\r\n";
+  const Row rows[] = {
+    { "bytes that are no response", "", block },
+    { "status line", "HTTP/1.1 200 ", block },
+    { "line of a head", ok + "X-Header: ", block },
+    { "lines of a head", ok, line },
+    { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "interim responses with headers",
+      "",
+      "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n" },
+    { "empty lines", "", "\r\n" },
+    { "size of a chunk", chunked, "0" },
+    { "line of a trailer", chunked + "0\r\nX-Trailer: ", block },
+    { "trailers", chunked + "0\r\n", line },
+    { "body to the end of the connection", ok + "\r\n", block },
+    { "body in chunks", chunked, "3e8\r\n" + block + "\r\n" },
+    { "body with a length",
+      ok + "Content-Length: 1000000000000\r\n\r\n",
+      block },
+    { "body of an error", "HTTP/1.1 500 Internal Server Error\r\n\r\n", block },
+  };
+  constexpr std::size_t kLimit = 100'000;
+  // What is on its way in buffers of the kernel when the call ends.
+  constexpr std::size_t kInBuffers = 4 << 20;
+  for (const Row& row : rows) {
+    EndlessServer server(*mReactor, row.mBegin, row.mRepeated);
+    HttpCall call;
+    call.mUrl = "http://127.0.0.1:" + std::to_string(server.Port()) + "/";
+    call.mMaxResponseBytes = kLimit;
+    const auto recorder = CallAndWait(call);
+    BOOST_TEST((recorder->mResult.mFailure == CallFailure::Broken), row.mName);
+    BOOST_TEST(recorder->mResult.mMayHaveBeenSent, row.mName);
+    BOOST_TEST(recorder->mBody.size() <= kLimit, row.mName);
+    BOOST_TEST(server.mSentBytes < kLimit + kInBuffers, row.mName);
+    BOOST_TEST(Until([&] { return server.mIsRefused; }), row.mName);
+  }
+}
+
+// Guards against documents of peers and the store that are kept although the
+// process holds too much.
+BOOST_AUTO_TEST_CASE(FetchedBodiesAreDrawnFromTheMemory)
+{
+  mHandler.mRespond = [](HttpExchange& aExchange) {
+    aExchange.Respond(200, {}, std::string(50'000, 'x'));
+  };
+  Serve();
+  const auto memory = std::make_shared<MemoryBudget>(300'000);
+  mClient->SetMemory(memory);
+  const auto fetch = [this] {
+    std::optional<HttpCallResult> result;
+    mClient->Fetch(Call(), [&](const HttpCallResult& aResult, std::string) {
+      result = aResult;
+    });
+    BOOST_REQUIRE(Until([&] { return result.has_value(); }));
+    return result->mFailure;
+  };
+  BOOST_TEST((fetch() == CallFailure::None));
+  BOOST_TEST(memory->UsedBytes() == 0);
+  MemoryCharge other(memory);
+  other.Set(280'000);
+  BOOST_TEST((fetch() == CallFailure::Broken));
+  BOOST_TEST(memory->UsedBytes() == 280'000);
+  BOOST_TEST(memory->RefusalCount(MemoryUse::Document) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(TimeoutAfterSending)
 {
   Serve();
--- a/UnitTests/Shell/HttpServerTest.cpp
+++ b/UnitTests/Shell/HttpServerTest.cpp
@@ -87,6 +87,71 @@
   CheckServesNextRequest();
 }
 
+// Guards against bodies that come at once, each within the limit, and together
+// exceed the memory of the process (LOST).
+BOOST_AUTO_TEST_CASE(BodiesAreRejectedBeforeTheyExceedTheMemory)
+{
+  constexpr std::size_t kBody = 400'000;
+  HttpServerSettings settings;
+  settings.mMemory = std::make_shared<MemoryBudget>(1'600'000);
+  std::vector<std::shared_ptr<HttpExchange>> open;
+  mHandler.mRespond = [&](HttpExchange&) {
+    open.push_back(mHandler.mLastExchange);
+  };
+  Serve(settings);
+  const std::string length =
+    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(kBody) +
+    "\r\n\r\n";
+  RawCaller first(mServer->Port());
+  RawCaller second(mServer->Port());
+  first.Send(length);
+  second.Send(length);
+  const MemoryBudget& memory = *settings.mMemory;
+  // Drawn before a byte of the bodies has come.
+  BOOST_TEST(Until([&] { return memory.UsedBytes() >= 2 * kBody; }));
+  for (const char* framing :
+       { "Content-Length: 400000\r\n\r\n",
+         "Transfer-Encoding: chunked\r\n\r\n61a80\r\n" }) {
+    RawCaller third(mServer->Port());
+    third.Send(std::string("POST / HTTP/1.1\r\nHost: x\r\n") + framing);
+    third.Send(std::string(kBody / 2, 'x'));
+    BOOST_TEST(Until([&] { return third.Receive(); }));
+    BOOST_TEST(third.mReceived.find("503") != std::string::npos);
+    BOOST_TEST(third.mReceived.find("peridothoist-run: not-run") !=
+               std::string::npos);
+  }
+  BOOST_TEST(memory.UsedBytes() < 3 * kBody);
+  // A small one goes on.
+  RawCaller small(mServer->Port());
+  small.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody");
+  BOOST_TEST(Until([&] { return open.size() == 1; }));
+  first.Close();
+  second.Close();
+  open.clear();
+  mHandler.mLastExchange.reset();
+  BOOST_TEST(Until([&] { return memory.UsedBytes() < kBody; }));
+}
+
+// Guards against unsent responses that are not counted, or counted for ever.
+BOOST_AUTO_TEST_CASE(UnsentResponsesAreDrawnFromTheMemory)
+{
+  constexpr std::size_t kBody = 8'000'000;
+  HttpServerSettings settings;
+  settings.mMemory = std::make_shared<MemoryBudget>(1'000'000);
+  mHandler.mRespond = [](HttpExchange& aExchange) {
+    aExchange.Respond(200, {}, std::string(kBody, 'x'));
+  };
+  Serve(settings);
+  RawCaller caller(mServer->Port());
+  caller.Send(kRequest);
+  BOOST_TEST(Until([&] { return settings.mMemory->UsedBytes() > kBody / 2; }));
+  BOOST_TEST(Until([&] {
+    caller.Receive();
+    return caller.mReceived.size() > kBody;
+  }));
+  BOOST_TEST(Until([&] { return settings.mMemory->UsedBytes() == 0; }));
+}
+
 BOOST_AUTO_TEST_CASE(TooLargeHeadersAreRejected)
 {
   HttpServerSettings settings;
--- a/UnitTests/Shell/ShellFixture.h
+++ b/UnitTests/Shell/ShellFixture.h
@@ -225,6 +225,72 @@
   int mSocket;
 };
 
+/// A plain server socket that answers the first request with some bytes and
+/// then repeats others until the connection is closed.
+class EndlessServer : public DescriptorListener
+{
+public:
+  EndlessServer(Reactor& aReactor, std::string aBegin, std::string aRepeated)
+    : mReactor(aReactor)
+    , mSocket(aReactor, "")
+    , mOutput(std::move(aBegin))
+    , mRepeated(std::move(aRepeated))
+  {
+    mReactor.Unwatch(mSocket.Socket());
+    mReactor.Watch(mSocket.Socket(), this);
+  }
+  ~EndlessServer() override
+  {
+    mReactor.CancelTimer(mTimer);
+    if (mConnection >= 0) {
+      ::close(mConnection);
+    }
+  }
+  EndlessServer(const EndlessServer&) = delete;
+  EndlessServer& operator=(const EndlessServer&) = delete;
+
+  std::uint16_t Port() const { return mSocket.mPort; }
+
+  // See: DescriptorListener
+  void OnReadable(int aDescriptor) override
+  {
+    if (aDescriptor == mSocket.Socket() && mConnection < 0) {
+      mConnection = ::accept(mSocket.Socket(), nullptr, nullptr);
+      Send();
+    }
+  }
+
+  std::size_t mSentBytes = 0;
+  bool mIsRefused = false; ///< The client has closed the connection.
+
+private:
+  void Send()
+  {
+    while (mOutput.size() < kBlockBytes) {
+      mOutput += mRepeated;
+    }
+    const ssize_t n = ::send(
+      mConnection, mOutput.data(), mOutput.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (n > 0) {
+      mSentBytes += static_cast<std::size_t>(n);
+      mOutput.erase(0, static_cast<std::size_t>(n));
+    } else if (errno != EAGAIN && errno != EWOULDBLOCK) {
+      mIsRefused = true;
+      return;
+    }
+    mTimer = mReactor.Schedule(Duration(0), [this] { Send(); });
+  }
+
+  static constexpr std::size_t kBlockBytes = 16 * 1024;
+
+  Reactor& mReactor;
+  RawServer mSocket;
+  int mConnection = -1;
+  std::string mOutput;
+  std::string mRepeated;
+  Reactor::TimerId mTimer = 0;
+};
+
 /// A reactor with a server and a client.
 struct ShellFixture
 {
