Let the soak say what became of a node that doesn't answer

A new invariant, ENDED: the process of a node has ended although no fault killed or terminated it, checked before each action and every 20 ms or 200 ms, with the exit code and the last lines of its log. ANSWERED says whether the connection was refused, reset, closed by the node or timed out, and whether it was new or kept.

--- a/SystemTests/harness/process.py
+++ b/SystemTests/harness/process.py
@@ -27,6 +27,7 @@
         self.log_path = os.path.join(log_folder, name + ".log")
         self.environment = {**os.environ, **(environment or {})}
         self.child = None
+        self.is_asked_to_end = False  # By kill() or terminate(), since the start.
 
     def start(self):
         """Starts the program and appends its output to its log. Must be called
@@ -37,6 +38,7 @@
                 self.command, stdout=log, stderr=log, env=self.environment,
                 preexec_fn=_kill_with_parent,
             )
+        self.is_asked_to_end = False
 
     @property
     def pid(self):
@@ -45,8 +47,18 @@
     def is_running(self):
         return self.child is not None and self.child.poll() is None
 
+    def has_ended_by_itself(self):
+        """Returns whether the process has ended although kill() and terminate() were
+        not called. Its exit code is child.returncode."""
+        return (
+            self.child is not None
+            and not self.is_asked_to_end
+            and self.child.poll() is not None
+        )
+
     def kill(self):
         """Sends SIGKILL to simulate the loss of a VM, and waits for the exit."""
+        self.is_asked_to_end = True
         if self.is_running():
             self.child.send_signal(signal.SIGKILL)
             self.child.wait()
@@ -61,6 +73,7 @@
 
     def terminate(self):
         """Sends SIGTERM, which requests a graceful shutdown, without waiting."""
+        self.is_asked_to_end = True
         if self.is_running():
             self.child.send_signal(signal.SIGTERM)
 
--- a/SystemTests/soak/invariants.py
+++ b/SystemTests/soak/invariants.py
@@ -7,6 +7,7 @@
 """
 
 import bisect
+import time
 from collections import Counter, defaultdict
 
 from users_platform.upstreams import BROKEN, COLD_OVERAGE, COLD_SLACK
@@ -31,6 +32,7 @@
 # The tolerance that the platform specifies. Its fixed part of 140,000 tokens is
 # expressed as 30 requests of 4,600 tokens.
 ALLOWANCE_WINDOW_SECONDS, ALLOWANCE_OVERAGE, ALLOWANCE_FIXED_COUNT = 8.0, 0.1, 30
+LAST_LOG_LINES = 10  # Of a process that has ended by itself.
 SERVICE_OF = {"post": "ledger", "look": "ledger", "stream": "lm"}
 
 
@@ -128,6 +130,15 @@
         for line in cold_overruns(arrivals):
             self._report("COLD", *line.split(": ", 1))
 
+    def check_processes(self, nodes):
+        """Checks that no process of a node has ended without being asked to."""
+        for process in (it.process for it in nodes):
+            if process.has_ended_by_itself():
+                text = f"exit code {process.child.returncode}, seen at "
+                text += f"{time.monotonic():.3f}; the last lines of its log:\n"
+                text += "\n".join(process.log().splitlines()[-LAST_LOG_LINES:])
+                self._report("ENDED", f"{process.name} (pid {process.pid})", text)
+
     def _report(self, invariant, identity, text):
         if (invariant, identity) not in self._reported:
             self._reported.add((invariant, identity))
@@ -166,6 +177,8 @@
         if self.record.was_connected(attempt.node, attempt.sent_at, attempt.ended_at):
             text = f"{attempt.kind} at {attempt.sent_at:.3f} to {attempt.node}: status "
             text += f"{attempt.status} after {attempt.ended_at - attempt.sent_at:.3f} s"
+            connection = "new" if attempt.is_connection_new else "kept"
+            text += f", {attempt.failure} ({connection} connection)"
             self._report("ANSWERED", attempt.request_id, text)
             return
         ran = runs[attempt.request_id] > 0
--- a/SystemTests/soak/soak.py
+++ b/SystemTests/soak/soak.py
@@ -16,6 +16,7 @@
 import shutil
 import sys
 import time
+from collections import Counter
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 
@@ -76,13 +77,35 @@
         end = max(started + self.seconds, time.monotonic()) + RECOVERY_SECONDS
         while time.monotonic() < end:
             time.sleep(0.2)
+            self.check_processes()
         self.checker.check()
         self._check_recovery(time.monotonic())
         self.is_stopping = True
         callers.result(10)
         self.checker.check()
+        self.check_processes()
+        return self.violations()
+
+    def violations(self):
+        """Returns those found so far."""
         return self.checker.violations + self.record.failed_exits
 
+    def check_processes(self):
+        """Checks that the processes of all nodes run that should."""
+        self.checker.check_processes(self.cluster.nodes)
+
+    def keep_logs(self, folder):
+        """Replaces a folder by the logs, the actions, the violations, and the numbers
+        of failed attempts by node and failure."""
+        shutil.rmtree(folder, ignore_errors=True)
+        shutil.copytree(self.cluster.folder, folder)
+        failures = Counter(
+            f"{it.node}: {it.failure}" for it in self.record.ended if it.failure
+        )
+        lines = [f"{count} of {name}" for name, count in sorted(failures.items())]
+        with open(os.path.join(folder, "acts.txt"), "w") as file:
+            file.write("\n".join(self.action_log + self.violations() + lines) + "\n")
+
     def _run_actions(self, started):
         key_change_time = started + self.rng.uniform(2, self.seconds)
         for action in self.actions:
@@ -91,6 +114,8 @@
                     self._change_key()
                     key_change_time = None
                 time.sleep(0.02)
+                self.check_processes()
+            self.check_processes()
             now = time.monotonic()
             self.action_log.append(f"{now - started:7.3f} ({now:.3f}) {action.text}")
             action.run()
@@ -159,10 +184,7 @@
         for line in violations[:20]:
             print("   ", line)
         if violations and keep:
-            folder = os.path.join(keep, f"seed-{seed}")
-            shutil.copytree(soak.cluster.folder, folder, dirs_exist_ok=True)
-            with open(os.path.join(folder, "acts.txt"), "w") as file:
-                file.write("\n".join(soak.action_log + violations) + "\n")
+            soak.keep_logs(os.path.join(keep, f"seed-{seed}"))
         return not violations
     finally:
         soak.cluster.stop()
