--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -22,6 +22,9 @@
 /// Timeout of a caller that states none, for the retry delay of a refusal.
 constexpr Duration kDefaultRefusalTimeout = 1s;
 
+/// Callers that are refused for want of memory don't come back at once.
+constexpr Duration kMinMemoryRetryAfter = 10ms;
+
 /// Minimum lag of the event loop for which a warning is logged.
 constexpr Duration kLoopLagWarningThreshold = 100ms;
 
@@ -279,7 +282,9 @@
 {
   const auto wait = std::chrono::duration_cast<Duration>(
     MaxRetryWait(aCallerTimeout) * mRandom.UniformFraction());
-  return Refusal::Make(RefusalKind::BuffersFull, RunVerdictTracker(), wait);
+  return Refusal::Make(RefusalKind::BuffersFull,
+                       RunVerdictTracker(),
+                       std::max(wait, kMinMemoryRetryAfter));
 }
 
 /// Refuses a request whose body there is no memory for, before it is read.
