Count the time of a drained connection from the end of its response

What callers see in the test: a connection whose stream ended just before the listener of a stopping node was closed ended at once, although nothing had said so; the next request met the close.

Cause: a connection took the time of its own last event for the time of what its handler does. The end of a response comes from an event of the upstream, so the 300 ms for the next request had begun up to 500 ms before (100 ms while draining), with the last check of all connections. The closing period was as much too short.

Change: connections ask the server for the time of the current event.

--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -59,6 +59,7 @@
   void OnReadable(int aDescriptor) override;
 
   // See: ServerConnectionDelegate
+  TimePoint Now() const override { return mReactor.Now(); }
   void OnRequest(std::shared_ptr<HttpExchange> aExchange) override
   {
     mHandler->OnRequest(std::move(aExchange));
@@ -204,7 +205,7 @@
     }
     const auto it = mConnections.find(event.data.u64);
     if (it != mConnections.end()) {
-      it->second.mConnection->OnEvents(event.events, mReactor.Now());
+      it->second.mConnection->OnEvents(event.events);
     }
   }
   mClosed.clear();
--- a/Peridothoist/Shell/ServerConnection.cpp
+++ b/Peridothoist/Shell/ServerConnection.cpp
@@ -63,7 +63,6 @@
   , mId(aId)
   , mSocket(aDescriptor, aTls)
   , mPeer(std::move(aPeer))
-  , mNow(aNow)
   , mPhaseStartedAt(aNow)
   , mLastProgressAt(aNow)
   , mParser(aSettings)
@@ -90,9 +89,8 @@
 }
 
 void
-ServerConnection::OnEvents(std::uint32_t aEvents, TimePoint aNow)
+ServerConnection::OnEvents(std::uint32_t aEvents)
 {
-  mNow = aNow;
   constexpr std::uint32_t kFailed = EPOLLHUP | EPOLLERR;
   constexpr std::uint32_t kEnded = EPOLLRDHUP | kFailed;
   const bool isResponding = mPhase == ConnectionPhase::Responding;
@@ -125,7 +123,6 @@
 void
 ServerConnection::Continue(TimePoint aNow)
 {
-  mNow = aNow;
   if (mPhase == ConnectionPhase::Idle || mPhase == ConnectionPhase::Reading) {
     HandleInput();
   }
@@ -153,7 +150,7 @@
   const bool wasResponding = mPhase == ConnectionPhase::Responding;
   const bool isResponding = aPhase == ConnectionPhase::Responding;
   mPhase = aPhase;
-  mPhaseStartedAt = mNow;
+  mPhaseStartedAt = mDelegate.Now();
   if (wasResponding != isResponding) {
     mDelegate.OnResponding(isResponding);
   }
@@ -175,7 +172,7 @@
       Close(ConnectionEnd::CallerGone);
       return;
     }
-    mLastProgressAt = mNow;
+    mLastProgressAt = mDelegate.Now();
     if (mPhase == ConnectionPhase::Closing) {
       mDroppedBytes += read.mBytes;
       if (mDroppedBytes > kMaxDroppedBodyFactor * mSettings.mMaxBodyBytes) {
@@ -346,7 +343,7 @@
     if (sent.mEnd != TransferEnd::Done) {
       break;
     }
-    mLastProgressAt = mNow;
+    mLastProgressAt = mDelegate.Now();
     mOutputStart += sent.mBytes;
     DropSentBytes();
   }
@@ -419,7 +416,7 @@
     StartClosing();
   } else {
     EnterPhase(ConnectionPhase::Idle);
-    mLastProgressAt = mNow;
+    mLastProgressAt = mDelegate.Now();
     mDelegate.UpdateEvents(*this);
     // HandleInput() goes on itself if it is running.
     const bool hasMore = !mInput.empty() || mSocket.HasPendingInput();
@@ -502,7 +499,6 @@
 void
 ServerConnection::CloseIfStale(TimePoint aNow)
 {
-  mNow = aNow;
   if (mPhase == ConnectionPhase::Idle && mDelegate.IsDraining()) {
     Continue(aNow);
   }
--- a/Peridothoist/Shell/ServerConnection.h
+++ b/Peridothoist/Shell/ServerConnection.h
@@ -28,6 +28,9 @@
 public:
   virtual ~ServerConnectionDelegate() = default;
 
+  /// Returns the time of the current event, which may concern no connection.
+  virtual TimePoint Now() const = 0;
+
   /// Called when a request is complete.
   virtual void OnRequest(std::shared_ptr<HttpExchange> aExchange) = 0;
 
@@ -108,7 +111,7 @@
   std::uint32_t WantedEvents() const;
 
   /// Called with epoll events.
-  void OnEvents(std::uint32_t aEvents, TimePoint aNow);
+  void OnEvents(std::uint32_t aEvents);
 
   /// Reads and handles what has arrived.
   void Continue(TimePoint aNow);
@@ -156,7 +159,6 @@
   const std::uint64_t mId;
   ServerSocket mSocket;
   const std::string mPeer;
-  TimePoint mNow; ///< Of the current event.
 
   ConnectionPhase mPhase = ConnectionPhase::Idle;
   TimePoint mPhaseStartedAt;
--- a/UnitTests/Shell/HttpServerTest.cpp
+++ b/UnitTests/Shell/HttpServerTest.cpp
@@ -709,6 +709,31 @@
   mHandler.mLastExchange.reset();
 }
 
+// Guards against a connection that is closed as soon as its response has ended:
+// the time that its caller has counted from an earlier event.
+BOOST_AUTO_TEST_CASE(ADrainGivesCallersTheirTimeFromTheEndOfAResponse)
+{
+  mHandler.mRespond = nullptr;
+  Serve();
+  RawCaller caller(mServer->Port());
+  caller.Send(kRequest);
+  BOOST_REQUIRE(Until([&] { return mHandler.mRequests == 1; }));
+  const auto stream = mHandler.mLastExchange;
+  stream->StartStream(200, {});
+  RunUntilStopped(400ms); // Nothing happens on the connection.
+  mHandler.mRespond = [](HttpExchange& aExchange) {
+    aExchange.Respond(503, {}, "stopping");
+  };
+  stream->EndStream();
+  mServer->StartDrain();
+  RunUntilStopped(20ms);
+  caller.Send(kRequest);
+  BOOST_REQUIRE(Until([&] { return caller.Receive(); }));
+  BOOST_TEST(CountOccurrences(caller.mReceived, "stopping") == 1,
+             caller.mReceived);
+  mHandler.mLastExchange.reset();
+}
+
 BOOST_AUTO_TEST_CASE(DrainFromRequestHandler)
 {
   mHandler.mRespond = [this](HttpExchange& aExchange) {
