Read idle connections once more before a drained process ends

What callers can see (by reading; no run of a node showed it): a request that had arrived on a kept connection of a stopping node just before its listener was closed was never read; the connection was reset.

Cause: the node asks right after StartDrain() whether anything is open. A connection that had been idle for 300 ms counted as nothing, also before the drain's last read of it, so with nothing else open the process ended at once. On a slow core whose timers run late, that hits whatever came in meanwhile.

Change: while the server drains, every connection counts as open work until it has been read and closed, which takes one iteration of the event loop for idle ones.

Evidence: ADrainIsNotOverBeforeIdleConnectionsAreRead fails before (0 busy connections beside a request that had arrived) and passes now; all 28 cases of HttpServerTest pass.

--- a/Peridothoist/Shell/HttpServer.cpp
+++ b/Peridothoist/Shell/HttpServer.cpp
@@ -380,6 +380,9 @@
 std::size_t
 HttpServer::Impl::BusyConnectionCount() const
 {
+  if (mIsDraining) {
+    return mConnections.size(); // Idle ones are read before they are closed.
+  }
   const TimePoint now = mReactor.Now();
   return static_cast<std::size_t>(std::count_if(
     mConnections.begin(), mConnections.end(), [now](const auto& aIt) {
--- a/Peridothoist/Shell/HttpServer.h
+++ b/Peridothoist/Shell/HttpServer.h
@@ -159,7 +159,8 @@
 
   /// Returns the number of connections on which a request is coming in or open,
   /// or whose caller may not yet have read its last response or may be sending
-  /// the next request.
+  /// the next request. After StartDrain(), all connections count: an idle one
+  /// is read once more before it is closed.
   std::size_t BusyConnectionCount() const;
 
 private:
--- a/UnitTests/Shell/HttpServerTest.cpp
+++ b/UnitTests/Shell/HttpServerTest.cpp
@@ -734,6 +734,29 @@
   mHandler.mLastExchange.reset();
 }
 
+// Guards against a process that ends, since nothing seems to be open, before it
+// has read a request which had arrived on an idle connection.
+BOOST_AUTO_TEST_CASE(ADrainIsNotOverBeforeIdleConnectionsAreRead)
+{
+  Serve();
+  RawCaller caller(mServer->Port());
+  caller.Send(kRequest);
+  BOOST_REQUIRE(Until([&] {
+    caller.Receive();
+    return CountOccurrences(caller.mReceived, "served") == 1;
+  }));
+  RunUntilStopped(400ms);
+  BOOST_TEST(mServer->BusyConnectionCount() == 0);
+  caller.Send(kRequest); // The server has not read it.
+  mServer->StartDrain();
+  BOOST_TEST(mServer->BusyConnectionCount() == 1);
+  BOOST_REQUIRE(Until([&] { return caller.Receive(); }));
+  BOOST_TEST(CountOccurrences(caller.mReceived, "served") == 2,
+             caller.mReceived);
+  caller.Close();
+  BOOST_TEST(Until([&] { return mServer->BusyConnectionCount() == 0; }));
+}
+
 BOOST_AUTO_TEST_CASE(DrainFromRequestHandler)
 {
   mHandler.mRespond = [this](HttpExchange& aExchange) {
