Leave written responses to slow callers when a drain ends connections

What callers see (LOST): a caller that reads slowly, and sends its next request before it has read the last response to its end, gets a reset and loses the rest of that response, if the node stops meanwhile.

Cause: a response counts as sent when the kernel has taken it. While draining, the connection was closed for both directions 300 ms later; the next bytes of the caller then reset it, and what the kernel had not delivered yet was dropped. Connections whose response says that they end had 2 s for this, idle ones had not.

Change: a connection that has been idle for less than those 2 s is ended the same way: its caller reads the rest and the end, and what it sends is read and dropped. A caller that doesn't react to the end holds up the stop by 2 s at most.

Evidence: ADrainLeavesAWrittenResponseToASlowCaller fails before (reset; 128,084 bytes of a stream of 200,000 received in a trial run of the same case) and passes now; all 29 cases of HttpServerTest pass.

--- a/Peridothoist/Shell/ServerConnection.cpp
+++ b/Peridothoist/Shell/ServerConnection.cpp
@@ -130,13 +130,25 @@
     ReadInput();
   }
   if (mDelegate.IsDraining() && !IsBusy(aNow)) {
-    Close(ConnectionEnd::Completed); // No request has arrived by now.
+    CloseIdle(aNow); // No request has arrived by now.
   }
   if (mPhase != ConnectionPhase::Closed) {
     mDelegate.UpdateEvents(*this);
   }
 }
 
+/// Ends an idle connection. A caller that may still be reading its last
+/// response gets the time to do so.
+void
+ServerConnection::CloseIdle(TimePoint aNow)
+{
+  if (aNow - mPhaseStartedAt < kClosingPeriod) {
+    StartClosing();
+  } else {
+    Close(ConnectionEnd::Completed);
+  }
+}
+
 bool
 ServerConnection::IsBusy(TimePoint aNow) const
 {
--- a/Peridothoist/Shell/ServerConnection.h
+++ b/Peridothoist/Shell/ServerConnection.h
@@ -150,6 +150,7 @@
   void DropSentBytes();
   void SetOutputCount();
   void StartClosing();
+  void CloseIdle(TimePoint aNow);
   void Close(ConnectionEnd aEnd);
   void LogCutResponse(ConnectionEnd aEnd) const;
   std::optional<ConnectionEnd> FindStaleness(TimePoint aNow) const;
--- a/UnitTests/Shell/HttpServerTest.cpp
+++ b/UnitTests/Shell/HttpServerTest.cpp
@@ -757,6 +757,30 @@
   BOOST_TEST(Until([&] { return mServer->BusyConnectionCount() == 0; }));
 }
 
+// Guards against a response that a drain destroys on its way to a slow caller:
+// what the caller sends to a closed connection resets it (LOST).
+BOOST_AUTO_TEST_CASE(ADrainLeavesAWrittenResponseToASlowCaller)
+{
+  mHandler.mRespond = nullptr;
+  Serve();
+  RawCaller caller(mServer->Port());
+  caller.Send(kRequest);
+  BOOST_REQUIRE(Until([&] { return mHandler.mRequests == 1; }));
+  const auto stream = mHandler.mLastExchange;
+  stream->StartStream(200, {});
+  stream->Write(std::string(200000, 'x')); // The kernel takes it.
+  mServer->StartDrain();
+  stream->EndStream();
+  BOOST_TEST(mServer->OpenExchangeCount() == 0);
+  RunUntilStopped(600ms);
+  caller.Send(kRequest);
+  RunUntilStopped(20ms);
+  BOOST_REQUIRE(Until([&] { return caller.Receive(); }));
+  BOOST_TEST(!caller.mIsReset);
+  BOOST_TEST(CountOccurrences(caller.mReceived, "\r\n0\r\n\r\n") == 1);
+  mHandler.mLastExchange.reset();
+}
+
 BOOST_AUTO_TEST_CASE(DrainFromRequestHandler)
 {
   mHandler.mRespond = [this](HttpExchange& aExchange) {
