Bound for how long a stopping server goes on with one connection

A node's stop would take its whole grace period, and that of the entry has no bound.

Change: from the first response that didn't say the end although the server stops, a connection goes on for 2 s. What arrives is read for that instead of looked at with MSG_PEEK, which this code used nowhere else.

--- a/Peridothoist/Shell/ServerConnection.cpp
+++ b/Peridothoist/Shell/ServerConnection.cpp
@@ -27,6 +27,10 @@
 /// long for a request that is on its way.
 constexpr Duration kIdleLinger = 300ms;
 
+/// While the server stops, a connection goes on for this long with requests
+/// that arrive before the response to the one before.
+constexpr Duration kMaxGoOnPeriod = 2s;
+
 /// A body that is too large is read to this multiple of the limit, so that its
 /// caller reads the error response.
 constexpr std::size_t kMaxDroppedBodyFactor = 4;
@@ -309,24 +313,36 @@
   Flush();
 }
 
-/// Returns whether a caller has sent on while its response is open. Empty lines
-/// between requests don't count.
+/// Returns whether a caller has sent on while its response is open, and reads
+/// what has arrived for that. Empty lines between requests don't count.
 bool
-ServerConnection::HasFurtherRequest() const
+ServerConnection::HasFurtherRequest()
 {
-  const auto isRequest = [](std::string_view aBytes) {
-    return aBytes.find_first_not_of("\r\n") != std::string_view::npos;
+  const auto isSent = [this] {
+    return mInput.find_first_not_of("\r\n") != std::string::npos;
   };
-  std::array<char, 8> bytes = {};
-  return isRequest(mInput) ||
-         isRequest({ bytes.data(), mSocket.Peek(bytes.data(), bytes.size()) });
+  if (!isSent() && mInput.size() < kReadBytes) {
+    std::array<char, kReadBytes> buffer; // NOLINT: filled before it is read.
+    const Transfer read = mSocket.Read(buffer.data(), buffer.size());
+    mInput.append(buffer.data(), read.mBytes);
+  }
+  return isSent();
 }
 
+/// A caller that always sends on is told in the end as well.
 bool
-ServerConnection::ShouldClose() const
+ServerConnection::ShouldClose()
 {
-  return mClosesAfterResponse ||
-         (mDelegate.ShouldCloseConnections() && !HasFurtherRequest());
+  if (mClosesAfterResponse || !mDelegate.ShouldCloseConnections()) {
+    return mClosesAfterResponse;
+  }
+  const TimePoint now = mDelegate.Now();
+  const bool mayGoOn = !mGoesOnSince || now - *mGoesOnSince < kMaxGoOnPeriod;
+  if (!mayGoOn || !HasFurtherRequest()) {
+    return true;
+  }
+  mGoesOnSince = mGoesOnSince.value_or(now);
+  return false;
 }
 
 void
--- a/Peridothoist/Shell/ServerConnection.h
+++ b/Peridothoist/Shell/ServerConnection.h
@@ -132,8 +132,8 @@
     return mOutput.size() - mOutputStart;
   }
   bool HoldsTooMuch() const override { return mDelegate.HoldsTooMuch(); }
-  bool HasFurtherRequest() const;
-  bool ShouldClose() const override;
+  bool HasFurtherRequest();
+  bool ShouldClose() override;
   void CloseAfterResponse() override { mClosesAfterResponse = true; }
   void OnResponseEnded(bool aIsCloseStated) override;
   void OnResponseAborted(bool aIsEndHidden) override;
@@ -168,6 +168,9 @@
   bool mIsHandlingInput = false; ///< HandleInput() is running.
   bool mClosesAfterResponse = false;
   bool mIsResponseEnded = false;
+  /// When a response first didn't say that the connection ends, although the
+  /// server stops, since another request had arrived.
+  std::optional<TimePoint> mGoesOnSince;
   bool mIsAborted = false;   ///< The connection ends after what is unsent.
   bool mIsEndHidden = false; ///< See ServerExchangeDelegate.
 
--- a/Peridothoist/Shell/ServerExchange.h
+++ b/Peridothoist/Shell/ServerExchange.h
@@ -24,7 +24,7 @@
   virtual bool HoldsTooMuch() const = 0;
 
   /// Returns whether the connection ends after a response that begins now.
-  virtual bool ShouldClose() const = 0;
+  virtual bool ShouldClose() = 0;
 
   /// Called before the head of the response: the connection ends after it.
   virtual void CloseAfterResponse() = 0;
--- a/Peridothoist/Shell/ServerSocket.cpp
+++ b/Peridothoist/Shell/ServerSocket.cpp
@@ -250,21 +250,6 @@
   return { WouldBlock() ? TransferEnd::WouldBlock : TransferEnd::Closed, 0 };
 }
 
-std::size_t
-ServerSocket::Peek(char* aBuffer, std::size_t aSize) const
-{
-  ssize_t n = 0;
-  if (mTls != nullptr) {
-    ERR_clear_error();
-    n = SSL_peek(mTls.get(),
-                 aBuffer,
-                 static_cast<int>(std::min<std::size_t>(aSize, INT_MAX)));
-  } else {
-    n = ::recv(mDescriptor, aBuffer, aSize, MSG_PEEK | MSG_DONTWAIT);
-  }
-  return static_cast<std::size_t>(std::max<ssize_t>(n, 0));
-}
-
 bool
 ServerSocket::HasPendingInput() const
 {
--- a/Peridothoist/Shell/ServerSocket.h
+++ b/Peridothoist/Shell/ServerSocket.h
@@ -64,10 +64,6 @@
   /// as in a handshake.
   bool ReadNeedsWrite() const { return mReadNeedsWrite; }
 
-  /// Copies received bytes, which the next Read() returns as well. Returns how
-  /// many.
-  std::size_t Peek(char* aBuffer, std::size_t aSize) const;
-
   /// Returns whether bytes have been received that lead to no further event.
   bool HasPendingInput() const;
 
--- a/UnitTests/Shell/HttpServerTest.cpp
+++ b/UnitTests/Shell/HttpServerTest.cpp
@@ -781,6 +781,24 @@
   mHandler.mLastExchange.reset();
 }
 
+// Guards against a stop that a caller delays for ever, by always sending on.
+BOOST_AUTO_TEST_CASE(ACallerThatAlwaysSendsOnIsToldOfTheEnd)
+{
+  Serve();
+  mServer->CloseAfterResponses();
+  RawCaller caller(mServer->Port());
+  const std::string request = kRequest;
+  caller.Send(request + request);
+  bool isTold = false;
+  for (int n = 0; n < 500 && !isTold; ++n) {
+    caller.Send(request);
+    RunUntilStopped(10ms);
+    isTold = caller.Receive();
+  }
+  BOOST_TEST(isTold);
+  BOOST_TEST(CountOccurrences(caller.mReceived, "onnection: close") == 1);
+}
+
 BOOST_AUTO_TEST_CASE(DrainFromRequestHandler)
 {
   mHandler.mRespond = [this](HttpExchange& aExchange) {
