Let the stopping entry wait for all connections of its callers

Found by review, by reading: the entry's drain asked only for open exchanges, in the same call in which the drain begins. A request could arrive on a connection that is kept for it, be passed on and be cut 0.6 s later (LOST).

Change: it asks for busy connections, which after the begin of a drain are all of them; an idle one is read once more and closed. There is no test of its own: the entry's process has no unit test. Verified by the system tests of the entry.

--- a/Peridothoist/Entry/EntryProcess.cpp
+++ b/Peridothoist/Entry/EntryProcess.cpp
@@ -454,7 +454,7 @@
 {
   const TimePoint now = mReactor->Now();
   const bool areRequestsDone =
-    mServer->OpenExchangeCount() == 0 && mExecutor->OpenRequests() == 0;
+    mServer->BusyConnectionCount() == 0 && mExecutor->OpenRequests() == 0;
   if (!areRequestsDone) {
     mRequestsDoneAt = now;
   }
