Count, not time, how long a stopping server goes on with a connection

So the next request, sent 2 s earlier, was dropped behind a stated end (LOST).

Change: a connection goes on for 256 responses behind which another request had arrived. Callers with a few open requests don't reach that; one that always sends on is told when responses come at once.

--- a/Peridothoist/Shell/ServerConnection.cpp
+++ b/Peridothoist/Shell/ServerConnection.cpp
@@ -27,9 +27,9 @@
 /// long for a request that is on its way.
 constexpr Duration kIdleLinger = 300ms;
 
-/// While the server stops, a connection goes on for this long with requests
-/// that arrive before the response to the one before.
-constexpr Duration kMaxGoOnPeriod = 2s;
+/// While the server stops, a connection goes on for this many responses behind
+/// which another request has arrived.
+constexpr int kMaxGoOnResponses = 256;
 
 /// A body that is too large is read to this multiple of the limit, so that its
 /// caller reads the error response.
@@ -336,12 +336,10 @@
   if (mClosesAfterResponse || !mDelegate.ShouldCloseConnections()) {
     return mClosesAfterResponse;
   }
-  const TimePoint now = mDelegate.Now();
-  const bool mayGoOn = !mGoesOnSince || now - *mGoesOnSince < kMaxGoOnPeriod;
-  if (!mayGoOn || !HasFurtherRequest()) {
+  if (mGoOnResponses >= kMaxGoOnResponses || !HasFurtherRequest()) {
     return true;
   }
-  mGoesOnSince = mGoesOnSince.value_or(now);
+  ++mGoOnResponses;
   return false;
 }
 
--- a/Peridothoist/Shell/ServerConnection.h
+++ b/Peridothoist/Shell/ServerConnection.h
@@ -168,9 +168,9 @@
   bool mIsHandlingInput = false; ///< HandleInput() is running.
   bool mClosesAfterResponse = false;
   bool mIsResponseEnded = false;
-  /// When a response first didn't say that the connection ends, although the
-  /// server stops, since another request had arrived.
-  std::optional<TimePoint> mGoesOnSince;
+  /// Responses that didn't say that the connection ends, although the server
+  /// stops, since another request had arrived.
+  int mGoOnResponses = 0;
   bool mIsAborted = false;   ///< The connection ends after what is unsent.
   bool mIsEndHidden = false; ///< See ServerExchangeDelegate.
 
