Review case 10: restarted replicas are never told the origins of open streams

A script stops and starts five of six nodes in turn, as planned work, and then kills the sixth, which serves long streams, while two software versions serve.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
