--- a/review/6/case.py
+++ b/review/6/case.py
@@ -176,6 +176,9 @@
         writer.transport.abort()
 
 
+# TROUBLE=0: the same without the disruption.
+WITH_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 if __name__ == "__main__":
-    rig_2.main(FOLDER, play, configuration=configuration(1), nodes=6, plain=3,
+    rig_2.main(FOLDER, play, WITH_TROUBLE, configuration=configuration(1), nodes=6, plain=3,
                prefills=4, decodes=8, others={"archive": 2}, store=DrillStore)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -178,6 +178,9 @@
     return len(taken_up) < 12 or share >= new_share / 2
 
 
+# TROUBLE=0: the same without the disruption.
+WITH_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 if __name__ == "__main__":
-    rig_2.main(FOLDER, play, configuration=CONFIGURATION, nodes=6, plain=0, prefills=4,
+    rig_2.main(FOLDER, play, WITH_TROUBLE, configuration=CONFIGURATION, nodes=6, plain=0, prefills=4,
                decodes=8, versions=("v1", "v2"))
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -232,11 +232,11 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(folder, play, **deployment):
+def main(folder, play, with_trouble, **deployment):
     """Plays a case: play(deployment, record, with_trouble) returns whether the rule
     held. Ends with the exit code that the issue asks for."""
     record = Record(folder)
-    with_trouble = os.environ.get("TROUBLE", "1") != "0"
+    record("with the disruption" if with_trouble else "without the disruption")
     it = None
     code = CANNOT_RUN
     try:
