Count a test's requests after its read, whatever the order of evaluation

PlatformRowStoreTest (ATableIsReadWholeWhenItsChangesAreNotKnown) failed on x86-64, where the compiler evaluates the count before the read that it counts: five checks saw 0 requests. The checks are the same; the read is now a statement of its own.

--- a/UnitTests/Platform/PlatformRowStoreTest.cpp
+++ b/UnitTests/Platform/PlatformRowStoreTest.cpp
@@ -193,7 +193,8 @@
     mFeedStatus = aStatus;
     mFeed = aFeed;
     mTargets.clear();
-    return Read() + ' ' + std::to_string(mTargets.size());
+    const std::string rows = Read();
+    return rows + ' ' + std::to_string(mTargets.size());
   };
   // The history was discarded, the store was restored from a copy, or the
   // response can't be read.
