Read all again when the store was restored from a copy

Cause: a version was a bare number. PlatformRowStore asked for the changes of a table after a number of the former era; the store had given out as many numbers again and answered, and the row that had got a lower one was never read. The read counted as a confirmation.

Evidence: the new case of PlatformRowStoreTest plays a store that is back at a higher, the same and a lower version.

Change: a version is a pair of era and number (Core/StoreVersion), as the header Store-Era states it. What no longer compiled with it, and was wrong: cursors and pages of tables, conditions of changes, fencing numbers, versions of upstreams' entries; and, without a version, the times in the records of software versions and the confirmations of peers. A VM that sees a new era reads everything whole, and writes again what it keeps in the store.

Why it works: rows of two eras are never joined, and nothing that was read in a former era is followed further, whatever numbers the store has reached.

--- a/Peridothoist/Node/GossipCodec.cpp
+++ b/Peridothoist/Node/GossipCodec.cpp
@@ -521,6 +521,9 @@
   if (aValue.size() > 8) { // Older builds know no evacuated zones.
     response.mEvacuationDigest = aValue.at(8).get<std::uint64_t>();
   }
+  if (aValue.size() > 9) { // Older builds know no eras of the store.
+    response.mStoreEra = aValue.at(9).get<std::uint64_t>();
+  }
   return response;
 }
 
@@ -657,7 +660,8 @@
                               aResponse.mListAge.count(),
                               aResponse.mVmDigest,
                               aResponse.mViewAddress,
-                              aResponse.mEvacuationDigest }));
+                              aResponse.mEvacuationDigest,
+                              aResponse.mStoreEra }));
 }
 
 std::optional<ViewResponse>
--- a/Peridothoist/Node/InstrumentedRowStore.cpp
+++ b/Peridothoist/Node/InstrumentedRowStore.cpp
@@ -23,7 +23,7 @@
   const TimePoint startedAt = mReactor->Now();
   mStore->Change(aChange,
                  [this, startedAt, callback = std::move(aCallback)](
-                   const Reason& aReason, std::uint64_t aVersion) {
+                   const Reason& aReason, StoreVersion aVersion) {
                    RecordCall("change", aReason, startedAt);
                    callback(aReason, aVersion);
                  });
--- a/Peridothoist/Node/InstrumentedRowStore.h
+++ b/Peridothoist/Node/InstrumentedRowStore.h
@@ -25,6 +25,11 @@
   void ReadTable(const std::string& aTable, ReadCallback aCallback) override;
   void Change(const RowChange& aChange, ChangeCallback aCallback) override;
   std::optional<StoreClock> Clock() const override { return mStore->Clock(); }
+  std::uint64_t Era() const override { return mStore->Era(); }
+  void SetListener(RowStoreListener* aListener) override
+  {
+    mStore->SetListener(aListener);
+  }
 
 private:
   void RecordCall(const char* aOperation,
--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -197,6 +197,9 @@
   };
   set("peridothoist_view_age_seconds", ToSeconds(aGauges.mViewAge));
   set("peridothoist_view_version", static_cast<double>(aGauges.mViewVersion));
+  set("peridothoist_store_era", static_cast<double>(aGauges.mStoreEra));
+  SetCounter("peridothoist_former_era_responses_total",
+             aGauges.mFormerEraResponses);
   set("peridothoist_list_age_seconds", ToSeconds(aGauges.mUpstreamListAge));
   for (const auto& [state, count] : aGauges.mUpstreamsByState) {
     mMetrics.GetGauge("peridothoist_upstreams", { { "state", state } })
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -16,7 +16,9 @@
 struct NodeGauges
 {
   Duration mViewAge{ 0 }; ///< Since the configuration was last confirmed.
-  std::uint64_t mViewVersion = 0; ///< Of the configuration.
+  std::uint64_t mViewVersion = 0;        ///< Of the configuration.
+  std::uint64_t mStoreEra = 0;           ///< 0: the store has stated none.
+  std::uint64_t mFormerEraResponses = 0; ///< Ignored; of peers.
   Duration mUpstreamListAge{ 0 };
   std::map<std::string, std::size_t> mUpstreamsByState; ///< Counts.
   std::size_t mVmCount = 0;      ///< VMs registered or reachable.
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -115,6 +115,7 @@
                  &mMachine)
 {
   mClient->SetMemory(mMemory);
+  mStore.SetListener(this);
   mMachine.Crashes().SetListener(&mCrashLog);
   mMachine.ListedUpstreams().SetRecordedVersions(ListedVersions());
 }
@@ -123,6 +124,7 @@
 {
   mReactor->CancelTimer(mLeaveTimer);
   mReactor->CancelTimer(mStageOrderTimer);
+  mStore.SetListener(nullptr);
 }
 
 bool
@@ -444,6 +446,8 @@
   if (aFromStore) {
     mRegistry.OnVmsRead(aVms);
     RemoveSilentVms();
+  } else {
+    mRegistry.OnVmsHeard(aVms);
   }
   OnMembersChanged();
 }
@@ -644,6 +648,22 @@
     });
 }
 
+/// Reads everything again, and writes again what this VM keeps in the store.
+void
+NodeProcess::OnStoreRestored(std::uint64_t aEra)
+{
+  Log::Warning("store_restored")
+    .Field("era", aEra)
+    .Field("version", mView.Version())
+    .Field("view_age_ms", ToMillis(mView.Age(mReactor->Now())));
+  mMetrics.Registry().GetCounter("peridothoist_store_restorations_total").Add();
+  mMachine.ListedUpstreams().OnRestored(mReactor->Now());
+  mViews.OnStoreRestored();
+  mRegistry.Register();
+  mVersions.OnStoreRestored();
+  mStageOrders.OnStoreRestored();
+}
+
 /// Returns whether this VM is the one that sends stage orders: the first
 /// reachable VM by name, provided that it serves all routes and reaches enough
 /// of the registered VMs.
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -44,6 +44,7 @@
   , public LoopMonitorListener
   , public TunnelServerListener
   , public ServiceVersionListener
+  , public RowStoreListener
 {
 public:
   using Settings = NodeSettings;
@@ -136,6 +137,8 @@
                              std::optional<std::uint64_t> aNowMs,
                              TimePoint aStartedAt) override;
   void OnServiceVersionsUnavailable() override;
+  // See: RowStoreListener
+  void OnStoreRestored(std::uint64_t aEra) override;
   // See: RelayExecutorListener
   void OnRequestFinished(const RelayRequestSummary& aSummary) override;
   void OnCallFinished(RelayCallKind aKind,
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -156,6 +156,8 @@
   NodeGauges gauges;
   gauges.mViewAge = mView.Age(now);
   gauges.mViewVersion = mView.Version();
+  gauges.mStoreEra = mViews.StoreEra();
+  gauges.mFormerEraResponses = mViews.FormerEraResponses();
   gauges.mUpstreamListAge =
     now - mMachine.ListedUpstreams().ListedAt().value_or(now);
   gauges.mUpstreamsByState = {
--- a/Peridothoist/Node/RowStore.cpp
+++ b/Peridothoist/Node/RowStore.cpp
@@ -17,7 +17,7 @@
   for (const StoredRow& it : aRows) {
     add(it.mKey);
     add(it.mValue);
-    add(std::to_string(it.mVersion));
+    add(std::to_string(it.mVersion.mNumber));
   }
   return std::max<std::uint64_t>(1, digest);
 }
--- a/Peridothoist/Node/ServiceVersionStore.cpp
+++ b/Peridothoist/Node/ServiceVersionStore.cpp
@@ -16,13 +16,18 @@
 constexpr const char* kListed = "listed";
 constexpr const char* kGone = "gone";
 constexpr const char* kSince = "since";
+constexpr const char* kEra =
+  "era"; ///< Builds of before neither write nor read it.
 
 std::string
 EncodeRecord(const ServiceVersions& aRecord)
 {
-  const json body = { { kListed, aRecord.mListed },
-                      { kGone, aRecord.mGoneAtMs },
-                      { kSince, aRecord.mSinceMs } };
+  json body = { { kListed, aRecord.mListed },
+                { kGone, aRecord.mGoneAtMs },
+                { kSince, aRecord.mSinceMs } };
+  if (aRecord.mEra != 0) {
+    body[kEra] = aRecord.mEra;
+  }
   // Upstreams state versions as any bytes.
   return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -38,6 +43,7 @@
     record.mGoneAtMs =
       body.at(kGone).get<std::map<std::string, std::uint64_t>>();
     record.mSinceMs = body.at(kSince).get<std::uint64_t>();
+    record.mEra = body.value(kEra, std::uint64_t(0));
     return record;
   } catch (const json::exception&) {
     return std::nullopt;
@@ -135,6 +141,23 @@
   }
 }
 
+void
+ServiceVersionStore::OnStoreRestored()
+{
+  mWasRestored = true;
+  Refresh();
+}
+
+/// Returns whether the times in a record are those of the store's present era.
+/// A record that states none was written by a build of before, and is taken for
+/// one of this era unless the store was restored since this VM's start.
+bool
+ServiceVersionStore::IsOfEra(const ServiceVersions& aRecord,
+                             std::uint64_t aEra) const
+{
+  return aRecord.mEra == aEra || (aRecord.mEra == 0 && !mWasRestored);
+}
+
 void
 ServiceVersionStore::WhenRead(std::function<void()> aCallback)
 {
@@ -174,6 +197,8 @@
   }
   mWasRead = true;
   mRows.clear();
+  const auto clock = mStore->Clock();
+  const std::uint64_t era = clock ? clock->mEra : 0;
   VersionsByService records;
   for (const StoredRow& row : *aRows) {
     auto record = DecodeRecord(row.mValue);
@@ -183,10 +208,12 @@
       mRows[row.mKey] = { {}, row.mVersion };
       continue;
     }
+    if (!IsOfEra(*record, era)) {
+      record = WithoutTimes(*record);
+    }
     records[row.mKey] = *record;
     mRows[row.mKey] = { std::move(*record), row.mVersion };
   }
-  const auto clock = mStore->Clock();
   mListener->OnServiceVersionsRead(
     std::move(records),
     clock ? std::optional<std::uint64_t>(clock->mNowMs) : std::nullopt,
@@ -256,12 +283,13 @@
   });
 }
 
-/// Writes the records that differ from aListed; aMayRemove: also those that
-/// list more.
+/// Writes the records that differ from aListed or are of a former era;
+/// aMayRemove: also those that list more.
 void
 ServiceVersionStore::WriteChanges(const ListedVersions& aListed,
                                   bool aMayRemove)
 {
+  const std::uint64_t era = mStore->Era();
   for (const auto& [service, versions] : aListed) {
     std::set<std::string> wanted = versions;
     const auto row = mRows.find(service);
@@ -270,7 +298,7 @@
       if (!aMayRemove) {
         wanted.insert(recorded.begin(), recorded.end());
       }
-      if (wanted == recorded) {
+      if (wanted == recorded && row->second.mRecord.mEra == era) {
         continue;
       }
     }
@@ -293,9 +321,10 @@
   const auto row = mRows.find(aService);
   const bool isKnown =
     row != mRows.end() && !row->second.mRecord.mListed.empty();
-  const ServiceVersions record =
-    NextRecord(isKnown ? &row->second.mRecord : nullptr, aListed, nowMs);
-  const std::uint64_t expected = row == mRows.end() ? 0 : row->second.mVersion;
+  const ServiceVersions record = NextRecord(
+    isKnown ? &row->second.mRecord : nullptr, aListed, nowMs, clock->mEra);
+  const StoreVersion expected =
+    row == mRows.end() ? StoreVersion() : row->second.mVersion;
   ++mCounts.mWrites;
   Log::Info("service_versions_recorded")
     .Field("service", aService)
@@ -303,7 +332,7 @@
     .Field("gone", record.mGoneAtMs.size());
   mStore->Change(
     { mSettings.mTable, aService, EncodeRecord(record), expected },
-    [this, alive = mAlive, aService](const Reason& aReason, std::uint64_t) {
+    [this, alive = mAlive, aService](const Reason& aReason, StoreVersion) {
       if (*alive) {
         OnWritten(aService, aReason);
       }
--- a/Peridothoist/Node/ServiceVersionStore.h
+++ b/Peridothoist/Node/ServiceVersionStore.h
@@ -79,6 +79,10 @@
   /// Reads the records. A read that has started already is followed by another.
   void Refresh();
 
+  /// Called when the store was restored from a copy: records may be missing or
+  /// older than they were.
+  void OnStoreRestored();
+
   /// Calls aCallback when the read that Refresh() asked for is over.
   void WhenRead(std::function<void()> aCallback);
 
@@ -89,7 +93,7 @@
   struct Row
   {
     ServiceVersions mRecord;
-    std::uint64_t mVersion = 0;
+    StoreVersion mVersion;
   };
 
   void StartRead();
@@ -97,6 +101,7 @@
               const Reason& aReason,
               TimePoint aStartedAt);
   void OnWritten(const std::string& aService, const Reason& aReason);
+  bool IsOfEra(const ServiceVersions& aRecord, std::uint64_t aEra) const;
   bool IsRunningFor(Duration aTime) const;
   void OnReadFailed(const Reason& aReason);
   void FinishRead();
@@ -119,6 +124,7 @@
   std::optional<TimePoint> mMissingSince; ///< A listed version is not recorded.
   bool mIsReader = false;
   bool mWasRead = false;
+  bool mWasRestored = false; ///< The store was, since this VM's start.
   bool mIsReading = false;
   bool mReadsAgain = false; ///< Another read follows the one in progress.
   /// Called after the read in progress, and after the one that follows.
--- a/Peridothoist/Node/StageOrderManager.cpp
+++ b/Peridothoist/Node/StageOrderManager.cpp
@@ -7,6 +7,20 @@
 
 namespace peridothoist {
 
+namespace {
+
+/// Bits of a fencing number for the version's number. With as many eras as the
+/// others leave, it stays exact as a floating-point number (53 bits).
+constexpr unsigned kVersionBits = 40;
+
+} // namespace
+
+std::uint64_t
+FencingNumberOf(const StoreVersion& aClaim)
+{
+  return (aClaim.mEra << kVersionBits) | aClaim.mNumber;
+}
+
 StageOrderManager::StageOrderManager(const Settings& aSettings,
                                      const std::string& aVm,
                                      Reactor* aReactor,
@@ -58,7 +72,7 @@
         engine->mIncarnationId != ordered.mEngine.mIncarnationId) {
       mStore->Change(
         { mSettings.mTable, it->first, std::nullopt, std::nullopt },
-        [](const Reason&, std::uint64_t) {});
+        [](const Reason&, StoreVersion) {});
       it = mOrderedEngines.erase(it);
       continue;
     }
@@ -79,27 +93,36 @@
   const RowChange row{ mSettings.mTable,
                        StageBalancer::IncarnationKey(aEngine),
                        mVm,
-                       std::uint64_t(0) };
+                       StoreVersion() };
   mStore->Change(row,
                  [this, aEngine, alive = mAlive](const Reason& aReason,
-                                                 std::uint64_t aVersion) {
+                                                 StoreVersion aVersion) {
                    if (*alive) {
                      OnOrderClaimed(aEngine, aReason, aVersion);
                    }
                  });
 }
 
+void
+StageOrderManager::OnStoreRestored()
+{
+  for (const auto& [key, ordered] : mOrderedEngines) {
+    mStore->Change({ mSettings.mTable, key, mVm, StoreVersion() },
+                   [](const Reason&, StoreVersion) {});
+  }
+}
+
 void
 StageOrderManager::OnOrderClaimed(const RelayUpstream& aEngine,
                                   const Reason& aReason,
-                                  std::uint64_t aFencingNumber)
+                                  const StoreVersion& aClaim)
 {
-  if (aReason.mCode == ReasonCode::None && aFencingNumber > 0) {
+  if (aReason.mCode == ReasonCode::None && aClaim.IsSet()) {
     const RelayUpstream* listed = mMachine->ListedUpstreams().Find(aEngine.mId);
     if (listed != nullptr && listed->mIsEvacuated) {
-      WithdrawOrder(aEngine, aFencingNumber);
+      WithdrawOrder(aEngine, aClaim);
     } else {
-      SendOrder(aEngine, aFencingNumber);
+      SendOrder(aEngine, FencingNumberOf(aClaim));
     }
     return;
   }
@@ -121,14 +144,14 @@
 /// order was claimed, so that it can be given after the evacuation.
 void
 StageOrderManager::WithdrawOrder(const RelayUpstream& aEngine,
-                                 std::uint64_t aFencingNumber)
+                                 const StoreVersion& aClaim)
 {
   mBalancer.OnOrderFailed(aEngine);
   mStore->Change({ mSettings.mTable,
                    StageBalancer::IncarnationKey(aEngine),
                    std::nullopt,
-                   aFencingNumber },
-                 [](const Reason&, std::uint64_t) {});
+                   aClaim },
+                 [](const Reason&, StoreVersion) {});
   Log::Info("order_withdrawn")
     .Field("upstream", aEngine.mId)
     .Field("born", aEngine.mIncarnationId);
--- a/Peridothoist/Node/StageOrderManager.h
+++ b/Peridothoist/Node/StageOrderManager.h
@@ -1,7 +1,8 @@
 /// Orders engines to switch from one stage to the other. Each incarnation of an
 /// engine is ordered at most once by all VMs together: creating its row in the
 /// store, which succeeds only once, claims the right to send the order, and the
-/// row's version is the fencing number.
+/// row's version gives the fencing number. A claim that a restored store has
+/// lost is made again by the VM that ordered.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
@@ -23,6 +24,12 @@
   StageBalancerSettings mBalance;
 };
 
+/// Returns the fencing number of an order whose claim has this version. Numbers
+/// of a later era are higher: those of versions alone would go back with a
+/// store that is restored from a copy.
+std::uint64_t
+FencingNumberOf(const StoreVersion& aClaim);
+
 /// Claims and sends the stage orders of one VM.
 class StageOrderManager
 {
@@ -43,13 +50,15 @@
   /// the orders that are due. Called at intervals.
   void Update(bool aIsLeader);
 
+  /// Called when the store was restored from a copy.
+  void OnStoreRestored();
+
 private:
   void ClaimOrder(const RelayUpstream& aEngine);
   void OnOrderClaimed(const RelayUpstream& aEngine,
                       const Reason& aReason,
-                      std::uint64_t aFencingNumber);
-  void WithdrawOrder(const RelayUpstream& aEngine,
-                     std::uint64_t aFencingNumber);
+                      const StoreVersion& aClaim);
+  void WithdrawOrder(const RelayUpstream& aEngine, const StoreVersion& aClaim);
   void SendOrder(const RelayUpstream& aEngine, std::uint64_t aFencingNumber);
   void UpdateOrderedEngines();
 
--- a/Peridothoist/Node/ViewCodec.cpp
+++ b/Peridothoist/Node/ViewCodec.cpp
@@ -31,7 +31,7 @@
   for (const json& it : aValue) {
     rows.push_back({ it.at(0).get<std::string>(),
                      it.at(1).get<std::string>(),
-                     it.at(2).get<std::uint64_t>() });
+                     { it.at(2).get<std::uint64_t>(), 0 } });
   }
   return rows;
 }
@@ -41,7 +41,7 @@
 {
   json rows = json::array();
   for (const StoredRow& it : aRows) {
-    rows.push_back(json::array({ it.mKey, it.mValue, it.mVersion }));
+    rows.push_back(json::array({ it.mKey, it.mValue, it.mVersion.mNumber }));
   }
   return rows;
 }
--- a/Peridothoist/Node/ViewPoller.cpp
+++ b/Peridothoist/Node/ViewPoller.cpp
@@ -79,6 +79,14 @@
                                       [this] { StartRead(mVmLoop); });
 }
 
+void
+ViewPoller::ReadAllNow()
+{
+  for (PollLoop* it : { &mConfigurationLoop, &mUpstreamLoop, &mVmLoop }) {
+    StartRead(*it);
+  }
+}
+
 void
 ViewPoller::StartRead(PollLoop& aLoop)
 {
@@ -244,7 +252,7 @@
                    row.mVersion) {
           Log::Warning("upstream_row_passed_over")
             .Field("key", row.mKey)
-            .Field("version", row.mVersion)
+            .Field("version", row.mVersion.mNumber)
             .Field("reason", reason.mText);
         }
       }
--- a/Peridothoist/Node/ViewPoller.h
+++ b/Peridothoist/Node/ViewPoller.h
@@ -85,6 +85,10 @@
   /// Schedules a read of the registered VMs after mVmRereadDelay.
   void RereadVms();
 
+  /// Starts reads of all tables immediately; called when the store was restored
+  /// from a copy.
+  void ReadAllNow();
+
   /// Start a read immediately; called when a peer has a newer view.
   void ReadConfigurationNow() { StartRead(mConfigurationLoop); }
   void ReadUpstreamsNow() { StartRead(mUpstreamLoop); }
@@ -126,7 +130,7 @@
   PollLoop mUpstreamLoop;
   PollLoop mVmLoop;
   /// Versions of invalid rows by key, to log each version once only.
-  std::map<std::string, std::uint64_t> mSkippedRowVersions;
+  std::map<std::string, StoreVersion> mSkippedRowVersions;
   /// The last configuration read; null: the last rows were not valid.
   std::shared_ptr<const RelayConfiguration> mConfiguration;
   std::uint64_t mConfigurationDigest = 0; ///< Of its rows; 0: none were read.
--- a/Peridothoist/Node/ViewUpdater.cpp
+++ b/Peridothoist/Node/ViewUpdater.cpp
@@ -62,6 +62,7 @@
   , mExchange(aView, aUpstreamList)
   , mPoller(aSettings.mPoller, aReactor, aStore, aDecoder, this)
   , mPeers(aClient)
+  , mStore(aStore)
 {
 }
 
@@ -129,13 +130,48 @@
   if (response) {
     response->mVmDigest = mVmDigest;
     response->mViewAddress = mSelf.mPeerAddress;
+    LearnEra(mStore->Era());
+    response->mStoreEra = mEra;
   }
   return response;
 }
 
+/// Notes an era of the store. Returns whether it follows another one.
+bool
+ViewUpdater::LearnEra(std::uint64_t aEra)
+{
+  if (aEra <= mEra) {
+    return false;
+  }
+  const bool isRestored = std::exchange(mEra, aEra) != 0;
+  mWasRestored = mWasRestored || isRestored;
+  return isRestored;
+}
+
+void
+ViewUpdater::OnStoreRestored()
+{
+  LearnEra(mStore->Era());
+  mWasRestored = true;
+  mPoller.ReadAllNow();
+}
+
 void
 ViewUpdater::OnResponse(const ViewResponse& aResponse)
 {
+  LearnEra(mStore->Era());
+  const bool isOwnViewFormer = LearnEra(aResponse.mStoreEra);
+  if (isOwnViewFormer && mListener->RoleForView().mIsReader) {
+    mPoller.ReadAllNow();
+  }
+  // Builds of before state no era, and follow a restored store as if it
+  // weren't.
+  const bool isBehind =
+    aResponse.mStoreEra == 0 ? mWasRestored : aResponse.mStoreEra < mEra;
+  if (isBehind) {
+    ++mFormerEraResponses;
+    return;
+  }
   const TimePoint now = Reactor::ReadClock();
   const ViewExchangeResult result = mExchange.OnPeerResponse(aResponse, now);
   OnPeerVersion(aResponse.mVersion, aResponse.mViewAddress);
--- a/Peridothoist/Node/ViewUpdater.h
+++ b/Peridothoist/Node/ViewUpdater.h
@@ -112,15 +112,25 @@
   /// incomplete.
   std::optional<ViewResponse> OnQuery(const ViewQuery& aQuery);
 
-  /// Handles a peer's response.
+  /// Handles a peer's response. One that follows a former era of the store
+  /// confirms nothing: the peer may not see what was written since.
   void OnResponse(const ViewResponse& aResponse);
 
+  /// Called when this VM's own calls show that the store was restored.
+  void OnStoreRestored();
+
   /// Returns the reads from peers by the part that was read.
   const std::map<std::string, PeerReadCounts>& PeerReads() const
   {
     return mPeerReads;
   }
 
+  /// Returns how many responses were ignored since they follow a former era.
+  std::uint64_t FormerEraResponses() const { return mFormerEraResponses; }
+
+  /// Returns the newest era of the store that is known here; 0: none.
+  std::uint64_t StoreEra() const { return mEra; }
+
   // See: ViewPollerListener
   void OnConfigurationRead(
     std::shared_ptr<const RelayConfiguration> aConfiguration,
@@ -140,6 +150,7 @@
 
 private:
   void Update();
+  bool LearnEra(std::uint64_t aEra);
   void ConfirmVms();
   Duration Age() const;
   Duration MaxAge(const ViewRole& aRole) const;
@@ -167,6 +178,10 @@
   std::optional<VmRecords> mVms;
   std::uint64_t mVmDigest = 0;
   TimePoint mVmsConfirmedAt; ///< When a peer last stated mVmDigest.
+  RowStore* mStore;
+  std::uint64_t mEra = 0;    ///< Newest of the store that is known here.
+  bool mWasRestored = false; ///< The store was, since this VM learned an era.
+  std::uint64_t mFormerEraResponses = 0; ///< Of peers that know a former one.
   bool mIsFetchingConfiguration = false;
   bool mIsFetchingUpstreams = false;
   bool mIsFetchingVms = false;
--- a/Peridothoist/Node/VmRegistry.cpp
+++ b/Peridothoist/Node/VmRegistry.cpp
@@ -13,6 +13,9 @@
 
 constexpr Duration kRetryInterval = 1s;
 
+/// What peers know may be as old as this.
+constexpr Duration kPeerDelay = 5s;
+
 // Fields of a VM's row.
 constexpr const char* kZone = "zone";
 constexpr const char* kPeer = "peer";
@@ -57,12 +60,13 @@
   const auto alive = mAlive;
   const json row = { { kZone, mSelf.mZone }, { kPeer, mSelf.mPeerAddress } };
   mStore->Change({ mTable, mSelf.mName, row.dump(), std::nullopt },
-                 [this, alive](const Reason& aReason, std::uint64_t) {
+                 [this, alive](const Reason& aReason, StoreVersion) {
                    if (!*alive) {
                      return;
                    }
                    mIsRegistering = false;
                    if (aReason.mCode == ReasonCode::None) {
+                     mRegisteredAt = mReactor->Now();
                      Log::Info("registered").Field("name", mSelf.mName);
                      mOnRegistered();
                      return;
@@ -103,12 +107,21 @@
   }
 }
 
+void
+VmRegistry::OnVmsHeard(const VmRecords& aVms)
+{
+  const bool isOld = mReactor->Now() - mRegisteredAt >= kPeerDelay;
+  if (isOld && aVms.count(mSelf.mName) == 0) {
+    Register();
+  }
+}
+
 void
 VmRegistry::Remove(const std::vector<std::string>& aVms)
 {
   for (const std::string& vm : aVms) {
     mStore->Change({ mTable, vm, std::nullopt, std::nullopt },
-                   [vm](const Reason& aReason, std::uint64_t) {
+                   [vm](const Reason& aReason, StoreVersion) {
                      Log::Info("vm_removed")
                        .Field("name", vm)
                        .Field("code", ToName(aReason.mCode));
--- a/Peridothoist/Node/VmRegistry.h
+++ b/Peridothoist/Node/VmRegistry.h
@@ -33,6 +33,10 @@
   /// is missing or registered otherwise.
   void OnVmsRead(const VmRecords& aVms);
 
+  /// Called with the VMs that a peer knows. Registers this VM again if it is
+  /// missing although it registered long before: the store may have lost it.
+  void OnVmsHeard(const VmRecords& aVms);
+
   /// Removes the registrations of VMs that are gone. If one of them is still
   /// running, it registers again.
   void Remove(const std::vector<std::string>& aVms);
@@ -44,6 +48,7 @@
   RowStore* mStore;
   std::function<void()> mOnRegistered;
   bool mIsRegistering = false;
+  TimePoint mRegisteredAt; ///< Last time that the store accepted it.
   Reactor::TimerId mRetryTimer = 0;
   /// Set to false by the destructor; checked by pending callbacks.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/Peridothoist/Relay/RelayStateMachine.cpp
+++ b/Peridothoist/Relay/RelayStateMachine.cpp
@@ -379,7 +379,7 @@
       assumed.mEntryVersion = upstream->mEntryVersion;
     }
     const bool isRewritten =
-      !isOver && upstream->mEntryVersion > assumed.mEntryVersion;
+      !isOver && assumed.mEntryVersion < upstream->mEntryVersion;
     if (isRewritten && upstream->mColdRemaining == Duration(0)) {
       mLimiter.OnWarm(it->first, mNow);
     }
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -622,8 +622,8 @@
   // Evacuated zones and cold upstreams
   struct AssumedCold
   {
-    int mReads = 0; ///< Of the list by this VM since the return.
-    std::uint64_t mEntryVersion = 0; ///< As of the second of them.
+    int mReads = 0;             ///< Of the list by this VM since the return.
+    StoreVersion mEntryVersion; ///< As of the second of them.
   };
   bool IsEvacuated(const std::string& aUpstream) const;
   void SetCold(const RelayUpstream& aUpstream,
--- a/Peridothoist/Relay/SoftwareVersions.cpp
+++ b/Peridothoist/Relay/SoftwareVersions.cpp
@@ -2,6 +2,7 @@
 #include <Peridothoist/Relay/SoftwareVersions.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace peridothoist {
 
@@ -12,14 +13,26 @@
 
 } // namespace
 
+ServiceVersions
+WithoutTimes(const ServiceVersions& aRecord)
+{
+  ServiceVersions record;
+  record.mListed = aRecord.mListed;
+  record.mSinceMs = std::numeric_limits<std::uint64_t>::max();
+  record.mEra = aRecord.mEra;
+  return record;
+}
+
 ServiceVersions
 NextRecord(const ServiceVersions* aBefore,
            const std::set<std::string>& aListed,
-           std::uint64_t aNowMs)
+           std::uint64_t aNowMs,
+           std::uint64_t aEra)
 {
   ServiceVersions next;
   next.mListed = aListed;
   next.mSinceMs = aNowMs;
+  next.mEra = aEra;
   if (aBefore == nullptr) {
     return next;
   }
--- a/Peridothoist/Relay/SoftwareVersions.h
+++ b/Peridothoist/Relay/SoftwareVersions.h
@@ -23,23 +23,32 @@
   /// When each other version was last known to be listed.
   std::map<std::string, std::uint64_t> mGoneAtMs;
   std::uint64_t mSinceMs = 0; ///< Versions that were gone by then are unknown.
+  /// Of the store when it was written; 0: not stated. In another era it proves
+  /// nothing: what was written since the copy is missing.
+  std::uint64_t mEra = 0;
 
   bool operator==(const ServiceVersions& aOther) const
   {
     return mListed == aOther.mListed && mGoneAtMs == aOther.mGoneAtMs &&
-           mSinceMs == aOther.mSinceMs;
+           mSinceMs == aOther.mSinceMs && mEra == aOther.mEra;
   }
 };
 
+/// Returns what a record of a former era tells: versions that are listed, since
+/// an unknown time.
+ServiceVersions
+WithoutTimes(const ServiceVersions& aRecord);
+
 using VersionsByService = std::map<std::string, ServiceVersions>;
 using ListedVersions = std::map<std::string, std::set<std::string>>;
 
 /// Returns the record that follows aBefore (null: there is none) when the
-/// versions aListed are listed at aNowMs.
+/// versions aListed are listed at aNowMs, by the clock of aEra.
 ServiceVersions
 NextRecord(const ServiceVersions* aBefore,
            const std::set<std::string>& aListed,
-           std::uint64_t aNowMs);
+           std::uint64_t aNowMs,
+           std::uint64_t aEra = 0);
 
 /// Holds the records as they were last read.
 class SoftwareVersions
--- a/Peridothoist/Relay/UpstreamList.cpp
+++ b/Peridothoist/Relay/UpstreamList.cpp
@@ -88,6 +88,9 @@
   std::map<std::string, Entry> entries;
   for (RelayUpstream& it : aUpstreams) {
     const std::string id = it.mId;
+    const bool isKeptLeaving =
+      aNow < mKeepLeavingUntil && IsListedAsLeaving(it);
+    it.mIsLeaving = it.mIsLeaving || isKeptLeaving;
     const bool isLeaving = it.mIsLeaving;
     entries[id] = { std::move(it), false, isLeaving };
   }
@@ -296,6 +299,22 @@
   mIsTurnedAway = mIsTurnedAway || wereOthersServed;
 }
 
+void
+UpstreamList::OnRestored(TimePoint aNow)
+{
+  mKeepMissingUntil = aNow + mSettings.mMissingGracePeriod;
+  mKeepLeavingUntil = mKeepMissingUntil;
+}
+
+/// Returns whether the list has stated that this process leaves.
+bool
+UpstreamList::IsListedAsLeaving(const RelayUpstream& aUpstream) const
+{
+  const auto it = mEntries.find(aUpstream.mId);
+  return it != mEntries.end() && it->second.mIsListedAsLeaving &&
+         it->second.mUpstream.mIncarnationId == aUpstream.mIncarnationId;
+}
+
 /// Notes that another VM's read of the list, started at aAt, was served.
 void
 UpstreamList::OnPeerConfirmed(TimePoint aAt)
--- a/Peridothoist/Relay/UpstreamList.h
+++ b/Peridothoist/Relay/UpstreamList.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
+#include <Peridothoist/Core/StoreVersion.h>
 #include <Peridothoist/Relay/UpstreamLoadTracker.h>
 #include <Peridothoist/Relay/SoftwareVersions.h>
 
@@ -57,8 +58,9 @@
   /// Time for which it stays cold, as of the confirmation of the list.
   Duration mColdRemaining{ 0 };
   bool mIsEvacuated = false; ///< Its availability zone gets nothing.
-  /// Increases with each write of the entry; 0: not read by this VM itself.
-  std::uint64_t mEntryVersion = 0;
+  /// Increases with each write of the entry; not set: not read by this VM
+  /// itself.
+  StoreVersion mEntryVersion;
   /// Its version is recorded, so streams that can be resumed may begin at it.
   bool mMayBeginStreams = true;
 
@@ -167,6 +169,12 @@
   /// last list stays in use.
   void OnUnreachable(TimePoint aStartedAt, TimePoint aNow);
 
+  /// Called when the list's store was restored from an older copy of it. What
+  /// upstreams have written since is written again within mMissingGracePeriod:
+  /// until then entries may be missing, and those of leaving processes may be
+  /// back as they were before.
+  void OnRestored(TimePoint aNow);
+
   /// Returns null when the upstream is not listed.
   const RelayUpstream* Find(const std::string& aId) const;
 
@@ -243,6 +251,7 @@
                        bool aIsOwn,
                        TimePoint aNow);
   void ApplyStatements(TimePoint aListedAt);
+  bool IsListedAsLeaving(const RelayUpstream& aUpstream) const;
   void ApplyEvacuation();
   void ApplyRecordedVersions();
   void OnConfirmed(TimePoint aAt);
@@ -273,6 +282,7 @@
   /// Reads have failed here after others were served: nothing has expired.
   bool mIsTurnedAway = false;
   TimePoint mKeepMissingUntil; ///< mMissingGracePeriod after the last outage.
+  TimePoint mKeepLeavingUntil; ///< The same after the last restoration.
 };
 
 } // namespace peridothoist
--- a/Peridothoist/Relay/ViewExchange.h
+++ b/Peridothoist/Relay/ViewExchange.h
@@ -33,6 +33,9 @@
   std::string mViewAddress;
   /// Digest of the evacuated zones; 0: not stated by the peer's build.
   std::uint64_t mEvacuationDigest = 0;
+  /// Of the store, as far as the peer knows; 0: not stated by the peer's build
+  /// or by the store.
+  std::uint64_t mStoreEra = 0;
 };
 
 /// States which reads of the store a response makes necessary.
--- a/Peridothoist/Shell/HttpClient.cpp
+++ b/Peridothoist/Shell/HttpClient.cpp
@@ -49,8 +49,9 @@
   void MarkStalled() { mIsStalled = true; }
 
   // See: HttpCallListener
-  void OnHead(int /*aStatus*/, const HttpHeaders& /*aHeaders*/) override
+  void OnHead(int /*aStatus*/, const HttpHeaders& aHeaders) override
   {
+    mHeaders = aHeaders;
     mLastProgress = Reactor::ReadClock();
   }
 
@@ -65,6 +66,7 @@
   void OnEnd(const HttpCallResult& aResult) override
   {
     HttpCallResult result = aResult;
+    result.mHeaders = std::move(mHeaders);
     if (mBody.Error() != BufferError::None) {
       result.mFailure = CallFailure::Broken;
       result.mReason = "no memory for the response body";
@@ -79,6 +81,7 @@
 private:
   HttpClient::FetchCallback mCallback;
   std::function<void()> mCancel;
+  HttpHeaders mHeaders;
   BoundedBuffer mBody;
   TimePoint mLastProgress = Reactor::ReadClock();
   bool mIsStalled = false;
--- a/Peridothoist/Shell/HttpClient.h
+++ b/Peridothoist/Shell/HttpClient.h
@@ -73,7 +73,8 @@
   /// With mTunnel and NotConnected: the status with which the tunnel was
   /// refused; 0: it did not respond.
   int mTunnelStatus = 0;
-  std::string mReason; ///< Error text for logs.
+  std::string mReason;  ///< Error text for logs.
+  HttpHeaders mHeaders; ///< Of the response; set for Fetch() only.
 };
 
 /// Receives the events of a call, on the reactor's thread.
--- a/UnitTests/Node/ServiceVersionStoreTest.cpp
+++ b/UnitTests/Node/ServiceVersionStoreTest.cpp
@@ -45,20 +45,22 @@
     ++mWrites;
     const Reason reason = Apply(aChange);
     mReactor->Post([aCallback, reason, version = mVersion] {
-      aCallback(reason, reason.mCode == ReasonCode::None ? version : 0);
+      aCallback(reason,
+                reason.mCode == ReasonCode::None ? version : StoreVersion());
     });
   }
 
   std::optional<StoreClock> Clock() const override
   {
-    return mHasClock ? std::optional<StoreClock>(
-                         StoreClock{ 5000, Reactor::ReadClock() })
+    return mHasClock ? std::optional<StoreClock>(StoreClock{
+                         5000, Reactor::ReadClock(), mVersion.mEra })
                      : std::nullopt;
   }
+  std::uint64_t Era() const override { return mVersion.mEra; }
 
   Reactor* mReactor;
   std::map<std::string, std::map<std::string, StoredRow>> mTables;
-  std::uint64_t mVersion = 0;
+  StoreVersion mVersion;
   int mReads = 0;
   int mWrites = 0;
   bool mIsUnavailable = false;
@@ -73,12 +75,14 @@
     }
     auto& table = mTables[aChange.mTable];
     const auto row = table.find(aChange.mKey);
-    const std::uint64_t version = row == table.end() ? 0 : row->second.mVersion;
+    const StoreVersion version =
+      row == table.end() ? StoreVersion() : row->second.mVersion;
     BOOST_REQUIRE(aChange.mExpectedVersion.has_value());
     if (*aChange.mExpectedVersion != version) {
       return { ReasonCode::Conflict, "" };
     }
-    table[aChange.mKey] = { aChange.mKey, *aChange.mValue, ++mVersion };
+    ++mVersion.mNumber;
+    table[aChange.mKey] = { aChange.mKey, *aChange.mValue, mVersion };
     return {};
   }
 };
@@ -286,6 +290,41 @@
   BOOST_TEST(vm->mRecords["s"].mSinceMs >= 5000U);
 }
 
+// Guards against a record that proves a version although the store lost what
+// was written since its copy, and counts times by another clock (ORDER).
+BOOST_AUTO_TEST_CASE(ARecordOfAFormerEraProvesNothingAndIsWrittenAgain)
+{
+  mStore.mVersion.mEra = 1;
+  const auto vm = MakeVm();
+  vm->List({ "v1" }, true);
+  BOOST_REQUIRE(Until([&] { return vm->Knows({ "v1" }); }));
+  BOOST_TEST(vm->mRecords["s"].mEra == 1U);
+  BOOST_TEST(vm->mRecords["s"].mSinceMs <= 6000U);
+  mStore.mVersion = { 1, 2 };
+  vm->mVersions.OnStoreRestored();
+  BOOST_REQUIRE(Until([&] { return vm->mRecords["s"].mSinceMs > 6000; }));
+  vm->List({ "v1" }, true);
+  BOOST_REQUIRE(Until([&] { return vm->mRecords["s"].mEra == 2; }));
+  BOOST_TEST(vm->mRecords["s"].mSinceMs <= 6000U);
+  BOOST_TEST(vm->Knows({ "v1" }));
+  RunFor(30ms);
+  BOOST_TEST(mStore.mWrites == 2);
+}
+
+// Guards against a lost record that nobody writes again.
+BOOST_AUTO_TEST_CASE(ARecordThatTheStoreLostIsWrittenAgain)
+{
+  mStore.mVersion.mEra = 1;
+  const auto vm = MakeVm();
+  vm->List({ "v1", "v2" }, true);
+  BOOST_REQUIRE(Until([&] { return vm->Knows({ "v1", "v2" }); }));
+  mStore.mTables[kTable].clear();
+  mStore.mVersion = { 1, 2 };
+  vm->mVersions.OnStoreRestored();
+  BOOST_REQUIRE(Until([&] { return mStore.mTables[kTable].count("s") > 0; }));
+  BOOST_REQUIRE(Until([&] { return vm->Knows({ "v1", "v2" }); }));
+}
+
 // Guards against an answer from a read that began before it was asked for, and
 // against one that is never given.
 BOOST_AUTO_TEST_CASE(AResultIsOfALaterRead)
--- a/UnitTests/Node/ViewUpdaterTest.cpp
+++ b/UnitTests/Node/ViewUpdaterTest.cpp
@@ -48,7 +48,7 @@
     ++mReads[aTable];
     std::vector<StoredRow> rows;
     if (aTable == "op") {
-      rows.push_back({ "config", std::to_string(mVersion), mVersion });
+      rows.push_back({ "config", std::to_string(mVersion), { mVersion, 0 } });
     }
     mReactor->Post([aCallback, rows] { aCallback(rows, Reason()); });
   }
@@ -164,3 +164,28 @@
     PathsUntilInForce({ { kChangePath, EncodeConfigurationChange(unknown) } });
   BOOST_TEST(paths == kChangePath + ' ');
 }
+
+// Guards against a VM that goes on with an old configuration since a peer that
+// has not noticed the store's restoration confirms it (CONFIG).
+BOOST_FIXTURE_TEST_CASE(APeerOfAFormerEraConfirmsNothing, UpdaterFixture)
+{
+  const auto isConfirmedBy = [this](std::uint64_t aEra) {
+    const TimePoint before = mView.ConfirmedAt();
+    BOOST_REQUIRE(Until([&] { return Reactor::ReadClock() > before; }));
+    ViewResponse response;
+    response.mStamp = ViewExchange::TimestampOf(Reactor::ReadClock());
+    response.mVersion = 1;
+    response.mListDigest = mUpstreams.Digest();
+    response.mStoreEra = aEra;
+    mUpdater.OnResponse(response);
+    return mView.ConfirmedAt() > before;
+  };
+  BOOST_TEST(isConfirmedBy(0)); // A build of before; no restoration is known.
+  BOOST_TEST(isConfirmedBy(1));
+  BOOST_TEST(isConfirmedBy(0));
+  BOOST_TEST(isConfirmedBy(2));
+  BOOST_TEST(!isConfirmedBy(1));
+  BOOST_TEST(!isConfirmedBy(0));
+  BOOST_TEST(isConfirmedBy(2));
+  BOOST_TEST(mUpdater.FormerEraResponses() == 2U);
+}
--- a/UnitTests/Platform/NodeProcessTest.cpp
+++ b/UnitTests/Platform/NodeProcessTest.cpp
@@ -48,17 +48,17 @@
       }
       std::vector<StoredRow> rows;
       for (const auto& [key, value] : mTables[aTable]) {
-        rows.push_back({ key, value, 1 });
+        rows.push_back({ key, value, { 1, 0 } });
       }
       aCallback(std::move(rows), Reason());
     });
   }
   void Change(const RowChange& aChange, ChangeCallback aCallback) override
   {
-    if (aChange.mExpectedVersion == 0U &&
+    if (aChange.mExpectedVersion == StoreVersion() &&
         mTables[aChange.mTable].count(aChange.mKey) > 0) {
       mReactor->Post([aCallback] {
-        aCallback({ ReasonCode::Conflict, "" }, 0);
+        aCallback({ ReasonCode::Conflict, "" }, {});
       });
       return;
     }
@@ -67,7 +67,7 @@
     } else {
       mTables[aChange.mTable].erase(aChange.mKey);
     }
-    mReactor->Post([aCallback] { aCallback(Reason(), 1); });
+    mReactor->Post([aCallback] { aCallback(Reason(), { 1, 0 }); });
   }
 
   Reactor* mReactor;
--- a/UnitTests/Platform/PlatformProtocolTest.cpp
+++ b/UnitTests/Platform/PlatformProtocolTest.cpp
@@ -935,21 +935,27 @@
   BOOST_TEST(bytes == kUpstreams * kBytesOfEach + kBytesOfKey);
 }
 
-// Guards against view responses that lose the digest of the zones, and against
-// one of an older build, which states none, that is not read.
-BOOST_AUTO_TEST_CASE(ViewResponsesCarryTheDigestOfTheZones)
+// Guards against view responses that lose the digest of the zones or the era of
+// the store, and against one of an older build, which states neither or no era,
+// that is not read.
+BOOST_AUTO_TEST_CASE(ViewResponsesCarryTheDigestOfTheZonesAndTheEra)
 {
   ViewResponse response;
   response.mStamp = 5;
   response.mEvacuationDigest = 12;
+  response.mStoreEra = 3;
   const std::string bytes = EncodeViewResponse(response);
   BOOST_TEST(DecodeViewResponse(bytes)->mEvacuationDigest == 12U);
+  BOOST_TEST(DecodeViewResponse(bytes)->mStoreEra == 3U);
   json old = json::from_cbor(bytes);
-  old.erase(old.size() - 1);
-  const auto decoded = DecodeViewResponse(detail::ToCbor(old));
-  BOOST_REQUIRE(decoded.has_value());
-  BOOST_TEST(decoded->mStamp == 5U);
-  BOOST_TEST(decoded->mEvacuationDigest == 0U);
+  for (const std::uint64_t digest : { 12, 0 }) {
+    old.erase(old.size() - 1);
+    const auto decoded = DecodeViewResponse(detail::ToCbor(old));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded->mStamp == 5U);
+    BOOST_TEST(decoded->mEvacuationDigest == digest);
+    BOOST_TEST(decoded->mStoreEra == 0U);
+  }
 }
 
 // Guards against lists of peers that lose the cold times, and against a list of
--- a/UnitTests/Platform/PlatformRowStoreTest.cpp
+++ b/UnitTests/Platform/PlatformRowStoreTest.cpp
@@ -93,7 +93,7 @@
   DuplicatingStore server(*mReactor);
   platform::PlatformRowStoreSettings settings;
   settings.mAddress = "127.0.0.1:" + std::to_string(server.mPort);
-  platform::PlatformRowStore store(settings, mClient.get());
+  platform::PlatformRowStore store(settings, mReactor.get(), mClient.get());
   for (const std::string table : { "op", "servers", "vms" }) {
     std::optional<std::string> key;
     store.ReadTable(table, [&](auto aRows, const Reason&) {
@@ -117,12 +117,16 @@
       const bool isFeed = request.mPath == "/-/rows-feed";
       mTargets.push_back(isFeed ? "after " + request.mQuery.at("after")
                                 : "whole");
+      HttpHeaders headers;
+      if (!mEra.empty()) {
+        headers["Store-Era"] = mEra;
+      }
       aExchange.Respond(
-        isFeed ? mFeedStatus : 200, {}, isFeed ? mFeed : mWhole);
+        isFeed ? mFeedStatus : 200, headers, isFeed ? mFeed : mWhole);
     };
     mSettings.mAddress = "127.0.0.1:" + std::to_string(mServer->Port());
-    mStore =
-      std::make_unique<platform::PlatformRowStore>(mSettings, mClient.get());
+    mStore = std::make_unique<platform::PlatformRowStore>(
+      mSettings, mReactor.get(), mClient.get());
   }
 
   /// Reads the table. Returns its rows as "key=value@version,"; "failed".
@@ -132,8 +136,8 @@
     mStore->ReadTable("t", [&](auto aRows, const Reason&) {
       text = aRows ? "" : "failed";
       for (const StoredRow& it : aRows ? *aRows : std::vector<StoredRow>()) {
-        *text +=
-          it.mKey + '=' + it.mValue + '@' + std::to_string(it.mVersion) + ',';
+        *text += it.mKey + '=' + it.mValue + '@' +
+                 std::to_string(it.mVersion.mNumber) + ',';
       }
     });
     BOOST_REQUIRE(Until([&] { return text.has_value(); }));
@@ -147,6 +151,7 @@
                        R"({"key":"b","value":"Mg==","ver":4}],"ver":7})";
   std::string mFeed = R"({"rows":[],"ver":7})";
   int mFeedStatus = 200;
+  std::string mEra; ///< That responses state; empty: none.
 };
 
 } // namespace
@@ -229,7 +234,7 @@
   platform::PlatformRowStoreSettings settings;
   settings.mAddress = "127.0.0.1:" + std::to_string(mServer->Port());
   settings.mStallTimeout = 200ms;
-  platform::PlatformRowStore store(settings, mClient.get());
+  platform::PlatformRowStore store(settings, mReactor.get(), mClient.get());
   std::string result;
   const auto read = [&] {
     result.clear();
@@ -261,3 +266,114 @@
              "no byte of the response arrived in time, 2 bytes received");
   BOOST_TEST((mReactor->Now() - stalledAt < 2s));
 }
+
+// Guards against rows that stay hidden after the store was restored from a
+// copy, since it has passed the version that was read last (CONFIG).
+BOOST_FIXTURE_TEST_CASE(ATableThatWasReadInAFormerEraIsReadWhole,
+                        ChangingStoreFixture)
+{
+  const std::string restored =
+    R"({"rows":[{"key":"a","value":"OQ==","ver":5}],)";
+  int era = 1;
+  for (const std::string version : { "9", "7", "6" }) {
+    mEra = std::to_string(era);
+    mWhole = R"({"rows":[{"key":"a","value":"MQ==","ver":3}],"ver":7})";
+    mFeed = R"({"rows":[],"ver":7})";
+    Read();
+    BOOST_TEST(Read() == "a=1@3,");
+    // The row of version 5 is not among the changes after 7.
+    mEra = std::to_string(++era);
+    mWhole = restored + R"("ver":)" + version + "}";
+    mFeed = R"({"rows":[],"ver":)" + version + "}";
+    BOOST_TEST(Read() == "a=9@5,", "back at version " << version);
+    BOOST_TEST(Read() == "a=9@5,");
+    ++era;
+  }
+}
+
+// Guards against an answer that was under way during the restoration and brings
+// rows back that the store has lost (CONFIG).
+BOOST_FIXTURE_TEST_CASE(AResponseOfAFormerEraIsDropped, ChangingStoreFixture)
+{
+  mEra = "2";
+  Read();
+  mEra = "1";
+  mFeed = R"({"rows":[{"key":"a","value":"OQ==","ver":8}],"ver":8})";
+  BOOST_TEST(Read() == "failed");
+  mEra = "2";
+  mFeed = R"({"rows":[],"ver":7})";
+  BOOST_TEST(Read() == "a=1@3,b=2@4,");
+  BOOST_TEST(mStore->Era() == 2U);
+}
+
+// Guards against a table that is put together from pages of two eras (CONFIG).
+BOOST_FIXTURE_TEST_CASE(PagesOfTwoErasAreNotJoined, ChangingStoreFixture)
+{
+  mEra = "1";
+  const std::string last = mWhole;
+  mWhole = R"({"rows":[{"key":"0","value":"MQ==","ver":1}],"ver":7,)"
+           R"("hasMore":true})";
+  mHandler.mRespond =
+    [this, last, respond = mHandler.mRespond](HttpExchange& aExchange) {
+      respond(aExchange);
+      mEra = "2"; // The first page was the last response of era 1.
+      mWhole = last;
+    };
+  BOOST_TEST(Read() == "a=1@3,b=2@4,");
+  BOOST_TEST(mTargets.size() == 3U);
+}
+
+namespace {
+
+/// Counts the restorations that a store reports.
+struct RestorationCounter : RowStoreListener
+{
+  // See: RowStoreListener
+  void OnStoreRestored(std::uint64_t aEra) override { mEras.push_back(aEra); }
+
+  std::vector<std::uint64_t> mEras;
+};
+
+} // namespace
+
+// Guards against what this VM keeps in the store staying lost after a
+// restoration, since nobody is told of it.
+BOOST_FIXTURE_TEST_CASE(EachRestorationIsReportedOnce, ChangingStoreFixture)
+{
+  RestorationCounter counter;
+  mStore->SetListener(&counter);
+  for (const std::string era : { "", "4", "4", "5", "5", "4", "7" }) {
+    mEra = era;
+    Read();
+  }
+  const std::vector<std::uint64_t> expected = { 5, 7 };
+  BOOST_TEST(counter.mEras == expected, boost::test_tools::per_element());
+}
+
+// Guards against a change whose condition is met by another row, which got the
+// number of the expected one after a restoration.
+BOOST_FIXTURE_TEST_CASE(AConditionOnAFormerEraIsNotMet, ChangingStoreFixture)
+{
+  std::optional<StoreVersion> version;
+  const auto change = [&](const StoreVersion& aExpected) {
+    std::optional<ReasonCode> code;
+    mStore->Change({ "t", "a", "1", aExpected },
+                   [&](const Reason& aReason, StoreVersion aVersion) {
+                     code = aReason.mCode;
+                     version = aVersion;
+                   });
+    BOOST_REQUIRE(Until([&] { return code.has_value(); }));
+    return *code;
+  };
+  mWhole = R"({"ver":8})"; // The condition holds.
+  mEra = "1";
+  BOOST_TEST((change({ 3, 1 }) == ReasonCode::None));
+  BOOST_TEST((version == StoreVersion{ 8, 1 }));
+  mEra = "2"; // Not known here until the response.
+  BOOST_TEST((change({ 3, 1 }) == ReasonCode::InDoubt));
+  mTargets.clear();
+  BOOST_TEST((change({ 3, 1 }) == ReasonCode::Conflict));
+  BOOST_TEST(mTargets.empty());
+  BOOST_TEST((change({ 3, 2 }) == ReasonCode::None));
+  BOOST_TEST((change({}) == ReasonCode::None)); // On the row's absence.
+}
--- a/UnitTests/Relay/EvacuationTest.cpp
+++ b/UnitTests/Relay/EvacuationTest.cpp
@@ -60,7 +60,7 @@
   static RelayUpstream Written(const std::string& aId, std::uint64_t aVersion)
   {
     RelayUpstream upstream = Plain(aId, "a");
-    upstream.mEntryVersion = aVersion;
+    upstream.mEntryVersion = { aVersion, 0 };
     return upstream;
   }
 
