Keep the origins of open streams in the store while several versions serve

Cause: where a stream began was known to four VMs at most and to nothing that outlives them; the record of the service tells it only while one version serves.

Evidence: refused tries log stream_origin_unknown with as many responses as replicas, and the record lists v1,v2 since the start. The new case of test_software_versions fails on the code before (503 for the first stream).

Change: while a service's record lists several versions, or did in the last 37 s, each VM writes the origins of its open streams into its row of the table open_streams, 50 ms apart or 10 ms for each VM; a successor keeps what its predecessor left; a lookup reads the table beside asking the replicas.

Why it works: an attempt's id names one stream, so what is found is certain; what began since the last write is refused, not guessed.

--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -133,6 +133,16 @@
   SetCounter(prefix + "conflicts_total", aCounts.mConflicts);
 }
 
+void
+NodeMetrics::UpdateOpenStreamCounts(const OpenStreamCounts& aCounts)
+{
+  const std::string prefix = "peridothoist_open_streams_";
+  SetCounter(prefix + "reads_total", aCounts.mReads);
+  SetCounter(prefix + "writes_total", aCounts.mWrites);
+  SetCounter(prefix + "failures_total", aCounts.mFailures);
+  SetCounter(prefix + "origins_found_total", aCounts.mOriginsFound);
+}
+
 void
 NodeMetrics::UpdateCatchUpCounts(const char* aKind,
                                  const OriginCatchUpCounts& aCounts)
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -4,6 +4,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Node/RelayExecutor.h>
 #include <Peridothoist/Node/ContentOriginExchange.h>
+#include <Peridothoist/Node/OpenStreamStore.h>
 #include <Peridothoist/Node/ServiceVersionStore.h>
 #include <Peridothoist/Node/StreamOriginExchange.h>
 #include <Peridothoist/Node/ViewUpdater.h>
@@ -71,6 +72,7 @@
   void UpdateCrashEvidence(const CrashEvidence& aEvidence);
   void UpdateOriginCounts(const StreamOriginCounts& aCounts);
   void UpdateServiceVersionCounts(const ServiceVersionCounts& aCounts);
+  void UpdateOpenStreamCounts(const OpenStreamCounts& aCounts);
   void UpdateCatchUpCounts(const char* aKind,
                            const OriginCatchUpCounts& aCounts);
   void UpdateContentOriginCounts(const ContentOriginCounts& aCounts);
--- a/Peridothoist/Node/NodeProcess.cpp
+++ b/Peridothoist/Node/NodeProcess.cpp
@@ -106,6 +106,7 @@
               &mStore,
               &mMachine.ListedUpstreams(),
               this)
+  , mOpenStreams(aSettings.mOpenStreams, aSettings.mVm, aReactor, &mStore)
   , mStageOrders(aSettings.mStageOrders,
                  aSettings.mVm,
                  aReactor,
@@ -417,6 +418,17 @@
 NodeProcess::UpdateVersions()
 {
   mVersions.Update(mGossip == nullptr || RoleForView().mIsReader);
+  UpdateOpenStreams();
+}
+
+/// Lets the origins of open streams be kept in the store where the records
+/// don't tell them. A VM whose peers confirm its list gets no other, so this is
+/// called at intervals too.
+void
+NodeProcess::UpdateOpenStreams()
+{
+  mOpenStreams.SetServices(
+    mMachine.ServicesWithSeveralVersions(mReactor->Now()));
 }
 
 void
@@ -442,6 +454,7 @@
     return; // The peer address could not be listened on.
   }
   mGossip->SetVms(aVms);
+  mOpenStreams.SetVmCount(aVms.size());
   UpdateHomeEngines();
   if (aFromStore) {
     mRegistry.OnVmsRead(aVms);
@@ -525,6 +538,10 @@
   const bool succeeded = aSummary.mStatus >= 200 && aSummary.mStatus < 300 &&
                          std::string_view(aSummary.mOutcome) == "answered";
   const std::vector<std::string>& parts = aSummary.mSharedPromptParts;
+  if (succeeded && aSummary.mKind == RouteKind::Stream) {
+    mOpenStreams.OnEnded(
+      OriginKeyOf(aSummary.mWorkspace, aSummary.mCallerRequestId));
+  }
   const bool isRoutine = succeeded && !mIsLeaving;
   (isRoutine ? Log::Routine("request_done") : Log::Info("request_done"))
     .Field("id", aSummary.mCallerRequestId)
@@ -575,6 +592,7 @@
     mGossip->ContentOrigins().Announce(aKey, aOrigin);
   } else {
     mGossip->Origins().Announce(aKey, aOrigin);
+    mOpenStreams.OnOpened(aKey, aOrigin);
   }
 }
 
@@ -586,9 +604,21 @@
     mGossip->ContentOrigins().Find(aKey);
   } else {
     mGossip->Origins().Find(aKey);
+    FindStoredOrigin(aKey);
   }
 }
 
+/// Looks an origin up in the store, beside the lookup at other VMs.
+void
+NodeProcess::FindStoredOrigin(const std::string& aKey)
+{
+  mOpenStreams.Read([this, aKey] {
+    if (const auto origin = mOpenStreams.Find(aKey)) {
+      DeliverOrigin(aKey, origin);
+    }
+  });
+}
+
 void
 NodeProcess::OnPeerWork(const std::string& aVm, const WorkByUpstream& aWork)
 {
@@ -610,21 +640,32 @@
   mViews.OnResponse(aResponse);
 }
 
+void
+NodeProcess::DeliverOrigin(const std::string& aKey,
+                           const std::optional<StreamOrigin>& aOrigin)
+{
+  if (aOrigin && !IsContentKey(aKey)) {
+    mOpenStreams.OnOpened(aKey, *aOrigin); // It goes on at this VM.
+  }
+  mExecutor.Deliver(
+    [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
+      aMachine.OnOriginFound(aKey, aOrigin, aNow, aOut);
+    });
+}
+
 void
 NodeProcess::OnOriginFound(const std::string& aKey,
                            std::optional<StreamOrigin> aOrigin)
 {
-  const auto deliver = [this, aKey, aOrigin] {
-    mExecutor.Deliver(
-      [&](RelayStateMachine& aMachine, TimePoint aNow, RelayCommands& aOut) {
-        aMachine.OnOriginFound(aKey, aOrigin, aNow, aOut);
-      });
-  };
   if (aOrigin) {
-    deliver();
-  } else {
-    mVersions.WhenRead(deliver);
+    DeliverOrigin(aKey, aOrigin);
+    return;
   }
+  // No VM knows it. The reads of the store that began with the lookup decide.
+  const auto deliver = [this, aKey] {
+    DeliverOrigin(aKey, mOpenStreams.Find(aKey));
+  };
+  mVersions.WhenRead([this, deliver] { mOpenStreams.WhenRead(deliver); });
 }
 
 void
@@ -637,6 +678,7 @@
       aMachine.OnVersionsRead(
         std::move(aRecords), aNowMs, aStartedAt, aNow, aOut);
     });
+  UpdateOpenStreams();
 }
 
 void
@@ -661,6 +703,7 @@
   mViews.OnStoreRestored();
   mRegistry.Register();
   mVersions.OnStoreRestored();
+  mOpenStreams.OnStoreRestored();
   mStageOrders.OnStoreRestored();
 }
 
@@ -681,6 +724,7 @@
 NodeProcess::UpdateStageOrders()
 {
   mStageOrders.Update(IsOrderLeader());
+  UpdateOpenStreams();
   mStageOrderTimer = mReactor->Schedule(mSettings.mStageOrderInterval,
                                         [this] { UpdateStageOrders(); });
 }
--- a/Peridothoist/Node/NodeProcess.h
+++ b/Peridothoist/Node/NodeProcess.h
@@ -107,6 +107,10 @@
   void UpdateStageOrders();
   void UpdateHomeEngines();
   void UpdateVersions();
+  void UpdateOpenStreams();
+  void FindStoredOrigin(const std::string& aKey);
+  void DeliverOrigin(const std::string& aKey,
+                     const std::optional<StreamOrigin>& aOrigin);
   void RemoveSilentVms();
 
   // See: HttpRequestHandler
@@ -186,6 +190,7 @@
   ViewUpdater mViews;
   VmRegistry mRegistry;
   ServiceVersionStore mVersions;
+  OpenStreamStore mOpenStreams;
   StageOrderManager mStageOrders;
   std::unique_ptr<NodeGossip> mGossip;
   std::unique_ptr<HttpServer> mCallerServer;
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -200,6 +200,7 @@
   mMetrics.UpdateOriginCounts(mGossip->Origins().Counts());
   mMetrics.UpdateServiceVersionCounts(mVersions.Counts());
   mMetrics.UpdateContentOriginCounts(mGossip->ContentOrigins().Counts());
+  mMetrics.UpdateOpenStreamCounts(mOpenStreams.Counts());
   mMetrics.UpdateCatchUpCounts("attempt", mGossip->Origins().CatchUpCounts());
   mMetrics.UpdateCatchUpCounts("content",
                                mGossip->ContentOrigins().CatchUpCounts());
--- a/Peridothoist/Node/NodeSettings.h
+++ b/Peridothoist/Node/NodeSettings.h
@@ -4,6 +4,7 @@
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Core/Reason.h>
 #include <Peridothoist/Cells/CellMembership.h>
+#include <Peridothoist/Node/OpenStreamStore.h>
 #include <Peridothoist/Node/StageOrderManager.h>
 #include <Peridothoist/Node/ContentOriginExchange.h>
 #include <Peridothoist/Node/ServiceVersionStore.h>
@@ -90,6 +91,7 @@
   StreamOriginExchangeSettings mOrigins;
   ContentOriginExchangeSettings mContentOrigins;
   ServiceVersionStoreSettings mVersions;
+  OpenStreamStoreSettings mOpenStreams;
   TunnelServerSettings mTunnels;
 
   /// Returns this VM's registration.
--- a/Peridothoist/Relay/RelayAdmission.cpp
+++ b/Peridothoist/Relay/RelayAdmission.cpp
@@ -180,8 +180,8 @@
   const bool findsByContent = admitted.mIsResumed && !namesOrigin;
   if (!findsByContent) {
     admitted.mOriginKey =
-      admitted.mWorkspace + '/' +
-      (namesOrigin ? aRequest.mResumedRequest : aRequest.mName);
+      OriginKeyOf(admitted.mWorkspace,
+                  namesOrigin ? aRequest.mResumedRequest : aRequest.mName);
   }
   if (route->mKind == RouteKind::Stream && route->mIsResumable) {
     admitted.mContentKey = MakeContentKey({ admitted.mWorkspace,
--- a/Peridothoist/Relay/RelayStateMachine.h
+++ b/Peridothoist/Relay/RelayStateMachine.h
@@ -211,6 +211,14 @@
                  TimePoint aNow,
                  RelayCommands& aOut);
 
+  /// Returns the services of which streams may have begun at several software
+  /// versions, by the records.
+  std::set<std::string> ServicesWithSeveralVersions(TimePoint aNow) const
+  {
+    return mVersions.ServicesWithSeveral(
+      mSettings.mSoleVersionPeriod + mSettings.mVersionRecordMargin, aNow);
+  }
+
   /// Called when the records of the services' versions were read. aNowMs: see
   /// SoftwareVersions.
   void OnVersionsRead(VersionsByService aRecords,
--- a/Peridothoist/Relay/SoftwareVersions.cpp
+++ b/Peridothoist/Relay/SoftwareVersions.cpp
@@ -94,6 +94,33 @@
            : std::nullopt;
 }
 
+std::set<std::string>
+SoftwareVersions::ServicesWithSeveral(Duration aPeriod, TimePoint aNow) const
+{
+  using std::chrono::ceil;
+  using std::chrono::milliseconds;
+  std::set<std::string> services;
+  if (!mReadAt) {
+    return services;
+  }
+  const auto periodMs =
+    static_cast<std::uint64_t>(ceil<milliseconds>(aPeriod).count());
+  const Duration sinceRead = std::max(Duration(0), Duration(aNow - *mReadAt));
+  const std::uint64_t nowMs =
+    mNowMs.value_or(0) +
+    static_cast<std::uint64_t>(ceil<milliseconds>(sinceRead).count());
+  for (const auto& [service, record] : mRecords) {
+    const bool isAnyRecent = std::any_of(
+      record.mGoneAtMs.begin(), record.mGoneAtMs.end(), [&](const auto& aGone) {
+        return nowMs < aGone.second + periodMs;
+      });
+    if (record.mListed.size() > 1 || isAnyRecent) {
+      services.insert(service);
+    }
+  }
+  return services;
+}
+
 ListedVersions
 SoftwareVersions::Listed() const
 {
--- a/Peridothoist/Relay/SoftwareVersions.h
+++ b/Peridothoist/Relay/SoftwareVersions.h
@@ -70,6 +70,11 @@
                                          Duration aPeriod,
                                          TimePoint aNotBefore) const;
 
+  /// Returns the services of which several versions are listed by the records,
+  /// or were within aPeriod before aNow: these don't tell where a stream began.
+  std::set<std::string> ServicesWithSeveral(Duration aPeriod,
+                                            TimePoint aNow) const;
+
   /// Returns the versions that are recorded as listed.
   ListedVersions Listed() const;
 
--- a/Peridothoist/Relay/StreamOriginTable.h
+++ b/Peridothoist/Relay/StreamOriginTable.h
@@ -23,6 +23,13 @@
   }
 };
 
+/// Returns the key of the origin of a stream that an attempt has begun.
+inline std::string
+OriginKeyOf(const std::string& aWorkspace, const std::string& aAttempt)
+{
+  return aWorkspace + '/' + aAttempt;
+}
+
 /// Settings of StreamOriginTable.
 struct StreamOriginTableSettings
 {
--- a/SystemTests/test_software_versions.py
+++ b/SystemTests/test_software_versions.py
@@ -20,6 +20,9 @@
 # a write and a read. The stream itself takes a part of a second.
 RELEASE_SECONDS = 3
 
+# An origin is in the store within a write interval (0.05 s).
+ROW_SECONDS = 0.5
+
 # The store's clock is set ahead by this instead of waiting until the record is
 # older than a stream can be.
 LONG_MS = 60_000
@@ -39,11 +42,11 @@
             )
         )
 
-    def begin_broken_streams(self, count):
-        """Begins streams at node 0 whose engines break them, and returns the
+    def begin_broken_streams(self, count, node=0):
+        """Begins streams at a node whose engines break them, and returns the
         attempts."""
         self.inject_fault("lm", "decode", "half")
-        attempts = [self.send_stream(0) for _ in range(count)]
+        attempts = [self.send_stream(node) for _ in range(count)]
         self.inject_fault("lm", "decode", None)
         for attempt in attempts:
             self.assertFalse(attempt.is_complete)
@@ -160,6 +163,30 @@
                 self.assertEqual(self.runs_of(resumed), [])
 
 
+    # Guards against streams that nobody can resume after the loss of all nodes, while
+    # two versions serve.
+    def test_streams_of_two_versions_go_on_after_loss_of_all_nodes(self):
+        self.wait_for_record(["v1", "v2"])
+        attempts = self.begin_broken_streams(STREAMS)
+        time.sleep(ROW_SECONDS)
+        self.restart_all_nodes()
+        for number, attempt in enumerate(attempts):
+            self.check_resumed(attempt, self.resume(attempt, number % 3))
+
+    # Guards against the same for streams that begin after a restart, at each node:
+    # those that follow others get no list to read after their start.
+    def test_streams_that_begin_after_a_restart_go_on_after_loss_of_all_nodes(self):
+        self.wait_for_record(["v1", "v2"])
+        self.restart_all_nodes()
+        attempts = []
+        for node in range(self.NODES):
+            attempts += self.begin_broken_streams(STREAMS // 2, node)
+        time.sleep(ROW_SECONDS)
+        self.restart_all_nodes()
+        for number, attempt in enumerate(attempts):
+            self.check_resumed(attempt, self.resume(attempt, number % 3))
+
+
 class SingleVersionTest(VersionsClusterTest):
     """One version serves."""
 
