Believe the end of a response through a tunnel that ended in order

Cause: ClientCall::MakeResult() took a response without a stated end for broken if it came through a tunnel.

Change: the end of the connection is believed through a tunnel too. A tunnel ends its connection in order only after the upstream has, and all bytes were passed on; in all other cases, also when its process is killed, the connection is reset.

The test AResponseWithoutAStatedEndIsNotComplete demanded the opposite: a whole response that ended in order had to count as broken, against RECOVER. It is replaced by three that are as strict: ended in order (fails on the code before), reset by the upstream, and cut by a tunnel that leaves or is killed, in a process of its own. The naive counterpart RECOVER-end now ends tunnels in order whatever ended them.

--- a/Peridothoist/Node/TunnelServer.h
+++ b/Peridothoist/Node/TunnelServer.h
@@ -5,6 +5,11 @@
 /// The VM at the other end makes all decisions about the request: nothing is
 /// admitted, charged, chosen or retried here. A tunnel ends at an upstream,
 /// never at another VM.
+///
+/// Invariant: the connection to the VM ends in order only if that to the
+/// upstream has, and all its bytes were passed on. It is reset in all other
+/// cases, also when this process ends, so a response that ends with its
+/// connection can be told from one that is cut.
 #pragma once
 
 #include <Peridothoist/Peridothoist.h>
--- a/Peridothoist/Shell/ClientCall.cpp
+++ b/Peridothoist/Shell/ClientCall.cpp
@@ -127,14 +127,12 @@
   }
   // libcurl reports success when the connection closes within the head.
   const bool isWhole = aResult == CURLE_OK && mIsHeadComplete;
-  if (isWhole && (mCall.mTunnel.empty() || IsEndStated())) {
+  if (isWhole) {
     return result;
   }
   result.mReason = curl_easy_strerror(aResult);
   if (!mRejection.empty()) {
     result.mReason = mRejection;
-  } else if (isWhole) {
-    result.mReason = "response without a stated end through a tunnel";
   } else if (aResult == CURLE_OK) {
     result.mReason = "connection closed before the response head was complete";
   }
@@ -153,17 +151,6 @@
   return result;
 }
 
-/// Returns whether the response's end does not depend on the connection's.
-bool
-ClientCall::IsEndStated() const
-{
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  return mHeaders.count("content-length") > 0 ||
-         mHeaders.count("transfer-encoding") > 0 || mStatus == kNoContent ||
-         mStatus == kNotModified || mCall.mMethod == "HEAD";
-}
-
 void
 ClientCall::ResumeTransfer()
 {
--- a/Peridothoist/Shell/ClientCall.h
+++ b/Peridothoist/Shell/ClientCall.h
@@ -70,7 +70,6 @@
              ClientCallDelegate* aDelegate,
              CURL* aHandle);
 
-  bool IsEndStated() const;
   void SetOptions(const std::string& aLocalIp);
   void SetMethod();
   void SetHeaders();
--- a/Peridothoist/Shell/HttpClient.h
+++ b/Peridothoist/Shell/HttpClient.h
@@ -40,9 +40,9 @@
   /// libcurl otherwise retries when a reused connection turns out to be closed.
   bool mSendOnce = false;
   /// Address, "ip:port", of a VM through which the call is made, by an HTTP
-  /// CONNECT tunnel; empty: none. Through a tunnel, only a response that states
-  /// its length or is chunked counts as complete: the end of the connection
-  /// might be that of the tunnel.
+  /// CONNECT tunnel; empty: none. A response that ends with its connection is
+  /// complete if the connection ends in order: tunnels are reset in all other
+  /// cases.
   std::string mTunnel;
   /// CA certificate for verifying https servers, as PEM. When empty, the
   /// system's trusted CAs are used.
--- a/UnitTests/Node/TunnelServerTest.cpp
+++ b/UnitTests/Node/TunnelServerTest.cpp
@@ -5,6 +5,10 @@
 #include <Peridothoist/Node/TunnelServer.h>
 #include <Shell/ShellFixture.h>
 
+#include <sys/wait.h>
+
+#include <csignal>
+
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
@@ -182,13 +186,125 @@
   BOOST_TEST(recorder->mResult.mMayHaveBeenSent);
 }
 
-// Guards against the same for responses that end with their connection.
-BOOST_FIXTURE_TEST_CASE(AResponseWithoutAStatedEndIsNotComplete, TunnelFixture)
+namespace {
+
+const std::string kUnsizedHead = "HTTP/1.1 200 X\r\nConnection: close\r\n\r\n";
+
+/// An upstream that sends a part of a response that ends with its connection,
+/// and then ends or resets the connection, or leaves it open.
+class UnsizedServer : public RawServer
+{
+public:
+  UnsizedServer(Reactor& aReactor, std::size_t aBytes)
+    : RawServer(aReactor, "")
+    , mReactor(aReactor)
+    , mBody(aBytes, 'b')
+  {
+  }
+  ~UnsizedServer() override
+  {
+    if (mConnection >= 0) {
+      mReactor.Unwatch(mConnection);
+      ::close(mConnection);
+    }
+  }
+
+  // See: DescriptorListener
+  void OnReadable(int aDescriptor) override
+  {
+    if (aDescriptor == Socket()) {
+      mConnection = ::accept(aDescriptor, nullptr, nullptr);
+      mReactor.Watch(mConnection, this);
+      return;
+    }
+    std::array<char, 4096> request = {};
+    ::recv(aDescriptor, request.data(), request.size(), 0);
+    const std::string response = kUnsizedHead + mBody;
+    ::send(aDescriptor, response.data(), response.size(), MSG_NOSIGNAL);
+    mReactor.Unwatch(aDescriptor);
+    if (!mStaysOpen) {
+      const linger option = { mResets ? 1 : 0, 0 };
+      ::setsockopt(aDescriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+      ::close(std::exchange(mConnection, -1));
+    }
+  }
+
+  bool mResets = false;
+  bool mStaysOpen = false;
+
+private:
+  Reactor& mReactor;
+  std::string mBody;
+  int mConnection = -1;
+};
+
+} // namespace
+
+// Guards against whole responses that are thrown away since they state no
+// length: nodes that are cut off get all their responses through tunnels
+// (RECOVER).
+BOOST_FIXTURE_TEST_CASE(AResponseThatEndsInOrderIsComplete, TunnelFixture)
+{
+  for (const std::size_t bytes : { 3, 200000 }) {
+    UnsizedServer server(*mReactor, bytes);
+    const auto recorder = MakeCall(server.mPort);
+    BOOST_TEST(recorder->mStatus == 200);
+    BOOST_TEST((recorder->mResult.mFailure == CallFailure::None));
+    BOOST_TEST(recorder->mBody.size() == bytes);
+  }
+}
+
+// Guards against a response without a length that its upstream has broken off
+// and that is taken for complete.
+BOOST_FIXTURE_TEST_CASE(AResponseThatIsResetIsNotComplete, TunnelFixture)
 {
-  RawServer server(*mReactor, "HTTP/1.1 200 X\r\nConnection: close\r\n\r\nall");
+  UnsizedServer server(*mReactor, 3);
+  server.mResets = true;
   const auto recorder = MakeCall(server.mPort);
-  BOOST_TEST(recorder->mStatus == 200);
-  BOOST_TEST((recorder->mResult.mFailure == CallFailure::Broken));
+  BOOST_TEST((recorder->mResult.mFailure != CallFailure::None));
+}
+
+// Guards against the same when the VM in between leaves, or its process is
+// killed, which closes its sockets.
+BOOST_FIXTURE_TEST_CASE(AResponseWhoseTunnelEndsIsNotComplete, TunnelFixture)
+{
+  UnsizedServer server(*mReactor, 3);
+  server.mStaysOpen = true;
+  const std::uint16_t killedPort = FreePort();
+  for (const bool isKilled : { false, true }) {
+    pid_t child = -1;
+    if (isKilled) {
+      child = ::fork();
+      if (child == 0) {
+        const auto reactor = Reactor::Create();
+        const auto tunnels = TunnelServer::Create(
+          {}, { "127.0.0.1", killedPort }, reactor.get(), this);
+        reactor->Run();
+        ::_exit(0);
+      }
+      mTunnelPort = killedPort;
+    }
+    auto recorder = std::make_shared<CallRecorder>();
+    const auto start = [&] {
+      recorder->mEnds = 0;
+      mClient->Start(CallTo(server.mPort), recorder);
+    };
+    start();
+    BOOST_REQUIRE(Until([&] {
+      if (recorder->mEnds > 0) {
+        start(); // The child does not listen yet.
+      }
+      return recorder->mBody == "bbb";
+    }));
+    if (isKilled) {
+      ::kill(child, SIGKILL);
+      ::waitpid(child, nullptr, 0);
+    } else {
+      mTunnels.reset();
+    }
+    BOOST_REQUIRE(Until([&] { return recorder->mEnds > 0; }));
+    BOOST_TEST((recorder->mResult.mFailure == CallFailure::Broken));
+  }
 }
 
 // Guards against requests that open a tunnel without naming an upstream.
--- a/UnitTests/naive_counterparts.py
+++ b/UnitTests/naive_counterparts.py
@@ -147,10 +147,10 @@
     Row("RECOVER-gone", "takes what it can't reach for gone",
         RELAY + "RelayPaths.cpp", "    isGone = !isConfirming && !mReach.IsCutOff();",
         "    isGone = isConfirming || !isConfirming;", "CutOffTest"),
-    Row("RECOVER-end", "takes the end of a tunnel for that of a response",
-        "Peridothoist/Shell/ClientCall.cpp",
-        "if (isWhole && (mCall.mTunnel.empty() || IsEndStated())) {",
-        "if (isWhole) {", "TunnelServerTest"),
+    Row("RECOVER-end", "ends a tunnel in order whatever ended it",
+        "Peridothoist/Node/TunnelServer.cpp",
+        "  ResetOnClose(socket);",
+        "  (void)&ResetOnClose;", "TunnelServerTest"),
 ]
 
 
