Share the grammar of heads between readers

Rules for the lines of a head stood inside the reader of requests only: the reader of responses, which comes next, needs the same ones. They move to Shell/HttpGrammar, with the rule of tokens and of lists; nothing changes for requests.

--- a/Peridothoist/Shell/RequestParser.cpp
+++ b/Peridothoist/Shell/RequestParser.cpp
@@ -2,13 +2,13 @@
 #include <Peridothoist/Shell/RequestParser.h>
 
 #include <Peridothoist/Core/BoundedBuffer.h>
+#include <Peridothoist/Shell/HttpGrammar.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 
 namespace peridothoist::detail {
@@ -29,52 +29,19 @@
 /// Versions are numbers of two digits, as the parser states them.
 constexpr int kHttp10 = 10;
 
-std::string
-ToLower(std::string_view aText)
-{
-  std::string lower(aText);
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](char aChar) {
-    return static_cast<char>(std::tolower(static_cast<unsigned char>(aChar)));
-  });
-  return lower;
-}
-
-bool
-IsBlank(char aChar)
-{
-  return aChar == ' ' || aChar == '\t';
-}
-
-/// Returns the error of a line of a head; null: none. A line of a head that is
-/// folded into the next one, or that ends in anything but CR and LF, is read
-/// differently by different programs.
-const char*
-FindLineError(std::string_view aLine)
-{
-  if (!aLine.empty() && IsBlank(aLine.front())) {
-    return "a line of the head begins with a blank";
-  }
-  const bool hasControl =
-    std::any_of(aLine.begin(), aLine.end(), [](char aChar) {
-      return (aChar >= 0 && aChar < ' ' && aChar != '\t') || aChar == '\x7f';
-    });
-  return hasControl ? "the head has control characters" : nullptr;
-}
-
-/// Returns the first error in the lines of a head; null: none. Bare CR and LF
-/// count as control characters.
+/// Returns the first error in the lines of a head; null: none.
 const char*
 FindLinesError(std::string_view aHead)
 {
   while (!aHead.empty()) {
-    const auto end = aHead.find("\r\n");
+    const auto end = aHead.find(kLineEnd);
     if (const char* error = FindLineError(aHead.substr(0, end))) {
       return error;
     }
     if (end == std::string_view::npos) {
       break;
     }
-    aHead.remove_prefix(end + 2);
+    aHead.remove_prefix(end + kLineEnd.size());
   }
   return nullptr;
 }
@@ -99,16 +66,6 @@
          line.substr(version).substr(0, 6) == " HTTP/";
 }
 
-/// Returns whether the text consists of digits only.
-bool
-IsNumber(std::string_view aText)
-{
-  return !aText.empty() &&
-         std::all_of(aText.begin(), aText.end(), [](char aChar) {
-           return aChar >= '0' && aChar <= '9';
-         });
-}
-
 /// Returns whether the target has visible ASCII characters only.
 bool
 IsTarget(std::string_view aTarget)
@@ -175,21 +132,10 @@
   if (it == aHeaders.end()) {
     return false;
   }
-  std::string_view rest = it->second;
-  while (!rest.empty()) {
-    std::string_view word = rest.substr(0, rest.find(','));
-    rest.remove_prefix(std::min(rest.size(), word.size() + 1));
-    while (!word.empty() && IsBlank(word.front())) {
-      word.remove_prefix(1);
-    }
-    while (!word.empty() && IsBlank(word.back())) {
-      word.remove_suffix(1);
-    }
-    if (ToLower(word) == aWord) {
-      return true;
-    }
-  }
-  return false;
+  const auto words = SplitList(it->second);
+  return std::any_of(words.begin(), words.end(), [&](std::string_view aIt) {
+    return ToLower(aIt) == aWord;
+  });
 }
 
 } // namespace
