Check responses to CONNECT by the same grammar

What callers would see: a VM whose answer to CONNECT is broken opened a tunnel, and whatever followed its head was taken for the upstream's response; a broken refusal told with 502 that an upstream is gone which is up.

Cause: the head was read by libcurl alone, which stops at the status.

Change: libcurl hands on the lines of that head, and a ResponseParser of its own decides. A broken one ends the call before anything is sent; the tunnel counts as not responding.

Evidence: HttpClientTest/BrokenResponsesToConnect fails before in 6 of 7 heads (4 opened the tunnel, 2 told their status; status 000 was refused). It passes now, TunnelServerTest as before.

--- a/Peridothoist/Shell/ClientCall.cpp
+++ b/Peridothoist/Shell/ClientCall.cpp
@@ -48,6 +48,7 @@
   , mListener(std::move(aListener))
   , mDelegate(aDelegate)
   , mHandle(aHandle)
+  , mTunnelResponse("CONNECT")
   , mResponse(mCall.mMethod)
 {
 }
@@ -91,9 +92,7 @@
     result.mFailure = CallFailure::Withheld;
   } else if (!mMayHaveBeenSent) {
     result.mFailure = CallFailure::NotConnected;
-    long status = 0;
-    curl_easy_getinfo(mHandle, CURLINFO_HTTP_CONNECTCODE, &status);
-    result.mTunnelStatus = static_cast<int>(status);
+    result.mTunnelStatus = mTunnelResponse.Status();
   } else if (aResult == CURLE_OPERATION_TIMEDOUT) {
     result.mFailure = CallFailure::TimedOut;
   } else {
@@ -126,7 +125,6 @@
     const std::string proxy = "http://" + mCall.mTunnel;
     curl_easy_setopt(mHandle, CURLOPT_PROXY, proxy.c_str());
     curl_easy_setopt(mHandle, CURLOPT_HTTPPROXYTUNNEL, 1L);
-    curl_easy_setopt(mHandle, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
   }
   if (!aLocalIp.empty()) {
     curl_easy_setopt(mHandle, CURLOPT_INTERFACE, aLocalIp.c_str());
@@ -250,9 +248,11 @@
   if (mIsCancelled) {
     return 0;
   }
-  mResponse.TakeHeadLine(aLine);
-  if (mResponse.Error() != nullptr) {
-    return RejectResponse(mResponse.Error());
+  // Nothing is sent before the tunnel is open.
+  ResponseParser& parser = mMayHaveBeenSent ? mResponse : mTunnelResponse;
+  parser.TakeHeadLine(aLine);
+  if (parser.Error() != nullptr) {
+    return RejectResponse(parser.Error());
   }
   if (mResponse.HasHead()) {
     mListener->OnHead(mResponse.Status(), mResponse.Headers());
--- a/Peridothoist/Shell/ClientCall.h
+++ b/Peridothoist/Shell/ClientCall.h
@@ -113,6 +113,7 @@
   std::size_t RejectResponse(std::string aReason);
 
   // The response so far.
+  ResponseParser mTunnelResponse; ///< To CONNECT, if there is a tunnel.
   ResponseParser mResponse;
   std::size_t mBodyBytes = 0;
   std::string mRejection; ///< Why the response was given up; empty: it wasn't.
--- a/UnitTests/Shell/HttpClientTest.cpp
+++ b/UnitTests/Shell/HttpClientTest.cpp
@@ -284,6 +284,35 @@
   }
 }
 
+// Guards against a broken response to CONNECT that opens a tunnel, or whose
+// status is believed: an upstream that is up counts as gone.
+BOOST_AUTO_TEST_CASE(BrokenResponsesToConnect)
+{
+  const std::string response = kSized + "\r\ngood";
+  for (const std::string& head :
+       { std::string("HTTP/1.1 200 OK\r\nX Y: z\r\n\r\n"),
+         std::string("HTTP/1.1 200 OK\r\ngarbage\r\n\r\n"),
+         std::string("HTTP/1.1 200 OK\nX: y\r\n\r\n"),
+         std::string("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"),
+         std::string(
+           "HTTP/1.1 502 Bad\r\nX\x01: z\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 403 No\r\ngarbage\r\nContent-Length: 0\r\n\r\n"),
+         std::string("HTTP/1.1 000 None\r\n\r\n") }) {
+    const RawServer server(*mReactor, head + response);
+    HttpCall call;
+    call.mUrl = "http://127.0.0.1:1/";
+    call.mTunnel = "127.0.0.1:" + std::to_string(server.mPort);
+    call.mSendOnce = true;
+    const auto recorder = CallAndWait(call);
+    const HttpCallResult& result = recorder->mResult;
+    BOOST_TEST((result.mFailure == CallFailure::NotConnected), head);
+    BOOST_TEST(!result.mMayHaveBeenSent, head);
+    BOOST_TEST(result.mTunnelStatus == 0, head);
+    BOOST_TEST(recorder->mStatus == 0, head);
+    BOOST_TEST(recorder->mBody.empty(), head);
+  }
+}
+
 // Guards against sound responses, in all that the grammar allows, that libcurl
 // or the parser takes for broken.
 BOOST_AUTO_TEST_CASE(UnusualResponsesAreComplete)
