Let the command line read responses with the project's client

What operators would see: peridothoistctl told of a change, or of what holds, by a broken response: "Content-Length: 8x", a blank before the colon, a control character in a name.

Cause: it used libcurl directly, a second reader of responses beside HttpClient.

Change: ControlClient makes its calls with HttpClient, so the same parser decides; its own code for libcurl goes. A change whose response is broken is in doubt and not sent to another process; what changes nothing is asked of the next one.

Evidence: ControlClientTest/ABrokenResponseLeavesAChangeInDoubt fails before in 3 of 4 forms (libcurl refuses a line without a colon), passes now; CommandTest as before.

--- a/CommandLine/ControlClient.h
+++ b/CommandLine/ControlClient.h
@@ -45,24 +45,21 @@
   Duration mTotalTimeout = std::chrono::seconds(10);
 };
 
-/// Sends requests with libcurl. A request that changes something is not retried
-/// once a byte of it may have arrived.
+/// Sends requests with HttpClient. A request that changes something is not
+/// retried once a byte of it may have arrived.
 class ControlClient : public ControlTransport
 {
 public:
   using Settings = ControlClientSettings;
 
   explicit ControlClient(const Settings& aSettings);
-  ~ControlClient() override;
-  ControlClient(const ControlClient&) = delete;
-  ControlClient& operator=(const ControlClient&) = delete;
 
   // See: ControlTransport
   ControlResponse Send(const ControlRequest& aRequest) override;
 
 private:
   ControlResponse SendTo(const std::string& aControl,
-                         const ControlRequest& aRequest);
+                         const ControlRequest& aRequest) const;
 
   Settings mSettings;
 };
