Let a tunnel read on after it has waited for nothing

What callers would see, at VMs that reach upstreams through others only: an upload to an upstream that reads slowly stops, and the request fails when its time is over, or when the tunnel gives up after 10 s. A slow reader of a large response can meet the same.

Cause: the tunnel takes "no events asked for" for "not registered". While the other side's buffer is full nothing is asked for; afterwards it adds the socket again, which epoll refuses since it is still there, and its events stay off.

Change: the registration is kept apart from the events.

--- a/Peridothoist/Node/TunnelServer.cpp
+++ b/Peridothoist/Node/TunnelServer.cpp
@@ -84,7 +84,8 @@
     std::string mOutput; ///< Still to be sent to this side.
     bool mHasInputEnded = false;
     bool mIsShutDown = false;    ///< The end was sent to this side.
-    std::uint32_t mEvents = 0;   ///< Registered with epoll.
+    bool mIsRegistered = false;  ///< With epoll, also if it waits for nothing.
+    std::uint32_t mEvents = 0;   ///< That epoll reports.
     std::uint64_t mReceived = 0; ///< Bytes.
   };
 
@@ -471,13 +472,14 @@
   epoll_event event = {};
   event.events = aEvents;
   event.data.fd = aSide.mSocket;
-  if (aSide.mEvents == 0 && !isIgnored) {
+  if (!aSide.mIsRegistered && !isIgnored) {
     ::epoll_ctl(mEpoll, EPOLL_CTL_ADD, aSide.mSocket, &event);
-  } else if (aSide.mEvents != 0 && isIgnored) {
+  } else if (aSide.mIsRegistered && isIgnored) {
     ::epoll_ctl(mEpoll, EPOLL_CTL_DEL, aSide.mSocket, nullptr);
   } else if (aSide.mEvents != aEvents) {
     ::epoll_ctl(mEpoll, EPOLL_CTL_MOD, aSide.mSocket, &event);
   }
+  aSide.mIsRegistered = !isIgnored;
   aSide.mEvents = aEvents;
 }
 
