Use no kept connection on which bytes wait

What callers would see, in the project's own deployment (the node and all calls that must not repeat use a new connection each time): an upstream that sends a second response, at once or some ms later, to a connection that waits for nothing. The next idempotent request on it gets that one as its own answer (MIXED).

Cause: libcurl 7.88 uses an idle connection again if it is open, with bytes to read or not.

Change: before a request is sent on a connection that was used before, the client asks whether anything is to be read there. If so the connection is closed and the call made on a new one; nothing was sent, so this is no retry. libcurl tells neither the socket nor the moment at which it picks one, so KeptConnections finds the socket by the connection's ends.

Evidence: HttpClientTest/BytesOnAnIdleConnectionBelongToNoRequest fails before with bytes 0, 5 and 30 ms after the response ("more" instead of "good", one connection), passes now.

Remains: bytes that arrive after the request has been sent can't be told from its response where the response doesn't name its request.

--- a/Peridothoist/Shell/ClientCall.cpp
+++ b/Peridothoist/Shell/ClientCall.cpp
@@ -4,6 +4,7 @@
 #include <Peridothoist/Shell/SocketOptions.h>
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 namespace peridothoist::detail {
 
@@ -146,6 +147,9 @@
     curl_easy_setopt(mHandle, CURLOPT_CAINFO_BLOB, &authority);
   }
   curl_easy_setopt(mHandle, CURLOPT_SOCKOPTFUNCTION, &OnSocketCreated);
+  curl_easy_setopt(mHandle, CURLOPT_SOCKOPTDATA, this);
+  curl_easy_setopt(mHandle, CURLOPT_CLOSESOCKETFUNCTION, &OnSocketClosed);
+  curl_easy_setopt(mHandle, CURLOPT_CLOSESOCKETDATA, &mDelegate->Connections());
   curl_easy_setopt(mHandle, CURLOPT_PREREQFUNCTION, &OnBeforeSend);
   curl_easy_setopt(mHandle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(mHandle, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
@@ -201,26 +205,39 @@
 }
 
 int
-ClientCall::OnSocketCreated(void* /*aSelf*/,
+ClientCall::OnSocketCreated(void* aSelf,
                             curl_socket_t aSocket,
                             curlsocktype /*aPurpose*/)
 {
   EnableKeepAlive(aSocket);
   LimitReceiveBuffer(aSocket);
+  static_cast<ClientCall*>(aSelf)->mNewSocket = aSocket;
   return CURL_SOCKOPT_OK;
 }
 
+int
+ClientCall::OnSocketClosed(void* aConnections, curl_socket_t aSocket)
+{
+  static_cast<KeptConnections*>(aConnections)->Remove(aSocket);
+  return ::close(aSocket);
+}
+
 int
 ClientCall::OnBeforeSend(void* aSelf,
-                         char* /*aRemoteAddress*/,
-                         char* /*aLocalAddress*/,
-                         int /*aRemotePort*/,
-                         int /*aLocalPort*/)
+                         char* aRemoteAddress,
+                         char* aLocalAddress,
+                         int aRemotePort,
+                         int aLocalPort)
 {
   auto& self = *static_cast<ClientCall*>(aSelf);
   if (self.mIsCancelled) {
     return CURL_PREREQFUNC_ABORT;
   }
+  if (!self.IsClean(
+        { aLocalAddress, aLocalPort, aRemoteAddress, aRemotePort })) {
+    self.mNeedsNewConnection = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
   if (!self.mListener->OnBeforeSend()) {
     self.mIsWithheld = !self.mMayHaveBeenSent;
     return CURL_PREREQFUNC_ABORT;
@@ -232,6 +249,29 @@
   return CURL_PREREQFUNC_OK;
 }
 
+/// Returns whether nothing waits to be read on the connection, which would be
+/// taken for the response.
+bool
+ClientCall::IsClean(const ConnectionEnds& aEnds)
+{
+  if (mCall.mSendOnce) {
+    return true; // The connection is a new one and isn't kept.
+  }
+  KeptConnections& connections = mDelegate->Connections();
+  if (mNewSocket < 0) {
+    return !connections.HasInput(aEnds);
+  }
+  connections.Add(aEnds, std::exchange(mNewSocket, -1));
+  return true;
+}
+
+void
+ClientCall::UseNewConnection()
+{
+  mNeedsNewConnection = false;
+  curl_easy_setopt(mHandle, CURLOPT_FRESH_CONNECT, 1L);
+}
+
 std::size_t
 ClientCall::OnHeader(char* aData,
                      std::size_t aSize,
--- a/Peridothoist/Shell/ClientCall.h
+++ b/Peridothoist/Shell/ClientCall.h
@@ -4,6 +4,7 @@
 
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Shell/HttpClient.h>
+#include <Peridothoist/Shell/KeptConnections.h>
 #include <Peridothoist/Shell/ResponseParser.h>
 
 #include <curl/curl.h>
@@ -21,6 +22,10 @@
 
   /// Asks for ResumeTransfer() in a later turn.
   virtual void ResumeLater(HttpClient::CallId aCall) = 0;
+
+  /// Returns the connections that calls may use again. They outlive the
+  /// connections of libcurl.
+  virtual KeptConnections& Connections() = 0;
 };
 
 /// One call in progress, which handles libcurl's callbacks. libcurl passes on
@@ -62,6 +67,12 @@
   // Backpressure. A pause takes effect when the next data arrives.
   void MarkPaused() { mIsPauseRequested = true; }
   void MarkResumed() { mIsPauseRequested = false; }
+  /// Returns whether the call has ended before anything was sent, since the
+  /// kept connection that it was to use is not clean. It goes on with
+  /// UseNewConnection() and another transfer.
+  bool NeedsNewConnection() const { return mNeedsNewConnection; }
+  void UseNewConnection();
+
   /// Makes libcurl deliver data again, unless a pause is requested or no pause
   /// has taken effect. Must not be called inside a libcurl callback.
   void ResumeTransfer();
@@ -78,10 +89,12 @@
   void SetHeaders();
   std::size_t OnHeaderLine(std::string_view aLine);
   bool TakeData(std::string_view aData);
+  bool IsClean(const ConnectionEnds& aEnds);
 
   static int OnSocketCreated(void* aSelf,
                              curl_socket_t aSocket,
                              curlsocktype aPurpose);
+  static int OnSocketClosed(void* aConnections, curl_socket_t aSocket);
   static int OnBeforeSend(void* aSelf,
                           char* aRemoteAddress,
                           char* aLocalAddress,
@@ -119,8 +132,10 @@
   std::string mRejection; ///< Why the response was given up; empty: it wasn't.
 
   // State of the call.
+  int mNewSocket = -1; ///< Of the connection that was opened for it; -1: none.
   bool mMayHaveBeenSent = false;
   bool mIsWithheld = false;
+  bool mNeedsNewConnection = false;
   bool mIsCancelled = false;
   bool mIsPauseRequested = false; ///< By HttpClient::Pause().
   bool mIsLibraryPaused = false;  ///< libcurl has paused the transfer.
--- a/Peridothoist/Shell/HttpClient.cpp
+++ b/Peridothoist/Shell/HttpClient.cpp
@@ -123,6 +123,7 @@
     mDeferredActions.push_back({ aCall, false });
     ScheduleProcessing();
   }
+  detail::KeptConnections& Connections() override { return mConnections; }
 
   // libcurl's callbacks.
   static int OnSocket(CURL* aHandle,
@@ -135,6 +136,7 @@
   void RunSocketAction(curl_socket_t aSocket, int aEvents);
   void ProcessCompletions();
   void ScheduleProcessing();
+  void Restart(detail::ClientCall& aCall);
   void FinishCall(CallId aCall, CURLcode aResult);
   void WatchProgress(CallId aCall,
                      const std::shared_ptr<ResponseCollector>& aCollector,
@@ -152,6 +154,7 @@
   Reactor& mReactor;
   std::string mLocalIp;
   std::shared_ptr<MemoryBudget> mMemory; ///< Null: no bound.
+  detail::KeptConnections mConnections;
   CURLM* mMulti = nullptr;
   int mEpoll = -1;
   detail::ReadySockets mReadySockets;
@@ -271,8 +274,12 @@
   while (const CURLMsg* message = curl_multi_info_read(mMulti, &remaining)) {
     if (message->msg == CURLMSG_DONE) {
       const CURLcode result = message->data.result;
-      FinishCall(detail::ClientCall::FromHandle(message->easy_handle).Id(),
-                 result);
+      auto& call = detail::ClientCall::FromHandle(message->easy_handle);
+      if (call.NeedsNewConnection()) {
+        Restart(call);
+      } else {
+        FinishCall(call.Id(), result);
+      }
     }
   }
   for (std::size_t left = mDeferredActions.size(); left > 0; --left) {
@@ -304,6 +311,15 @@
   }
 }
 
+/// Makes a call on a new connection of which nothing was sent.
+void
+HttpClient::Impl::Restart(detail::ClientCall& aCall)
+{
+  curl_multi_remove_handle(mMulti, aCall.Handle());
+  aCall.UseNewConnection();
+  curl_multi_add_handle(mMulti, aCall.Handle());
+}
+
 void
 HttpClient::Impl::FinishCall(CallId aCall, CURLcode aResult)
 {
--- a/UnitTests/Shell/HttpClientTest.cpp
+++ b/UnitTests/Shell/HttpClientTest.cpp
@@ -161,6 +161,12 @@
   HttpCall Call() const { return ClientFixture::CallTo(mListening); }
   std::size_t ConnectionCount() const { return mConnections.size(); }
 
+  /// Sends bytes on the newest connection.
+  void SendToLast(const std::string& aBytes) const
+  {
+    ::send(mConnections.back(), aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+  }
+
   // See: DescriptorListener
   void OnReadable(int aDescriptor) override
   {
@@ -284,6 +290,23 @@
   }
 }
 
+// Guards against a response that arrives late, on an idle connection, and is
+// taken for that to the next request (MIXED).
+BOOST_AUTO_TEST_CASE(BytesOnAnIdleConnectionBelongToNoRequest)
+{
+  const std::string sound = kSized + "\r\ngood";
+  for (const Duration delay : { 0ms, 5ms, 30ms }) {
+    KeepingServer server(*mReactor, sound);
+    BOOST_TEST(CallAndWait(server.Call())->mBody == "good");
+    bool isIdle = false;
+    mReactor->Schedule(delay, [&] { server.SendToLast(kSized + "\r\nmore"); });
+    mReactor->Schedule(delay + 20ms, [&] { isIdle = true; });
+    BOOST_REQUIRE(Until([&] { return isIdle; }));
+    BOOST_TEST(CallAndWait(server.Call())->mBody == "good");
+    BOOST_TEST(server.ConnectionCount() == 2U);
+  }
+}
+
 // Guards against a broken response to CONNECT that opens a tunnel, or whose
 // status is believed: an upstream that is up counts as gone.
 BOOST_AUTO_TEST_CASE(BrokenResponsesToConnect)
