--- a/CommandLine/ControlClient.cpp
+++ b/CommandLine/ControlClient.cpp
@@ -56,7 +56,7 @@
   PH_ASSERT(client != nullptr);
   ControlResponse response;
   client->Fetch(std::move(call),
-                [&](const HttpCallResult& aResult, std::string aBody) {
+                [&](const HttpCallResult& aResult, const std::string& aBody) {
                   reactor->Stop();
                   if (aResult.mFailure != CallFailure::None) {
                     response.mIsInDoubt = aResult.mMayHaveBeenSent;
