Log and count malformed responses by reason

What operators saw: a response that is no response ended its call as broken like a reset, with libcurl's text or none; nothing told the form, and no metric.

HTTP/1.2 and later are refused by the parser too: libcurl reads no other than 1.0 and 1.1, and both readers are to agree.

Evidence: system_test_broken_responses/test_logs_and_metrics_show_what_is_broken.

--- a/Peridothoist/Node/NodeMetrics.cpp
+++ b/Peridothoist/Node/NodeMetrics.cpp
@@ -258,6 +258,11 @@
   for (const auto& [use, count] : aGauges.mMemoryRefusals) {
     SetCounter("peridothoist_memory_refused_total", count, { { "use", use } });
   }
+  for (const auto& [reason, count] : aGauges.mMalformedResponses) {
+    SetCounter("peridothoist_malformed_responses_total",
+               count,
+               { { "reason", reason } });
+  }
   set("peridothoist_limited_upstreams",
       static_cast<double>(aGauges.mLimitedUpstreams));
   set("peridothoist_cold_upstreams",
--- a/Peridothoist/Node/NodeMetrics.h
+++ b/Peridothoist/Node/NodeMetrics.h
@@ -33,8 +33,9 @@
   // Of the memory that is held for requests, responses and peers, in bytes.
   std::size_t mMemoryUsed = 0;
   std::size_t mMemoryPeak = 0;
-  std::size_t mMemoryLimit = 0;                         ///< 0: none.
-  std::map<std::string, std::uint64_t> mMemoryRefusals; ///< By use.
+  std::size_t mMemoryLimit = 0;                             ///< 0: none.
+  std::map<std::string, std::uint64_t> mMemoryRefusals;     ///< By use.
+  std::map<std::string, std::uint64_t> mMalformedResponses; ///< By reason.
   std::size_t mLimitedUpstreams = 0; ///< That state a limit, or are cold.
   std::size_t mColdUpstreams = 0;
   SpeedRange mSpeeds;
--- a/Peridothoist/Node/NodeProcessEndpoints.cpp
+++ b/Peridothoist/Node/NodeProcessEndpoints.cpp
@@ -181,6 +181,7 @@
     const auto use = static_cast<MemoryUse>(n);
     gauges.mMemoryRefusals[ToName(use)] = mMemory->RefusalCount(use);
   }
+  gauges.mMalformedResponses = mClient->MalformedResponses();
   gauges.mLimitedUpstreams = mMachine.Limits().LimitedCount(mReactor->Now());
   gauges.mSpeeds = mMachine.Speeds().KnownRange();
   gauges.mColdUpstreams = mMachine.Limits().ColdCount(mReactor->Now());
--- a/Peridothoist/Shell/ClientCall.cpp
+++ b/Peridothoist/Shell/ClientCall.cpp
@@ -1,6 +1,7 @@
 /// One call of the HTTP client on a libcurl easy handle.
 #include <Peridothoist/Peridothoist.h>
 #include <Peridothoist/Shell/ClientCall.h>
+#include <Peridothoist/Shell/Log.h>
 #include <Peridothoist/Shell/SocketOptions.h>
 
 #include <fmt/format.h>
@@ -10,6 +11,9 @@
 
 namespace {
 
+/// Maximum size of what is logged of a malformed line.
+constexpr std::size_t kMaxExcerptBytes = 80;
+
 /// Size of the receive buffer of each call.
 constexpr long kReceiveBufferBytes = 8 * 1024;
 
@@ -292,7 +296,7 @@
   ResponseParser& parser = mMayHaveBeenSent ? mResponse : mTunnelResponse;
   parser.TakeHeadLine(aLine);
   if (parser.Error() != nullptr) {
-    return RejectResponse(parser.Error());
+    return RejectMalformed(parser.Error(), aLine);
   }
   if (mResponse.HasHead()) {
     mListener->OnHead(mResponse.Status(), mResponse.Headers());
@@ -307,6 +311,17 @@
   return 0; // Makes libcurl end the call.
 }
 
+std::size_t
+ClientCall::RejectMalformed(const char* aReason, std::string_view aLine)
+{
+  mDelegate->OnMalformed(aReason);
+  std::string reason = aReason;
+  if (!aLine.empty()) {
+    reason += ": " + QuoteForLog(aLine.substr(0, kMaxExcerptBytes));
+  }
+  return RejectResponse(std::move(reason));
+}
+
 std::size_t
 ClientCall::OnData(char* aData,
                    std::size_t aSize,
@@ -344,7 +359,7 @@
     mListener->OnData(body);
   }
   if (mResponse.Error() != nullptr) {
-    RejectResponse(mResponse.Error());
+    RejectMalformed(mResponse.Error(), "");
     return false;
   }
   if (mResponse.HasExcess()) {
--- a/Peridothoist/Shell/ClientCall.h
+++ b/Peridothoist/Shell/ClientCall.h
@@ -26,6 +26,9 @@
   /// Returns the connections that calls may use again. They outlive the
   /// connections of libcurl.
   virtual KeptConnections& Connections() = 0;
+
+  /// Called when a response is malformed.
+  virtual void OnMalformed(const char* aReason) = 0;
 };
 
 /// One call in progress, which handles libcurl's callbacks. libcurl passes on
@@ -122,8 +125,10 @@
   CURL* mHandle;
   curl_slist* mHeaderList = nullptr;
 
-  /// Ends the call, since the response is malformed or exceeds a limit.
+  /// Ends the call, since the response exceeds a limit or is malformed. aLine:
+  /// of the head, at which that shows; empty: in the body.
   std::size_t RejectResponse(std::string aReason);
+  std::size_t RejectMalformed(const char* aReason, std::string_view aLine);
 
   // The response so far.
   ResponseParser mTunnelResponse; ///< To CONNECT, if there is a tunnel.
--- a/Peridothoist/Shell/HttpClient.cpp
+++ b/Peridothoist/Shell/HttpClient.cpp
@@ -124,6 +124,10 @@
     ScheduleProcessing();
   }
   detail::KeptConnections& Connections() override { return mConnections; }
+  void OnMalformed(const char* aReason) override
+  {
+    ++mMalformedResponses[aReason];
+  }
 
   // libcurl's callbacks.
   static int OnSocket(CURL* aHandle,
@@ -155,6 +159,7 @@
   std::string mLocalIp;
   std::shared_ptr<MemoryBudget> mMemory; ///< Null: no bound.
   detail::KeptConnections mConnections;
+  std::map<std::string, std::uint64_t> mMalformedResponses; ///< By reason.
   CURLM* mMulti = nullptr;
   int mEpoll = -1;
   detail::ReadySockets mReadySockets;
@@ -386,6 +391,12 @@
   return mImpl->mMemory;
 }
 
+const std::map<std::string, std::uint64_t>&
+HttpClient::MalformedResponses() const
+{
+  return mImpl->mMalformedResponses;
+}
+
 HttpClient::CallId
 HttpClient::Start(HttpCall aCall, std::shared_ptr<HttpCallListener> aListener)
 {
--- a/Peridothoist/Shell/HttpClient.h
+++ b/Peridothoist/Shell/HttpClient.h
@@ -115,6 +115,9 @@
   void SetMemory(std::shared_ptr<MemoryBudget> aMemory);
   const std::shared_ptr<MemoryBudget>& Memory() const;
 
+  /// Returns how many responses were malformed, by the reason.
+  const std::map<std::string, std::uint64_t>& MalformedResponses() const;
+
   /// Starts a call. The client keeps the listener alive until OnEnd() returns.
   /// OnEnd() is never called from within Start().
   CallId Start(HttpCall aCall, std::shared_ptr<HttpCallListener> aListener);
--- a/Peridothoist/Shell/ResponseParser.cpp
+++ b/Peridothoist/Shell/ResponseParser.cpp
@@ -91,25 +91,24 @@
 const char*
 ResponseParser::TakeStatusLine(std::string_view aLine)
 {
-  constexpr std::string_view kVersion = "HTTP/1.";
-  constexpr std::size_t kStatusAt = 9;
+  constexpr std::string_view kHttp10 = "HTTP/1.0 ";
+  constexpr std::string_view kHttp11 = "HTTP/1.1 ";
   constexpr std::size_t kStatusDigits = 3;
-  const std::string_view digits =
-    aLine.substr(std::min(aLine.size(), kStatusAt), kStatusDigits);
-  const std::string_view reason =
-    aLine.substr(std::min(aLine.size(), kStatusAt + kStatusDigits));
-  const bool isStatusLine =
-    aLine.substr(0, kVersion.size()) == kVersion &&
-    digits.size() == kStatusDigits && IsNumber(digits) &&
-    IsNumber(aLine.substr(kVersion.size(), 1)) && aLine[kStatusAt - 1] == ' ' &&
-    (reason.empty() || reason.front() == ' ');
+  const std::string_view version = aLine.substr(0, kHttp11.size());
+  const std::string_view rest = aLine.substr(version.size());
+  const std::string_view digits = rest.substr(0, kStatusDigits);
+  const std::string_view reason = rest.substr(digits.size());
+  const bool isStatusLine = (version == kHttp11 || version == kHttp10) &&
+                            digits.size() == kStatusDigits &&
+                            IsNumber(digits) &&
+                            (reason.empty() || reason.front() == ' ');
   if (!isStatusLine) {
-    return "the response does not begin with a status line of HTTP/1";
+    return "the response does not begin with a status line of HTTP/1.1 or 1.0";
   }
   if (const char* error = FindLineError(aLine)) {
     return error;
   }
-  mIsHttp10 = aLine[kVersion.size()] == '0';
+  mIsHttp10 = version == kHttp10;
   std::from_chars(digits.data(), digits.data() + digits.size(), mStatus);
   if (mStatus < kMinStatus || mStatus > kMaxStatus) {
     return "the status is out of range";
--- a/SystemTests/test_broken_responses.py
+++ b/SystemTests/test_broken_responses.py
@@ -4,8 +4,10 @@
 import time
 import unittest
 
+from harness.caller import call
 from harness.process import wait_until
 from test_nodes import NodeClusterTest
+from users_platform.nodes import METRICS
 from users_platform.upstreams import LARGE_BYTES
 from users_platform.wire import BROKEN_HEADS
 
@@ -87,6 +89,16 @@
         for kind, service, stage in KINDS[1:]:
             self.check_repeated(kind, service, stage, "broken_line")
 
+    # Guards against broken responses that an operator can't tell from resets.
+    def test_logs_and_metrics_show_what_is_broken(self):
+        attempt, _ = self.send_until_run("post", "ledger", None, "broken_control_elsewhere")
+        self.wait_for_explanation(
+            attempt.request_id, "the head has control characters", "X\\\\x1bNote: odd"
+        )
+        node = self.cluster.nodes[0]
+        metrics = call(node.address(METRICS), "GET", "/metrics").body.decode()
+        self.assertRegex(metrics, 'malformed_responses_total{reason="the head has control')
+
     # Guards against a stream that goes on after a malformed chunk.
     def test_stream_goes_on_elsewhere_after_a_broken_chunk(self):
         self.check_repeated("stream", "lm", "decode", "broken_chunk")
--- a/UnitTests/Shell/ResponseParserTest.cpp
+++ b/UnitTests/Shell/ResponseParserTest.cpp
@@ -2,58 +2,20 @@
 /// on random splits of their bytes.
 #define BOOST_TEST_MODULE ResponseParser
 #include <Peridothoist/Peridothoist.h>
-#include <Peridothoist/Shell/ResponseParser.h>
+#include <Shell/ParsedResponse.h>
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
 using namespace peridothoist;
+using namespace peridothoist::test;
 using detail::ParseChunkSize;
-using detail::ResponseParser;
 
 namespace {
 
 const std::string kOk = "HTTP/1.1 200 OK\r\n";
 const std::string kChunked = kOk + "Transfer-Encoding: chunked\r\n\r\n";
 
-/// What became of the bytes of a connection.
-struct Result
-{
-  bool mIsComplete = false;
-  bool mIsBroken = false;
-  bool mHasExcess = false;
-  int mStatus = 0;
-  HttpHeaders mHeaders;
-  std::string mBody;
-};
-
-/// Passes bytes to a parser as the client does: the head in lines, the body in
-/// parts of aPartBytes.
-Result
-Parse(std::string_view aBytes,
-      std::size_t aPartBytes = std::string::npos,
-      std::string_view aMethod = "GET")
-{
-  ResponseParser parser(aMethod);
-  while (!aBytes.empty() && !parser.HasHead() && parser.Error() == nullptr) {
-    const std::size_t end = std::min(aBytes.find('\n'), aBytes.size() - 1);
-    parser.TakeHeadLine(aBytes.substr(0, end + 1));
-    aBytes.remove_prefix(end + 1);
-  }
-  Result result;
-  while (!aBytes.empty() && parser.Error() == nullptr) {
-    const std::string_view part = aBytes.substr(0, aPartBytes);
-    result.mBody += parser.TakeBody(part);
-    aBytes.remove_prefix(part.size());
-  }
-  result.mIsComplete = parser.IsComplete();
-  result.mIsBroken = parser.Error() != nullptr;
-  result.mHasExcess = parser.HasExcess();
-  result.mStatus = parser.Status();
-  result.mHeaders = parser.HasHead() ? parser.Headers() : HttpHeaders();
-  return result;
-}
-
 std::string
 WithNul(std::string_view aBefore, std::string_view aAfter)
 {
@@ -88,6 +50,7 @@
   "HTTP/11 200 OK",
   "HTTP/1.x 200 OK",
   "HTTP/0.9 200 OK",
+  "HTTP/1.2 200 OK",
   "HTTP/2.0 200 OK",
   "HTTP/2 200 OK",
   "HTTP/10.1 200 OK",
@@ -276,7 +239,7 @@
 void
 CheckBroken(const std::string& aBytes)
 {
-  const Result result = Parse(aBytes);
+  const ParsedResponse result = ParseResponse(aBytes);
   BOOST_TEST(result.mIsBroken, aBytes);
   BOOST_TEST(!result.mIsComplete, aBytes);
 }
@@ -286,7 +249,7 @@
 CheckBrokenHead(const std::string& aBytes)
 {
   CheckBroken(aBytes);
-  const Result result = Parse(aBytes);
+  const ParsedResponse result = ParseResponse(aBytes);
   BOOST_TEST(result.mStatus == 0, aBytes);
   BOOST_TEST(result.mHeaders.empty(), aBytes);
   BOOST_TEST(result.mBody.empty(), aBytes);
@@ -295,7 +258,7 @@
 void
 CheckSound(const std::string& aBytes)
 {
-  const Result result = Parse(aBytes);
+  const ParsedResponse result = ParseResponse(aBytes);
   BOOST_TEST(result.mIsComplete, aBytes);
   BOOST_TEST(!result.mIsBroken, aBytes);
   BOOST_TEST(!result.mHasExcess, aBytes);
@@ -378,16 +341,17 @@
   const std::string length = "Content-Length: 4\r\n\r\n";
   for (const char* status : { "204 No Content", "304 Not Modified" }) {
     const auto result =
-      Parse("HTTP/1.1 " + std::string(status) + "\r\n" + length);
+      ParseResponse("HTTP/1.1 " + std::string(status) + "\r\n" + length);
     BOOST_TEST(result.mIsComplete);
     BOOST_TEST(result.mBody.empty());
   }
-  BOOST_TEST(Parse(kOk + length, 1, "HEAD").mIsComplete);
-  BOOST_TEST(Parse(kChunked, 1, "HEAD").mIsComplete);
-  BOOST_TEST(Parse(kOk + length, 1, "CONNECT").mIsComplete);
-  BOOST_TEST(!Parse(kOk + length, 1, "GET").mIsComplete);
+  BOOST_TEST(ParseResponse(kOk + length, 1, "HEAD").mIsComplete);
+  BOOST_TEST(ParseResponse(kChunked, 1, "HEAD").mIsComplete);
+  BOOST_TEST(ParseResponse(kOk + length, 1, "CONNECT").mIsComplete);
+  BOOST_TEST(!ParseResponse(kOk + length, 1, "GET").mIsComplete);
   BOOST_TEST(
-    !Parse("HTTP/1.1 502 Bad Gateway\r\n" + length, 1, "CONNECT").mIsComplete);
+    !ParseResponse("HTTP/1.1 502 Bad Gateway\r\n" + length, 1, "CONNECT")
+       .mIsComplete);
 }
 
 // Guards against interim responses that are checked less, or whose headers are
@@ -399,9 +363,9 @@
     "HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n";
   CheckSound("HTTP/1.1 100 Continue\r\n\r\n" + last);
   CheckSound("HTTP/1.1 100\r\n\r\n" + hints + hints + last);
-  BOOST_TEST(Parse(hints + last).mHeaders.count("link") == 0U);
-  BOOST_TEST(!Parse(hints).mIsComplete);
-  BOOST_TEST(Parse(hints).mStatus == 0);
+  BOOST_TEST(ParseResponse(hints + last).mHeaders.count("link") == 0U);
+  BOOST_TEST(!ParseResponse(hints).mIsComplete);
+  BOOST_TEST(ParseResponse(hints).mStatus == 0);
   CheckBrokenHead("HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + last);
   CheckBrokenHead("HTTP/1.1 100 Continue\r\n\r\ngarbage\r\n" + last);
   CheckBrokenHead("HTTP/1.1 100 Continue\r\n\r\n\r\n" + last);
@@ -409,7 +373,7 @@
 
 BOOST_AUTO_TEST_CASE(RepeatedHeadersAreJoined)
 {
-  const auto result = Parse(kOk + "A: 1\r\na:\r\nA: 2\r\n\r\n");
+  const auto result = ParseResponse(kOk + "A: 1\r\na:\r\nA: 2\r\n\r\n");
   BOOST_TEST(result.mHeaders.at("a") == "1, , 2");
 }
 
@@ -420,10 +384,10 @@
        { kOk + "Content-Length: 4\r\n\r\ngood",
          kChunked + "4\r\ngood\r\n0\r\n\r\n",
          std::string("HTTP/1.1 204 No Content\r\n\r\n") }) {
-    const auto result = Parse(response + "more");
+    const auto result = ParseResponse(response + "more");
     BOOST_TEST(result.mIsComplete, response);
     BOOST_TEST(result.mHasExcess, response);
-    BOOST_TEST(result.mBody == Parse(response).mBody, response);
+    BOOST_TEST(result.mBody == ParseResponse(response).mBody, response);
   }
 }
 
@@ -435,7 +399,8 @@
     }
     const std::string whole = kOk + framing.mFields + "\r\n" + framing.mBody;
     for (std::size_t n = 0; n < whole.size(); ++n) {
-      BOOST_TEST(!Parse(whole.substr(0, n)).mIsComplete, whole.substr(0, n));
+      BOOST_TEST(!ParseResponse(whole.substr(0, n)).mIsComplete,
+                 whole.substr(0, n));
     }
   }
 }
@@ -462,8 +427,8 @@
   }
   const auto response = *rc::gen::elementOf(responses);
   const auto partBytes = *rc::gen::inRange<std::size_t>(1, 40);
-  const Result whole = Parse(response);
-  const Result split = Parse(response, partBytes);
+  const ParsedResponse whole = ParseResponse(response);
+  const ParsedResponse split = ParseResponse(response, partBytes);
   RC_ASSERT(split.mIsComplete == whole.mIsComplete);
   RC_ASSERT(split.mIsBroken == whole.mIsBroken);
   RC_ASSERT(split.mBody == whole.mBody);
