--- a/SystemTests/soak/faults.py
+++ b/SystemTests/soak/faults.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import Callable
 
+from users_platform.wire import BROKEN_HEADS
+
 
 @dataclass(order=True)
 class FaultAction:
@@ -20,13 +22,17 @@
 class FaultSchedule:
     """Generates faults from one seed and schedules their actions."""
 
-    def __init__(self, rng, cluster, record, path_rng=None, zone_rng=None):
+    def __init__(
+        self, rng, cluster, record, path_rng=None, zone_rng=None, response_rng=None
+    ):
         """path_rng: draws the faults of paths and of leaving; apart from the others,
         so that a seed's other faults stay what they were before these were added.
-        None: there are none. zone_rng: the same for evacuations."""
+        None: there are none. zone_rng: the same for evacuations. response_rng: the same
+        for broken responses."""
         self.rng = rng
         self.path_rng = path_rng
         self.zone_rng = zone_rng
+        self.response_rng = response_rng
         self.cluster = cluster
         self.record = record
         self.actions = []
@@ -49,6 +55,9 @@
                 self.state_leaving(self.path_rng.uniform(1, seconds))
         if self.zone_rng is not None:
             self.evacuate(self.zone_rng.uniform(1, seconds / 2))
+        if self.response_rng is not None:
+            for _ in range(max(1, count // 4)):
+                self.break_responses(self.response_rng.uniform(1, seconds))
         return sorted(self.actions)
 
     def _schedule(self, start_time, text, run):
@@ -322,6 +331,31 @@
         self._schedule(start_time, f"evacuate {zone}", start_fault)
         self._schedule(start_time + seconds, f"take back {zone}", end_fault)
 
+    def break_responses(self, start_time):
+        """Makes an upstream, or at times the store, send responses that are broken."""
+        rng = self.response_rng
+        target = rng.choice([*self.cluster.upstreams, self.cluster.store])
+        kinds = [*BROKEN_HEADS]
+        if target is not self.cluster.store:
+            kinds.append("broken_chunk")
+        kind = rng.choice(kinds)
+        seconds = rng.choice([0.5, 1.5])
+        if not self._reserve(target, start_time, seconds + 0.2):
+            return
+
+        def set_fault(fault):
+            if target is self.cluster.store:
+                mark = self.record.mark_disconnected if fault else self.record.mark_reconnected
+                for node in self.cluster.nodes:
+                    mark(node.name, time.monotonic())
+            target.fault = fault
+
+        name = getattr(target, "address", "store")
+        self._schedule(start_time, f"{name} {kind}", lambda: set_fault(kind))
+        self._schedule(
+            start_time + seconds, f"{name} fault is over", lambda: set_fault(None)
+        )
+
     def pause_engines(self, start_time):
         """Makes one decode engine pause for some seconds while all others pause too
         or refuse requests."""
--- a/SystemTests/soak/soak.py
+++ b/SystemTests/soak/soak.py
@@ -58,8 +58,9 @@
         self.checker = InvariantChecker(self.record)
         path_rng = random.Random(f"paths of {seed}")
         zone_rng = random.Random(f"zones of {seed}")
+        response_rng = random.Random(f"responses of {seed}")
         self.actions = FaultSchedule(
-            self.rng, self.cluster, self.record, path_rng, zone_rng
+            self.rng, self.cluster, self.record, path_rng, zone_rng, response_rng
         ).generate(fault_count, seconds)
         self.keys = ["k1", "k1", "k2", "k3"]
         self.is_stopping = False
