--- a/Peridothoist/Shell/HttpClient.h
+++ b/Peridothoist/Shell/HttpClient.h
@@ -56,7 +56,8 @@
   NotConnected, ///< No connection was established; nothing was sent.
   Withheld,     ///< OnBeforeSend() returned false; nothing was sent.
   TimedOut,     ///< Timed out after bytes may have been sent.
-  Broken,       ///< The connection broke before the response was complete.
+  Broken,       ///< The connection broke before the response was complete, or
+                ///< the response is malformed or too large.
   Cancelled     ///< HttpClient::Cancel() was called.
 };
 
@@ -69,7 +70,7 @@
 {
   CallFailure mFailure = CallFailure::None;
   bool mMayHaveBeenSent = false; ///< Some request bytes may have been sent.
-  int mStatus = 0;               ///< 0 when no status line was received.
+  int mStatus = 0;               ///< 0 when no valid head was received.
   /// With mTunnel and NotConnected: the status with which the tunnel was
   /// refused; 0: it did not respond.
   int mTunnelStatus = 0;
