Load until there are responses without end to control calls

Cause: the only control calls of that load are reservations, which nodes make when decode engines are fairly full.

Change: the load goes on, up to ten times, until three such responses have been met. The bound and all checks stay as they are, and they see more requests.

--- a/SystemTests/test_endless_responses.py
+++ b/SystemTests/test_endless_responses.py
@@ -23,6 +23,7 @@
 LOAD_SECONDS = 1.5  # Time during which callers send; the last ones wait longer.
 PAUSE_SECONDS = 0.05  # After a response.
 MIN_RESPONSES = 3  # Without end, in each test.
+MAX_LOADS = 10  # To bring them about.
 MAX_TURN_SECONDS = 0.5  # Half a second after a route's timeout is too late.
 MAX_GROWTH_MB = 20  # Memory that a node may keep for good.
 # From the end of the load until memory is given back and connections are closed.
@@ -72,12 +73,16 @@
         ))
 
     def load_with(self, fault):
-        """Sends requests while half of the upstreams of each kind have the fault."""
+        """Sends requests while half of the upstreams of each kind have the fault, until
+        there were some responses without end: not every load has control calls."""
         stages = (("ledger", None), ("lm", "prefill"), ("lm", "decode"))
         faulty = [it for stage in stages for it in self.upstreams(*stage)[::2]]
         for upstream in faulty:
             upstream.fault = fault
-        self.cluster.loop.run(self.send_from_all())
+        for _ in range(MAX_LOADS):
+            self.cluster.loop.run(self.send_from_all())
+            if self.cluster.shared_state.endless_count >= MIN_RESPONSES:
+                break
         for upstream in faulty:
             upstream.fault = None
 
