review: streams that all machines lose in a record's first 37 s don't go on

All processes are killed at once 14 s after the first start of the system and start again a second later. Clients take up their streams at machines in touch and are refused each time, while all new streams begin. The clients and the rule's check stand in the rig.

--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -19,6 +19,7 @@
 from harness.process import Process, wait_until  # noqa: E402
 from harness.tcp_proxy import ProxyLoop  # noqa: E402
 from users_platform import upstreams  # noqa: E402
+from users_platform.callers import Caller  # noqa: E402
 from users_platform.store import Store  # noqa: E402
 
 CLIENTS, READY, DIRECTORY, CONTROL, STORE = 8221, 8224, 8220, 8229, 8225
@@ -215,3 +216,147 @@
         """Writes record.txt: the notes, and lines on what was sent, answered and run."""
         with open(os.path.join(folder, "record.txt"), "w") as file:
             file.write("\n".join([*self.record, "", *lines]) + "\n")
+
+
+class StreamClient:
+    """A client with one stream, which it takes up again while it is broken."""
+
+    def __init__(self, deployment, number, rng, events, deadline, max_tries):
+        self.deployment = deployment
+        self.number = number
+        self.rng = rng
+        self.events = events
+        self.deadline = deadline
+        self.max_tries = max_tries  # Refused connections don't count.
+        self.attempts = []
+        self.held = b""  # The whole events that the client holds.
+        self.began_with = ""  # Id of the attempt that brought the first event.
+        self.is_whole = False
+
+    @property
+    def versions(self):
+        """The software versions of the events that the client holds."""
+        return sorted(set(re.findall(r"@(v\d)\n", self.held.decode())))
+
+    async def run(self):
+        """Sends the request, and takes the stream up again while it is broken and there
+        is time: each attempt on a new connection to any machine, after the Retry-After of
+        the one before."""
+        end = time.monotonic() + self.deadline
+        caller = Caller(f"client-{self.number}")
+        body = f"body {self.number}".encode()
+        while not self.is_whole and len(self.attempts) < self.max_tries:
+            left = end - time.monotonic()
+            if left < 0.1:
+                break
+            machine = self.rng.choice(self.deployment.machines)
+            attempt = await caller.send(
+                machine.name, machine.address(), "stream", "k1", left, self.events,
+                resumes=self.began_with, last_event_id=self.held.count(b"\n\n"),
+                body=body,
+            )
+            await caller.close()
+            if attempt.failure == "connection refused":
+                await asyncio.sleep(0.2)
+                continue
+            self.attempts.append(attempt)
+            self._take(attempt)
+            retry_after = float(attempt.headers.get("retry-after", 0.2))
+            left = end - time.monotonic()
+            if not self.is_whole:
+                await asyncio.sleep(max(0, min(retry_after, left / 3)))
+
+    def _take(self, attempt):
+        if attempt.status != 200:
+            return
+        whole = attempt.response_body.rpartition(b"\n\n")
+        if whole[1]:
+            self.held += whole[0] + whole[1]
+            self.began_with = self.began_with or attempt.request_id
+        self.is_whole = self.held.count(b"\n\n") == self.events
+
+    def lines(self):
+        """Returns what the client sent and received, for the record."""
+        lines = [f"client {self.number}: versions held {self.versions}"]
+        for it in self.attempts:
+            lines.append(
+                f"{it.sent_at - self.deployment.started_at:8.3f} s  {it.request_id} at "
+                f"{it.node}: after event {it.last_event_id}, resumes '{it.resumes}', "
+                f"status {it.status} {it.failure}"
+            )
+        return lines
+
+
+class TakeUps:
+    """The streams that clients take up again at machines in touch, and the new ones that
+    they send there meanwhile. is_in_touch: tells it of an attempt."""
+
+    MIN_STREAMS = 12
+
+    def __init__(self, clients, is_in_touch):
+        self.taken_up, self.going_on, self.new, self.begun = [], [], [], []
+        for client in clients:
+            again = [it for it in client.attempts if it.resumes and is_in_touch(it)]
+            if again:
+                self.taken_up.append(client)
+                if any(it.status == 200 and it.response_body for it in again):
+                    self.going_on.append(client)
+            first = client.attempts[0] if client.attempts else None
+            if first is not None and is_in_touch(first):
+                self.new.append(client)
+                if first.status == 200 and first.response_body:
+                    self.begun.append(client)
+
+    @property
+    def share_again(self):
+        return len(self.going_on) / max(1, len(self.taken_up))
+
+    @property
+    def share_new(self):
+        return len(self.begun) / max(1, len(self.new))
+
+    def break_rule(self):
+        """Returns whether the share that goes on is under half of that which begins."""
+        is_enough = len(self.taken_up) >= self.MIN_STREAMS
+        return is_enough and self.share_again < self.share_new / 2
+
+    def describe(self):
+        return (
+            f"{len(self.taken_up)} taken up again, {len(self.going_on)} go on "
+            f"({self.share_again:.2f}); {len(self.new)} new ones, {len(self.begun)} begin "
+            f"({self.share_new:.2f})"
+        )
+
+
+def lines_of_runs(deployment):
+    """Returns what the runners ran, for the record."""
+    return [
+        f"{it.received_at - deployment.started_at:8.3f} s  {it.request_id} run by "
+        f"{it.upstream} ({it.version}) after event {it.last_event_id}"
+        for it in deployment.shared_state.received_requests
+        if it.ran
+    ]
+
+
+def stream_configuration(timeout_ms):
+    """Returns a configuration with one route, whose streams may be resumed."""
+    return {
+        "version": 1,
+        "routes": [
+            {
+                "name": "stream", "host": "site", "pathPrefix": "/stream/",
+                "kind": "streaming", "service": "lm", "maxAttempts": 2,
+                "timeoutMs": timeout_ms, "targetLatencyMs": 900, "gapAimMs": 300,
+                "priority": 1, "public": False, "sticky": True, "resumable": True,
+            }
+        ],
+        "services": [
+            {
+                "name": "lm", "healthPath": "/health", "maxConns": 360,
+                "engine": {
+                    "slots": 64, "kvCapacity": 39101, "stride": 1, "handleTtlS": 0.5,
+                },
+            }
+        ],
+        "tenants": [{"name": "w1", "apiKeys": ["k1"]}],
+    }
